--- a/vanillawell/tests/session_tests.py
+++ b/vanillawell/tests/session_tests.py
@@ -62,12 +62,14 @@
         return bool(entry.status()["pools"]["pool-check"]["queued"] == 1)
 
     async def play_three() -> Reply:
+        replies = []
         async with Callers() as callers, anyio.create_task_group() as tasks:
             tasks.start_soon(callers.send, entry, slow)
             await anyio.to_thread.run_sync(wait_until, running, "the first one runs")
             tasks.start_soon(callers.send, entry, slow)
             await anyio.to_thread.run_sync(wait_until, queued, "the second one waits")
-            return await callers.send(entry, slow)
+            replies.append(await callers.send(entry, slow))
+        return replies[0]
 
     return run_async(play_three)
 
--- a/vanillawell/transport/caller.py
+++ b/vanillawell/transport/caller.py
@@ -260,7 +260,11 @@
             case Refusal():
                 raise RequestRefusedError(claimed)
             case KeptAnswer():
-                headers = [*claimed.headers, (b"idempotency-replayed", b"true")]
+                headers = [
+                    *claimed.headers,
+                    (b"idempotency-replayed", b"true"),
+                    (b"vanillawell-verdict", Verdict.RAN.value.encode()),
+                ]
                 await send_bytes(send, claimed.status, claimed.body, headers)
                 return "replayed"
             case _:
