Prove limits, verdicts, at most once and silence with real processes; mend what failed

Causes found by the new tests, each seen failing before the change: - A paused entry that woke after its term registered again and used its old copy of the ledger: 7 ran where 6 are allowed. Ruled out: the term check itself (it held until the new registration). Change: an entry whose term has lapsed goes on under a new holder name and holds nothing; and others count a holder's absence only up to their last list, not up to now. - A stamp whose caller left was recorded as may-have-run at once, although its answer came half a second later; sent again elsewhere it never got its answer. Change: a claim is concluded when the attempt ends, and stays in progress until then. - The proxy's second fault was hidden by the first one whose count had run out.

--- a/vanillawell/coordination/dispatch.py
+++ b/vanillawell/coordination/dispatch.py
@@ -73,16 +73,26 @@
     may_have_run: bool = False
     """An attempt of it went out and gave no whole answer."""
 
-    attempts: int = 0
     last_answer: Answer | None = None
     """A whole answer with a status of 5xx, kept in case no retry does better."""
 
+    running: bool = False
+    """An attempt of it is under way."""
+
+    late: Callable[[Answer | None, Verdict], None] | None = None
+    """Hears how a request ended that had been given up on while it ran."""
+
     def finish(self, outcome: Answer | Refusal) -> None:
-        """Set the outcome, once; a later one is for a request already given up on."""
+        """Set the outcome, once."""
         if self.outcome is None:
             self.outcome = outcome
             self.done.set()
 
+    def conclude_late(self, answer: Answer | None) -> None:
+        """Tell how the last attempt of a request ended that was given up on."""
+        if self.late:
+            self.late(answer, Verdict.RAN if answer else self.verdict_if_given_up)
+
     @property
     def verdict_if_given_up(self) -> Verdict:
         """Return what is known if nothing more is tried."""
@@ -201,9 +211,8 @@
         if pool and pool.queue.remove(ticket.waiting):
             self._tickets.pop(ticket.waiting, None)
             self._limits.note_demand(ticket.order.team)
-        elif ticket.outcome is None:
-            ticket.may_have_run = True
-        refusal = Refusal(reason, ticket.verdict_if_given_up)
+        known = ticket.verdict_if_given_up
+        refusal = Refusal(reason, Verdict.MAY_HAVE_RUN if ticket.running else known)
         ticket.finish(refusal)
         return refusal
 
@@ -284,7 +293,7 @@
     def _start(self, pool: PoolRuntime, item: Waiting, executor: str, now: float) -> None:
         ticket = self._tickets[item]
         link = pool.links[executor]
-        ticket.attempts += 1
+        ticket.running = True
         self._charges.charge(item.team)
         pool.occupy(item.team, 1, now)
         pool.health.note_start(executor, now)
@@ -347,8 +356,10 @@
         """Turn the end of an attempt into the outcome, or into another attempt."""
         answer = delivered[0] if delivered else None
         failure = _failure(error, answer)
+        ticket.running = False
         if failure is None:
             pool.health.note_success(executor)
+            ticket.conclude_late(answer)
             self._finish(ticket, answer)
             return
         if failure in (Failure.REFUSED_FULL, Failure.TOO_LATE):
@@ -359,6 +370,7 @@
         ticket.may_have_run |= failure is Failure.NO_WHOLE_ANSWER
         ticket.last_answer = answer or ticket.last_answer
         if ticket.outcome is not None:
+            ticket.conclude_late(None)
             self._tickets.pop(ticket.waiting, None)
             return
         self._retry_or_end(pool, ticket, failure, now)
--- a/vanillawell/coordination/limit_keeper.py
+++ b/vanillawell/coordination/limit_keeper.py
@@ -107,7 +107,7 @@
         self._timing = timing
         self._telemetry = telemetry
         self._rng = rng
-        self._holder = membership.me.holder
+        membership.on_change(self._recompute_all)
         self._copies: dict[str, LedgerCopy] = {}
         self._teams: dict[str, TeamPolicy] = {}
         self._dirty: set[str] = set()
@@ -119,6 +119,10 @@
         self._charged: Callable[[str], int] = lambda team: 0
         self._granted: Callable[[], None] = lambda: None
 
+    @property
+    def _holder(self) -> str:
+        return self._membership.me.holder
+
     def connect(
         self,
         wanted: Callable[[str], int],
@@ -240,7 +244,7 @@
 
     def _plan(self, team: str, now: float) -> Ledger | None:
         copy = self._copies[team]
-        ended = self._membership.ended(copy.ledger.holders, now) - {self._holder}
+        ended = self._membership.ended(copy.ledger.holders) - {self._holder}
         copy.note_wanted(self._wanted(team), now)
         if self._stopping:
             planned = copy.ledger.with_units(self._holder, 0)
@@ -307,6 +311,11 @@
             self._copies[team].cap = cap
             self._recompute(team)
 
+    def _recompute_all(self) -> None:
+        """Follow a change of members, which may be this entry's own loss of its holder name."""
+        for team in self._teams:
+            self._recompute(team)
+
     def _recompute(self, team: str) -> None:
         copy = self._copies[team]
         changes = self._teams[team].limit_changes
--- a/vanillawell/coordination/membership.py
+++ b/vanillawell/coordination/membership.py
@@ -10,6 +10,8 @@
 
 import itertools
 import logging
+import uuid
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 import anyio
@@ -51,23 +53,29 @@
         self._after_proof = timing.longest_request * drift
         self._without_proof = (timing.holding_term + timing.longest_request) * drift
         self._missing_since: dict[str, float] = {}
+        self._observed_at = 0.0
         self._present: set[str] = set()
         self._instances: set[str] = set()
 
     def observe(self, present: Iterable[Presence], now: float) -> None:
-        """Take over a list of presence that was read from the store."""
+        """Take over a list of presence whose reading began at `now`."""
         members = list(present)
+        self._observed_at = now
         self._present = {member.holder for member in members}
         self._instances = {member.instance for member in members}
         for holder in self._present:
             self._missing_since.pop(holder, None)
 
-    def ended(self, holders: Iterable[str], now: float) -> set[str]:
-        """Return those holders whose units are provably out of use."""
+    def ended(self, holders: Iterable[str]) -> set[str]:
+        """Return those holders whose units are provably out of use.
+
+        Time counts only up to the last list: a holder that registered again since then, within
+        its term, is alive although this entry has not heard of it.
+        """
         missing = [holder for holder in holders if holder not in self._present]
         for holder in missing:
-            self._missing_since.setdefault(holder, now)
-        return {holder for holder in missing if now >= self._end_of(holder)}
+            self._missing_since.setdefault(holder, self._observed_at)
+        return {holder for holder in missing if self._observed_at >= self._end_of(holder)}
 
     def _end_of(self, holder: str) -> float:
         instance = holder.partition("/")[0]
@@ -136,9 +144,9 @@
         first = itertools.islice(self.in_zone(self._me.zone), WATCHERS_PER_ZONE)
         return self._me in first
 
-    def ended(self, holders: Iterable[str], now: float) -> set[str]:
+    def ended(self, holders: Iterable[str]) -> set[str]:
         """Return those holders of limit units that have provably ended."""
-        return self._ends.ended(holders, now) if self._observed else set()
+        return self._ends.ended(holders) if self._observed else set()
 
     def learn(self, member: Presence) -> None:
         """Take over an entry that introduced itself, for times when the store is down."""
@@ -175,6 +183,8 @@
         any time after that, and others count from its end.
         """
         sent = clock.read()
+        if self._valid_until and sent >= self._valid_until:
+            self._drop_identity()
         if not self._lease or not await self._store.keep_alive(self._lease):
             self._lease = 0
             lease = await self._store.grant_lease(self._settings.lease_ttl)
@@ -185,6 +195,19 @@
         term = self._timing.holding_term * (1 - self._timing.clock_drift)
         self._valid_until = sent + term
 
+    def _drop_identity(self) -> None:
+        """Go on as a new holder after the term has lapsed, for instance during a pause.
+
+        Others may be taking over the old holder's units at this moment, by writes that a read
+        of the ledgers would not show yet. Under a new name this entry holds nothing, and the
+        old units come back by the same rule as those of a process that was replaced.
+        """
+        self._me = replace(self._me, incarnation=uuid.uuid4().hex[:12])
+        self._members[self._me.instance] = self._me
+        self._lease = 0
+        self._telemetry.state("term", f"lapsed, now {self._me.incarnation}", logging.WARNING)
+        self._notify()
+
     async def _keep_list(self) -> None:
         while True:
             try:
@@ -195,10 +218,11 @@
             await anyio.sleep(pause)
 
     async def _read_list(self) -> None:
+        asked = clock.read()
         listing = await self._store.list(self._keys.all_presence)
         self._telemetry.store_calls.inc({"task": "members", "result": "ok"})
         found = [Presence.from_bytes(item.value) for item in listing.items]
-        self._ends.observe(found, clock.read())
+        self._ends.observe(found, asked)
         self._observed = True
         members = {member.instance: member for member in found}
         members[self._me.instance] = self._me
--- a/vanillawell/standins/proxy.py
+++ b/vanillawell/standins/proxy.py
@@ -54,6 +54,7 @@
     SILENCE_OLD = "silence-old"
     CUT_AFTER_REQUEST = "cut-after-request"
     HALF_ANSWER = "half-answer"
+    CUT_IN_ANSWER = "cut-in-answer"
 
 
 @dataclass(slots=True)
@@ -79,6 +80,9 @@
     contains: str = ""
     """Text that the request must contain, for those that strike once per request."""
 
+    after: int = 0
+    """Bytes of the answer that pass, for cut-in-answer."""
+
     before: int = 0
     """Number of the first connection that it leaves alone, for silence-old."""
 
@@ -141,6 +145,7 @@
         self._number = network.next_number()
         self._scope = anyio.CancelScope()
         self._request_tail = b""
+        self._answered = 0
 
     def matches(self, fault: Fault) -> bool:
         """Tell whether a fault is about this connection."""
@@ -156,7 +161,7 @@
 
     def _fault(self, *kinds: FaultKind) -> Fault | None:
         found = (item for item in self._network.faults.values() if item.kind in kinds)
-        return next((item for item in found if self.matches(item)), None)
+        return next((item for item in found if item.count > 0 and self.matches(item)), None)
 
     def _silent(self) -> bool:
         old = self._fault(FaultKind.SILENCE_OLD)
@@ -231,8 +236,14 @@
 
     async def _strike(self, data: bytes, sink: SocketStream) -> bool:
         """Play a fault that ends a connection on its answer; True if it did."""
-        fault = self._fault(FaultKind.CUT_AFTER_REQUEST, FaultKind.HALF_ANSWER)
-        if not fault or fault.count <= 0 or fault.contains.encode() not in self._request_tail:
+        fault = self._fault(
+            FaultKind.CUT_AFTER_REQUEST, FaultKind.HALF_ANSWER, FaultKind.CUT_IN_ANSWER
+        )
+        self._answered = len(data) + (0 if self._request_tail else self._answered)
+        if fault and fault.kind is FaultKind.CUT_IN_ANSWER and self._answered <= fault.after:
+            self._request_tail = b""
+            return False
+        if not fault or fault.contains.encode() not in self._request_tail:
             self._request_tail = b""
             return False
         fault.count -= 1
--- /dev/null
+++ b/vanillawell/tests/outcome_proof_tests.py
@@ -0,0 +1,272 @@
+"""Prove what callers are told: whole answers to their own requests, and true verdicts."""
+
+from __future__ import annotations
+
+import time
+from collections import Counter
+from typing import TYPE_CHECKING, Any
+
+from vanillawell.standins.processes import wait_until
+from vanillawell.tests.builders import QUICK_TIMING, uuid7
+from vanillawell.tests.caller import Call
+from vanillawell.tests.fleet_base import (
+    SteadyCallers,
+    during_load,
+    run_async,
+    running_fleet,
+    runs_by_mark,
+    send_all,
+    send_one,
+    wait_for_answers,
+)
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+    from vanillawell.standins.fleet import Fleet
+    from vanillawell.tests.caller import Reply
+
+TWO_ZONES: dict[str, Any] = {
+    "zones": 2,
+    "entries_per_zone": 1,
+    "executors_per_service": 6,
+    "teams": {"guild": {"limit": 100}},
+}
+
+
+def new_key() -> str:
+    return uuid7(int(time.time() * 1000))
+
+
+def check_replies(fleet: Fleet, replies: list[Reply]) -> Counter[str]:
+    """Check every reply against what the backend servers ran; return the kinds of outcome."""
+    runs = runs_by_mark(fleet)
+    for reply in replies:
+        mark = reply.call.mark
+        if reply.status == 200:
+            assert reply.body.endswith(reply.call.body), "the answer of another request"
+            assert runs.get(mark, 0) >= 1
+        if reply.verdict == "not-run":
+            assert runs.get(mark, 0) == 0, f"{reply.problem} said not-run and {mark} ran"
+        if reply.call.method == "POST":
+            assert runs.get(mark, 0) <= 1, f"{mark} ran {runs[mark]} times"
+    return Counter(reply.verdict or reply.broken for reply in replies)
+
+
+def mixed_call(number: int) -> Call:
+    """Return reads and stamps, each with a body that only its own answer repeats."""
+    return Call(
+        method="POST" if number % 2 else "GET",
+        mark=f"m{number}",
+        body=f"body-{number}".encode(),
+        run_seconds=0.01 + number % 5 * 0.02,
+        timeout=2.0,
+    )
+
+
+def test_verdicts_stay_true_while_connections_to_backend_servers_fail(tmp_path: Path) -> None:
+    """Connections to backend servers are cut after the request went out, or in mid-answer.
+
+    A caller that is told "not run" sends again; if the request had run, a stamp is doubled. A
+    caller that takes half an answer for whole, or another's answer, acts on a wrong record.
+    """
+    with running_fleet(tmp_path, **TWO_ZONES) as fleet:
+        callers = SteadyCallers(list(fleet.entries.values()), mixed_call, open_requests=60)
+
+        def script() -> None:
+            wait_for_answers(callers, 100, "requests are answered before any fault")
+            fleet.fault("a", "cut-after-request", link="executor", count=15)
+            wait_for_answers(callers, 100, "requests are answered while connections are cut")
+            fleet.fault("b", "half-answer", link="executor", count=15)
+            wait_for_answers(callers, 100, "requests are answered while answers break off")
+            fleet.fault("c", "cut", link="executor-check-1")
+            wait_for_answers(callers, 100, "requests are answered without one executor")
+            fleet.clear("c")
+
+        kinds = check_replies(fleet, during_load(callers, script))
+        assert kinds["may-have-run"] > 0, "no fault struck a stamp"
+        counts = fleet.network_counts()
+        assert counts["struck cut-after-request"] == 15
+        assert counts["struck half-answer"] == 15
+
+
+def test_refusals_of_a_flooded_fleet_are_true(tmp_path: Path) -> None:
+    """Callers ask for several times what the pool holds, and some leave in waves.
+
+    Refusals must come at once with "not run" and say when to come back; what is refused must
+    not run later, when nobody waits for it any more.
+    """
+    with running_fleet(
+        tmp_path, **TWO_ZONES | {"executors_per_service": 1}, fleet_settings={"queue_length": 10}
+    ) as fleet:
+        calls = [Call(method="POST", mark=f"m{n}", run_seconds=0.2, timeout=1.0) for n in range(90)]
+        entries = list(fleet.entries.values())
+        replies = send_all([(entries[n % 2], call) for n, call in enumerate(calls)])
+        kinds = check_replies(fleet, replies)
+        assert kinds["not-run"] > 20
+        for reply in replies:
+            if reply.problem in ("queue-full", "cannot-finish-in-time"):
+                assert reply.header("retry-after")
+
+
+def resend_elsewhere(fleet: Fleet, key: str, mark: str) -> Reply:
+    """Send a stamp again through the other entry until it is final."""
+    call = Call(method="POST", mark=mark, body=b"stamp", idempotency_key=key)
+    other = fleet.entries["entry-2-1"]
+    wait_until(lambda: send_one(other, call).problem != "in-progress", "the outcome is final")
+    return send_one(other, call)
+
+
+def start_stamp(fleet: Fleet, key: str, mark: str, seconds: float) -> None:
+    """Send a stamp by a caller that leaves at once, and wait until it runs."""
+    call = Call(
+        method="POST", mark=mark, body=b"stamp", idempotency_key=key, run_seconds=seconds, timeout=8
+    )
+
+    async def send_and_leave() -> None:
+        import anyio
+
+        from vanillawell.tests.caller import Callers
+
+        async with Callers() as callers, anyio.create_task_group() as tasks:
+            tasks.start_soon(callers.send, fleet.entries["entry-1-1"], call)
+            running = lambda: bool(fleet.backend_counts()["running"].get("guild"))  # noqa: E731
+            await anyio.to_thread.run_sync(wait_until, running, "the stamp runs")
+            tasks.cancel_scope.cancel()
+
+    run_async(send_and_leave)
+
+
+def test_a_stamp_sent_again_after_its_entry_was_killed_runs_once(tmp_path: Path) -> None:
+    """The entry that took a stamp is killed while it runs; the caller sends it elsewhere.
+
+    The second entry cannot know whether it ran. It must not run it again, and must say so.
+    """
+    with running_fleet(tmp_path, **TWO_ZONES) as fleet:
+        key = new_key()
+        start_stamp(fleet, key, "stamp", 1.0)
+        fleet.entries["entry-1-1"].process.kill()
+        reply = resend_elsewhere(fleet, key, "stamp")
+        assert (reply.status, reply.verdict) == (409, "may-have-run")
+        wait_until(lambda: runs_by_mark(fleet) == {"stamp": 1}, "the first run ends")
+
+
+def test_a_stamp_sent_again_while_its_entry_is_paused_runs_once(tmp_path: Path) -> None:
+    """The entry that took a stamp is paused, the caller sends elsewhere, and it wakes.
+
+    Both may believe that the stamp is theirs to run.
+    """
+    with running_fleet(tmp_path, **TWO_ZONES) as fleet:
+        key = new_key()
+        start_stamp(fleet, key, "stamp", 0.5)
+        first = fleet.entries["entry-1-1"].process
+        first.pause()
+        call = Call(method="POST", mark="stamp", body=b"stamp", idempotency_key=key)
+        assert send_one(fleet.entries["entry-2-1"], call).verdict == "may-have-run"
+        first.resume()
+        reply = resend_elsewhere(fleet, key, "stamp")
+        assert (reply.status, reply.verdict) == (200, "ran")
+        assert runs_by_mark(fleet) == {"stamp": 1}
+
+
+def test_a_stamp_sent_through_two_entries_at_once_runs_once(tmp_path: Path) -> None:
+    """An impatient caller sends the same stamps through both entries at the same time."""
+    with running_fleet(tmp_path, **TWO_ZONES) as fleet:
+        entries = list(fleet.entries.values())
+        keys = [new_key() for _ in range(25)]
+        calls = [
+            Call(method="POST", mark=f"m{n}", body=b"s", idempotency_key=key)
+            for n, key in enumerate(keys)
+        ]
+        replies = send_all([(entry, call) for call in calls for entry in entries])
+        runs = runs_by_mark(fleet)
+        assert runs == {f"m{n}": 1 for n in range(25)}
+        assert all(reply.status in (200, 409) for reply in replies)
+
+
+def test_stamps_are_refused_as_not_run_while_the_store_is_down(tmp_path: Path) -> None:
+    """The store is down or loses the answers of claims.
+
+    Without a claim nothing guards against a second run, so a stamp with a key is refused; one
+    whose claim took effect without an answer must neither run twice nor be lost for good.
+    """
+    with running_fleet(tmp_path, **TWO_ZONES) as fleet:
+        entry = fleet.entries["entry-1-1"]
+        fleet.store_faults(down=True)
+        keys = [new_key() for _ in range(5)]
+        calls = [Call(method="POST", mark=f"m{n}", idempotency_key=k) for n, k in enumerate(keys)]
+        replies = send_all([(entry, call) for call in calls])
+        assert {(reply.problem, reply.verdict) for reply in replies} == {
+            ("store-unavailable", "not-run")
+        }
+        assert send_one(entry, Call(method="POST", mark="free")).status == 200
+        fleet.store_faults(down=False, lose_answers=2)
+        for call in calls:
+            wait_until(lambda c=call: send_one(entry, c).status == 200, "it runs in the end")  # type: ignore[misc]
+        assert runs_by_mark(fleet) == {"free": 1} | {f"m{n}": 1 for n in range(5)}
+
+
+def test_a_large_answer_is_streamed_and_a_cut_shows(tmp_path: Path) -> None:
+    """An answer is larger than an entry may hold, and its connection breaks in the middle.
+
+    The caller must see that the answer is not whole, by its framing.
+    """
+    with running_fleet(tmp_path, **TWO_ZONES) as fleet:
+        fleet.behave([], answer_bytes=8_000_000)
+        entry = fleet.entries["entry-1-1"]
+        assert len(send_one(entry, Call()).body) == 8_000_000
+        fleet.fault("late-cut", "cut-in-answer", link="executor", after=1_000_000, count=1)
+        reply = send_one(entry, Call(method="POST"))
+        assert reply.broken == "RemoteProtocolError"
+
+
+def test_a_failing_executor_does_not_draw_all_load(tmp_path: Path) -> None:
+    """One executor fails everything at once, so that it always looks idle.
+
+    Least-loaded routing would send it most requests, and most callers would get errors.
+    """
+    with running_fleet(tmp_path, **TWO_ZONES) as fleet:
+        fleet.behave(["check-2"], fail_fast=True)
+        callers = SteadyCallers(list(fleet.entries.values()), mixed_call, open_requests=20)
+
+        def script() -> None:
+            wait_for_answers(callers, 400, "requests are answered beside the failing one")
+
+        replies = during_load(callers, script)
+        assert fleet.backend_counts()["started"]["check-2"] < len(replies) / 10
+        failed = [reply for reply in replies if reply.status != 200]
+        assert len(failed) < 25
+        fleet.behave(["check-2"], fail_fast=False)
+        more = SteadyCallers(list(fleet.entries.values()), mixed_call, open_requests=20)
+
+        def recover() -> None:
+            started = fleet.backend_counts()["started"]["check-2"]
+            wait_until(
+                lambda: fleet.backend_counts()["started"]["check-2"] > started + 20,
+                "the executor is used again",
+            )
+
+        during_load(more, recover)
+
+
+def test_silent_connections_are_replaced(tmp_path: Path) -> None:
+    """Something between entry and backend servers loses track of all open connections.
+
+    New connections work, the old ones say nothing for ever. Callers would wait until their
+    deadlines for as long as old connections are used again.
+    """
+    timing = QUICK_TIMING | {"longest_request": 10.0}
+    with running_fleet(tmp_path, **TWO_ZONES | {"timing": timing}) as fleet:
+        callers = SteadyCallers(
+            list(fleet.entries.values()),
+            lambda n: Call(mark=f"m{n}", run_seconds=0.05, timeout=6.0),
+            open_requests=10,
+        )
+
+        def script() -> None:
+            wait_for_answers(callers, 100, "requests are answered")
+            fleet.fault("lost", "silence-old", link="executor")
+            wait_for_answers(callers, 300, "requests are answered over new connections")
+
+        replies = during_load(callers, script)
+        assert all(reply.status == 200 for reply in replies)
--- a/vanillawell/transport/caller.py
+++ b/vanillawell/transport/caller.py
@@ -275,24 +275,34 @@
     ) -> str:
         ticket = self._dispatcher.submit(order, clock.read())
         if isinstance(ticket, Refusal):
-            self._conclude_refusal(claim, ticket)
+            if claim:
+                self._claims.conclude_not_run(claim)
             raise RequestRefusedError(ticket)
         outcome = await self._wait(ticket, receive)
+        if claim:
+            self._conclude(claim, ticket, outcome)
         if isinstance(outcome, Refusal):
-            self._conclude_refusal(claim, outcome)
             raise RequestRefusedError(outcome)
-        if claim:
-            self._claims.conclude_ran(claim, outcome.status, _kept(outcome), outcome.body)
         await self._send_answer(send, outcome)
         return str(outcome.status)
 
-    def _conclude_refusal(self, claim: HeldClaim | None, refusal: Refusal) -> None:
-        if claim is None:
-            return
-        if refusal.verdict is Verdict.NOT_RUN:
-            self._claims.conclude_not_run(claim)
+    def _conclude(self, claim: HeldClaim, ticket: Ticket, outcome: Answer | Refusal) -> None:
+        """Record how a claimed request ended, or will when its attempt does."""
+
+        def conclude(answer: Answer | None, verdict: Verdict) -> None:
+            if answer is not None:
+                self._claims.conclude_ran(claim, answer.status, _kept(answer), answer.body)
+            elif verdict is Verdict.NOT_RUN:
+                self._claims.conclude_not_run(claim)
+            else:
+                self._claims.conclude_unknown(claim)
+
+        if isinstance(outcome, Answer):
+            conclude(outcome, Verdict.RAN)
+        elif ticket.running:
+            ticket.late = conclude
         else:
-            self._claims.conclude_unknown(claim)
+            conclude(None, outcome.verdict)
 
     async def _wait(self, ticket: Ticket, receive: Receive) -> Answer | Refusal:
         """Wait for the outcome, the deadline or the caller's leaving, whichever is first."""
