Unit tests and a first state machine for limit keepers

Change: unit and property tests for the decisions; a hypothesis state machine in which three keepers take, give and die against a store that loses and delays writes.

--- /dev/null
+++ b/vanillawell/tests/config_tests.py
@@ -0,0 +1,173 @@
+"""Check settings, the operators' tree and what is said of mistakes in them."""
+
+from __future__ import annotations
+
+import subprocess
+import sys
+from typing import TYPE_CHECKING, Any
+
+import pytest
+
+from vanillawell.config.effective import effective_value
+from vanillawell.config.loader import load_model
+from vanillawell.config.settings import DaemonSettings
+from vanillawell.config.validation import check_tree
+from vanillawell.coordination.membership import HolderEnds
+from vanillawell.exceptions import SettingsError
+from vanillawell.protocol.documents import CHANGES_KEPT, next_limit_changes
+from vanillawell.protocol.peer_messages import (
+    Acknowledgement,
+    Beat,
+    ConfigurationReply,
+    ConfigurationRequest,
+    Message,
+    SourceReport,
+    decode,
+    encode,
+)
+from vanillawell.state.board import Row
+from vanillawell.state.limits import LimitChange
+from vanillawell.tests.builders import instance, presence, timing, tree
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+SETTINGS = """
+// An entry.
+{
+  "instance": "entry-1", "zone": "zone-1",
+  "caller": {"port": 8080}, "admin": {"port": 8081}, "peer": {"port": 8082},
+  "store": {"address": {"port": 2379}}, // the platform's
+}
+"""
+
+
+def load(tmp_path: Path, text: str) -> DaemonSettings:
+    path = tmp_path / "entry.jsonc"
+    path.write_text(text)
+    return load_model(path, DaemonSettings)
+
+
+def test_settings_with_comments_are_read(tmp_path: Path) -> None:
+    assert load(tmp_path, SETTINGS).store.timeout == 1.5
+
+
+@pytest.mark.parametrize(
+    ("old", "new", "expected"),
+    [
+        ('"zone"', '"zoen"', "zoen: unknown key; did you mean 'zone'?"),
+        ('"port": 8080', '"port": 808080', "caller.port"),
+        ('"port": 8080', '"port": 8080, "host": "localhost"', "caller.host"),
+        ("{", "{{", "malformed JSON at line"),
+        ('"zone": "zone-1",', "", "zone: Field required"),
+    ],
+)
+def test_each_mistake_is_named_with_its_file_and_key(
+    tmp_path: Path, old: str, new: str, expected: str
+) -> None:
+    with pytest.raises(SettingsError) as caught:
+        load(tmp_path, SETTINGS.replace(old, new, 1))
+    assert expected in str(caught.value)
+    assert "entry.jsonc" in str(caught.value)
+
+
+def test_the_daemon_ends_with_one_clear_line_and_a_status(tmp_path: Path) -> None:
+    path = tmp_path / "entry.jsonc"
+    path.write_text(SETTINGS.replace('"zone"', '"zoen"'))
+    command = [sys.executable, "-m", "vanillawell.daemon", str(path)]
+    done = subprocess.run(command, capture_output=True, text=True, check=False)
+    assert done.returncode == 2
+    assert "Traceback" not in done.stderr
+    assert "did you mean 'zone'?" in done.stderr
+
+
+@pytest.mark.parametrize(
+    ("nodes", "key", "reason"),
+    [
+        ({"x": {"kind": "group", "parent": "nowhere"}}, "nodes.x.parent", "nowhere"),
+        (
+            {
+                "x": {"kind": "group", "parent": "y"},
+                "y": {"kind": "group", "parent": "x"},
+            },
+            "nodes.x.parent",
+            "cycle",
+        ),
+        (
+            {"x": {"kind": "pool", "parent": "fleet", "instances": {"check-1": instance()}}},
+            "nodes.x.instances.check-1",
+            "pool-check",
+        ),
+        (
+            {"x": {"kind": "team", "parent": "fleet", "settings": {"guaranteed": 11}}},
+            "nodes.x.settings.limit",
+            "below the guaranteed share of 11",
+        ),
+        (
+            {"x": {"kind": "pool", "parent": "fleet", "service": "s", "settings": {"budget": 2}}},
+            "nodes.x.settings.budget",
+            "0 instances",
+        ),
+    ],
+)
+def test_a_tree_that_cannot_hold_is_refused_with_its_key(
+    nodes: dict[str, Any], key: str, reason: str
+) -> None:
+    found = {finding.key: finding.reason for finding in check_tree(tree(**nodes)).errors}
+    assert reason in found[key]
+
+
+def test_the_nearest_level_that_sets_a_value_wins_and_is_named() -> None:
+    nodes = {
+        "banks": {"kind": "group", "parent": "fleet", "settings": {"limit": 30}},
+        "bank-a": {"kind": "team", "parent": "banks"},
+    }
+    found = effective_value(tree(**nodes), "bank-a", "limit")
+    assert (found.value, found.level) == (30, "banks")
+
+
+def test_the_record_of_limit_changes_keeps_the_highest_of_what_it_merges() -> None:
+    changes: dict[str, tuple[LimitChange, ...]] = {}
+    for version in range(1, CHANGES_KEPT + 5):
+        limit = 100 if version == 2 else 10 + version
+        nodes = {"fleet": {"kind": "fleet", "settings": {"limit": limit}}}
+        changes = next_limit_changes(tree(**nodes), version, changes)
+    assert len(changes["guild"]) == CHANGES_KEPT
+    assert changes["guild"][0].limit == 100
+
+
+def test_peer_messages_survive_the_wire() -> None:
+    rows = (Row("pool-check", "guild", 3, 1.25),)
+    beat = Beat(presence("entry-1"), 7, 0.5, (SourceReport("zone-2", 3, 99, rows),))
+    messages: list[Message] = [
+        beat,
+        Acknowledgement(7, float("inf")),
+        ConfigurationRequest(3),
+        ConfigurationReply(8, b"{}"),
+    ]
+    assert [decode(encode(message)) for message in messages] == messages
+
+
+def test_a_missing_holder_is_over_only_with_proof_or_after_its_term() -> None:
+    """An entry loses the store and goes on with the units it holds.
+
+    If others took its missing presence for its end, a team would exceed its limit.
+    """
+    ends = HolderEnds(timing(holding_term=100, longest_request=10, clock_drift=0))
+    old = presence("entry-1", "old")
+    ends.observe([old], 0.0)
+    ends.observe([], 5.0)
+    assert ends.ended([old.holder]) == set()
+    ends.observe([], 100.0)
+    assert ends.ended([old.holder]) == set()
+    ends.observe([], 116.0)
+    assert ends.ended([old.holder]) == {old.holder}
+
+
+def test_a_restart_proves_the_end_of_the_run_before() -> None:
+    ends = HolderEnds(timing(holding_term=100, longest_request=10, clock_drift=0))
+    old, new = presence("entry-1", "old"), presence("entry-1", "new")
+    ends.observe([new], 5.0)
+    assert ends.ended([old.holder]) == set()
+    ends.observe([new], 15.0)
+    assert ends.ended([old.holder]) == {old.holder}
--- /dev/null
+++ b/vanillawell/tests/limit_keeper_tests.py
@@ -0,0 +1,246 @@
+"""Drive several limit keepers through races against a store that loses and delays writes."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass, field, replace
+from typing import TYPE_CHECKING, Any
+
+import anyio
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+
+from vanillawell.coordination.limit_keeper import LimitKeeper
+from vanillawell.exceptions import StoreError, StoreOutcomeUnknownError, StoreUnavailableError
+from vanillawell.protocol.documents import StoreKeys
+from vanillawell.protocol.store import KeyValue, Transaction, TransactionResult
+from vanillawell.state.board import DemandBoard, Row
+from vanillawell.state.limits import LimitChange
+from vanillawell.state.policy import Policy, TeamPolicy
+from vanillawell.telemetry import Telemetry
+from vanillawell.tests.builders import presence, timing
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
+    from vanillawell.protocol.documents import Presence
+
+TEAM = "guild"
+
+HOLDERS = 3
+
+
+@dataclass
+class RacyStore:
+    """A store whose next write may be lost, delayed or refused."""
+
+    mode: str = "ok"
+    items: dict[str, KeyValue] = field(default_factory=dict)
+    delayed: list[Transaction] = field(default_factory=list)
+    revision: int = 1
+
+    async def transact(self, transaction: Transaction) -> TransactionResult:
+        mode, self.mode = self.mode, "ok"
+        if mode == "unavailable":
+            raise StoreUnavailableError("down")
+        if mode == "delayed" and transaction.puts:
+            self.delayed.append(transaction)
+            raise StoreOutcomeUnknownError("delayed")
+        result = self.apply(transaction)
+        if mode == "lost":
+            raise StoreOutcomeUnknownError("lost")
+        return result
+
+    def apply(self, transaction: Transaction) -> TransactionResult:
+        holds = all(
+            item.mod_revision
+            == (self.items[item.key].mod_revision if item.key in self.items else 0)
+            for item in transaction.compares
+        )
+        if holds and transaction.puts:
+            self.revision += 1
+            for put in transaction.puts:
+                self.items[put.key] = KeyValue(put.key, put.value, self.revision)
+        reads = transaction.reads if not holds or transaction.read_back else ()
+        values = {key: self.items[key] for key in reads if key in self.items}
+        return TransactionResult(holds, self.revision, values)
+
+
+@dataclass
+class KnownMembers:
+    """Membership as far as a limit keeper uses it."""
+
+    me: Presence
+    members: dict[str, Presence]
+    over: set[str]
+    valid_until: float = float("inf")
+
+    def on_change(self, listener: Callable[[], None]) -> None:
+        """Hear of no change."""
+
+    def ended(self, holders: Iterable[str]) -> set[str]:
+        return self.over & set(holders)
+
+
+class Holder:
+    """One entry's keeper with a demand that the test sets."""
+
+    def __init__(self, machine: LimitRaces, name: str) -> None:
+        self.demand = 0
+        self.board = DemandBoard()
+        self.me = presence(name, incarnation=f"run-{machine.next_run()}")
+        members: Any = KnownMembers(self.me, machine.members, machine.over)
+        store: Any = machine.store
+        self.keeper = LimitKeeper(
+            store,
+            StoreKeys("/t"),
+            members,
+            self.board,
+            timing(),
+            Telemetry(),
+            random.Random(1),
+        )
+        self.keeper.connect(lambda _: self.demand, lambda _: 0, lambda: None)
+        self.version = 0
+
+    @property
+    def usable(self) -> int:
+        return self.keeper.usable(TEAM, 0.0) if self.version else 0
+
+    def settle(self) -> None:
+        try:
+            anyio.run(self.keeper.settle_all)
+        except StoreError:
+            return
+
+
+def policy(changes: tuple[LimitChange, ...], version: int) -> Policy:
+    team = TeamPolicy(TEAM, 1.0, changes[-1].limit, changes, 0.25, 100, 10.0, 600.0)
+    return Policy(version, {TEAM: team}, {}, {})
+
+
+class LimitRaces(RuleBasedStateMachine):
+    """Operators change a limit while entries take, give, die and lose answers."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.store = RacyStore()
+        self.members: dict[str, Presence] = {}
+        self.over: set[str] = set()
+        self.runs = 0
+        self.changes: tuple[LimitChange, ...] = (LimitChange(1, 10),)
+        self.holders = [self.new_holder(number) for number in range(HOLDERS)]
+        self.dead: list[tuple[str, int]] = []
+
+    def next_run(self) -> int:
+        self.runs += 1
+        return self.runs
+
+    def new_holder(self, number: int) -> Holder:
+        holder = Holder(self, f"entry-{number}")
+        self.members[holder.me.instance] = holder.me
+        self.apply_configuration(holder)
+        return holder
+
+    def apply_configuration(self, holder: Holder) -> None:
+        holder.version = self.changes[-1].version
+        holder.keeper.configure(policy(self.changes, holder.version))
+
+    @rule(number=st.integers(0, HOLDERS - 1), wanted=st.integers(0, 14))
+    def change_demand(self, number: int, wanted: int) -> None:
+        self.holders[number].demand = wanted
+
+    @rule(number=st.integers(0, HOLDERS - 1))
+    def settle(self, number: int) -> None:
+        self.holders[number].settle()
+
+    @rule(mode=st.sampled_from(["lost", "delayed", "unavailable"]), who=st.integers(0, HOLDERS - 1))
+    def settle_with_fault(self, mode: str, who: int) -> None:
+        self.store.mode = mode
+        self.holders[who].settle()
+        self.store.mode = "ok"
+
+    @precondition(lambda self: self.store.delayed)
+    @rule()
+    def apply_delayed_write(self) -> None:
+        self.store.apply(self.store.delayed.pop(0))
+
+    @rule(limit=st.integers(0, 20))
+    def change_limit(self, limit: int) -> None:
+        version = self.changes[-1].version + 1
+        self.changes = (*self.changes, LimitChange(version, limit))
+
+    @rule(number=st.integers(0, HOLDERS - 1))
+    def hear_of_configuration(self, number: int) -> None:
+        self.apply_configuration(self.holders[number])
+
+    @rule(number=st.integers(0, HOLDERS - 1))
+    def hear_of_demand(self, number: int) -> None:
+        holder = self.holders[number]
+        for other in self.holders:
+            rows = (Row("pool", TEAM, other.demand, 0.0),)
+            if other is not holder:
+                holder.board.receive(other.me.instance, 1, self.next_run(), rows, 0.0)
+
+    @rule(number=st.integers(0, HOLDERS - 1))
+    def kill_and_restart(self, number: int) -> None:
+        old = self.holders[number]
+        self.dead.append((old.me.holder, old.usable))
+        self.holders[number] = self.new_holder(number)
+
+    @precondition(lambda self: self.dead)
+    @rule()
+    def end_what_a_dead_one_started(self) -> None:
+        holder, _ = self.dead.pop(0)
+        self.over.add(holder)
+
+    @invariant()
+    def limit_is_obeyed(self) -> None:
+        oldest = min(holder.version for holder in self.holders)
+        earlier = [change for change in self.changes if change.version <= oldest][-1:]
+        allowed = [change.limit for change in self.changes if change.version > oldest]
+        still_running = sum(usable for _, usable in self.dead)
+        used = sum(holder.usable for holder in self.holders) + still_running
+        if still_running:
+            allowed += [change.limit for change in self.changes]
+        assert used <= max([change.limit for change in earlier] + allowed)
+
+
+LimitRacesTest = LimitRaces.TestCase
+LimitRacesTest.settings = settings(
+    max_examples=200, stateful_step_count=50, deadline=None, derandomize=True
+)
+
+
+def test_units_move_to_where_demand_is() -> None:
+    machine = LimitRaces()
+    first, second = machine.holders[:2]
+    first.demand = 10
+    first.settle()
+    assert first.usable >= 8
+    first.demand, second.demand = 0, 10
+    machine.hear_of_demand(0)
+    for _ in range(8):
+        first.settle()
+        second.settle()
+    assert second.usable >= 8
+
+
+def test_units_are_not_given_away_while_the_store_is_down() -> None:
+    """The store goes down while entries hold units; they must go on with what they hold."""
+    machine = LimitRaces()
+    first = machine.holders[0]
+    first.demand = 6
+    first.settle()
+    before = first.usable
+    for _ in range(5):
+        machine.store.mode = "unavailable"
+        first.demand = 0
+        first.settle()
+    assert first.usable == before
+
+
+def test_replacing_a_presence_gives_a_new_holder() -> None:
+    one = presence("entry-1", "one")
+    assert replace(one, incarnation="two").holder != one.holder
--- /dev/null
+++ b/vanillawell/tests/state_tests.py
@@ -0,0 +1,190 @@
+"""Check decisions on plain data."""
+
+from __future__ import annotations
+
+import random
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from vanillawell.protocol.verdict import Verdict
+from vanillawell.state.admission import QueueState, admit
+from vanillawell.state.allotment import (
+    PoolDemand,
+    executor_quotas,
+    fair_slots,
+    round_parts,
+    source_targets,
+)
+from vanillawell.state.charges import ChargeBook
+from vanillawell.state.health import MINIMUM_SAMPLE, PoolHealth
+from vanillawell.state.limits import Demand, Ledger, LimitChange, plan_ledger, usable_units
+from vanillawell.state.queueing import FairQueue, SlotUse, Waiting
+from vanillawell.state.retries import FailedAttempt, Failure, RetryBudget, RetryDecision, decide
+from vanillawell.state.routing import connection_bound, subset
+from vanillawell.state.silence import LEAST_OVERDUE, ServiceTime
+from vanillawell.tests.builders import team_limit
+
+TEAMS = st.sampled_from(["a", "b", "c", "d"])
+
+DEMANDS = st.dictionaries(TEAMS, st.integers(0, 60), min_size=1)
+
+SHARES = {"a": 4.0, "b": 2.0, "c": 1.0, "d": 0.5}
+
+
+@given(demand=DEMANDS, slots=st.integers(0, 48))
+def test_fair_slots_are_work_conserving_and_never_more_than_wanted(
+    demand: dict[str, int], slots: int
+) -> None:
+    parts = fair_slots(slots, demand, SHARES)
+    assert abs(sum(parts.values()) - min(slots, sum(demand.values()))) < 1e-6
+    assert all(parts[team] <= demand[team] + 1e-6 for team in demand)
+
+
+def test_fair_slots_follow_shares_when_all_is_full() -> None:
+    parts = fair_slots(48, dict.fromkeys(SHARES, 100), SHARES)
+    assert [round(parts[team], 3) for team in SHARES] == [25.6, 12.8, 6.4, 3.2]
+
+
+@given(rows=st.dictionaries(st.sampled_from(["e1", "e2", "e3", "e4"]), DEMANDS, min_size=1))
+@settings(deadline=None)
+def test_executor_quotas_of_all_sources_never_overlap(rows: dict[str, dict[str, int]]) -> None:
+    names = tuple(f"x{number}" for number in range(6))
+    targets = source_targets(48, PoolDemand(rows), SHARES)
+    parts = round_parts({name: sum(row.values()) for name, row in targets.items()}, 48)
+    quotas = [executor_quotas(parts, names, 8, source) for source in parts]
+    for name in names:
+        assert sum(quota[name] for quota in quotas) <= 8
+    wanted = sum(sum(row.values()) for row in rows.values())
+    assert sum(sum(quota.values()) for quota in quotas) == min(48, wanted)
+
+
+def test_a_lowered_limit_scales_every_holder_at_once() -> None:
+    ledger = Ledger(limit=20, version=1, holders={"a": 12, "b": 8})
+    changes = (LimitChange(1, 20), LimitChange(2, 10))
+    assert [usable_units(ledger, name, changes) for name in "ab"] == [6, 4]
+
+
+def test_a_limit_raised_and_lowered_again_counts_what_an_old_copy_does_not_show() -> None:
+    """A limit went from 20 to 40 and down to 20 while this entry's copy is still of the first.
+
+    Others may have taken 30 units meanwhile; using all ten held here would exceed the limit.
+    """
+    old_copy = Ledger(limit=20, version=1, holders={"a": 10})
+    changes = (LimitChange(1, 20), LimitChange(2, 40), LimitChange(3, 20))
+    new_copy = Ledger(limit=40, version=2, holders={"a": 10, "b": 30})
+    assert usable_units(old_copy, "a", changes) + usable_units(new_copy, "b", changes) <= 20
+
+
+def test_an_older_configuration_never_raises_a_ledger() -> None:
+    ledger = Ledger(limit=5, version=7, holders={"a": 5})
+    plan = plan_ledger(ledger, "b", team_limit(50, version=3), Demand(9, 0, 9), set())
+    assert plan is None
+
+
+def test_units_of_an_ended_holder_are_taken_over() -> None:
+    ledger = Ledger(limit=10, version=1, holders={"old/1": 10})
+    plan = plan_ledger(ledger, "new/2", team_limit(10), Demand(4, 0, 4), {"old/1"})
+    assert plan is not None
+    assert plan.holders == {"new/2": 4}
+
+
+def test_urgent_work_goes_ahead_of_work_that_may_wait() -> None:
+    queue = FairQueue()
+    queue.add(Waiting("a", urgent=False, arrived=0.0, deadline=9.0))
+    urgent = Waiting("b", urgent=True, arrived=1.0, deadline=9.0)
+    queue.add(urgent)
+    assert queue.pick(lambda _: True, {"a": 0.0, "b": 50.0}.__getitem__) is urgent
+
+
+def test_the_team_that_used_least_of_its_share_is_next() -> None:
+    queue = FairQueue()
+    for team in ("a", "b"):
+        queue.add(Waiting(team, urgent=True, arrived=0.0, deadline=9.0))
+    picked = queue.pick(lambda _: True, {"a": 3.0, "b": 1.0}.__getitem__)
+    assert picked is not None
+    assert picked.team == "b"
+
+
+def test_slot_use_counts_occupied_time_and_forgets_it() -> None:
+    use = SlotUse(0.0)
+    use.change(2, 0.0)
+    use.change(-2, 1.0)
+    assert 1.8 < use.used(1.0) < 2.0
+    assert use.used(60.0) < 0.01
+
+
+def test_a_request_that_cannot_finish_is_refused_with_a_time_to_come_back() -> None:
+    state = QueueState(length=10, bound=100, service_time=0.5, slots=1.0)
+    verdict = admit(state, 2.0, random.Random(1))
+    assert not verdict.admitted
+    assert verdict.retry_after is not None
+    assert verdict.retry_after >= 3.5
+
+
+def test_retries_never_exceed_their_budget() -> None:
+    budget = RetryBudget(0.1)
+    failed = FailedAttempt(Failure.NOT_SENT, False, 1, 1.0)
+    for _ in range(100):
+        budget.note_first_attempt()
+    allowed = sum(decide(failed, 3, budget) is RetryDecision.RETRY for _ in range(100))
+    assert allowed <= 20
+
+
+@given(
+    failure=st.sampled_from(Failure),
+    tried=st.integers(1, 4),
+    time_left=st.floats(-1, 10),
+)
+def test_a_stamp_that_may_have_run_is_never_tried_again(
+    failure: Failure, tried: int, time_left: float
+) -> None:
+    attempt = FailedAttempt(failure, False, tried, time_left)
+    decision = decide(attempt, 3, RetryBudget(1.0))
+    if attempt.verdict is not Verdict.NOT_RUN:
+        assert decision is RetryDecision.GIVE_UP
+
+
+def test_an_executor_that_stands_out_is_left_out_and_readmitted_by_a_probe() -> None:
+    health = PoolHealth(0.5, 0.5)
+    for _ in range(MINIMUM_SAMPLE):
+        health.note_success("good")
+        health.note_failure("bad", 0.0, 4, sent=True)
+    assert not health.of("bad").available(1.0)
+    health.note_start("bad", 10.0)
+    assert not health.of("bad").available(10.0), "one probe at a time"
+    health.note_success("bad")
+    assert health.of("bad").available(10.1)
+
+
+def test_a_request_that_fails_everywhere_empties_no_pool() -> None:
+    """Jobs that can never run fail on every executor they are tried on."""
+    health = PoolHealth(0.5, 1.0)
+    for number in range(60):
+        health.note_failure(f"x{number % 6}", 0.0, 6, sent=True)
+    assert all(health.of(f"x{number}").available(0.0) for number in range(6))
+
+
+def test_connections_of_all_entries_fit_an_executor() -> None:
+    assert all(connection_bound(64, entries) * entries <= 64 for entries in range(1, 65))
+    entries = tuple(f"e{number}" for number in range(100))
+    users = sum("x1" in subset(("x1",), entries, entry, 64) for entry in entries)
+    assert users == 64
+
+
+def test_slow_services_are_not_taken_for_silent() -> None:
+    times = ServiceTime()
+    for number in range(50):
+        times.add(1.0 if number % 2 else 3.0)
+    assert times.overdue_after() > 4.0
+    assert ServiceTime().overdue_after() == LEAST_OVERDUE
+
+
+def test_a_lingering_charge_is_freed_when_it_is_due() -> None:
+    book = ChargeBook()
+    book.charge("a")
+    book.release_later("a", 5.0)
+    assert book.release_due(4.9) == set()
+    assert book.charged("a") == 1
+    assert book.release_due(5.0) == {"a"}
+    assert book.charged("a") == 0
