Keep units in use through an outage; free lost claims; hedge instead of cutting what is slow

Causes, each seen in a failing test: - During a store outage most of a busy team's limit lay unused: every entry's next giving write was left uncertain (22 answers in 3 s, then 4 a second; units usable 2 of 6). Change: a giving write is preceded by a read in the same step, and the soft bound is dropped while the store is away. Entries without units refuse at once with Retry-After. - A claim applied by the store, whose answer and reading back were both lost, said in-progress for ever. Change: the entry remembers such claims, adopts them when the caller comes back and deletes them otherwise. - A slow service without samples was taken for silent after 1 s: its idempotent requests were cut and tried again, never finished, and left no sample. Ruled out: the limit (units were free). Change: overdue requests are never cut; an idempotent one is sent once more elsewhere within the retry budget, and all links of the pool move to new connections at most once a second.

--- a/vanillawell/coordination/claims.py
+++ b/vanillawell/coordination/claims.py
@@ -22,6 +22,7 @@
 import anyio
 import orjson
 
+from vanillawell import clock
 from vanillawell.exceptions import StoreError, StoreOutcomeUnknownError
 from vanillawell.protocol.refusals import Reason, Refusal
 from vanillawell.protocol.store import Compare, KeyValue, Put, Transaction
@@ -48,6 +49,12 @@
 IN_PROGRESS_RETRY_AFTER = 1.0
 """Seconds after which a request that runs elsewhere is worth asking for again."""
 
+ORPHAN_SECONDS = 60.0
+"""Seconds within which a claim of uncertain outcome may still be applied by the store."""
+
+ORPHAN_INTERVAL = 0.5
+"""Seconds between two searches for such claims."""
+
 STORE_DOWN_RETRY_AFTER = 2.0
 """Seconds after which a claim is worth trying again while the store is down."""
 
@@ -108,7 +115,6 @@
     key: str
     claim: Claim
     lease: int
-    revision: int = 0
 
 
 @dataclass(slots=True, eq=False)
@@ -123,6 +129,15 @@
         self.done.set()
 
 
+@dataclass(frozen=True, slots=True)
+class _Orphan:
+    """A claim that may have taken effect although its request was refused as not run."""
+
+    token: str
+    lease: int
+    until: float
+
+
 @dataclass(slots=True, eq=False)
 class _PendingConclusion:
     held: HeldClaim
@@ -163,6 +178,7 @@
         self._telemetry = telemetry
         self._pending: list[_PendingClaim] = []
         self._conclusions: list[_PendingConclusion] = []
+        self._orphans: dict[str, _Orphan] = {}
         self._wake = anyio.Event()
         self._lease = 0
         self._lease_until = 0.0
@@ -252,12 +268,40 @@
 
     async def run(self) -> None:
         """Write claims and conclusions in batches until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._free_orphans)
+            while True:
+                if not self._pending and not self._conclusions:
+                    self._wake = anyio.Event()
+                    await self._wake.wait()
+                await self.flush()
+                await anyio.sleep(self._timing.claim_interval)
+
+    async def _free_orphans(self) -> None:
+        """Delete claims that took effect although their requests were refused as not run.
+
+        Left alone, such a claim would say "in progress" to every later try of the caller, until
+        its key is too old, and the stamp would be lost.
+        """
         while True:
-            if not self._pending and not self._conclusions:
-                self._wake = anyio.Event()
-                await self._wake.wait()
-            await self.flush()
-            await anyio.sleep(self._timing.claim_interval)
+            await anyio.sleep(ORPHAN_INTERVAL)
+            now = clock.read()
+            self._orphans = {k: item for k, item in self._orphans.items() if item.until > now}
+            for key in list(self._orphans):
+                try:
+                    await self._free_orphan(key)
+                except StoreError:
+                    break
+
+    async def _free_orphan(self, key: str) -> None:
+        found = await self._store.get(key)
+        orphan = self._orphans.get(key)
+        if found is None or orphan is None:
+            return
+        if Claim.from_bytes(found.value).token == orphan.token:
+            compare = Compare(key, found.mod_revision)
+            await self._store.transact(Transaction(compares=[compare], deletes=[key]))
+        self._orphans.pop(key, None)
 
     async def flush(self) -> None:
         """Write one batch of claims, then one of conclusions."""
@@ -293,12 +337,23 @@
         self._count("claim", "ok" if result.succeeded else "conflict")
         for item in batch:
             if result.succeeded:
-                item.settle(HeldClaim(item.key, item.claim, lease, result.revision))
+                item.settle(HeldClaim(item.key, item.claim, lease))
             elif item.key in result.values:
-                item.settle(result.values[item.key])
+                item.settle(self._adopt(result.values[item.key], item))
             else:
                 self._pending.append(item)
 
+    def _adopt(self, found: KeyValue, item: _PendingClaim) -> HeldClaim | KeyValue:
+        """Take over a claim of this entry whose request was refused when its answer was lost."""
+        claim = Claim.from_bytes(found.value)
+        orphan = self._orphans.get(item.key)
+        if orphan is None or orphan.token != claim.token:
+            return found
+        if claim.fingerprint != item.claim.fingerprint:
+            return found
+        del self._orphans[item.key]
+        return HeldClaim(item.key, claim, orphan.lease)
+
     def _drop_repeated(self, batch: list[_PendingClaim]) -> list[_PendingClaim]:
         """Put off claims on a key that is already in the batch; a key is written once."""
         first: dict[str, _PendingClaim] = {}
@@ -321,17 +376,23 @@
             )
         except StoreError:
             for item in batch:
-                item.settle(error)
+                self._abandon(item, error)
             return
         for item in batch:
             found = result.values.get(item.key)
             if found is None:
-                item.settle(error)
+                self._abandon(item, error)
             elif Claim.from_bytes(found.value).token == item.claim.token:
-                item.settle(HeldClaim(item.key, item.claim, self._lease, found.mod_revision))
+                item.settle(HeldClaim(item.key, item.claim, self._lease))
             else:
                 item.settle(found)
 
+    def _abandon(self, item: _PendingClaim, error: StoreError) -> None:
+        """Refuse a request whose claim may yet be applied, and remember to free it."""
+        until = clock.read() + ORPHAN_SECONDS
+        self._orphans[item.key] = _Orphan(item.claim.token, self._lease, until)
+        item.settle(error)
+
     async def _write_conclusions(self, batch: list[_PendingConclusion]) -> bool:
         """Write how requests ended; only this entry run ever changes its own claims."""
         puts = [
@@ -350,7 +411,7 @@
 
     async def _current_lease(self) -> int:
         """Return a lease that outlives the acceptance of every key claimed under it now."""
-        now = anyio.current_time()
+        now = clock.read()
         retention = self._timing.claim_retention
         if now >= self._lease_until:
             self._lease = await self._store.grant_lease(2 * retention + CLOCK_SKEW)
--- a/vanillawell/coordination/dispatch.py
+++ b/vanillawell/coordination/dispatch.py
@@ -39,6 +39,10 @@
 """Seconds to stay away from a service whose backend servers cannot be reached."""
 
 
+NO_UNITS_RETRY_AFTER = 0.5
+"""Seconds after which the balancer may have an entry that holds units of the team's limit."""
+
+
 class LimitSource(Protocol):
     """Say how many requests of a team may run here."""
 
@@ -48,6 +52,9 @@
     def note_demand(self, team: str) -> None:
         """Note that the team's demand here has changed."""
 
+    def may_grow(self) -> bool:
+        """Tell whether units can be had from the store now."""
+
 
 @dataclass(frozen=True, slots=True)
 class Order:
@@ -76,8 +83,11 @@
     last_answer: Answer | None = None
     """A whole answer with a status of 5xx, kept in case no retry does better."""
 
-    running: bool = False
-    """An attempt of it is under way."""
+    running: int = 0
+    """Attempts of it that are under way."""
+
+    hedged: bool = False
+    """A second attempt was made because the first one was overdue."""
 
     late: Callable[[Answer | None, Verdict], None] | None = None
     """Hears how a request ended that had been given up on while it ran."""
@@ -131,6 +141,7 @@
         self._tickets: dict[Waiting, Ticket] = {}
         self._charges = ChargeBook()
         self._probing: set[str] = set()
+        self._owners: dict[Attempt, Ticket] = {}
 
     @property
     def charges(self) -> ChargeBook:
@@ -193,6 +204,9 @@
         assert self._policy is not None
         team = self._policy.teams[order.team]
         by_limit = float(self._limits.usable(order.team, now))
+        if not by_limit and not self._limits.may_grow():
+            wait = spread(NO_UNITS_RETRY_AFTER, self._rng)
+            return Refusal(Reason.NO_UNITS, Verdict.NOT_RUN, retry_after=wait)
         state = QueueState(
             length=pool.queue.length(order.team),
             bound=team.queue_length,
@@ -239,17 +253,17 @@
 
     def _overdue(self, pool: PoolRuntime, link: ExecutorLink, now: float) -> bool:
         bound = pool.service_time.overdue_after()
-        return any(
-            not item.head_arrived and not item.given_up and now - item.started > bound
-            for item in link.attempts
-        )
+        return any(_is_overdue(item, bound, now) for item in link.attempts)
 
     async def _probe(self, pool: PoolRuntime, link: ExecutorLink) -> None:
         """Tell silence from slowness, and move to new connections if those work.
 
         An overdue answer may be slow or its connection silent; nothing reports a silent one.
         A probe on a new connection that succeeds says that new ones work, so none of the old
-        ones is used again, and idempotent requests that are overdue are tried once more.
+        ones is used again, nor those to the pool's other executors, since what lost track of one
+        path has often lost track of its neighbours. What is overdue is not cut, since it may
+        just be slow; an idempotent request is sent once more elsewhere, and the first answer
+        counts.
         """
         name = link.executor.name
         try:
@@ -257,18 +271,28 @@
             now = clock.read()
             self._telemetry.probes.inc({"executor": name, "alive": str(alive).lower()})
             if alive:
-                await link.renew()
+                for neighbour in list(pool.links.values()):
+                    await neighbour.renew(now)
             else:
                 pool.health.note_failure(name, now, len(pool.links), sent=False)
             bound = pool.service_time.overdue_after()
-            for item in list(link.attempts):
-                if not item.head_arrived and now - item.started > bound:
-                    item.given_up = True
-                    if item.idempotent:
-                        item.scope.cancel()
+            for item in [item for item in link.attempts if _is_overdue(item, bound, now)]:
+                item.looked_into = True
+                self._hedge(pool, self._owners[item], name)
+            self.pump(pool, now)
         finally:
             self._probing.discard(name)
 
+    def _hedge(self, pool: PoolRuntime, ticket: Ticket, executor: str) -> None:
+        """Send an overdue idempotent request a second time, once and within the budget."""
+        wanted = ticket.order.idempotent and ticket.outcome is None and not ticket.hedged
+        if not wanted or len(pool.links) < 2 or not pool.budget.take():
+            return
+        ticket.hedged = True
+        ticket.waiting.tried.add(executor)
+        self._telemetry.retries.inc({"pool": ticket.order.pool, "kind": "hedge"})
+        pool.queue.add(ticket.waiting, front=True)
+
     def pump(self, pool: PoolRuntime, now: float) -> None:
         """Start what may start in a pool."""
         if now - pool.refreshed > REFRESH_INTERVAL:
@@ -293,11 +317,12 @@
     def _start(self, pool: PoolRuntime, item: Waiting, executor: str, now: float) -> None:
         ticket = self._tickets[item]
         link = pool.links[executor]
-        ticket.running = True
+        ticket.running += 1
         self._charges.charge(item.team)
         pool.occupy(item.team, 1, now)
         pool.health.note_start(executor, now)
-        attempt = Attempt(now, ticket.order.idempotent, lambda: self._may_send(ticket))
+        attempt = Attempt(now, lambda: self._may_send(ticket))
+        self._owners[attempt] = ticket
         link.attempts.add(attempt)
         self._tasks.start_soon(self._attempt, pool, ticket, link, attempt)
 
@@ -322,7 +347,9 @@
             )
         except AttemptError as caught:
             error = caught
+        await link.close_idle()
         now = clock.read()
+        del self._owners[attempt]
         self._settle_charge(ticket, attempt, error, now)
         pool.occupy(ticket.order.team, -1, now)
         self._conclude(pool, ticket, link.executor.name, error, delivered, now)
@@ -356,9 +383,10 @@
         """Turn the end of an attempt into the outcome, or into another attempt."""
         answer = delivered[0] if delivered else None
         failure = _failure(error, answer)
-        ticket.running = False
+        ticket.running -= 1
         if failure is None:
             pool.health.note_success(executor)
+            pool.queue.remove(ticket.waiting)
             ticket.conclude_late(answer)
             self._finish(ticket, answer)
             return
@@ -370,8 +398,9 @@
         ticket.may_have_run |= failure is Failure.NO_WHOLE_ANSWER
         ticket.last_answer = answer or ticket.last_answer
         if ticket.outcome is not None:
-            ticket.conclude_late(None)
-            self._tickets.pop(ticket.waiting, None)
+            if not ticket.running:
+                ticket.conclude_late(None)
+                self._tickets.pop(ticket.waiting, None)
             return
         self._retry_or_end(pool, ticket, failure, now)
 
@@ -383,6 +412,8 @@
     def _retry_or_end(
         self, pool: PoolRuntime, ticket: Ticket, failure: Failure, now: float
     ) -> None:
+        if ticket.running:
+            return
         order = ticket.order
         failed = FailedAttempt(
             failure, order.idempotent, len(ticket.waiting.tried), order.deadline - now
@@ -393,6 +424,7 @@
             self._finish(ticket, self._final(ticket, failure))
             return
         self._telemetry.retries.inc({"pool": order.pool, "kind": decision.name.lower()})
+        pool.queue.remove(ticket.waiting)
         pool.queue.add(ticket.waiting, front=True)
 
     def _final(self, ticket: Ticket, failure: Failure) -> Answer | Refusal:
@@ -412,6 +444,11 @@
             ticket.finish(outcome)
 
 
+def _is_overdue(attempt: Attempt, bound: float, now: float) -> bool:
+    waits = not attempt.head_arrived and not attempt.looked_into
+    return waits and now - attempt.started > bound
+
+
 def delivered_to(
     ticket: Ticket, delivered: list[Answer], pool: PoolRuntime, attempt: Attempt
 ) -> Callable[[Answer], None]:
--- a/vanillawell/coordination/limit_keeper.py
+++ b/vanillawell/coordination/limit_keeper.py
@@ -153,6 +153,10 @@
             return 0
         return self._copies[team].usable
 
+    def may_grow(self) -> bool:
+        """Tell whether units can be had from the store now."""
+        return self._reachable
+
     def held(self, team: str) -> int:
         """Return the units that the ledger shows for this entry."""
         return self._copies[team].ledger.holders.get(self._holder, 0)
@@ -183,11 +187,18 @@
                 await self.settle()
                 self._reachable = True
             except StoreError:
-                self._reachable = False
+                self._lose_store()
                 self._dirty.update(self._teams)
                 await anyio.sleep(self._timing.ledger_interval)
             await anyio.sleep(self._timing.ledger_interval * self._rng.uniform(0.5, 1.0))
 
+    def _lose_store(self) -> None:
+        """Use all that is held while the store is away, since nothing can move."""
+        self._reachable = False
+        for team in self._teams:
+            self._copies[team].soft = None
+            self._recompute(team)
+
     async def settle(self) -> None:
         """Write what this entry wants changed in any ledger."""
         now = clock.read()
@@ -209,12 +220,27 @@
         self._dirty.update(self._teams)
         await self.settle()
 
-    async def _settle_batch(self, teams: Iterable[str], now: float) -> None:
+    async def _settle_batch(self, teams: list[str], now: float) -> None:
         await self._read([team for team in teams if self._must_read(team, now)])
-        plans = {team: plan for team in teams if (plan := self._plan(team, now)) is not None}
+        plans = self._plans(teams, now)
+        giving = [team for team in plans if self._gives(team, plans[team])]
+        if giving:
+            await self._read(giving)
+            plans = self._plans(teams, now)
         if plans:
             await self._write(plans)
 
+    def _plans(self, teams: list[str], now: float) -> dict[str, Ledger]:
+        return {team: plan for team in teams if (plan := self._plan(team, now)) is not None}
+
+    def _gives(self, team: str, plan: Ledger) -> bool:
+        """Tell whether a write gives units away; the store is then asked for a sign of life.
+
+        In an outage every entry's next giving write would be left uncertain, and its units
+        unused until the store is back. A read that fails first keeps them in use.
+        """
+        return plan.holders.get(self._holder, 0) < self.held(team)
+
     def _must_read(self, team: str, now: float) -> bool:
         copy = self._copies[team]
         if copy.revision < 0 or copy.cap is not None:
--- a/vanillawell/protocol/refusals.py
+++ b/vanillawell/protocol/refusals.py
@@ -21,6 +21,7 @@
     TOO_LARGE = ("too-large", 413, "The request body is larger than allowed")
     QUEUE_FULL = ("queue-full", 429, "The team's queue is full")
     CANNOT_FINISH = ("cannot-finish-in-time", 429, "The queue is too long for the deadline")
+    NO_UNITS = ("no-limit-units", 503, "The store is away and this entry holds none of the limit")
     NO_BACKEND = ("no-backend-server", 503, "No backend server can take the request")
     STOPPING = ("stopping", 503, "This entry is stopping; send the request again")
     STARTING = ("starting", 503, "This entry has no configuration yet")
--- a/vanillawell/standins/backend.py
+++ b/vanillawell/standins/backend.py
@@ -55,6 +55,9 @@
     answer_bytes: int = 0
     """Size of the answer; 0 echoes the request's id."""
 
+    chunked: bool = False
+    """Send a large answer without saying its length first."""
+
 
 @dataclass(frozen=True, slots=True)
 class Run:
@@ -179,7 +182,8 @@
     async def _answer_large(
         self, size: int, headers: list[tuple[bytes, bytes]], send: Send
     ) -> None:
-        headers.append((b"content-length", str(size).encode()))
+        if not self.behaviour.chunked:
+            headers.append((b"content-length", str(size).encode()))
         await send({"type": "http.response.start", "status": 200, "headers": headers})
         for offset in range(0, size, len(CHUNK)):
             part = CHUNK[: size - offset]
--- a/vanillawell/tests/limit_keeper_tests.py
+++ b/vanillawell/tests/limit_keeper_tests.py
@@ -38,11 +38,14 @@
     """A store whose next write may be lost, delayed or refused."""
 
     mode: str = "ok"
+    down: bool = False
     items: dict[str, KeyValue] = field(default_factory=dict)
     delayed: list[Transaction] = field(default_factory=list)
     revision: int = 1
 
     async def transact(self, transaction: Transaction) -> TransactionResult:
+        if self.down:
+            raise StoreOutcomeUnknownError("down")
         if not transaction.puts:
             return self.apply(transaction)
         mode, self.mode = self.mode, "ok"
@@ -94,8 +97,9 @@
         self.demand = 0
         self.board = DemandBoard()
         self.me = presence(name, incarnation=f"run-{machine.next_run()}")
-        members: Any = KnownMembers(self.me, machine.members, machine.over)
+        self.members = KnownMembers(self.me, machine.members, machine.over)
         store: Any = machine.store
+        members: Any = self.members
         self.keeper = LimitKeeper(
             store,
             StoreKeys("/t"),
@@ -284,6 +288,37 @@
     assert first.usable == before
 
 
+def test_an_outage_traps_no_units_in_uncertain_writes() -> None:
+    """The store goes down at a moment when an entry wants to give units away.
+
+    If the write were sent without a sign of life, its units could be used by nobody until the
+    store is back; in a busy fleet that was most of the limit.
+    """
+    machine = LimitRaces()
+    machine.teardown()
+    first, second = machine.holders[:2]
+    first.demand = 10
+    first.settle()
+    held = first.usable
+    first.demand, second.demand = 0, 10
+    machine.exchange_demand()
+    machine.store.down = True
+    first.settle()
+    assert first.usable == held
+
+
+def test_no_unit_is_usable_once_the_term_has_passed() -> None:
+    """A process is paused beyond its term and wakes in the middle of its work."""
+    machine = LimitRaces()
+    machine.teardown()
+    first = machine.holders[0]
+    first.demand = 6
+    first.settle()
+    first.members.valid_until = 50.0
+    assert first.keeper.usable(TEAM, 49.9) > 0
+    assert first.keeper.usable(TEAM, 50.0) == 0
+
+
 def test_replacing_a_presence_gives_a_new_holder() -> None:
     one = presence("entry-1", "one")
     assert replace(one, incarnation="two").holder != one.holder
--- a/vanillawell/tests/limit_proof_tests.py
+++ b/vanillawell/tests/limit_proof_tests.py
@@ -49,14 +49,24 @@
     return int(entry.status()["teams"]["guild"]["units_held"])
 
 
-def under_load(fleet: Fleet, script: Callable[[SteadyCallers], None]) -> None:
+def long_call(number: int) -> Call:
+    """Return a request that runs nearly as long as the fleet allows."""
+    return Call(mark=f"m{number}", run_seconds=1.6, timeout=6.0)
+
+
+def under_load(
+    fleet: Fleet,
+    script: Callable[[SteadyCallers], None],
+    make_call: Callable[[int], Call] = call,
+    answers: int = 40,
+) -> None:
     """Keep far more requests open than the limit allows while a script plays faults."""
-    callers = SteadyCallers(list(fleet.entries.values()), call, open_requests=30)
+    callers = SteadyCallers(list(fleet.entries.values()), make_call, open_requests=30)
 
     def whole() -> None:
-        wait_for_answers(callers, 40, "requests are answered before any fault")
+        wait_for_answers(callers, answers, "requests are answered before any fault")
         script(callers)
-        wait_for_answers(callers, 40, "requests are answered after the faults")
+        wait_for_answers(callers, answers, "requests are answered after the faults")
 
     during_load(callers, whole)
     counts = fleet.backend_counts()
@@ -143,7 +153,7 @@
                 wait_until(lambda n=name: fleet.entries[n].ready, "it is ready again")  # type: ignore[misc]
             time.sleep(HOLDING_TERM)
 
-        under_load(fleet, script)
+        under_load(fleet, script, long_call, answers=6)
 
 
 def busiest(fleet: Fleet) -> EntryHandle:
--- a/vanillawell/tests/outcome_proof_tests.py
+++ b/vanillawell/tests/outcome_proof_tests.py
@@ -3,9 +3,12 @@
 from __future__ import annotations
 
 import time
+from base64 import b64encode
 from collections import Counter
 from typing import TYPE_CHECKING, Any
 
+import pytest
+
 from vanillawell.standins.processes import wait_until
 from vanillawell.tests.builders import QUICK_TIMING, uuid7
 from vanillawell.tests.caller import Call
@@ -34,6 +37,10 @@
 }
 
 
+CLAIM_PREFIX = b64encode(b"/vanillawell/claim").decode()
+"""How the key of a claim begins in a call to the store."""
+
+
 def new_key() -> str:
     return uuid7(int(time.time() * 1000))
 
@@ -185,34 +192,58 @@
 
 
 def test_stamps_are_refused_as_not_run_while_the_store_is_down(tmp_path: Path) -> None:
-    """The store is down or loses the answers of claims.
-
-    Without a claim nothing guards against a second run, so a stamp with a key is refused; one
-    whose claim took effect without an answer must neither run twice nor be lost for good.
-    """
+    """The store is down, so nothing guards a stamp with a key against a second run."""
     with running_fleet(tmp_path, **TWO_ZONES) as fleet:
         entry = fleet.entries["entry-1-1"]
         fleet.store_faults(down=True)
-        keys = [new_key() for _ in range(5)]
-        calls = [Call(method="POST", mark=f"m{n}", idempotency_key=k) for n, k in enumerate(keys)]
+        calls = [Call(method="POST", mark=f"m{n}", idempotency_key=new_key()) for n in range(5)]
         replies = send_all([(entry, call) for call in calls])
         assert {(reply.problem, reply.verdict) for reply in replies} == {
             ("store-unavailable", "not-run")
         }
         assert send_one(entry, Call(method="POST", mark="free")).status == 200
-        fleet.store_faults(down=False, lose_answers=2)
+        fleet.store_faults(down=False)
         for call in calls:
             wait_until(lambda c=call: send_one(entry, c).status == 200, "it runs in the end")  # type: ignore[misc]
         assert runs_by_mark(fleet) == {"free": 1} | {f"m{n}": 1 for n in range(5)}
 
 
+def test_a_claim_whose_answer_was_lost_is_recognised(tmp_path: Path) -> None:
+    """The store applies a claim and the connection breaks before its answer arrives.
+
+    If the entry took the claim for another's, the stamp would be refused as in progress for
+    ever. Reading back shows that it is its own, and the stamp runs at once.
+    """
+    with running_fleet(tmp_path, **TWO_ZONES) as fleet:
+        call = Call(method="POST", mark="stamp", idempotency_key=new_key())
+        fleet.fault("lost", "cut-after-request", link="store", contains=CLAIM_PREFIX, count=1)
+        assert send_one(fleet.entries["entry-1-1"], call).status == 200
+        assert runs_by_mark(fleet) == {"stamp": 1}
+
+
+@pytest.mark.parametrize("again_through", ["entry-1-1", "entry-2-1"])
+def test_a_claim_that_cannot_be_read_back_is_freed(tmp_path: Path, again_through: str) -> None:
+    """The store applies a claim, and neither its answer nor the reading back gets through.
+
+    The stamp is refused as not run. Sent again through either entry it must run, once.
+    """
+    with running_fleet(tmp_path, **TWO_ZONES) as fleet:
+        call = Call(method="POST", mark="stamp", idempotency_key=new_key())
+        fleet.fault("lost", "cut-after-request", link="store", contains=CLAIM_PREFIX, count=2)
+        reply = send_one(fleet.entries["entry-1-1"], call)
+        assert (reply.problem, reply.verdict) == ("store-unavailable", "not-run")
+        again = fleet.entries[again_through]
+        wait_until(lambda: send_one(again, call).status == 200, "the stamp runs")
+        assert runs_by_mark(fleet) == {"stamp": 1}
+
+
 def test_a_large_answer_is_streamed_and_a_cut_shows(tmp_path: Path) -> None:
     """An answer is larger than an entry may hold, and its connection breaks in the middle.
 
     The caller must see that the answer is not whole, by its framing.
     """
     with running_fleet(tmp_path, **TWO_ZONES) as fleet:
-        fleet.behave([], answer_bytes=8_000_000)
+        fleet.behave([], answer_bytes=8_000_000, chunked=True)
         entry = fleet.entries["entry-1-1"]
         assert len(send_one(entry, Call()).body) == 8_000_000
         fleet.fault("late-cut", "cut-in-answer", link="executor", after=1_000_000, count=1)
--- a/vanillawell/transport/backend.py
+++ b/vanillawell/transport/backend.py
@@ -7,9 +7,8 @@
 
 from __future__ import annotations
 
-import itertools
 from collections.abc import AsyncIterator
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 import anyio
@@ -38,6 +37,9 @@
 KEEPALIVE = 10.0
 """Seconds after which an idle connection is retired, before a middlebox forgets it."""
 
+RENEW_INTERVAL = 1.0
+"""Seconds within which connections count as new, so that slow requests do not renew them all."""
+
 PROBE_TIMEOUT = 1.0
 """Seconds that a probe on a new connection may take."""
 
@@ -86,13 +88,12 @@
     """One attempt under way, for the search for silent connections."""
 
     started: float
-    idempotent: bool
     may_send: Callable[[], bool]
     """Asked right before the first byte."""
 
-    scope: anyio.CancelScope = field(default_factory=anyio.CancelScope)
     head_arrived: bool = False
-    given_up: bool = False
+    looked_into: bool = False
+    """A probe has already been made on its account."""
 
 
 class ExecutorLink:
@@ -105,7 +106,7 @@
         self._pool = self._new_pool()
         self._old_pools: list[httpcore.AsyncConnectionPool] = []
         self._attempts: set[Attempt] = set()
-        self._generations = itertools.count(1)
+        self._renewed_at = 0.0
 
     @property
     def attempts(self) -> set[Attempt]:
@@ -125,8 +126,11 @@
             local_address=self._local_host,
         )
 
-    async def renew(self) -> None:
+    async def renew(self, now: float) -> None:
         """Send all further requests over new connections; close old ones that are idle."""
+        if now - self._renewed_at < RENEW_INTERVAL:
+            return
+        self._renewed_at = now
         self._old_pools.append(self._pool)
         self._pool = self._new_pool()
         await self.close_idle()
@@ -175,10 +179,7 @@
         watcher = SendWatcher(attempt.may_send)
         self._attempts.add(attempt)
         try:
-            with attempt.scope:
-                await self._stream(forward, attempt, longest, deliver, watcher)
-            if attempt.scope.cancelled_caught:
-                raise AttemptError(Failure.NO_WHOLE_ANSWER, "the connection went silent")
+            await self._stream(forward, attempt, longest, deliver, watcher)
         except (httpcore.NetworkError, httpcore.TimeoutException, httpcore.ProtocolError) as error:
             failure = Failure.NO_WHOLE_ANSWER if watcher.sent else Failure.NOT_SENT
             raise AttemptError(failure, type(error).__name__) from error
