Damp refused attempts, take the load generator's own cost out, add baselines

Reports of demand are up to half a second old, so entries overcommit together when a peak begins. Change: after a refusal an entry keeps to the attempts that the executor took from it (a window that grows by one per window of good ones and lapses after 0.5 s). Also: plain baselines (least-loaded, FIFO, static limits, unbudgeted retries) behind settings.

--- a/vanillawell/config/settings.py
+++ b/vanillawell/config/settings.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import ipaddress
-from typing import Annotated
+from typing import Annotated, Literal
 
 from pydantic import BaseModel, ConfigDict, Field, field_validator
 
@@ -87,6 +87,22 @@
     """Seconds between readiness going off and refusal, for the balancer to notice."""
 
 
+class ExperimentSettings(StrictModel):
+    """Plain baselines to measure against; leave them alone in operation."""
+
+    routing: Literal["quota", "least-loaded"] = "quota"
+    """How an executor is chosen."""
+
+    queue: Literal["fair", "fifo"] = "fair"
+    """Which request is next."""
+
+    limits: Literal["ledger", "static"] = "ledger"
+    """Whether units move with demand or each entry has an even part of each limit."""
+
+    retries: Literal["budgeted", "unbudgeted"] = "budgeted"
+    """Whether retries are bounded by a part of first attempts."""
+
+
 class DaemonSettings(StrictModel):
     """All settings of `vanillawelld`."""
 
@@ -114,6 +130,9 @@
     timing: TimingSettings = TimingSettings()
     """Bounds on time."""
 
+    experiment: ExperimentSettings = ExperimentSettings()
+    """Baselines, for measurements only."""
+
     seeds: tuple[Address, ...] = ()
     """Peer addresses to try when the store is not there at start."""
 
--- a/vanillawell/coordination/dispatch.py
+++ b/vanillawell/coordination/dispatch.py
@@ -15,8 +15,14 @@
 from vanillawell.state.admission import QueueState, admit, spread
 from vanillawell.state.charges import ChargeBook
 from vanillawell.state.queueing import Waiting
-from vanillawell.state.retries import FailedAttempt, Failure, RetryDecision, decide
-from vanillawell.state.routing import QuotaRouting, RoutingPolicy
+from vanillawell.state.retries import (
+    FailedAttempt,
+    Failure,
+    RetryBudget,
+    RetryDecision,
+    decide,
+)
+from vanillawell.state.routing import LeastLoadedRouting, QuotaRouting, RoutingPolicy
 from vanillawell.transport.backend import Answer, Attempt, AttemptError
 
 if TYPE_CHECKING:
@@ -24,6 +30,7 @@
 
     from anyio.abc import TaskGroup
 
+    from vanillawell.config.settings import ExperimentSettings
     from vanillawell.state.board import DemandBoard
     from vanillawell.state.policy import Policy
     from vanillawell.telemetry import Telemetry
@@ -123,7 +130,7 @@
         zone: str,
         local_host: str,
         longest: float,
-        routing: RoutingPolicy | None = None,
+        experiment: ExperimentSettings,
     ) -> None:
         self._tasks = tasks
         self._limits = limits
@@ -134,7 +141,10 @@
         self._zone = zone
         self._local_host = local_host
         self._longest = longest
-        self._routing = routing or QuotaRouting()
+        quota = experiment.routing == "quota"
+        self._routing: RoutingPolicy = QuotaRouting() if quota else LeastLoadedRouting()
+        self._fifo = experiment.queue == "fifo"
+        self._budgeted = experiment.retries == "budgeted"
         self._pools: dict[str, PoolRuntime] = {}
         self._shares: Mapping[str, float] = {}
         self._policy: Policy | None = None
@@ -301,8 +311,8 @@
         def may_start(team: str) -> bool:
             return self._charges.charged(team) < self._limits.usable(team, now)
 
-        def debt(team: str) -> float:
-            return pool.debt(team, self._shares, now)
+        def debt(item: Waiting) -> float:
+            return item.arrived if self._fifo else pool.debt(item.team, self._shares, now)
 
         while len(pool.queue):
             item = pool.queue.pick(may_start, debt)
@@ -391,7 +401,7 @@
             self._finish(ticket, answer)
             return
         if failure in (Failure.REFUSED_FULL, Failure.TOO_LATE):
-            pool.health.note_full(executor, now)
+            pool.health.note_full(executor, now, pool.running_at(executor))
         else:
             self._note_failure(pool, executor, failure, now)
             ticket.waiting.tried.add(executor)
@@ -419,7 +429,8 @@
             failure, order.idempotent, len(ticket.waiting.tried), order.deadline - now
         )
         reachable = min(pool.policy.attempts, len(pool.links))
-        decision = decide(failed, reachable, pool.budget)
+        budget = pool.budget if self._budgeted else RetryBudget(0.0, bounded=False)
+        decision = decide(failed, reachable, budget)
         if decision is RetryDecision.GIVE_UP or order.pool not in self._pools:
             self._finish(ticket, self._final(ticket, failure))
             return
--- a/vanillawell/coordination/limit_keeper.py
+++ b/vanillawell/coordination/limit_keeper.py
@@ -364,3 +364,28 @@
         step = max(1, int(held * SOFT_STEP))
         copy.soft = max(goal, held - step) if contended and self._reachable else None
         self._recompute(team)
+
+
+class StaticLimits:
+    """Give each entry an even part of each limit for good: the plain baseline."""
+
+    def __init__(self, membership: Membership) -> None:
+        self._membership = membership
+        self._limits: dict[str, int] = {}
+
+    def configure(self, policy: Policy) -> None:
+        """Take over a configuration."""
+        self._limits = {name: team.limit for name, team in policy.teams.items()}
+
+    def usable(self, team: str, now: float) -> int:
+        """Return this entry's part, the remainder going to the first ones by name."""
+        entries = sorted(self._membership.members)
+        part, rest = divmod(self._limits.get(team, 0), len(entries))
+        return part + (entries.index(self._membership.me.instance) < rest)
+
+    def note_demand(self, team: str) -> None:
+        """Take no notice."""
+
+    def may_grow(self) -> bool:
+        """Tell that nothing ever moves."""
+        return False
--- a/vanillawell/coordination/pool_runtime.py
+++ b/vanillawell/coordination/pool_runtime.py
@@ -73,6 +73,11 @@
         """Return the attempts under way in this pool."""
         return sum(use.running for use in self._uses.values())
 
+    def running_at(self, executor: str) -> int:
+        """Return the attempts under way at one executor."""
+        link = self.links.get(executor)
+        return len(link.attempts) if link else 0
+
     def occupy(self, team: str, delta: int, now: float) -> None:
         """Note that `delta` slots were taken or, if negative, freed by a team."""
         self._uses.setdefault(team, SlotUse(now)).change(delta, now)
--- a/vanillawell/entry.py
+++ b/vanillawell/entry.py
@@ -14,7 +14,7 @@
 from vanillawell.coordination.claims import ClaimDesk
 from vanillawell.coordination.configuration import ConfigurationFollower
 from vanillawell.coordination.dispatch import Dispatcher
-from vanillawell.coordination.limit_keeper import LimitKeeper
+from vanillawell.coordination.limit_keeper import LimitKeeper, StaticLimits
 from vanillawell.coordination.membership import Membership
 from vanillawell.coordination.peers import PeerAddress, Peers
 from vanillawell.exceptions import StoreError
@@ -84,9 +84,11 @@
         self._limits = LimitKeeper(
             store, keys, self._membership, self._board, timing, self._telemetry, rng
         )
+        self._static = StaticLimits(self._membership)
+        ledger = settings.experiment.limits == "ledger"
         self._dispatcher = Dispatcher(
             tasks,
-            self._limits,
+            self._limits if ledger else self._static,
             self._board,
             self._telemetry,
             rng,
@@ -94,6 +96,7 @@
             me.zone,
             settings.caller.host,
             timing.longest_request,
+            settings.experiment,
         )
         self._claims = ClaimDesk(store, keys, self._membership, timing, self._telemetry)
         self._peers = Peers(
@@ -148,6 +151,7 @@
 
     def _apply(self, policy: Policy) -> None:
         self._dispatcher.configure(policy, self._entry_names())
+        self._static.configure(policy)
         self._limits.configure(policy)
         self._peers.push()
 
--- a/vanillawell/standins/deployment.py
+++ b/vanillawell/standins/deployment.py
@@ -56,6 +56,9 @@
     timing: dict[str, Any] = {}
     """Timing settings of every entry."""
 
+    experiment: dict[str, Any] = {}
+    """Baselines that every entry uses instead of the product's decisions."""
+
     store: dict[str, Any] = {}
     """Store settings of every entry, except for its address."""
 
--- a/vanillawell/standins/fleet.py
+++ b/vanillawell/standins/fleet.py
@@ -139,6 +139,7 @@
                 **self.deployment.store,
             },
             "timing": self.deployment.timing,
+            "experiment": self.deployment.experiment,
         }
 
     def _backend_arguments(self) -> list[str]:
--- a/vanillawell/standins/load.py
+++ b/vanillawell/standins/load.py
@@ -86,9 +86,7 @@
 class LoadGenerator:
     """Send streams of requests at their own pace, whatever becomes of earlier ones."""
 
-    def __init__(
-        self, targets: Sequence[Target], seed: int, client_delay: float = 0.0, most_open: int = 400
-    ) -> None:
+    def __init__(self, targets: Sequence[Target], seed: int, client_delay: float = 0.0) -> None:
         self._targets = list(targets)
         self._rng = random.Random(seed)
         self._client_delay = client_delay
@@ -97,18 +95,20 @@
             for zone in {0, *(target.zone for target in targets)}
         }
         self._tallies: dict[str, Tally] = {}
-        self._pool = httpcore.AsyncConnectionPool(
-            max_connections=most_open * 2, max_keepalive_connections=most_open
-        )
+        self._idle: dict[Target, list[httpcore.AsyncConnectionPool]] = {
+            target: [] for target in targets
+        }
 
     async def run(self, streams: Sequence[Stream], seconds: float) -> LoadResult:
         """Send for `seconds`, then wait for the answers that are still due."""
         started = time.monotonic()
-        async with self._pool, anyio.create_task_group() as tasks:
+        async with anyio.create_task_group() as tasks:
             for stream in streams:
                 self._tallies.setdefault(stream.team, Tally())
                 rng = random.Random(self._rng.random())
                 tasks.start_soon(self._send_stream, stream, rng, seconds)
+        for pool in (pool for pools in self._idle.values() for pool in pools):
+            await pool.aclose()
         return LoadResult(time.monotonic() - started, self._tallies)
 
     async def _send_stream(self, stream: Stream, rng: random.Random, seconds: float) -> None:
@@ -126,6 +126,15 @@
                 await anyio.sleep(max(0.0, begun + due - time.monotonic()))
                 tasks.start_soon(self._send_one, stream)
 
+    def _take_connection(self, target: Target) -> httpcore.AsyncConnectionPool:
+        """Return an idle connection or a new one.
+
+        Each is a pool of one: a single pool looks through all its connections at each request,
+        and with hundreds open that took a whole core and showed as latency of the entries.
+        """
+        idle = self._idle[target]
+        return idle.pop() if idle else httpcore.AsyncConnectionPool(max_connections=1)
+
     async def _send_one(self, stream: Stream) -> None:
         target = next(self._turns[stream.zone])
         tally = self._tallies[stream.team]
@@ -136,8 +145,9 @@
             ("request-timeout", str(stream.timeout)),
         ]
         await anyio.sleep(self._client_delay)
+        pool = self._take_connection(target)
         try:
-            response = await self._pool.request(
+            response = await pool.request(
                 stream.method,
                 f"http://{target.host}:{target.port}/{stream.service}/check",
                 headers=headers,
@@ -146,7 +156,9 @@
             )
         except (httpcore.NetworkError, httpcore.TimeoutException, httpcore.ProtocolError) as error:
             tally.broken[type(error).__name__] += 1
+            await pool.aclose()
             return
+        self._idle[target].append(pool)
         await anyio.sleep(self._client_delay)
         if response.status == 200:
             tally.answered += 1
--- a/vanillawell/state/health.py
+++ b/vanillawell/state/health.py
@@ -27,6 +27,12 @@
 NOT_SENT_WEIGHT = 3
 """Failed attempts that one attempt which could not be sent counts for."""
 
+WINDOW_GROWTH = 1.0
+"""Attempts by which the window grows over one window's worth of good ones."""
+
+WINDOW_LIFETIME = 0.5
+"""Seconds after the last refusal when an executor's window is forgotten."""
+
 FULL_PAUSE = 0.02
 """Seconds to leave an executor alone after it refused as full."""
 
@@ -41,6 +47,10 @@
     ejected_until: float = 0.0
     ejections: int = 0
     full_until: float = 0.0
+    refused_at: float = float("-inf")
+    window: float = 0.0
+    """Attempts that this entry keeps there at once since the executor last refused as full."""
+
     probing: bool = False
     """One attempt runs as a probe after an ejection has passed."""
 
@@ -57,10 +67,12 @@
         """Tell whether its ejection has passed and no good attempt has followed."""
         return self.ejections > 0 and not self.ejected(now)
 
-    def available(self, now: float) -> bool:
+    def available(self, now: float, running: int = 0) -> bool:
         """Tell whether an attempt may be sent to it: one at a time while on trial."""
         if self.ejected(now) or now < self.full_until:
             return False
+        if now - self.refused_at < WINDOW_LIFETIME and running >= int(self.window):
+            return False
         return not (self.on_trial(now) and self.probing)
 
 
@@ -85,11 +97,17 @@
         health = self.of(executor)
         health.probing = health.on_trial(now)
 
-    def note_full(self, executor: str, now: float) -> None:
-        """Note a refusal since the executor is full; that is no failure."""
+    def note_full(self, executor: str, now: float, running: int) -> None:
+        """Note a refusal since the executor is full while `running` attempts stay there.
+
+        That is no failure. Several entries that each find an executor with room would try it
+        over and over; the window lets each keep just what the executor has taken from it.
+        """
         health = self.of(executor)
         health.probing = False
         health.full_until = now + FULL_PAUSE
+        health.refused_at = now
+        health.window = max(1.0, float(running))
 
     def note_success(self, executor: str) -> None:
         """Note a good attempt; it ends a trial."""
@@ -98,6 +116,7 @@
             health.outcomes.clear()
         health.ejections = 0
         health.probing = False
+        health.window += WINDOW_GROWTH / max(1.0, health.window)
         health.outcomes.append(True)
 
     def note_failure(self, executor: str, now: float, pool_size: int, sent: bool) -> bool:
--- a/vanillawell/state/queueing.py
+++ b/vanillawell/state/queueing.py
@@ -121,20 +121,20 @@
         return queue is not None and queue.remove(item)
 
     def pick(
-        self, may_start: Callable[[str], bool], debt: Callable[[str], float]
+        self, may_start: Callable[[str], bool], debt: Callable[[Waiting], float]
     ) -> Waiting | None:
         """Take out the next request to start, or None if none may.
 
-        Urgent lines go first. Within a line the team with the least `debt`, its slot use over
-        its share, is next.
+        Urgent lines go first. Within a line the team whose first request has the least `debt`,
+        normally the team's slot use over its share, is next.
         """
         for urgent in (True, False):
-            ready = [
-                team
+            heads = [
+                queue.line(urgent)[0]
                 for team, queue in self._teams.items()
                 if queue.line(urgent) and may_start(team)
             ]
-            if ready:
-                team = min(ready, key=lambda name: (debt(name), name))
-                return self._teams[team].line(urgent).popleft()
+            if heads:
+                first = min(heads, key=lambda item: (debt(item), item.team))
+                return self._teams[first.team].line(urgent).popleft()
         return None
--- a/vanillawell/state/retries.py
+++ b/vanillawell/state/retries.py
@@ -17,8 +17,9 @@
 class RetryBudget:
     """Allow retries as a fraction of first attempts, so that they never multiply an overload."""
 
-    def __init__(self, ratio: float) -> None:
+    def __init__(self, ratio: float, bounded: bool = True) -> None:
         self._ratio = ratio
+        self._bounded = bounded
         self._tokens = BUDGET_START
 
     def note_first_attempt(self) -> None:
@@ -27,6 +28,8 @@
 
     def take(self) -> bool:
         """Spend one retry if there is one."""
+        if not self._bounded:
+            return True
         if self._tokens < 1:
             return False
         self._tokens -= 1
--- a/vanillawell/state/routing.py
+++ b/vanillawell/state/routing.py
@@ -67,7 +67,7 @@
     def _may_take(self, item: Candidate, view: RoutingView, health: PoolHealth, now: float) -> bool:
         bound = min(view.most_running, view.quotas.get(item.name, 0)) if view.full else None
         within = item.running < (view.most_running if bound is None else bound)
-        return within and health.of(item.name).available(now)
+        return within and health.of(item.name).available(now, item.running)
 
     def _load(self, item: Candidate, view: RoutingView) -> tuple[float, bool, str]:
         room = view.quotas.get(item.name, 0)
--- a/vanillawell/tests/fleet_base.py
+++ b/vanillawell/tests/fleet_base.py
@@ -77,6 +77,10 @@
         self.replies: list[Reply] = []
         self.stopping = False
 
+    def leave(self, entry: EntryHandle) -> None:
+        """Send nothing more to an entry, as the balancer does once it is not ready."""
+        self._entries.remove(entry)
+
     async def run(self) -> None:
         """Send until `stopping` is set and all requests have ended."""
         async with Callers() as callers, anyio.create_task_group() as tasks:
--- /dev/null
+++ b/vanillawell/tests/rollout_proof_tests.py
@@ -0,0 +1,175 @@
+"""Prove that an accepted configuration is in force everywhere soon and never reverts."""
+
+from __future__ import annotations
+
+import threading
+import time
+from base64 import b64encode
+from typing import TYPE_CHECKING, Any
+
+from vanillawell.standins.processes import call as control
+from vanillawell.standins.processes import wait_until
+from vanillawell.tests.builders import QUICK_TIMING
+from vanillawell.tests.caller import Call
+from vanillawell.tests.fleet_base import (
+    SteadyCallers,
+    during_load,
+    running_fleet,
+    send_one,
+    wait_for_answers,
+)
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+    from vanillawell.standins.fleet import Fleet
+
+THREE_ZONES: dict[str, Any] = {"zones": 3, "entries_per_zone": 2, "executors_per_service": 3}
+
+CONFIGURATION_KEY = "/vanillawell/configuration"
+
+
+def versions(fleet: Fleet) -> list[int]:
+    return [int(entry.status()["version"]) for entry in fleet.entries.values()]
+
+
+def test_a_withdrawn_key_stops_everywhere_within_seconds(tmp_path: Path) -> None:
+    """One zone has lost the store but still hears its peers when a key is withdrawn.
+
+    Its entries must learn of it from the others; a withdrawn key that goes on working there
+    would let a former submitter in.
+    """
+    with running_fleet(tmp_path, **THREE_ZONES) as fleet:
+        fleet.fault("cut", "cut", link="store-1")
+        started = time.monotonic()
+        fleet.cli("key", "withdraw", "guild", "first")
+        for entry in fleet.entries.values():
+            wait_until(
+                lambda e=entry: send_one(e, Call()).status == 401,  # type: ignore[misc]
+                f"{entry.name} refuses the key",
+                bound=10.0,
+            )
+        print(f"withdrawn key refused everywhere after {time.monotonic() - started:.2f} s")
+
+
+def test_a_zone_without_any_word_refuses_keys_after_their_bound(tmp_path: Path) -> None:
+    """A zone has lost the store and all other zones, so it cannot hear of withdrawn keys.
+
+    For the bound that operators chose it goes on serving, then it refuses as not run.
+    """
+    with running_fleet(tmp_path, **THREE_ZONES, fleet_settings={"key_freshness": 4.0}) as fleet:
+        fleet.fault("store", "cut", link="store-1")
+        fleet.fault("out", "cut", link="peer", source_zone=1)
+        fleet.fault("in", "cut", link="peer", target_zone=1)
+        entry = fleet.entries["entry-1-1"]
+        assert send_one(entry, Call()).status == 200
+        wait_until(
+            lambda: send_one(entry, Call()).problem == "configuration-stale", "it refuses in time"
+        )
+        for name in ("store", "out", "in"):
+            fleet.clear(name)
+        wait_until(lambda: send_one(entry, Call()).status == 200, "it serves again")
+
+
+def test_versions_only_rise_through_cuts_restarts_and_an_older_store(tmp_path: Path) -> None:
+    """A zone is cut off and comes back, an entry restarts in an outage, the store is restored.
+
+    Any of these could bring an older configuration back into force, and with it a withdrawn key
+    or an old limit.
+    """
+    with running_fleet(tmp_path, **THREE_ZONES) as fleet:
+        older = control(
+            "127.0.0.1",
+            int(fleet.store_address.rpartition(":")[2]),
+            "/v3/kv/range",
+            {"key": b64encode(CONFIGURATION_KEY.encode()).decode()},
+        )["kvs"][0]["value"]
+        fleet.fault("cut", "cut", link="store-1")
+        fleet.cli("node", "set", "guild", "limit=5")
+        wait_until(lambda: min(versions(fleet)) == 2, "peers tell the cut-off zone")
+        fleet.store_faults(down=True)
+        restarted = fleet.entries["entry-2-1"]
+        restarted.process.kill()
+        restarted.process.start()
+        fleet.store_faults(down=False)
+        put = {"key": b64encode(CONFIGURATION_KEY.encode()).decode(), "value": older}
+        control("127.0.0.1", int(fleet.store_address.rpartition(":")[2]), "/v3/kv/put", put)
+        fleet.clear("cut")
+        wait_until(lambda: restarted.ready, "the restarted entry is ready")
+        wait_until(lambda: min(versions(fleet)) == 2, "it learns the newer one from its peers")
+        time.sleep(2.0)
+        assert versions(fleet) == [2] * 6
+
+
+def test_of_racing_operators_none_is_lost(tmp_path: Path) -> None:
+    """Several operators change settings at the same moment.
+
+    Each either wins or is told what the other changed; nobody's accepted change disappears.
+    """
+    with running_fleet(tmp_path) as fleet:
+        results: dict[int, Any] = {}
+
+        def change(number: int) -> None:
+            results[number] = fleet.try_cli("node", "create", f"team-{number}", "--kind", "team")
+
+        threads = [threading.Thread(target=change, args=(number,)) for number in range(6)]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+        won = {number for number, done in results.items() if done.returncode == 0}
+        lost = {number for number, done in results.items() if done.returncode == 5}
+        assert won | lost == set(range(6))
+        assert won
+        nodes = fleet.cli("config", "show")["nodes"]
+        assert {number for number in range(6) if f"team-{number}" in nodes} == won
+        assert all("the configuration changed meanwhile" in results[n].stderr for n in lost)
+
+
+def test_an_operators_lost_answer_is_recognised(tmp_path: Path) -> None:
+    """The store applies a change and its answer is lost; the command must not report a race."""
+    with running_fleet(tmp_path) as fleet:
+        fleet.store_faults(lose_answers=1)
+        fleet.cli("node", "set", "guild", "limit=5")
+        history = fleet.cli("config", "history")
+        assert [item["version"] for item in history] == [1, 2]
+        assert fleet.cli("config", "show")["nodes"]["guild"]["settings"]["limit"] == 5
+
+
+def test_an_earlier_tree_comes_back_as_a_new_version(tmp_path: Path) -> None:
+    with running_fleet(tmp_path) as fleet:
+        fleet.cli("node", "set", "guild", "limit=5")
+        fleet.cli("config", "restore", "1", "--wait")
+        assert versions(fleet) == [3]
+        assert fleet.cli("config", "show")["nodes"]["guild"]["settings"]["limit"] == 8
+
+
+def test_a_planned_stop_cuts_no_request(tmp_path: Path) -> None:
+    """An entry is asked to stop while callers use it, the balancer noticing a moment later.
+
+    Each request that it accepted must get its answer; none may be cut or lost.
+    """
+    timing = QUICK_TIMING | {"stop_notice": 1.0}
+    with running_fleet(tmp_path, **THREE_ZONES | {"timing": timing}) as fleet:
+        entries = dict(fleet.entries)
+        callers = SteadyCallers(
+            list(entries.values()),
+            lambda n: Call(mark=f"m{n}", run_seconds=0.05 + n % 5 * 0.1, timeout=5.0),
+            open_requests=12,
+        )
+
+        def script() -> None:
+            wait_for_answers(callers, 30, "requests are answered")
+            stopping = entries["entry-1-1"]
+            thread = threading.Thread(target=stopping.process.stop)
+            thread.start()
+            wait_until(lambda: not stopping.ready, "readiness goes off")
+            callers.leave(stopping)
+            thread.join()
+            assert stopping.process.wait() == 0
+            wait_for_answers(callers, 30, "the others answer")
+
+        replies = during_load(callers, script)
+        assert [reply for reply in replies if reply.status != 200] == []
+        held = fleet.entries["entry-1-2"].status()["entries"]
+        assert held <= 6
--- a/vanillawell/tests/state_tests.py
+++ b/vanillawell/tests/state_tests.py
@@ -94,14 +94,14 @@
     queue.add(Waiting("a", urgent=False, arrived=0.0, deadline=9.0))
     urgent = Waiting("b", urgent=True, arrived=1.0, deadline=9.0)
     queue.add(urgent)
-    assert queue.pick(lambda _: True, {"a": 0.0, "b": 50.0}.__getitem__) is urgent
+    assert queue.pick(lambda _: True, lambda item: {"a": 0.0, "b": 50.0}[item.team]) is urgent
 
 
 def test_the_team_that_used_least_of_its_share_is_next() -> None:
     queue = FairQueue()
     for team in ("a", "b"):
         queue.add(Waiting(team, urgent=True, arrived=0.0, deadline=9.0))
-    picked = queue.pick(lambda _: True, {"a": 3.0, "b": 1.0}.__getitem__)
+    picked = queue.pick(lambda _: True, lambda item: {"a": 3.0, "b": 1.0}[item.team])
     assert picked is not None
     assert picked.team == "b"
 
