--- a/vanillawell/coordination/dispatch.py
+++ b/vanillawell/coordination/dispatch.py
@@ -210,6 +210,18 @@
         self.pump(pool, now)
         return ticket
 
+    def refuse_without_units(self, now: float) -> None:
+        """Refuse at once what waits for units that cannot be had while the store is away."""
+        for pool in self._pools.values():
+            for item in [item for item in pool.queue if not self._limits.usable(item.team, now)]:
+                ticket = self._tickets.get(item)
+                if ticket is None or ticket.running or self._charges.charged(item.team):
+                    continue
+                pool.queue.remove(item)
+                wait = spread(NO_UNITS_RETRY_AFTER, self._rng)
+                refusal = Refusal(Reason.NO_UNITS, ticket.verdict_if_given_up, retry_after=wait)
+                self._finish(ticket, refusal)
+
     def _check_admission(self, order: Order, pool: PoolRuntime, now: float) -> Refusal | None:
         assert self._policy is not None
         team = self._policy.teams[order.team]
--- a/vanillawell/coordination/limit_keeper.py
+++ b/vanillawell/coordination/limit_keeper.py
@@ -118,6 +118,7 @@
         self._wanted: Callable[[str], int] = lambda team: 0
         self._charged: Callable[[str], int] = lambda team: 0
         self._granted: Callable[[], None] = lambda: None
+        self._lost: Callable[[], None] = lambda: None
 
     @property
     def _holder(self) -> str:
@@ -128,8 +129,10 @@
         wanted: Callable[[str], int],
         charged: Callable[[str], int],
         granted: Callable[[], None],
+        lost: Callable[[], None],
     ) -> None:
-        """Say where demand is read and who hears of new units."""
+        """Say where demand is read, and who hears of new units and of a lost store."""
+        self._lost = lost
         self._wanted = wanted
         self._charged = charged
         self._granted = granted
@@ -198,6 +201,7 @@
         for team in self._teams:
             self._copies[team].soft = None
             self._recompute(team)
+        self._lost()
 
     async def settle(self) -> None:
         """Write what this entry wants changed in any ledger."""
@@ -245,7 +249,7 @@
         copy = self._copies[team]
         if copy.revision < 0 or copy.cap is not None:
             return True
-        lacking = self._wanted(team) > copy.usable
+        lacking = max(self._wanted(team), self._team_limit(team).floor) > copy.usable
         return lacking and now - copy.read_at > STALE_AFTER
 
     async def _read(self, teams: list[str]) -> None:
--- a/vanillawell/entry.py
+++ b/vanillawell/entry.py
@@ -145,6 +145,7 @@
             self._dispatcher.wanted,
             self._dispatcher.charges.charged,
             lambda: self._dispatcher.pump_all(clock.read()),
+            lambda: self._dispatcher.refuse_without_units(clock.read()),
         )
         self._configuration.on_change(self._apply)
         self._membership.on_change(self._apply_members)
--- a/vanillawell/tests/limit_keeper_tests.py
+++ b/vanillawell/tests/limit_keeper_tests.py
@@ -109,7 +109,7 @@
             Telemetry(),
             random.Random(1),
         )
-        self.keeper.connect(lambda _: self.demand, lambda _: 0, lambda: None)
+        self.keeper.connect(lambda _: self.demand, lambda _: 0, lambda: None, lambda: None)
         self.version = 0
 
     @property
--- a/vanillawell/tests/rollout_proof_tests.py
+++ b/vanillawell/tests/rollout_proof_tests.py
@@ -22,13 +22,17 @@
 if TYPE_CHECKING:
     from pathlib import Path
 
-    from vanillawell.standins.fleet import Fleet
+    from vanillawell.standins.fleet import EntryHandle, Fleet
 
 THREE_ZONES: dict[str, Any] = {"zones": 3, "entries_per_zone": 2, "executors_per_service": 3}
 
 CONFIGURATION_KEY = "/vanillawell/configuration"
 
 
+def units_held(entry: EntryHandle) -> int:
+    return int(entry.status()["teams"]["guild"]["units_held"])
+
+
 def versions(fleet: Fleet) -> list[int]:
     return [int(entry.status()["version"]) for entry in fleet.entries.values()]
 
@@ -57,7 +61,10 @@
 
     For the bound that operators chose it goes on serving, then it refuses as not run.
     """
-    with running_fleet(tmp_path, **THREE_ZONES, fleet_settings={"key_freshness": 4.0}) as fleet:
+    with running_fleet(
+        tmp_path, **THREE_ZONES, fleet_settings={"key_freshness": 4.0, "reserve": 1.0}
+    ) as fleet:
+        wait_until(lambda: all(units_held(e) for e in fleet.entries.values()), "all hold units")
         fleet.fault("store", "cut", link="store-1")
         fleet.fault("out", "cut", link="peer", source_zone=1)
         fleet.fault("in", "cut", link="peer", target_zone=1)
