Pools, moves and maintenance waves, planned in one role and fenced by the store

Cause: nothing kept pools at their budgets through maintenance. Weighed: one assignment value for the fleet against one for each zone. Change: a planner's role under an entry's lease; each step is reserved by the write that requires both the role and the checked assignment unchanged; a step must leave the pool at its budget even if its worst rack then fails, and borrows from the spare pool where it would not; drains are confirmed by all entries; reboots carry an id that stays the same at every try. Moves by operators wait for the same check. Entries learn the assignment as they learn the configuration.

--- a/vanillawell/cli.py
+++ b/vanillawell/cli.py
@@ -15,10 +15,14 @@
 config_app = typer.Typer(no_args_is_help=True, help="Push, show and restore configurations.")
 node_app = typer.Typer(no_args_is_help=True, help="Create and change teams, pools and groups.")
 key_app = typer.Typer(no_args_is_help=True, help="Grant and withdraw team keys.")
+maintenance_app = typer.Typer(no_args_is_help=True, help="Run maintenance waves.")
+pool_app = typer.Typer(no_args_is_help=True, help="Move instances between pools.")
 settings_app = typer.Typer(no_args_is_help=True, help="Check daemon settings.")
 app.add_typer(config_app, name="config")
 app.add_typer(node_app, name="node")
 app.add_typer(key_app, name="key")
+app.add_typer(maintenance_app, name="maintenance")
+app.add_typer(pool_app, name="pool")
 app.add_typer(settings_app, name="settings")
 
 WaitOption = Annotated[bool, typer.Option("--wait", help="Wait until all entries confirm.")]
@@ -178,6 +182,55 @@
     withdraw_key(context.obj, team, key_id, PushOptions(wait=wait))
 
 
+@maintenance_app.command("start")
+def maintenance_start(
+    context: typer.Context,
+    pool: Annotated[list[str] | None, typer.Option(help="Only this pool; may be repeated.")] = None,
+    wait: Annotated[bool, typer.Option("--wait", help="Follow the wave to its end.")] = False,
+) -> None:
+    """Reboot every instance once. Example: vanillawell maintenance start --wait."""
+    from vanillawell.commands.maintenance import start
+
+    start(context.obj, pool or [], wait)
+
+
+@maintenance_app.command("pause")
+def maintenance_pause(context: typer.Context) -> None:
+    """Begin no further step; those under way end."""
+    from vanillawell.commands.maintenance import set_state
+    from vanillawell.state.pools import WaveState
+
+    set_state(context.obj, WaveState.PAUSED)
+
+
+@maintenance_app.command("resume")
+def maintenance_resume(context: typer.Context) -> None:
+    """Go on with a paused wave."""
+    from vanillawell.commands.maintenance import set_state
+    from vanillawell.state.pools import WaveState
+
+    set_state(context.obj, WaveState.RUNNING)
+
+
+@maintenance_app.command("status")
+def maintenance_status(
+    context: typer.Context,
+    wait: Annotated[bool, typer.Option("--wait", help="Follow the wave to its end.")] = False,
+) -> None:
+    """Show the wave and every instance that is not serving at home."""
+    from vanillawell.commands.maintenance import show
+
+    show(context.obj, wait)
+
+
+@pool_app.command("move")
+def pool_move(context: typer.Context, instance: str, pool: str) -> None:
+    """Drain an instance and put it in another pool. Example: pool move spare-1 pool-check."""
+    from vanillawell.commands.maintenance import move
+
+    move(context.obj, instance, pool)
+
+
 def main() -> None:
     """Run the program; user errors end as one clear line and an exit status by kind."""
     try:
--- a/vanillawell/config/settings.py
+++ b/vanillawell/config/settings.py
@@ -130,6 +130,9 @@
     timing: TimingSettings = TimingSettings()
     """Bounds on time."""
 
+    platform: Address | None = None
+    """The platform's own interface; without it this entry never plans moves."""
+
     experiment: ExperimentSettings = ExperimentSettings()
     """Baselines, for measurements only."""
 
--- a/vanillawell/coordination/membership.py
+++ b/vanillawell/coordination/membership.py
@@ -113,6 +113,11 @@
         """Return this entry's own presence."""
         return self._me
 
+    @property
+    def lease(self) -> int:
+        """Return the lease of this entry's presence; 0 while it has none."""
+        return self._lease
+
     @property
     def members(self) -> dict[str, Presence]:
         """Return all known entries by instance, this one included."""
--- a/vanillawell/coordination/peers.py
+++ b/vanillawell/coordination/peers.py
@@ -21,20 +21,22 @@
 from vanillawell.protocol.peer_messages import (
     Acknowledgement,
     Beat,
-    ConfigurationReply,
-    ConfigurationRequest,
+    DocumentKind,
+    DocumentReply,
+    DocumentRequest,
     SourceReport,
+    Versions,
 )
 from vanillawell.state.board import Row
 from vanillawell.transport.peer_stream import PeerStream, connect
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable
+    from collections.abc import Callable, Iterable, Mapping
 
     from anyio.abc import ByteStream, TaskGroup
 
     from vanillawell.config.settings import TimingSettings
-    from vanillawell.coordination.configuration import ConfigurationFollower
+    from vanillawell.coordination.follower import DocumentFollower
     from vanillawell.coordination.membership import Membership
     from vanillawell.protocol.documents import Presence
     from vanillawell.protocol.peer_messages import Message
@@ -78,7 +80,7 @@
         self,
         tasks: TaskGroup,
         membership: Membership,
-        configuration: ConfigurationFollower,
+        documents: Mapping[DocumentKind, DocumentFollower],
         board: DemandBoard,
         timing: TimingSettings,
         telemetry: Telemetry,
@@ -88,7 +90,8 @@
     ) -> None:
         self._tasks = tasks
         self._membership = membership
-        self._configuration = configuration
+        self._documents = documents
+        self._configuration = documents[DocumentKind.CONFIGURATION]
         self._board = board
         self._timing = timing
         self._telemetry = telemetry
@@ -176,16 +179,15 @@
         return max(self._timing.beat_interval, within_budget)
 
     async def _until_acknowledged(self, stream: PeerStream) -> None:
-        while True:
+        awaited = 1
+        while awaited:
             message = await stream.receive()
             if isinstance(message, Acknowledgement):
-                await self._compare_versions(stream, message.version, message.fresh_age)
-                if message.version <= self._configuration.version:
-                    return
+                awaited += await self._compare(stream, message.versions, message.fresh_age)
+                awaited -= 1
             else:
-                await self._handle_configuration(stream, message)
-                if isinstance(message, ConfigurationReply):
-                    return
+                await self._handle_document(stream, message)
+                awaited -= isinstance(message, DocumentReply)
 
     async def serve(self, raw: ByteStream) -> None:
         """Answer one peer that has dialled this entry."""
@@ -201,25 +203,35 @@
 
     async def _answer(self, stream: PeerStream, message: Message) -> None:
         if not isinstance(message, Beat):
-            await self._handle_configuration(stream, message)
+            await self._handle_document(stream, message)
             return
         self._take_beat(message, clock.read())
-        await self._compare_versions(stream, message.version, message.fresh_age)
+        await self._compare(stream, message.versions, message.fresh_age)
         age = self._configuration.fresh_age(clock.read())
-        await stream.send(Acknowledgement(self._configuration.version, age))
-
-    async def _compare_versions(self, stream: PeerStream, version: int, fresh_age: float) -> None:
-        if version > self._configuration.version:
-            await stream.send(ConfigurationRequest(self._configuration.version))
-        else:
-            self._configuration.confirm(version, fresh_age, clock.read())
-
-    async def _handle_configuration(self, stream: PeerStream, message: Message) -> None:
-        if isinstance(message, ConfigurationRequest) and self._configuration.version:
-            version, document = self._configuration.version, self._configuration.document
-            await stream.send(ConfigurationReply(version, document))
-        elif isinstance(message, ConfigurationReply):
-            self._configuration.apply(message.document)
+        await stream.send(Acknowledgement(self._versions(), age))
+
+    def _versions(self) -> Versions:
+        assignment = self._documents[DocumentKind.ASSIGNMENT]
+        return Versions(self._configuration.version, assignment.version)
+
+    async def _compare(self, stream: PeerStream, theirs: Versions, fresh_age: float) -> int:
+        """Ask for each document that the peer has newer; return how many."""
+        newer = [
+            (kind, mine.version)
+            for kind, mine in self._documents.items()
+            if theirs.of(kind) > mine.version
+        ]
+        for kind, have in newer:
+            await stream.send(DocumentRequest(kind, have))
+        self._configuration.confirm(theirs.configuration, fresh_age, clock.read())
+        return len(newer)
+
+    async def _handle_document(self, stream: PeerStream, message: Message) -> None:
+        if isinstance(message, DocumentRequest):
+            mine = self._documents[message.kind]
+            await stream.send(DocumentReply(message.kind, mine.version, mine.document))
+        elif isinstance(message, DocumentReply) and message.version:
+            self._documents[message.kind].apply(message.document)
 
     def _take_beat(self, beat: Beat, now: float) -> None:
         self._membership.learn(beat.sender)
@@ -240,12 +252,11 @@
 
     def _beat(self, now: float, same_zone: bool) -> Beat:
         self._board.expire(now)
-        configuration = self._configuration
         reports = self._reports_for_mates(now) if same_zone else [self._zone_sum(now)]
         return Beat(
             sender=self._membership.me,
-            version=configuration.version,
-            fresh_age=configuration.fresh_age(now),
+            versions=self._versions(),
+            fresh_age=self._configuration.fresh_age(now),
             reports=tuple(reports),
         )
 
--- /dev/null
+++ b/vanillawell/coordination/planner.py
@@ -0,0 +1,254 @@
+"""Carry out moves and maintenance waves, in the one entry that holds the planner's role.
+
+The role is a key under the entry's lease. Every write of the assignment also requires the role's
+key to be unchanged, so an entry that was paused and replaced meanwhile cannot write.
+"""
+
+from __future__ import annotations
+
+import logging
+import time
+from dataclasses import replace
+from typing import TYPE_CHECKING
+
+import anyio
+
+from vanillawell.exceptions import StoreError
+from vanillawell.protocol.store import Compare, Put, Transaction
+from vanillawell.state.pools import (
+    Assignment,
+    FleetView,
+    Home,
+    Phase,
+    Placement,
+    Step,
+    WaveState,
+    next_steps,
+)
+from vanillawell.transport.http_client import JsonClient, NoAnswerError, NotSentError
+from vanillawell.transport.platform import PlatformClient, PlatformUnavailableError
+
+if TYPE_CHECKING:
+    from vanillawell.config.settings import TimingSettings
+    from vanillawell.config.tree import OperatorTree
+    from vanillawell.coordination.assignment import AssignmentFollower
+    from vanillawell.coordination.configuration import ConfigurationFollower
+    from vanillawell.coordination.membership import Membership
+    from vanillawell.protocol.documents import Presence, StoreKeys
+    from vanillawell.protocol.store import Store
+    from vanillawell.state.policy import Policy
+    from vanillawell.telemetry import Telemetry
+    from vanillawell.transport.platform import InstanceList
+
+log = logging.getLogger(__name__)
+
+PAUSE = 0.5
+"""Seconds between two rounds of the planner."""
+
+OLDEST_LIST = 60.0
+"""Seconds by which the platform's list may lag before no new step is begun."""
+
+ASK_TIMEOUT = 1.0
+"""Seconds an entry may take to say what it runs on an instance."""
+
+
+class NotPlannerError(Exception):
+    """Another entry holds the role, or a write of this one was refused."""
+
+
+class Planner:
+    """Plan and carry out steps while this entry holds the role."""
+
+    def __init__(
+        self,
+        store: Store,
+        keys: StoreKeys,
+        platform: PlatformClient,
+        membership: Membership,
+        configuration: ConfigurationFollower,
+        assignment: AssignmentFollower,
+        timing: TimingSettings,
+        telemetry: Telemetry,
+    ) -> None:
+        self._store = store
+        self._keys = keys
+        self._platform = platform
+        self._membership = membership
+        self._configuration = configuration
+        self._follower = assignment
+        self._timing = timing
+        self._telemetry = telemetry
+        self._role_revision = 0
+
+    async def run(self) -> None:
+        """Take the role when it is free and act while it is held, until cancelled."""
+        while True:
+            try:
+                await self._round()
+                self._telemetry.state("planner", "active")
+            except NotPlannerError:
+                self._telemetry.state("planner", "passive")
+                await anyio.sleep(PAUSE)
+            except (StoreError, PlatformUnavailableError) as error:
+                self._telemetry.state("planner", f"waiting: {error}", logging.WARNING)
+            await anyio.sleep(PAUSE)
+
+    async def _round(self) -> None:
+        policy, tree = self._configuration.policy, self._configuration.tree
+        if policy is None or tree is None or not self._membership.lease:
+            raise NotPlannerError
+        await self._hold_role()
+        await self._follower.check_store()
+        listed = await self._platform.instances()
+        await self._advance(policy, _view(policy, tree, listed, self._follower.assignment))
+        if listed.age <= OLDEST_LIST:
+            await self._begin(policy, tree, listed)
+
+    async def _hold_role(self) -> None:
+        """Take the role if nobody has it; raises NotPlannerError if somebody else does."""
+        found = await self._store.get(self._keys.planner)
+        me = self._membership.me.holder.encode()
+        if found is not None and found.value == me:
+            self._role_revision = found.mod_revision
+            return
+        if found is not None:
+            raise NotPlannerError
+        put = Put(self._keys.planner, me, self._membership.lease)
+        compare = Compare(self._keys.planner, 0)
+        result = await self._store.transact(Transaction(compares=[compare], puts=[put]))
+        if not result.succeeded:
+            raise NotPlannerError
+        self._role_revision = result.revision
+
+    async def _write(self, assignment: Assignment) -> None:
+        """Write the next assignment; raises NotPlannerError if anything changed meanwhile."""
+        document = assignment.to_bytes()
+        transaction = Transaction(
+            compares=[
+                Compare(self._keys.planner, self._role_revision),
+                Compare(self._keys.assignment, self._follower.revision),
+            ],
+            puts=[Put(self._keys.assignment, document)],
+            reads=[self._keys.assignment],
+            read_back=True,
+        )
+        result = await self._store.transact(transaction)
+        if self._keys.assignment in result.values:
+            self._follower.take(result.values[self._keys.assignment])
+        if not result.succeeded:
+            raise NotPlannerError
+
+    async def _begin(self, policy: Policy, tree: OperatorTree, listed: InstanceList) -> None:
+        """Reserve steps, each checked against the assignment that its write requires."""
+        while True:
+            view = _view(policy, tree, listed, self._follower.assignment)
+            steps = next_steps(view, time.time())
+            if not steps:
+                return
+            await self._place(steps[0].instance, steps[0].placement, view)
+            self._log(steps[0])
+
+    def _log(self, step: Step) -> None:
+        fields = {
+            "subject": f"instance {step.instance}",
+            "state": f"{step.placement.phase} {step.placement.pool}",
+            "target": step.placement.target,
+            "reason": step.reason,
+        }
+        log.info("state changed", extra=fields)
+
+    async def _place(self, instance: str, placement: Placement, view: FleetView) -> None:
+        home = view.homes[instance].pool
+        await self._write(view.assignment.with_placement(instance, placement, home))
+
+    async def _advance(self, policy: Policy, view: FleetView) -> None:
+        """Bring every step under way as far as it can go."""
+        for instance, placement in list(view.assignment.placements.items()):
+            if instance not in view.homes:
+                continue
+            if placement.phase is Phase.LEAVING:
+                await self._advance_leaving(policy, instance, placement)
+            elif placement.phase is Phase.REBOOTING:
+                await self._advance_rebooting(instance, placement, view.live)
+
+    async def _advance_leaving(self, policy: Policy, instance: str, placement: Placement) -> None:
+        bound = policy.pools[placement.pool].drain_bound + self._timing.longest_request
+        overdue = time.time() - placement.since > bound
+        if not overdue and not await self._drained(instance):
+            return
+        now = time.time()
+        if placement.target:
+            following = Placement(placement.target, Phase.SERVING, "", now)
+        else:
+            following = Placement(placement.pool, Phase.REBOOTING, "", now)
+        await self._change(instance, following)
+
+    async def _advance_rebooting(
+        self, instance: str, placement: Placement, live: frozenset[str]
+    ) -> None:
+        """Ask for the reboot until it is done and the list shows the instance as live again."""
+        wave = self._follower.assignment.wave
+        done = await self._platform.reboot(wave.operation(instance), instance)
+        if not done or instance not in live:
+            return
+        await self._change(instance, Placement(placement.pool, Phase.SERVING), finished=True)
+
+    async def _change(self, instance: str, placement: Placement, finished: bool = False) -> None:
+        tree = self._configuration.tree
+        assert tree is not None
+        home = _homes(tree, self._follower.assignment)[instance].pool
+        changed = self._follower.assignment.with_placement(instance, placement, home)
+        if finished:
+            changed = _finish(changed, instance)
+        await self._write(changed)
+
+    async def _drained(self, instance: str) -> bool:
+        """Ask all entries whether they have the assignment and run nothing on the instance."""
+        version = self._follower.version
+        answers: list[bool] = []
+        async with anyio.create_task_group() as tasks:
+            for member in self._membership.members.values():
+                tasks.start_soon(self._ask, member, instance, version, answers)
+        return all(answers)
+
+    async def _ask(
+        self, member: Presence, instance: str, version: int, answers: list[bool]
+    ) -> None:
+        from vanillawell.config.settings import Address
+
+        address = Address(host=member.admin_host, port=member.admin_port)
+        async with JsonClient(address) as client:
+            try:
+                answer = await client.get(f"/executors/{instance}", ASK_TIMEOUT)
+            except (NotSentError, NoAnswerError):
+                answers.append(False)
+                return
+        answers.append(answer["assignment"] >= version and answer["running"] == 0)
+
+
+def _finish(assignment: Assignment, instance: str) -> Assignment:
+    wave = assignment.wave
+    remaining = tuple(name for name in wave.remaining if name != instance)
+    state = wave.state if remaining else WaveState.DONE
+    done = (*wave.done, instance)
+    return replace(assignment, wave=replace(wave, remaining=remaining, done=done, state=state))
+
+
+def _homes(tree: OperatorTree, assignment: Assignment) -> dict[str, Home]:
+    return {
+        name: Home(assignment.home_of(name, pool), item.zone, item.rack)
+        for pool, node in tree.of_kind("pool").items()
+        for name, item in node.instances.items()
+    }
+
+
+def _view(
+    policy: Policy, tree: OperatorTree, listed: InstanceList, assignment: Assignment
+) -> FleetView:
+    return FleetView(
+        homes=_homes(tree, assignment),
+        budgets={name: pool.budget for name, pool in policy.pools.items()},
+        spare_pools=frozenset(name for name, pool in policy.pools.items() if not pool.service),
+        live=listed.live,
+        assignment=assignment,
+    )
--- a/vanillawell/coordination/pool_runtime.py
+++ b/vanillawell/coordination/pool_runtime.py
@@ -75,8 +75,8 @@
 
     def running_at(self, executor: str) -> int:
         """Return the attempts under way at one executor."""
-        link = self.links.get(executor)
-        return len(link.attempts) if link else 0
+        links = (*self.links.values(), *self.retired)
+        return sum(len(link.attempts) for link in links if link.executor.name == executor)
 
     def occupy(self, team: str, delta: int, now: float) -> None:
         """Note that `delta` slots were taken or, if negative, freed by a team."""
--- a/vanillawell/entry.py
+++ b/vanillawell/entry.py
@@ -11,19 +11,24 @@
 import anyio
 
 from vanillawell import clock
+from vanillawell.coordination.assignment import AssignmentFollower
 from vanillawell.coordination.claims import ClaimDesk
 from vanillawell.coordination.configuration import ConfigurationFollower
 from vanillawell.coordination.dispatch import Dispatcher
 from vanillawell.coordination.limit_keeper import LimitKeeper, StaticLimits
 from vanillawell.coordination.membership import Membership
 from vanillawell.coordination.peers import PeerAddress, Peers
+from vanillawell.coordination.planner import Planner
 from vanillawell.exceptions import StoreError
 from vanillawell.protocol.documents import Presence, StoreKeys
+from vanillawell.protocol.peer_messages import DocumentKind
 from vanillawell.state.board import DemandBoard, Row
+from vanillawell.state.policy import place_executors
 from vanillawell.telemetry import Telemetry
 from vanillawell.transport.admin import AdminApp
 from vanillawell.transport.asgi import bind, server
 from vanillawell.transport.caller import CallerApp
+from vanillawell.transport.platform import PlatformClient
 from vanillawell.transport.sockets import apply_silence_options
 from vanillawell.transport.store_etcd import EtcdStore
 
@@ -34,7 +39,6 @@
     from anyio.abc import TaskGroup
 
     from vanillawell.config.settings import Address, DaemonSettings
-    from vanillawell.state.policy import Policy
     from vanillawell.transport.asgi import QuietServer
 
 log = logging.getLogger(__name__)
@@ -81,6 +85,9 @@
         self._configuration = ConfigurationFollower(
             store, keys, self._membership, settings.store, self._telemetry
         )
+        self._assignment = AssignmentFollower(
+            store, keys, self._membership, settings.store, self._telemetry
+        )
         self._limits = LimitKeeper(
             store, keys, self._membership, self._board, timing, self._telemetry, rng
         )
@@ -102,7 +109,10 @@
         self._peers = Peers(
             tasks,
             self._membership,
-            self._configuration,
+            {
+                DocumentKind.CONFIGURATION: self._configuration,
+                DocumentKind.ASSIGNMENT: self._assignment,
+            },
             self._board,
             timing,
             self._telemetry,
@@ -113,9 +123,22 @@
         self._caller_app = CallerApp(
             self._configuration, self._dispatcher, self._claims, self._telemetry, me.holder
         )
+        self._planner: Planner | None = None
+        if settings.platform:
+            self._planner = Planner(
+                store,
+                keys,
+                PlatformClient(settings.platform, settings.admin.host),
+                self._membership,
+                self._configuration,
+                self._assignment,
+                timing,
+                self._telemetry,
+            )
         self._admin_app = AdminApp(
             self._membership,
             self._configuration,
+            self._assignment,
             self._dispatcher,
             self._limits,
             self._telemetry,
@@ -148,19 +171,31 @@
             lambda: self._dispatcher.refuse_without_units(clock.read()),
         )
         self._configuration.on_change(self._apply)
+        self._assignment.on_change(self._apply_assignment)
         self._membership.on_change(self._apply_members)
 
-    def _apply(self, policy: Policy) -> None:
-        self._dispatcher.configure(policy, self._entry_names())
+    def _apply(self) -> None:
+        policy = self._configuration.policy
+        assert policy is not None
         self._static.configure(policy)
         self._limits.configure(policy)
+        self._place()
+        self._peers.push()
+
+    def _apply_assignment(self) -> None:
+        self._place()
         self._peers.push()
 
     def _apply_members(self) -> None:
         self._peers.follow_members()
+        self._place()
+
+    def _place(self) -> None:
+        """Tell the dispatcher which executors each pool has now."""
         policy = self._configuration.policy
         if policy:
-            self._dispatcher.configure(policy, self._entry_names())
+            placed = place_executors(policy, self._assignment.assignment)
+            self._dispatcher.configure(placed, self._entry_names())
 
     def _entry_names(self) -> tuple[str, ...]:
         return tuple(sorted(self._membership.members))
@@ -177,12 +212,15 @@
         for task in (
             self._membership.run,
             self._configuration.run,
+            self._assignment.run,
             self._limits.run,
             self._claims.run,
             self._dispatcher.run,
             self._serve_peers,
         ):
             self._tasks.start_soon(task)
+        if self._planner:
+            self._tasks.start_soon(self._planner.run)
         self._tasks.start_soon(self._serve, self._admin_server, self._listeners.admin)
         caller_done = anyio.Event()
         self._tasks.start_soon(self._serve_callers, caller_done)
--- a/vanillawell/protocol/documents.py
+++ b/vanillawell/protocol/documents.py
@@ -36,6 +36,16 @@
         """Prefix of all earlier configurations."""
         return f"{self.prefix}/history/"
 
+    @property
+    def assignment(self) -> str:
+        """Key of the assignment of instances to pools."""
+        return f"{self.prefix}/assignment"
+
+    @property
+    def planner(self) -> str:
+        """Key of the planner's role, under its holder's lease."""
+        return f"{self.prefix}/role/planner"
+
     def presence(self, instance: str) -> str:
         """Key of one entry's presence, under its lease."""
         return f"{self.prefix}/presence/{instance}"
--- a/vanillawell/protocol/peer.capnp
+++ b/vanillawell/protocol/peer.capnp
@@ -25,27 +25,36 @@
   freshAgeMilliseconds @7 :UInt64;
   reports @8 :List(Report);
   adminHost @9 :Text;
+  assignment @10 :UInt64;
 }
 
 struct Acknowledgement {
   version @0 :UInt64;
   freshAgeMilliseconds @1 :UInt64;
+  assignment @2 :UInt64;
 }
 
-struct ConfigurationRequest {
-  have @0 :UInt64;
+enum DocumentKind {
+  configuration @0;
+  assignment @1;
 }
 
-struct ConfigurationReply {
-  version @0 :UInt64;
-  compressed @1 :Data;
+struct DocumentRequest {
+  kind @0 :DocumentKind;
+  have @1 :UInt64;
+}
+
+struct DocumentReply {
+  kind @0 :DocumentKind;
+  version @1 :UInt64;
+  compressed @2 :Data;
 }
 
 struct Message {
   union {
     beat @0 :Beat;
     acknowledgement @1 :Acknowledgement;
-    configurationRequest @2 :ConfigurationRequest;
-    configurationReply @3 :ConfigurationReply;
+    documentRequest @2 :DocumentRequest;
+    documentReply @3 :DocumentReply;
   }
 }
--- a/vanillawell/protocol/peer_messages.py
+++ b/vanillawell/protocol/peer_messages.py
@@ -4,6 +4,7 @@
 
 import zlib
 from dataclasses import dataclass
+from enum import StrEnum
 from pathlib import Path
 from typing import Any
 
@@ -19,6 +20,25 @@
 """Age sent by an entry that has never seen its configuration confirmed."""
 
 
+class DocumentKind(StrEnum):
+    """The versioned documents that entries pass on to each other."""
+
+    CONFIGURATION = "configuration"
+    ASSIGNMENT = "assignment"
+
+
+@dataclass(frozen=True, slots=True)
+class Versions:
+    """Versions of all documents in force in one entry."""
+
+    configuration: int
+    assignment: int
+
+    def of(self, kind: DocumentKind) -> int:
+        """Return the version of one kind."""
+        return self.configuration if kind is DocumentKind.CONFIGURATION else self.assignment
+
+
 @dataclass(frozen=True, slots=True)
 class SourceReport:
     """What one source needs, as it travels."""
@@ -34,7 +54,7 @@
     """Heartbeat of one entry, with its demand and that of the zones it reports for."""
 
     sender: Presence
-    version: int
+    versions: Versions
     fresh_age: float
     """Seconds since the sender's configuration was confirmed as the newest; may be infinite."""
 
@@ -45,26 +65,28 @@
 class Acknowledgement:
     """Answer to a heartbeat."""
 
-    version: int
+    versions: Versions
     fresh_age: float
 
 
 @dataclass(frozen=True, slots=True)
-class ConfigurationRequest:
-    """Ask for the configuration because the other end has a newer one than `have`."""
+class DocumentRequest:
+    """Ask for a document because the other end has a newer one than `have`."""
 
+    kind: DocumentKind
     have: int
 
 
 @dataclass(frozen=True, slots=True)
-class ConfigurationReply:
-    """One version of the configuration as stored."""
+class DocumentReply:
+    """One version of a document as stored."""
 
+    kind: DocumentKind
     version: int
     document: bytes
 
 
-Message = Beat | Acknowledgement | ConfigurationRequest | ConfigurationReply
+Message = Beat | Acknowledgement | DocumentRequest | DocumentReply
 
 
 def encode(message: Message) -> bytes:
@@ -75,12 +97,16 @@
             _fill_beat(wire.init("beat"), message)
         case Acknowledgement():
             part = wire.init("acknowledgement")
-            part.version = message.version
+            part.version = message.versions.configuration
+            part.assignment = message.versions.assignment
             part.freshAgeMilliseconds = _to_milliseconds(message.fresh_age)
-        case ConfigurationRequest():
-            wire.init("configurationRequest").have = message.have
-        case ConfigurationReply():
-            reply = wire.init("configurationReply")
+        case DocumentRequest():
+            request = wire.init("documentRequest")
+            request.kind = message.kind.value
+            request.have = message.have
+        case DocumentReply():
+            reply = wire.init("documentReply")
+            reply.kind = message.kind.value
             reply.version = message.version
             reply.compressed = zlib.compress(message.document)
     return bytes(wire.to_bytes_packed())
@@ -105,12 +131,15 @@
             return _read_beat(wire.beat)
         case "acknowledgement":
             part = wire.acknowledgement
-            return Acknowledgement(part.version, _from_milliseconds(part.freshAgeMilliseconds))
-        case "configurationRequest":
-            return ConfigurationRequest(wire.configurationRequest.have)
+            versions = Versions(part.version, part.assignment)
+            return Acknowledgement(versions, _from_milliseconds(part.freshAgeMilliseconds))
+        case "documentRequest":
+            request = wire.documentRequest
+            return DocumentRequest(DocumentKind(str(request.kind)), request.have)
         case _:
-            reply = wire.configurationReply
-            return ConfigurationReply(reply.version, zlib.decompress(bytes(reply.compressed)))
+            reply = wire.documentReply
+            document = zlib.decompress(bytes(reply.compressed))
+            return DocumentReply(DocumentKind(str(reply.kind)), reply.version, document)
 
 
 def _fill_beat(part: Any, beat: Beat) -> None:
@@ -122,7 +151,8 @@
     part.peerPort = sender.peer_port
     part.adminHost = sender.admin_host
     part.adminPort = sender.admin_port
-    part.version = beat.version
+    part.version = beat.versions.configuration
+    part.assignment = beat.versions.assignment
     part.freshAgeMilliseconds = _to_milliseconds(beat.fresh_age)
     reports = part.init("reports", len(beat.reports))
     for target, report in zip(reports, beat.reports, strict=True):
@@ -152,7 +182,8 @@
         admin_port=part.adminPort,
     )
     reports = tuple(_read_report(report) for report in part.reports)
-    return Beat(sender, part.version, _from_milliseconds(part.freshAgeMilliseconds), reports)
+    versions = Versions(part.version, part.assignment)
+    return Beat(sender, versions, _from_milliseconds(part.freshAgeMilliseconds), reports)
 
 
 def _read_report(report: Any) -> SourceReport:
--- a/vanillawell/standins/deployment.py
+++ b/vanillawell/standins/deployment.py
@@ -11,6 +11,9 @@
 from vanillawell.config.settings import Name, StrictModel
 from vanillawell.config.tree import OperatorTree
 
+SPARE = "spare"
+"""Stands for the spare pool where a service is named."""
+
 RACK_SIZE = 4
 """Instances of a pool that share a rack; the rest stand in a rack of the next zone."""
 
@@ -48,6 +51,9 @@
 
     executors_per_service: int = 6
     slots: int = 8
+    spares: int = 0
+    """Instances of the spare pool, each in a rack of its own."""
+
     services: dict[Name, ServicePlan]
     teams: dict[Name, TeamPlan]
     fleet_settings: dict[str, Any] = {}
@@ -91,11 +97,17 @@
 
 def executor_places(deployment: Deployment) -> list[ExecutorPlace]:
     """Place each service's executors: four in a rack of one zone, the rest in the next zone."""
-    return [
+    served = [
         _place(deployment, index, service, number)
         for index, service in enumerate(deployment.services)
         for number in range(deployment.executors_per_service)
     ]
+    return served + [_spare(deployment, number) for number in range(deployment.spares)]
+
+
+def _spare(deployment: Deployment, number: int) -> ExecutorPlace:
+    zone = number % deployment.zones + 1
+    return ExecutorPlace(f"spare-{number + 1}", SPARE, zone, f"rack-{zone}-spare-{number + 1}")
 
 
 def _place(deployment: Deployment, index: int, service: str, number: int) -> ExecutorPlace:
@@ -127,6 +139,9 @@
             "settings": {"budget": plan.budget, "slots": deployment.slots},
             "instances": _instances(deployment, service, ports),
         }
+    if deployment.spares:
+        instances = _instances(deployment, SPARE, ports)
+        nodes["pool-spare"] = {"kind": "pool", "parent": "fleet", "instances": instances}
     for team, team_plan in deployment.teams.items():
         digest = hashlib.sha256(team_key(team).encode()).hexdigest()
         nodes[team] = {
--- a/vanillawell/standins/fleet.py
+++ b/vanillawell/standins/fleet.py
@@ -140,6 +140,7 @@
             },
             "timing": self.deployment.timing,
             "experiment": self.deployment.experiment,
+            "platform": {"host": LOOPBACK, "port": self._store_links[zone]},
         }
 
     def _backend_arguments(self) -> list[str]:
@@ -180,6 +181,7 @@
             names = [place.name for place in self._places if place.service == service]
             self.behave(names, mean_seconds=plan.mean_seconds)
         self._set_delays()
+        self.set_up_machines()
         self.push(self.tree_document())
         if entries:
             self.start_entries()
@@ -270,6 +272,21 @@
         document = {"executors": executors, **fields}
         call(LOOPBACK, self._control_ports["backend"], "/control/behaviour", document)
 
+    def set_up_machines(self, **fields: object) -> None:
+        """Tell the platform which instances it runs, and how slow it is."""
+        homes = {place.name: f"pool-{place.service}" for place in self._places}
+        document = {"homes": homes, **fields}
+        call(LOOPBACK, self._store_port, "/control/machines", document)
+
+    def fail_instances(self, instances: list[str], seconds: float) -> None:
+        """Let instances fail without warning."""
+        document = {"instances": instances, "seconds": seconds}
+        call(LOOPBACK, self._store_port, "/control/fail", document)
+
+    def margins(self) -> Any:
+        """Return the platform's true record of available instances."""
+        return call(LOOPBACK, self._store_port, "/control/margins")
+
     def backend_counts(self) -> Any:
         """Return what all executors together have counted."""
         return call(LOOPBACK, self._control_ports["backend"], "/control/counts")
--- a/vanillawell/standins/platform.py
+++ b/vanillawell/standins/platform.py
@@ -9,6 +9,7 @@
 import typer
 from anyio.streams.memory import MemoryObjectReceiveStream
 
+from vanillawell.standins.machines import Machines
 from vanillawell.standins.store import (
     HELD_FOREVER,
     WATCH_BACKLOG,
@@ -37,12 +38,19 @@
 
     def __init__(self) -> None:
         self._store = MemoryStore()
+        self._machines = Machines()
+        self._store.on_put = self._machines.note_put
 
     @property
     def store(self) -> MemoryStore:
         """Return the store behind the gateway."""
         return self._store
 
+    @property
+    def machines(self) -> Machines:
+        """Return the instances that the platform runs."""
+        return self._machines
+
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Answer one request."""
         if scope["type"] != "http":
@@ -51,6 +59,8 @@
         body = await read_body(receive, 4 * LARGEST_VALUE)
         if path.startswith("/control/"):
             await self._control(path, body, send)
+        elif path.startswith("/platform/"):
+            await self._platform(path, orjson.loads(body or b"{}"), send)
         elif path == "/v3/watch":
             await self._watch(orjson.loads(body), receive, send)
         else:
@@ -94,6 +104,13 @@
         async for frame in take:
             await send({"type": "http.response.body", "body": frame, "more_body": True})
 
+    async def _platform(self, path: str, request: dict[str, str], send: Send) -> None:
+        now = anyio.current_time()
+        if path == "/platform/instances":
+            await send_json(send, self._machines.listed(now))
+        else:
+            await send_json(send, self._machines.reboot(request["id"], request["instance"], now))
+
     async def _control(self, path: str, body: bytes, send: Send) -> None:
         request = orjson.loads(body or b"{}")
         match path:
@@ -101,6 +118,14 @@
                 for name, value in request.items():
                     setattr(self._store.faults, name, value)
                 await send_json(send, {"ok": True})
+            case "/control/machines":
+                self._machines.set_up(request)
+                await send_json(send, {"ok": True})
+            case "/control/fail":
+                self._machines.fail(request["instances"], request["seconds"], anyio.current_time())
+                await send_json(send, {"ok": True})
+            case "/control/margins":
+                await send_json(send, self._machines.report())
             case "/control/counts":
                 await send_json(send, self._counts())
             case "/control/keys":
@@ -119,6 +144,7 @@
     listener = bind(host, port, "port")
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(app.store.sweep_leases)
+        tasks.start_soon(app.machines.run)
         running = server(app, keepalive=60)
         await running.serve(sockets=[listener])
         tasks.cancel_scope.cancel()
--- a/vanillawell/standins/store.py
+++ b/vanillawell/standins/store.py
@@ -9,6 +9,7 @@
 import itertools
 from base64 import b64decode, b64encode
 from collections import Counter
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -73,6 +74,7 @@
         self._history: list[tuple[int, dict[str, Any]]] = []
         self._watchers: dict[int, tuple[str, MemoryObjectSendStream[bytes]]] = {}
         self._watch_ids = itertools.count(1)
+        self.on_put: Callable[[str, str], None] = lambda key, value: None
 
     @property
     def waiting_watches(self) -> int:
@@ -192,6 +194,7 @@
         if lease_id:
             self._leases[lease_id].keys.add(key)
         self._publish({"type": "PUT", "kv": self._document(key)})
+        self.on_put(key, self._items[key].value)
 
     def _delete(self, key: str) -> None:
         item = self._items.pop(key, None)
--- a/vanillawell/state/policy.py
+++ b/vanillawell/state/policy.py
@@ -4,17 +4,19 @@
 
 import hashlib
 import hmac
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from functools import cached_property
 from typing import TYPE_CHECKING
 
 from vanillawell.config.effective import effective_settings
 from vanillawell.state.limits import LimitChange
+from vanillawell.state.pools import current_pools
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
     from vanillawell.config.tree import OperatorTree
+    from vanillawell.state.pools import Assignment
 
 
 @dataclass(frozen=True, slots=True)
@@ -93,6 +95,20 @@
         return found
 
 
+def place_executors(policy: Policy, assignment: Assignment) -> Policy:
+    """Return the policy with each instance in the pool that it serves now."""
+    executors = {item.name: item for pool in policy.pools.values() for item in pool.executors}
+    homes = {item.name: pool.name for pool in policy.pools.values() for item in pool.executors}
+    serving = current_pools(homes, assignment)
+    pools = {
+        name: replace(
+            pool, executors=tuple(executors[key] for key in sorted(serving) if serving[key] == name)
+        )
+        for name, pool in policy.pools.items()
+    }
+    return replace(policy, pools=pools)
+
+
 def compile_policy(
     tree: OperatorTree, version: int, limit_changes: Mapping[str, tuple[LimitChange, ...]]
 ) -> Policy:
--- a/vanillawell/tests/config_tests.py
+++ b/vanillawell/tests/config_tests.py
@@ -18,10 +18,12 @@
 from vanillawell.protocol.peer_messages import (
     Acknowledgement,
     Beat,
-    ConfigurationReply,
-    ConfigurationRequest,
+    DocumentKind,
+    DocumentReply,
+    DocumentRequest,
     Message,
     SourceReport,
+    Versions,
     decode,
     encode,
 )
@@ -138,12 +140,12 @@
 
 def test_peer_messages_survive_the_wire() -> None:
     rows = (Row("pool-check", "guild", 3, 1.25),)
-    beat = Beat(presence("entry-1"), 7, 0.5, (SourceReport("zone-2", 3, 99, rows),))
+    beat = Beat(presence("entry-1"), Versions(7, 3), 0.5, (SourceReport("zone-2", 3, 99, rows),))
     messages: list[Message] = [
         beat,
-        Acknowledgement(7, float("inf")),
-        ConfigurationRequest(3),
-        ConfigurationReply(8, b"{}"),
+        Acknowledgement(Versions(7, 3), float("inf")),
+        DocumentRequest(DocumentKind.ASSIGNMENT, 3),
+        DocumentReply(DocumentKind.CONFIGURATION, 8, b"{}"),
     ]
     assert [decode(encode(message)) for message in messages] == messages
 
--- /dev/null
+++ b/vanillawell/tests/maintenance_proof_tests.py
@@ -0,0 +1,171 @@
+"""Prove maintenance, moves and budgets with real processes."""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING, Any
+
+from vanillawell.standins.processes import wait_until
+from vanillawell.tests.builders import QUICK_TIMING
+from vanillawell.tests.caller import Call
+from vanillawell.tests.fleet_base import (
+    SteadyCallers,
+    during_load,
+    running_fleet,
+    wait_for_answers,
+)
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+    from vanillawell.standins.fleet import EntryHandle, Fleet
+
+SIX_AND_SPARES: dict[str, Any] = {
+    "zones": 2,
+    "entries_per_zone": 2,
+    "executors_per_service": 6,
+    "spares": 3,
+    "services": {"check": {"mean_seconds": 0.02, "budget": 2}},
+    "teams": {"guild": {"limit": 40}},
+    "timing": QUICK_TIMING | {"longest_request": 2.0},
+}
+
+BUDGET = 2
+
+
+def wave_state(fleet: Fleet) -> tuple[str, int]:
+    """Return the wave's state and how many instances still wait."""
+    text = fleet.try_cli("maintenance", "status").stderr
+    remaining = int(text.rpartition("remaining ")[2].split()[0])
+    return text.partition(": ")[2].split()[0], remaining
+
+
+def planner(fleet: Fleet) -> EntryHandle:
+    """Return the entry that acts as planner."""
+
+    def last_state(entry: EntryHandle) -> str:
+        lines = [line for line in entry.process.log_text.splitlines() if '"planner"' in line]
+        return lines[-1] if lines else ""
+
+    wait_until(
+        lambda: any('"active"' in last_state(e) for e in fleet.entries.values()), "one plans"
+    )
+    return next(e for e in fleet.entries.values() if '"active"' in last_state(e))
+
+
+def check_wave(fleet: Fleet, replies: list[Any], reboots: int = 9) -> None:
+    record = fleet.margins()
+    assert record["least_planned"]["pool-check"] >= BUDGET
+    assert len(record["reboots"]) == reboots
+    assert set(record["reboots"].values()) == {1}
+    assert [reply for reply in replies if reply.status != 200] == []
+    windows = {name: (started, ends) for name, started, ends in record["windows"]}
+    for run in fleet.backend_runs():
+        if run["executor"] in windows:
+            started, ends = windows[run["executor"]]
+            overlap = run["started"] < ends - 0.1 and run["ended"] > started + 0.1
+            assert not overlap, f"{run['executor']} ran work while it rebooted"
+
+
+def callers_of(fleet: Fleet) -> SteadyCallers:
+    return SteadyCallers(
+        list(fleet.entries.values()),
+        lambda n: Call(mark=f"m{n}", run_seconds=0.05 + n % 4 * 0.1, timeout=5.0),
+        open_requests=8,
+    )
+
+
+def test_a_wave_reboots_each_instance_once_and_cuts_nothing(tmp_path: Path) -> None:
+    """All instances are rebooted while callers send; four of six share a rack."""
+    with running_fleet(tmp_path, **SIX_AND_SPARES) as fleet:
+        callers = callers_of(fleet)
+
+        def script() -> None:
+            wait_for_answers(callers, 20, "requests are answered")
+            fleet.cli("maintenance", "start")
+            wait_until(lambda: wave_state(fleet)[0] == "done", "the wave ends", bound=90.0)
+
+        replies = during_load(callers, script)
+        check_wave(fleet, replies)
+        record = fleet.margins()
+        assert record["least_available"]["pool-check"] >= BUDGET + 1
+        print(f"least available {record['least_available']}, moves {record['moves']}")
+
+
+def test_a_wave_survives_a_lost_rack_and_a_killed_and_a_paused_planner(tmp_path: Path) -> None:
+    """In mid-wave a rack fails, the planner is killed, its successor paused, the store goes down.
+
+    A step taken on an old view, or twice, would take the pool below its budget or reboot an
+    instance twice.
+    """
+    with running_fleet(tmp_path, **SIX_AND_SPARES) as fleet:
+        callers = callers_of(fleet)
+
+        def script() -> None:
+            fleet.cli("maintenance", "start")
+            wait_until(lambda: wave_state(fleet)[1] <= 7, "two are done", bound=60.0)
+            rack = [f"check-{number}" for number in range(1, 5)]
+            fleet.fail_instances(rack, 4.0)
+            first = planner(fleet)
+            callers.leave(first)
+            time.sleep(0.5)
+            first.process.kill()
+            second = planner_after(fleet, first)
+            callers.leave(second)
+            time.sleep(0.5)
+            second.process.pause()
+            fleet.store_faults(down=True)
+            time.sleep(1.0)
+            fleet.store_faults(down=False)
+            time.sleep(3.0)
+            second.process.resume()
+            wait_until(lambda: wave_state(fleet)[0] == "done", "the wave ends", bound=90.0)
+
+        during_load(callers, script)
+        check_wave(fleet, [])
+        assert fleet.margins()["least_available"]["pool-check"] >= BUDGET
+
+
+def planner_after(fleet: Fleet, killed: EntryHandle) -> EntryHandle:
+    others = [entry for entry in fleet.entries.values() if entry is not killed]
+
+    def active(entry: EntryHandle) -> bool:
+        lines = [line for line in entry.process.log_text.splitlines() if '"planner"' in line]
+        return bool(lines) and '"active"' in lines[-1]
+
+    wait_until(lambda: any(active(entry) for entry in others), "another one plans")
+    return next(entry for entry in others if active(entry))
+
+
+def test_a_moved_instance_is_in_one_pool_and_its_old_one_sends_nothing_more(
+    tmp_path: Path,
+) -> None:
+    """Operators move an instance while callers use it, and an answer of the store is lost.
+
+    The old pool must stop using it within seconds; work sent later would run on an instance
+    that belongs to others.
+    """
+    services = {
+        "check": {"mean_seconds": 0.02, "budget": 2},
+        "stamp": {"mean_seconds": 0.02, "budget": 1},
+    }
+    with running_fleet(tmp_path, **SIX_AND_SPARES | {"services": services}) as fleet:
+        callers = callers_of(fleet)
+
+        def placed() -> bool:
+            document = fleet.entries["entry-1-1"].status()["pools"]
+            return bool(document["pool-stamp"]["executors"] == 7)
+
+        def script() -> None:
+            wait_for_answers(callers, 20, "requests are answered")
+            fleet.store_faults(lose_answers=1)
+            fleet.cli("pool", "move", "check-5", "pool-stamp")
+            started = time.monotonic()
+            wait_until(placed, "the move ends")
+            print(f"moved after {time.monotonic() - started:.2f} s")
+            fleet.reset_backend()
+            wait_for_answers(callers, 100, "requests are answered after the move")
+
+        replies = during_load(callers, script)
+        assert [reply for reply in replies if reply.status != 200] == []
+        assert [run for run in fleet.backend_runs() if run["executor"] == "check-5"] == []
--- a/vanillawell/transport/admin.py
+++ b/vanillawell/transport/admin.py
@@ -13,6 +13,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from vanillawell.coordination.assignment import AssignmentFollower
     from vanillawell.coordination.configuration import ConfigurationFollower
     from vanillawell.coordination.dispatch import Dispatcher
     from vanillawell.coordination.limit_keeper import LimitKeeper
@@ -21,6 +22,10 @@
     from vanillawell.transport.asgi import Receive, Scope, Send
 
 
+EXECUTORS_PATH = "/executors/"
+"""Below this path the planner asks whether an executor has been drained."""
+
+
 @dataclass(frozen=True, slots=True)
 class TeamStatus:
     """One team as this entry sees it."""
@@ -53,6 +58,7 @@
     incarnation: str
     zone: str
     version: int
+    assignment: int
     fresh_age: float
     ready: bool
     entries: int
@@ -70,6 +76,7 @@
         self,
         membership: Membership,
         configuration: ConfigurationFollower,
+        assignment: AssignmentFollower,
         dispatcher: Dispatcher,
         limits: LimitKeeper,
         telemetry: Telemetry,
@@ -77,6 +84,7 @@
     ) -> None:
         self._membership = membership
         self._configuration = configuration
+        self._assignment = assignment
         self._dispatcher = dispatcher
         self._limits = limits
         self._telemetry = telemetry
@@ -105,9 +113,16 @@
                 await send_json(send, {"ready": self.ready}, 200 if self.ready else 503)
             case "/status":
                 await send_json(send, asdict(self.status()))
+            case path if path.startswith(EXECUTORS_PATH):
+                await send_json(send, self._executor(path.removeprefix(EXECUTORS_PATH)))
             case _:
                 await send_json(send, {"error": "no such page"}, 404)
 
+    def _executor(self, name: str) -> dict[str, int]:
+        """Say what this entry runs on an executor, and by which assignment."""
+        running = sum(pool.running_at(name) for pool in self._dispatcher.pools.values())
+        return {"assignment": self._assignment.version, "running": running}
+
     async def _send_metrics(self, scope: Scope, send: Send) -> None:
         self._telemetry.freshness.set({}, min(self._configuration.fresh_age(clock.read()), 1e9))
         accepts = [value.decode("latin-1") for name, value in scope["headers"] if name == b"accept"]
@@ -126,6 +141,7 @@
             incarnation=me.incarnation,
             zone=me.zone,
             version=self._configuration.version,
+            assignment=self._assignment.version,
             fresh_age=min(self._configuration.fresh_age(now), 1e9),
             ready=self.ready,
             entries=len(self._membership.members),
--- /dev/null
+++ b/vanillawell/transport/platform.py
@@ -0,0 +1,61 @@
+"""Call the platform's own interface: its lagging list of instances, and reboots.
+
+The platform's interface is the users' own; this module and its stand-in are the only places that
+know its paths, so that another platform takes one module.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Any
+
+from vanillawell.transport.http_client import JsonClient, NoAnswerError, NotSentError
+
+if TYPE_CHECKING:
+    from vanillawell.config.settings import Address
+
+CALL_TIMEOUT = 2.0
+"""Seconds that one call may take."""
+
+
+class PlatformUnavailableError(Exception):
+    """The platform gave no answer; a reboot that was asked for may have begun."""
+
+
+@dataclass(frozen=True, slots=True)
+class InstanceList:
+    """Which instances are live, as of a moment in the past."""
+
+    live: frozenset[str]
+    age: float
+    """Seconds by which the list lags."""
+
+
+class PlatformClient:
+    """Talk to the platform."""
+
+    def __init__(self, address: Address, local_host: str) -> None:
+        self._client = JsonClient(address, connections=2, local_host=local_host)
+
+    async def instances(self) -> InstanceList:
+        """Read the list of instances."""
+        answer = await self._call("/platform/instances", None)
+        live = (name for name, state in answer["instances"].items() if state == "live")
+        return InstanceList(frozenset(live), float(answer["age"]))
+
+    async def reboot(self, operation: str, instance: str) -> bool:
+        """Ask for a reboot, or for how it went; True once it is done.
+
+        The same id never starts a second reboot, so an unknown outcome is read back by asking
+        again.
+        """
+        answer = await self._call("/platform/reboot", {"id": operation, "instance": instance})
+        return bool(answer["state"] == "done")
+
+    async def _call(self, path: str, document: object) -> Any:
+        try:
+            if document is None:
+                return await self._client.get(path, CALL_TIMEOUT)
+            return await self._client.post(path, document, CALL_TIMEOUT)
+        except (NotSentError, NoAnswerError) as error:
+            raise PlatformUnavailableError(str(error)) from error
