Measurements, burn report, settings reference, docs; sharper maintenance proofs

Change: a measurement tool over seeded load with baselines and faults by name; error-budget burn by service and team from the entries' own counts (vanillawell report burn); a settings reference made from the classes; user, operators' and developer guides, glossary, design notes. The wave test now loses the large rack while an instance of the small one is away, and its callers send requests longer than a planner's round.

--- a/vanillawell/cli.py
+++ b/vanillawell/cli.py
@@ -17,12 +17,14 @@
 key_app = typer.Typer(no_args_is_help=True, help="Grant and withdraw team keys.")
 maintenance_app = typer.Typer(no_args_is_help=True, help="Run maintenance waves.")
 pool_app = typer.Typer(no_args_is_help=True, help="Move instances between pools.")
+report_app = typer.Typer(no_args_is_help=True, help="Report on service levels.")
 settings_app = typer.Typer(no_args_is_help=True, help="Check daemon settings.")
 app.add_typer(config_app, name="config")
 app.add_typer(node_app, name="node")
 app.add_typer(key_app, name="key")
 app.add_typer(maintenance_app, name="maintenance")
 app.add_typer(pool_app, name="pool")
+app.add_typer(report_app, name="report")
 app.add_typer(settings_app, name="settings")
 
 WaitOption = Annotated[bool, typer.Option("--wait", help="Wait until all entries confirm.")]
@@ -63,6 +65,25 @@
     check(file)
 
 
+@settings_app.command("reference")
+def settings_reference() -> None:
+    """Print the reference of all settings as Markdown."""
+    from vanillawell.commands.reference import print_reference
+
+    print_reference()
+
+
+@report_app.command("burn")
+def report_burn(
+    context: typer.Context,
+    plot: Annotated[Path | None, typer.Option(help="Also draw it to this file.")] = None,
+) -> None:
+    """Show error budget burn. Example: vanillawell report burn --plot burn.png."""
+    from vanillawell.commands.report import burn
+
+    burn(context.obj, plot)
+
+
 @config_app.command("push")
 def config_push(
     context: typer.Context,
--- a/vanillawell/config/settings.py
+++ b/vanillawell/config/settings.py
@@ -15,7 +15,7 @@
 class StrictModel(BaseModel):
     """Refuse unknown keys, so that a misspelt setting never goes unnoticed."""
 
-    model_config = ConfigDict(extra="forbid", frozen=True)
+    model_config = ConfigDict(extra="forbid", frozen=True, use_attribute_docstrings=True)
 
 
 class Address(StrictModel):
--- a/vanillawell/config/tree.py
+++ b/vanillawell/config/tree.py
@@ -40,6 +40,12 @@
     key_freshness: Seconds | None = None
     """Seconds that keys are accepted on a configuration that nobody has confirmed as fresh."""
 
+    objective: Annotated[float, Field(gt=0, lt=1)] | None = None
+    """Part of requests that must be good; the rest is the error budget."""
+
+    objective_seconds: Seconds | None = None
+    """Seconds within which an answer counts as good."""
+
     budget: Count | None = None
     """Least number of available instances in a pool."""
 
@@ -76,6 +82,8 @@
     queue_length=200,
     longest_timeout=10.0,
     key_freshness=600.0,
+    objective=0.999,
+    objective_seconds=5.0,
     budget=0,
     slots=8,
     connections=64,
--- a/vanillawell/entry.py
+++ b/vanillawell/entry.py
@@ -23,6 +23,7 @@
 from vanillawell.protocol.documents import Presence, StoreKeys
 from vanillawell.protocol.peer_messages import DocumentKind
 from vanillawell.state.board import DemandBoard, Row
+from vanillawell.state.burn import BurnBook
 from vanillawell.state.policy import place_executors
 from vanillawell.telemetry import Telemetry
 from vanillawell.transport.admin import AdminApp
@@ -120,8 +121,9 @@
             self._own_rows,
             self._limits.note_reports,
         )
+        burn = BurnBook()
         self._caller_app = CallerApp(
-            self._configuration, self._dispatcher, self._claims, self._telemetry, me.holder
+            self._configuration, self._dispatcher, self._claims, self._telemetry, burn, me.holder
         )
         self._planner: Planner | None = None
         if settings.platform:
@@ -142,6 +144,7 @@
             self._dispatcher,
             self._limits,
             self._telemetry,
+            burn,
             lambda: store.calls,
         )
         self._caller_server = server(self._caller_app)
--- a/vanillawell/standins/fleet.py
+++ b/vanillawell/standins/fleet.py
@@ -16,6 +16,7 @@
     operator_tree,
     zone_name,
 )
+from vanillawell.standins.load import Target
 from vanillawell.standins.processes import Process, answers, call, free_port, wait_until
 
 if TYPE_CHECKING:
@@ -220,6 +221,10 @@
                 process.resume()
                 process.kill()
 
+    def executor_target(self, name: str) -> Target:
+        """Return an executor's own address, past the proxy."""
+        return Target(LOOPBACK, self._executor_ports[name])
+
     def tree_document(self) -> dict[str, Any]:
         """Return the operators' tree of the deployment as plain data."""
         tree = operator_tree(self.deployment, self._executor_links)
--- a/vanillawell/standins/load.py
+++ b/vanillawell/standins/load.py
@@ -111,6 +111,20 @@
             await pool.aclose()
         return LoadResult(time.monotonic() - started, self._tallies)
 
+    async def closed_loop(self, stream: Stream, callers: int, seconds: float) -> float:
+        """Send without a pause by some callers; return answers a second."""
+        tally = self._tallies.setdefault(stream.team, Tally())
+        end = time.monotonic() + seconds
+
+        async def repeat() -> None:
+            while time.monotonic() < end:
+                await self._send_one(stream)
+
+        async with anyio.create_task_group() as tasks:
+            for _ in range(callers):
+                tasks.start_soon(repeat)
+        return tally.answered / seconds
+
     async def _send_stream(self, stream: Stream, rng: random.Random, seconds: float) -> None:
         """Send with exponentially distributed gaps at the stream's present rate."""
         begun = time.monotonic()
--- /dev/null
+++ b/vanillawell/standins/measure/__main__.py
@@ -0,0 +1,73 @@
+"""Run one measurement by name and print its result as JSON.
+
+Example: python -m vanillawell.standins.measure shares examples/deposits/deployment.jsonc
+"""
+
+from __future__ import annotations
+
+import sys
+from dataclasses import asdict
+from enum import StrEnum
+from pathlib import Path
+from typing import Annotated, Any
+
+import orjson
+import typer
+
+from vanillawell.config.loader import load_model
+from vanillawell.standins.deployment import Deployment
+from vanillawell.standins.measure import runs, slopes
+
+
+class Measurement(StrEnum):
+    """What can be measured."""
+
+    OVERHEAD = "overhead"
+    SHARES = "shares"
+    ONE_ZONE = "one-zone"
+    PEAK = "peak"
+    ROLLOUT = "rollout"
+    CONTROL = "control"
+    MAINTENANCE = "maintenance"
+    SLOPES = "slopes"
+
+
+def main(
+    name: Measurement,
+    file: Annotated[Path, typer.Argument(help="Deployment.")] = Path(
+        "examples/riga/deployment.jsonc"
+    ),
+    seed: Annotated[int, typer.Option(help="Seed of the load.")] = 1,
+    fault: Annotated[str, typer.Option(help="For peak: fail-fast, store-down, store-slow.")] = "",
+) -> None:
+    """Run a measurement."""
+    sys.stdout.write(
+        orjson.dumps(run(name, file, seed, fault), option=orjson.OPT_INDENT_2).decode()
+    )
+    sys.stdout.write("\n")
+
+
+def run(name: Measurement, file: Path, seed: int, fault: str) -> dict[str, Any]:
+    """Return a measurement's result as plain data."""
+    if name is Measurement.SLOPES:
+        fits = slopes.measure_all()
+        return {
+            key: {**asdict(item), "points": {str(n): v for n, v in item.points.items()}}
+            for key, item in fits.items()
+        }
+    deployment = load_model(file, Deployment)
+    if name is Measurement.PEAK:
+        return runs.measure_peak(deployment, seed, fault)
+    measures = {
+        Measurement.OVERHEAD: runs.measure_overhead,
+        Measurement.SHARES: runs.measure_shares,
+        Measurement.ONE_ZONE: runs.measure_one_zone,
+        Measurement.ROLLOUT: runs.measure_rollout,
+        Measurement.CONTROL: runs.measure_control,
+        Measurement.MAINTENANCE: runs.measure_maintenance,
+    }
+    return measures[name](deployment, seed)
+
+
+if __name__ == "__main__":
+    typer.run(main)
--- /dev/null
+++ b/vanillawell/standins/measure/slopes.py
@@ -0,0 +1,194 @@
+"""Measure how state, messages and processor time of one entry grow, in one process."""
+
+from __future__ import annotations
+
+import random
+import time
+import tracemalloc
+import zlib
+from typing import TYPE_CHECKING, Any
+
+from vanillawell.coordination.pool_runtime import PoolRuntime
+from vanillawell.protocol.documents import Configuration, Presence, next_limit_changes
+from vanillawell.protocol.peer_messages import Beat, SourceReport, Versions, decode, encode
+from vanillawell.standins.deployment import Deployment, operator_tree
+from vanillawell.standins.measure.fits import Fit, fit
+from vanillawell.state.board import DemandBoard, Row
+from vanillawell.state.limits import Demand, Ledger, LimitChange, TeamLimit, plan_ledger
+from vanillawell.state.policy import compile_policy
+from vanillawell.state.pools import Assignment, Phase, Placement
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+TEAM_SIZES = (100, 200, 430, 860)
+
+INSTANCE_SIZES = (500, 1000, 2000, 4000)
+
+ROW_SIZES = (10, 50, 200, 800)
+
+ENTRY_SIZES = (9, 30, 60, 120)
+
+MILLION = 1_000_000
+
+
+def seconds_of(action: Callable[[], object], tries: int = 5) -> float:
+    """Return the shortest processor time of some tries."""
+    times = []
+    for _ in range(tries):
+        started = time.process_time()
+        action()
+        times.append(time.process_time() - started)
+    return min(times)
+
+
+def configuration_of(teams: int, instances: int, pools: int = 32) -> Configuration:
+    """Build a configuration of a given size."""
+    deployment = Deployment.model_validate(
+        {
+            "name": "slopes",
+            "zones": 20,
+            "executors_per_service": instances // pools,
+            "services": {f"s{number}": {} for number in range(pools)},
+            "teams": {f"team-{number:03d}": {"limit": 50} for number in range(teams)},
+        }
+    )
+    names = [f"s{s}-{n + 1}" for s in range(pools) for n in range(instances // pools)]
+    tree = operator_tree(deployment, dict.fromkeys(names, 8080))
+    return Configuration(1, "0" * 32, "x", 0.0, "", tree, next_limit_changes(tree, 1, {}))
+
+
+def rows_of(count: int) -> tuple[Row, ...]:
+    """Build the rows of one report."""
+    rng = random.Random(1)
+    return tuple(
+        Row(f"pool-s{number % 32}", f"team-{number // 2:03d}", rng.randrange(1, 40), rng.random())
+        for number in range(count)
+    )
+
+
+def beat_of(rows: int) -> bytes:
+    """Build one encoded heartbeat."""
+    sender = Presence("entry-1-1", "0" * 12, "zone-1", "127.0.0.1", 7000, "127.0.0.1", 7001)
+    report = SourceReport("entry-1-1", 1, 1_700_000_000_000, rows_of(rows))
+    return encode(Beat(sender, Versions(1000, 2000), 0.5, (report,)))
+
+
+def memory_of(build: Callable[[], object]) -> float:
+    """Return the bytes that what `build` returns keeps allocated."""
+    tracemalloc.start()
+    kept = build()
+    size, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    del kept
+    return float(size)
+
+
+def measure_configuration() -> dict[str, Fit]:
+    """Measure documents, memory and processor time by teams and instances."""
+    by_team = {n: configuration_of(n, 320).to_bytes() for n in TEAM_SIZES}
+    by_instance = {n: configuration_of(100, n).to_bytes() for n in INSTANCE_SIZES}
+
+    def apply(data: bytes) -> Any:
+        found = Configuration.from_bytes(data)
+        return found, compile_policy(found.tree, 1, found.limit_changes)
+
+    def fits(documents: dict[int, bytes], size: str) -> dict[str, Fit]:
+        return {
+            f"configuration bytes by {size}": fit({n: len(d) for n, d in documents.items()}, "B"),
+            f"configuration compressed by {size}": fit(
+                {n: len(zlib.compress(d)) for n, d in documents.items()}, "B"
+            ),
+            f"configuration memory by {size}": fit(
+                {n: memory_of(lambda d=d: apply(d)) for n, d in documents.items()},  # type: ignore[misc]
+                "B",
+            ),
+            f"configuration apply time by {size}": fit(
+                {n: seconds_of(lambda d=d: apply(d), 3) * MILLION for n, d in documents.items()},  # type: ignore[misc]
+                "µs",
+            ),
+        }
+
+    return fits(by_team, "teams") | fits(by_instance, "instances")
+
+
+def measure_assignment() -> dict[str, Fit]:
+    """Measure the assignment's document by instances that are not serving at home."""
+
+    def document(count: int) -> bytes:
+        placement = Placement("pool-s1", Phase.LEAVING, "pool-s2", 1.7e9)
+        placements = {f"s{number % 32}-{number}": placement for number in range(count)}
+        return Assignment(1, placements).to_bytes()
+
+    sizes = (50, 200, 1000, 4000)
+    return {
+        "assignment bytes by instances in motion": fit({n: len(document(n)) for n in sizes}, "B")
+    }
+
+
+def measure_beats() -> dict[str, Fit]:
+    """Measure heartbeats by the rows they carry."""
+    encoded = {n: beat_of(n) for n in ROW_SIZES}
+    return {
+        "heartbeat bytes by rows": fit({n: len(data) for n, data in encoded.items()}, "B"),
+        "heartbeat encode time by rows": fit(
+            {n: seconds_of(lambda n=n: beat_of(n)) * MILLION for n in ROW_SIZES}, "µs"  # type: ignore[misc]
+        ),
+        "heartbeat decode time by rows": fit(
+            {n: seconds_of(lambda d=d: decode(d)) * MILLION for n, d in encoded.items()},  # type: ignore[misc]
+            "µs",
+        ),
+    }
+
+
+def measure_ledgers() -> dict[str, Fit]:
+    """Measure a look at all ledgers by teams, and one ledger by its holders."""
+    team = TeamLimit((LimitChange(1, 50),), 0.25, 60)
+    holders = {f"entry-{n}/{n:012d}": 1 for n in range(30)}
+    ledger = Ledger(50, 1, holders)
+    demand = Demand(3, 2, 4, 20)
+
+    def scan(count: int) -> None:
+        for _ in range(count):
+            plan_ledger(ledger, "entry-3/000000000003", team, demand, set())
+
+    def document(count: int) -> bytes:
+        return Ledger(500, 1, {f"entry-{n}/{n:012d}": 3 for n in range(count)}).to_bytes()
+
+    return {
+        "ledger scan time by teams": fit(
+            {n: seconds_of(lambda n=n: scan(n)) * MILLION for n in TEAM_SIZES}, "µs"  # type: ignore[misc]
+        ),
+        "ledger bytes by entries": fit({n: len(document(n)) for n in ENTRY_SIZES}, "B"),
+    }
+
+
+def measure_division() -> dict[str, Fit]:
+    """Measure one division of a pool's slots by the rows that it is made from."""
+    configuration = configuration_of(430, 4000)
+    policy = compile_policy(configuration.tree, 1, configuration.limit_changes)
+    shares = {name: team.share for name, team in policy.teams.items()}
+
+    def division(count: int) -> float:
+        board = DemandBoard()
+        rows = tuple(
+            Row("pool-s1", f"team-{number:03d}", 3, 0.5) for number in range(min(count, 430))
+        )
+        board.receive("zone-2", 3, 1, rows, 0.0)
+        pool = PoolRuntime(policy.pools["pool-s1"], "zone-1", "entry-1-1", "127.0.0.1")
+        pool.configure(policy.pools["pool-s1"], ("entry-1-1",))
+        return seconds_of(lambda: pool.refresh(board, shares, 0.0))
+
+    sizes = (50, 100, 200, 430)
+    return {"slot division time by teams": fit({n: division(n) * MILLION for n in sizes}, "µs")}
+
+
+def measure_all() -> dict[str, Fit]:
+    """Run every measurement of this module."""
+    return (
+        measure_configuration()
+        | measure_assignment()
+        | measure_beats()
+        | measure_ledgers()
+        | measure_division()
+    )
--- a/vanillawell/state/policy.py
+++ b/vanillawell/state/policy.py
@@ -31,6 +31,7 @@
     queue_length: int
     longest_timeout: float
     key_freshness: float
+    objective_seconds: float
 
 
 @dataclass(frozen=True, slots=True)
--- a/vanillawell/tests/config_tests.py
+++ b/vanillawell/tests/config_tests.py
@@ -4,10 +4,12 @@
 
 import subprocess
 import sys
-from typing import TYPE_CHECKING, Any
+from pathlib import Path
+from typing import Any
 
 import pytest
 
+from vanillawell.commands.reference import render
 from vanillawell.config.effective import effective_value
 from vanillawell.config.loader import load_model
 from vanillawell.config.settings import DaemonSettings
@@ -31,9 +33,6 @@
 from vanillawell.state.limits import LimitChange
 from vanillawell.tests.builders import instance, presence, timing, tree
 
-if TYPE_CHECKING:
-    from pathlib import Path
-
 SETTINGS = """
 // An entry.
 {
@@ -150,6 +149,11 @@
     assert [decode(encode(message)) for message in messages] == messages
 
 
+def test_the_settings_reference_is_in_step_with_the_classes() -> None:
+    page = Path(__file__).parents[2] / "docs" / "settings.md"
+    assert page.read_text() == render()
+
+
 def test_a_missing_holder_is_over_only_with_proof_or_after_its_term() -> None:
     """An entry loses the store and goes on with the units it holds.
 
--- a/vanillawell/tests/limit_keeper_tests.py
+++ b/vanillawell/tests/limit_keeper_tests.py
@@ -124,7 +124,7 @@
 
 
 def policy(changes: tuple[LimitChange, ...], version: int) -> Policy:
-    team = TeamPolicy(TEAM, 1.0, changes[-1].limit, changes, 0.25, 100, 10.0, 600.0)
+    team = TeamPolicy(TEAM, 1.0, changes[-1].limit, changes, 0.25, 100, 10.0, 600.0, 5.0)
     return Policy(version, {TEAM: team}, {}, {})
 
 
--- a/vanillawell/tests/maintenance_proof_tests.py
+++ b/vanillawell/tests/maintenance_proof_tests.py
@@ -40,6 +40,13 @@
     return text.partition(": ")[2].split()[0], remaining
 
 
+def small_rack_is_leaving(fleet: Fleet) -> bool:
+    """Tell whether an instance is away that a loss of the larger rack would need most."""
+    rows = fleet.cli("maintenance", "status")
+    away = {row["instance"] for row in rows if row["phase"] != "serving"}
+    return bool(away & {"check-5", "check-6"})
+
+
 def planner(fleet: Fleet) -> EntryHandle:
     """Return the entry that acts as planner."""
 
@@ -70,7 +77,7 @@
 def callers_of(fleet: Fleet) -> SteadyCallers:
     return SteadyCallers(
         list(fleet.entries.values()),
-        lambda n: Call(mark=f"m{n}", run_seconds=0.05 + n % 4 * 0.1, timeout=5.0),
+        lambda n: Call(mark=f"m{n}", run_seconds=0.05 + n % 4 * 0.4, timeout=6.0),
         open_requests=8,
     )
 
@@ -99,11 +106,12 @@
     instance twice.
     """
     with running_fleet(tmp_path, **SIX_AND_SPARES) as fleet:
+        fleet.set_up_machines(reboot_seconds=2.0)
         callers = callers_of(fleet)
 
         def script() -> None:
             fleet.cli("maintenance", "start")
-            wait_until(lambda: wave_state(fleet)[1] <= 7, "two are done", bound=60.0)
+            wait_until(lambda: small_rack_is_leaving(fleet), "the other rack's turn", bound=60.0)
             rack = [f"check-{number}" for number in range(1, 5)]
             fleet.fail_instances(rack, 4.0)
             first = planner(fleet)
--- a/vanillawell/tests/state_tests.py
+++ b/vanillawell/tests/state_tests.py
@@ -4,6 +4,7 @@
 
 import random
 
+import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -16,6 +17,7 @@
     round_parts,
     source_targets,
 )
+from vanillawell.state.burn import BurnBook, burn_rate
 from vanillawell.state.charges import ChargeBook
 from vanillawell.state.health import MINIMUM_SAMPLE, PoolHealth
 from vanillawell.state.limits import Demand, Ledger, LimitChange, plan_ledger, usable_units
@@ -180,6 +182,17 @@
     assert ServiceTime().overdue_after() == LEAST_OVERDUE
 
 
+def test_burn_counts_what_the_service_is_to_blame_for() -> None:
+    book = BurnBook()
+    for status in (200, 200, 200, 503, 401, 422):
+        book.note("check", "guild", status, True, 0.0)
+    book.note("check", "guild", 200, False, 400.0)
+    counts = book.counts(400.0)["check", "guild"]
+    assert (counts.good_long, counts.bad_long) == (3, 2)
+    assert (counts.good_short, counts.bad_short) == (0, 1)
+    assert burn_rate(999, 1, 0.999) == pytest.approx(1.0)
+
+
 def test_a_lingering_charge_is_freed_when_it_is_due() -> None:
     book = ChargeBook()
     book.charge("a")
--- a/vanillawell/transport/admin.py
+++ b/vanillawell/transport/admin.py
@@ -18,6 +18,7 @@
     from vanillawell.coordination.dispatch import Dispatcher
     from vanillawell.coordination.limit_keeper import LimitKeeper
     from vanillawell.coordination.membership import Membership
+    from vanillawell.state.burn import BurnBook
     from vanillawell.telemetry import Telemetry
     from vanillawell.transport.asgi import Receive, Scope, Send
 
@@ -80,6 +81,7 @@
         dispatcher: Dispatcher,
         limits: LimitKeeper,
         telemetry: Telemetry,
+        burn: BurnBook,
         store_calls: Callable[[], int],
     ) -> None:
         self._membership = membership
@@ -88,6 +90,7 @@
         self._dispatcher = dispatcher
         self._limits = limits
         self._telemetry = telemetry
+        self._burn = burn
         self._store_calls = store_calls
         self._stopping = False
 
@@ -113,11 +116,20 @@
                 await send_json(send, {"ready": self.ready}, 200 if self.ready else 503)
             case "/status":
                 await send_json(send, asdict(self.status()))
+            case "/burn":
+                await send_json(send, self._burn_lines())
             case path if path.startswith(EXECUTORS_PATH):
                 await send_json(send, self._executor(path.removeprefix(EXECUTORS_PATH)))
             case _:
                 await send_json(send, {"error": "no such page"}, 404)
 
+    def _burn_lines(self) -> list[dict[str, object]]:
+        counts = self._burn.counts(clock.read())
+        return [
+            {"service": service, "team": team, **asdict(item)}
+            for (service, team), item in counts.items()
+        ]
+
     def _executor(self, name: str) -> dict[str, int]:
         """Say what this entry runs on an executor, and by which assignment."""
         running = sum(pool.running_at(name) for pool in self._dispatcher.pools.values())
--- a/vanillawell/transport/caller.py
+++ b/vanillawell/transport/caller.py
@@ -26,6 +26,7 @@
     from vanillawell.coordination.claims import ClaimDesk
     from vanillawell.coordination.configuration import ConfigurationFollower
     from vanillawell.coordination.dispatch import Dispatcher
+    from vanillawell.state.burn import BurnBook
     from vanillawell.state.policy import Policy, PoolPolicy, TeamPolicy
     from vanillawell.telemetry import Telemetry
     from vanillawell.transport.asgi import Receive, Scope, Send
@@ -73,6 +74,17 @@
     """An answer broke off after its head went out; the connection must not end cleanly."""
 
 
+@dataclass(frozen=True, slots=True)
+class Outcome:
+    """How a request ended, for the counters."""
+
+    name: str
+    """Status of an answer, or type of a refusal."""
+
+    status: int
+    """HTTP status; 0 if the caller left before its request was whole."""
+
+
 @dataclass(frozen=True, slots=True)
 class Head:
     """What the head of a request says."""
@@ -142,12 +154,14 @@
         dispatcher: Dispatcher,
         claims: ClaimDesk,
         telemetry: Telemetry,
+        burn: BurnBook,
         prefix: str,
     ) -> None:
         self._configuration = configuration
         self._dispatcher = dispatcher
         self._claims = claims
         self._telemetry = telemetry
+        self._burn = burn
         self._ids = (f"{prefix}-{number}" for number in itertools.count(1))
         self._closing = False
         self._refusing = False
@@ -178,15 +192,23 @@
         except RequestRefusedError as error:
             outcome = await self._send_refusal(send, error.refusal)
         except CallerGoneError:
-            outcome = "caller-gone"
+            outcome = Outcome("caller-gone", 0)
         finally:
             self._open -= 1
-        self._telemetry.requests.inc({**labels, "outcome": outcome})
-        self._telemetry.latency.observe(labels, clock.read() - started)
+        self._count(labels, outcome, started, clock.read())
+
+    def _count(self, labels: dict[str, str], outcome: Outcome, started: float, now: float) -> None:
+        self._telemetry.requests.inc({**labels, "outcome": outcome.name})
+        self._telemetry.latency.observe(labels, now - started)
+        policy = self._configuration.policy
+        team = policy.teams.get(labels["team"]) if policy else None
+        if team and labels["service"] != "-" and outcome.status:
+            in_time = now - started <= team.objective_seconds
+            self._burn.note(labels["service"], team.name, outcome.status, in_time, now)
 
     async def _handle(
         self, scope: Scope, receive: Receive, send: Send, labels: dict[str, str]
-    ) -> str:
+    ) -> Outcome:
         head = read_head(scope)
         now = clock.read()
         policy = self._ready_policy()
@@ -249,7 +271,7 @@
             forward=Forward(head.method, head.target, headers, body),
         )
 
-    async def _run_claimed(self, order: Order, key: str, receive: Receive, send: Send) -> str:
+    async def _run_claimed(self, order: Order, key: str, receive: Receive, send: Send) -> Outcome:
         refusal = self._claims.check_key(key, time.time())
         if refusal:
             raise RequestRefusedError(refusal)
@@ -266,13 +288,13 @@
                     (b"vanillawell-verdict", Verdict.RAN.value.encode()),
                 ]
                 await send_bytes(send, claimed.status, claimed.body, headers)
-                return "replayed"
+                return Outcome("replayed", claimed.status)
             case _:
                 return await self._run(order, receive, send, claimed)
 
     async def _run(
         self, order: Order, receive: Receive, send: Send, claim: HeldClaim | None
-    ) -> str:
+    ) -> Outcome:
         ticket = self._dispatcher.submit(order, clock.read())
         if isinstance(ticket, Refusal):
             if claim:
@@ -284,7 +306,7 @@
         if isinstance(outcome, Refusal):
             raise RequestRefusedError(outcome)
         await self._send_answer(send, outcome)
-        return str(outcome.status)
+        return Outcome(str(outcome.status), outcome.status)
 
     def _conclude(self, claim: HeldClaim, ticket: Ticket, outcome: Answer | Refusal) -> None:
         """Record how a claimed request ended, or will when its attempt does."""
@@ -349,10 +371,10 @@
             raise CallerAbortError
         await send({"type": "http.response.body", "body": b""})
 
-    async def _send_refusal(self, send: Send, refusal: Refusal) -> str:
+    async def _send_refusal(self, send: Send, refusal: Refusal) -> Outcome:
         headers = refusal.headers() + self._connection_headers()
         await send_bytes(send, refusal.reason.status, refusal.body(), headers)
-        return refusal.reason.slug
+        return Outcome(refusal.reason.slug, refusal.reason.status)
 
     def _connection_headers(self) -> list[tuple[bytes, bytes]]:
         return [(b"connection", b"close")] if self._closing else []
