Bound silent callers, survive unexpected errors of an attempt, and split large modules

Causes, found by reading: a caller silent in its body held memory for ever; an unexpected error in an attempt would have ended the whole entry; a request given up on while its second attempt waited stayed in the queue without its ticket, and picking it would have raised; a pool or team removed while a request arrived raised too.

--- a/vanillawell/commands/config.py
+++ b/vanillawell/commands/config.py
@@ -13,6 +13,7 @@
 from vanillawell.config.effective import effective_settings
 from vanillawell.config.loader import load_model
 from vanillawell.config.tree import OperatorTree
+from vanillawell.coordination.operator import compare_trees
 from vanillawell.exceptions import RolloutTimeoutError, SettingsError
 
 if TYPE_CHECKING:
@@ -131,8 +132,6 @@
 
 
 async def _compare(context: CommandContext, before: int, after: int) -> None:
-    from vanillawell.coordination.operator import compare_trees
-
     async with context.connect() as store:
         editor = context.editor(store)
         old, new = await editor.version(before), await editor.version(after)
--- a/vanillawell/coordination/claims.py
+++ b/vanillawell/coordination/claims.py
@@ -12,18 +12,16 @@
 
 from __future__ import annotations
 
-import hashlib
 import uuid
 from base64 import b64decode, b64encode
 from dataclasses import dataclass, field, replace
-from enum import StrEnum
 from typing import TYPE_CHECKING
 
 import anyio
-import orjson
 
 from vanillawell import clock
 from vanillawell.exceptions import StoreError, StoreOutcomeUnknownError
+from vanillawell.protocol.claim_documents import Claim, ClaimState, minted_at
 from vanillawell.protocol.refusals import Reason, Refusal
 from vanillawell.protocol.store import Compare, KeyValue, Put, Transaction
 from vanillawell.protocol.verdict import Verdict
@@ -59,46 +57,6 @@
 """Seconds after which a claim is worth trying again while the store is down."""
 
 
-class ClaimState(StrEnum):
-    """How far a claimed request has come."""
-
-    STARTED = "started"
-    RAN = "ran"
-    MAY_HAVE_RUN = "may-have-run"
-
-
-@dataclass(frozen=True, slots=True)
-class Claim:
-    """One claimed request as stored."""
-
-    owner: str
-    """Holder name of the entry run that may run it."""
-
-    token: str
-    """Drawn for each claim, by which a lost answer is recognised as one's own."""
-
-    fingerprint: str
-    """Hash of what the key came with; the same key with another request is an error."""
-
-    state: ClaimState = ClaimState.STARTED
-    status: int = 0
-    headers: tuple[tuple[str, str], ...] = ()
-    body: str | None = None
-    """Base64; None if the answer was too large to keep."""
-
-    def to_bytes(self) -> bytes:
-        """Write the document."""
-        return orjson.dumps(self)
-
-    @classmethod
-    def from_bytes(cls, data: bytes) -> Claim:
-        """Read the document."""
-        document = orjson.loads(data)
-        state = ClaimState(document.pop("state"))
-        headers = tuple((name, value) for name, value in document.pop("headers"))
-        return cls(state=state, headers=headers, **document)
-
-
 @dataclass(frozen=True, slots=True)
 class KeptAnswer:
     """An answer that was kept for replay."""
@@ -145,21 +103,6 @@
     """None deletes the claim, since the request provably did not run."""
 
 
-def minted_at(key: str) -> float | None:
-    """Return the seconds since the epoch in a UUIDv7 (RFC 9562), None for any other text."""
-    try:
-        parsed = uuid.UUID(key)
-    except ValueError:
-        return None
-    return (parsed.int >> 80) / 1000 if parsed.version == 7 else None
-
-
-def fingerprint(method: str, target: bytes, body: bytes) -> str:
-    """Hash what identifies a request."""
-    digest = hashlib.sha256(f"{method} ".encode() + target + b"\n" + body)
-    return digest.hexdigest()[:32]
-
-
 class ClaimDesk:
     """Own the claims that this entry makes."""
 
--- a/vanillawell/coordination/dispatch.py
+++ b/vanillawell/coordination/dispatch.py
@@ -2,14 +2,16 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Mapping
-from dataclasses import dataclass, field
-from typing import TYPE_CHECKING, Protocol
+import logging
+from collections.abc import Mapping
+from typing import TYPE_CHECKING
 
 import anyio
 
 from vanillawell import clock
+from vanillawell.coordination.link_watch import LinkWatch
 from vanillawell.coordination.pool_runtime import PoolRuntime
+from vanillawell.coordination.tickets import LimitSource, Order, Ticket, delivered_to, failure_of
 from vanillawell.protocol.refusals import Reason, Refusal
 from vanillawell.protocol.verdict import Verdict
 from vanillawell.state.admission import QueueState, admit, spread
@@ -34,7 +36,9 @@
     from vanillawell.state.board import DemandBoard
     from vanillawell.state.policy import Policy
     from vanillawell.telemetry import Telemetry
-    from vanillawell.transport.backend import ExecutorLink, Forward
+    from vanillawell.transport.backend import ExecutorLink
+
+log = logging.getLogger(__name__)
 
 TICK = 0.02
 """Seconds between two looks at queues that wait for something other than an answer."""
@@ -53,72 +57,6 @@
 """Seconds after which the balancer may have an entry that holds units of the team's limit."""
 
 
-class LimitSource(Protocol):
-    """Say how many requests of a team may run here."""
-
-    def usable(self, team: str, now: float) -> int:
-        """Return the units of the team's limit that this entry may use now."""
-
-    def note_demand(self, team: str) -> None:
-        """Note that the team's demand here has changed."""
-
-    def may_grow(self) -> bool:
-        """Tell whether units can be had from the store now."""
-
-
-@dataclass(frozen=True, slots=True)
-class Order:
-    """One authenticated, checked request."""
-
-    request_id: str
-    team: str
-    pool: str
-    urgent: bool
-    idempotent: bool
-    deadline: float
-    forward: Forward
-
-
-@dataclass(slots=True, eq=False)
-class Ticket:
-    """One accepted request on its way to its single final outcome."""
-
-    order: Order
-    waiting: Waiting
-    done: anyio.Event = field(default_factory=anyio.Event)
-    outcome: Answer | Refusal | None = None
-    may_have_run: bool = False
-    """An attempt of it went out and gave no whole answer."""
-
-    last_answer: Answer | None = None
-    """A whole answer with a status of 5xx, kept in case no retry does better."""
-
-    running: int = 0
-    """Attempts of it that are under way."""
-
-    hedged: bool = False
-    """A second attempt was made because the first one was overdue."""
-
-    late: Callable[[Answer | None, Verdict], None] | None = None
-    """Hears how a request ended that had been given up on while it ran."""
-
-    def finish(self, outcome: Answer | Refusal) -> None:
-        """Set the outcome, once."""
-        if self.outcome is None:
-            self.outcome = outcome
-            self.done.set()
-
-    def conclude_late(self, answer: Answer | None) -> None:
-        """Tell how the last attempt of a request ended that was given up on."""
-        if self.late:
-            self.late(answer, Verdict.RAN if answer else self.verdict_if_given_up)
-
-    @property
-    def verdict_if_given_up(self) -> Verdict:
-        """Return what is known if nothing more is tried."""
-        return Verdict.MAY_HAVE_RUN if self.may_have_run else Verdict.NOT_RUN
-
-
 class Dispatcher:
     """Own the queues, charges and attempts of one entry."""
 
@@ -153,7 +91,7 @@
         self._policy: Policy | None = None
         self._tickets: dict[Waiting, Ticket] = {}
         self._charges = ChargeBook()
-        self._probing: set[str] = set()
+        self._watch = LinkWatch(tasks, telemetry, self._hedge, self.pump)
         self._owners: dict[Attempt, Ticket] = {}
 
     @property
@@ -197,7 +135,10 @@
 
     def submit(self, order: Order, now: float) -> Ticket | Refusal:
         """Accept a request into its queue, or refuse it at once."""
-        pool = self._pools[order.pool]
+        pool = self._pools.get(order.pool)
+        if pool is None or self._policy is None or order.team not in self._policy.teams:
+            detail = "the configuration changed while the request arrived"
+            return Refusal(Reason.NO_SUCH_SERVICE, Verdict.NOT_RUN, detail)
         if not pool.links:
             wait = spread(NO_BACKEND_RETRY_AFTER, self._rng)
             return Refusal(Reason.NO_BACKEND, Verdict.NOT_RUN, "the pool is empty", wait)
@@ -268,48 +209,14 @@
     def _look_after(self, pool: PoolRuntime, now: float) -> None:
         if len(pool.queue) or pool.full:
             self.pump(pool, now)
-        for name, link in pool.links.items():
-            if name not in self._probing and self._overdue(pool, link, now):
-                self._probing.add(name)
-                self._tasks.start_soon(self._probe, pool, link)
+        self._watch.look_at(pool, now)
         for link in [item for item in pool.retired if not item.attempts]:
             pool.retired.remove(link)
             self._tasks.start_soon(link.close)
 
-    def _overdue(self, pool: PoolRuntime, link: ExecutorLink, now: float) -> bool:
-        bound = pool.service_time.overdue_after()
-        return any(_is_overdue(item, bound, now) for item in link.attempts)
-
-    async def _probe(self, pool: PoolRuntime, link: ExecutorLink) -> None:
-        """Tell silence from slowness, and move to new connections if those work.
-
-        An overdue answer may be slow or its connection silent; nothing reports a silent one.
-        A probe on a new connection that succeeds says that new ones work, so none of the old
-        ones is used again, nor those to the pool's other executors, since what lost track of one
-        path has often lost track of its neighbours. What is overdue is not cut, since it may
-        just be slow; an idempotent request is sent once more elsewhere, and the first answer
-        counts.
-        """
-        name = link.executor.name
-        try:
-            alive = await link.probe()
-            now = clock.read()
-            self._telemetry.probes.inc({"executor": name, "alive": str(alive).lower()})
-            if alive:
-                for neighbour in list(pool.links.values()):
-                    await neighbour.renew(now)
-            else:
-                pool.health.note_failure(name, now, len(pool.links), sent=False)
-            bound = pool.service_time.overdue_after()
-            for item in [item for item in link.attempts if _is_overdue(item, bound, now)]:
-                item.looked_into = True
-                self._hedge(pool, self._owners[item], name)
-            self.pump(pool, now)
-        finally:
-            self._probing.discard(name)
-
-    def _hedge(self, pool: PoolRuntime, ticket: Ticket, executor: str) -> None:
+    def _hedge(self, pool: PoolRuntime, attempt: Attempt, executor: str) -> None:
         """Send an overdue idempotent request a second time, once and within the budget."""
+        ticket = self._owners[attempt]
         wanted = ticket.order.idempotent and ticket.outcome is None and not ticket.hedged
         if not wanted or len(pool.links) < 2 or not pool.budget.take():
             return
@@ -372,6 +279,11 @@
             )
         except AttemptError as caught:
             error = caught
+        except Exception:
+            # A fault of ours or of a library must not end the entry with all its requests; what
+            # became of this one is unknown.
+            log.exception("attempt failed unexpectedly")
+            error = AttemptError(Failure.NO_WHOLE_ANSWER, "unexpected error")
         await link.close_idle()
         now = clock.read()
         del self._owners[attempt]
@@ -407,17 +319,16 @@
     ) -> None:
         """Turn the end of an attempt into the outcome, or into another attempt."""
         answer = delivered[0] if delivered else None
-        failure = _failure(error, answer)
+        failure = failure_of(error, answer)
         ticket.running -= 1
         if failure is None:
             pool.health.note_success(executor)
-            pool.queue.remove(ticket.waiting)
             ticket.conclude_late(answer)
             self._finish(ticket, answer)
             return
-        if failure in (Failure.REFUSED_FULL, Failure.TOO_LATE):
+        if failure is Failure.REFUSED_FULL:
             pool.health.note_full(executor, now, pool.running_at(executor))
-        else:
+        elif failure is not Failure.TOO_LATE:
             self._note_failure(pool, executor, failure, now)
             ticket.waiting.tried.add(executor)
         ticket.may_have_run |= failure is Failure.NO_WHOLE_ANSWER
@@ -465,37 +376,10 @@
         return Refusal(Reason.NO_BACKEND, Verdict.NOT_RUN, retry_after=wait)
 
     def _finish(self, ticket: Ticket, outcome: Answer | Refusal | None) -> None:
+        """Set the outcome and forget the request, also a second attempt of it that waits."""
         self._tickets.pop(ticket.waiting, None)
+        pool = self._pools.get(ticket.order.pool)
+        if pool:
+            pool.queue.remove(ticket.waiting)
         if outcome is not None:
             ticket.finish(outcome)
-
-
-def _is_overdue(attempt: Attempt, bound: float, now: float) -> bool:
-    waits = not attempt.head_arrived and not attempt.looked_into
-    return waits and now - attempt.started > bound
-
-
-def delivered_to(
-    ticket: Ticket, delivered: list[Answer], pool: PoolRuntime, attempt: Attempt
-) -> Callable[[Answer], None]:
-    """Build the function that receives an attempt's answer.
-
-    A large answer goes to the caller when its first part is here; a small one waits for the
-    decision whether a retry may do better.
-    """
-
-    def deliver(answer: Answer) -> None:
-        delivered.append(answer)
-        pool.service_time.add(clock.read() - attempt.started)
-        if answer.rest is not None:
-            ticket.finish(answer)
-
-    return deliver
-
-
-def _failure(error: AttemptError | None, answer: Answer | None) -> Failure | None:
-    if error is not None:
-        return error.failure
-    if answer is not None and answer.status >= 500:
-        return Failure.SERVER_ERROR
-    return None
--- a/vanillawell/coordination/limit_keeper.py
+++ b/vanillawell/coordination/limit_keeper.py
@@ -9,12 +9,12 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 import anyio
 
 from vanillawell import clock
+from vanillawell.coordination.ledger_copy import LedgerCopy
 from vanillawell.exceptions import StoreError, StoreOutcomeUnknownError
 from vanillawell.protocol.store import Compare, KeyValue, Put, Transaction
 from vanillawell.state.limits import (
@@ -41,9 +41,6 @@
 SCAN_INTERVAL = 1.0
 """Seconds between two looks at all teams; teams whose demand changed are looked at at once."""
 
-PEAK_SECONDS = 3.0
-"""Seconds that one half of the memory of recent peaks spans."""
-
 TEAMS_PER_WRITE = 40
 """Ledgers changed in one transaction; etcd allows 128 operations, and each takes three."""
 
@@ -57,39 +54,6 @@
 """Seconds after which a copy that shows no free units is read anew while units are lacking."""
 
 
-@dataclass(slots=True)
-class LedgerCopy:
-    """What this entry knows of one team's ledger."""
-
-    ledger: Ledger
-    revision: int
-    read_at: float
-    cap: int | None = None
-    """Bound on units while a write that gives some away may still be applied."""
-
-    fenced_at: int = 0
-    """Store revision that such a write compares with; once passed, it can no longer apply."""
-
-    soft: int | None = None
-    """Bound while other entries' demand claims a part of what is held here."""
-
-    usable: int = 0
-    peak: int = 0
-    last_peak: int = 0
-    peak_since: float = 0.0
-
-    def note_wanted(self, wanted: int, now: float) -> None:
-        """Remember the largest demand of the last seconds."""
-        if now - self.peak_since > PEAK_SECONDS:
-            self.last_peak, self.peak, self.peak_since = self.peak, 0, now
-        self.peak = max(self.peak, wanted)
-
-    @property
-    def recent_peak(self) -> int:
-        """Return the largest demand of the last seconds."""
-        return max(self.peak, self.last_peak)
-
-
 class LimitKeeper:
     """Own this entry's limit units."""
 
@@ -379,28 +343,3 @@
         step = max(1, int(held * SOFT_STEP))
         copy.soft = max(goal, held - step) if contended and self._reachable else None
         self._recompute(team)
-
-
-class StaticLimits:
-    """Give each entry an even part of each limit for good: the plain baseline."""
-
-    def __init__(self, membership: Membership) -> None:
-        self._membership = membership
-        self._limits: dict[str, int] = {}
-
-    def configure(self, policy: Policy) -> None:
-        """Take over a configuration."""
-        self._limits = {name: team.limit for name, team in policy.teams.items()}
-
-    def usable(self, team: str, now: float) -> int:
-        """Return this entry's part, the remainder going to the first ones by name."""
-        entries = sorted(self._membership.members)
-        part, rest = divmod(self._limits.get(team, 0), len(entries))
-        return part + (entries.index(self._membership.me.instance) < rest)
-
-    def note_demand(self, team: str) -> None:
-        """Take no notice."""
-
-    def may_grow(self) -> bool:
-        """Tell that nothing ever moves."""
-        return False
--- a/vanillawell/coordination/operator.py
+++ b/vanillawell/coordination/operator.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 import uuid
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -9,6 +10,7 @@
 
 import anyio
 
+from vanillawell.config.tree import ROOT, Node, OperatorTree
 from vanillawell.config.validation import check_tree
 from vanillawell.exceptions import (
     ConflictError,
@@ -20,7 +22,6 @@
 from vanillawell.protocol.store import Compare, KeyValue, Put, Transaction
 
 if TYPE_CHECKING:
-    from vanillawell.config.tree import OperatorTree
     from vanillawell.config.validation import Findings
     from vanillawell.protocol.documents import StoreKeys
     from vanillawell.protocol.store import Store
@@ -158,7 +159,7 @@
             version=version,
             change_id=uuid.uuid4().hex,
             author=self._author,
-            created_at=_wall_time(),
+            created_at=time.time(),
             note=note,
             tree=proposal.tree,
             limit_changes=next_limit_changes(proposal.tree, version, previous),
@@ -195,12 +196,4 @@
 
 
 def _empty_tree() -> OperatorTree:
-    from vanillawell.config.tree import ROOT, Node, OperatorTree
-
     return OperatorTree(nodes={ROOT: Node(kind="fleet")})
-
-
-def _wall_time() -> float:
-    import time
-
-    return time.time()
--- a/vanillawell/coordination/planner.py
+++ b/vanillawell/coordination/planner.py
@@ -13,6 +13,7 @@
 
 import anyio
 
+from vanillawell.config.settings import Address
 from vanillawell.coordination.membership import ENTRIES_PER_SECOND
 from vanillawell.exceptions import StoreError
 from vanillawell.protocol.store import Compare, Put, Transaction
@@ -219,8 +220,6 @@
     async def _ask(
         self, member: Presence, instance: str, version: int, answers: list[bool]
     ) -> None:
-        from vanillawell.config.settings import Address
-
         address = Address(host=member.admin_host, port=member.admin_port)
         async with JsonClient(address) as client:
             try:
--- a/vanillawell/entry.py
+++ b/vanillawell/entry.py
@@ -15,10 +15,11 @@
 from vanillawell.coordination.claims import ClaimDesk
 from vanillawell.coordination.configuration import ConfigurationFollower
 from vanillawell.coordination.dispatch import Dispatcher
-from vanillawell.coordination.limit_keeper import LimitKeeper, StaticLimits
+from vanillawell.coordination.limit_keeper import LimitKeeper
 from vanillawell.coordination.membership import Membership
 from vanillawell.coordination.peers import PeerAddress, Peers
 from vanillawell.coordination.planner import Planner
+from vanillawell.coordination.static_limits import StaticLimits
 from vanillawell.exceptions import StoreError
 from vanillawell.protocol.documents import Presence, StoreKeys
 from vanillawell.protocol.peer_messages import DocumentKind
--- a/vanillawell/protocol/refusals.py
+++ b/vanillawell/protocol/refusals.py
@@ -18,6 +18,7 @@
     UNAUTHENTICATED = ("unauthenticated", 401, "The key is missing, unknown or withdrawn")
     CONFIGURATION_STALE = ("configuration-stale", 503, "No fresh configuration confirms the key")
     NO_SUCH_SERVICE = ("no-such-service", 404, "No service has this name")
+    BODY_LATE = ("body-late", 408, "The request body did not arrive in time")
     TOO_LARGE = ("too-large", 413, "The request body is larger than allowed")
     QUEUE_FULL = ("queue-full", 429, "The team's queue is full")
     CANNOT_FINISH = ("cannot-finish-in-time", 429, "The queue is too long for the deadline")
--- a/vanillawell/standins/fleet.py
+++ b/vanillawell/standins/fleet.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 
+import httpcore
 import orjson
 
 from vanillawell.standins.deployment import (
@@ -60,8 +61,6 @@
 
     def metrics(self) -> str:
         """Return its metrics page."""
-        import httpcore
-
         with httpcore.ConnectionPool() as pool:
             url = f"http://{self.host}:{self.ports.admin}/metrics"
             return pool.request("GET", url).content.decode()
--- a/vanillawell/tests/outcome_proof_tests.py
+++ b/vanillawell/tests/outcome_proof_tests.py
@@ -7,11 +7,12 @@
 from collections import Counter
 from typing import TYPE_CHECKING, Any
 
+import anyio
 import pytest
 
 from vanillawell.standins.processes import wait_until
 from vanillawell.tests.builders import QUICK_TIMING, uuid7
-from vanillawell.tests.caller import Call
+from vanillawell.tests.caller import Call, Callers
 from vanillawell.tests.fleet_base import (
     SteadyCallers,
     during_load,
@@ -131,10 +132,6 @@
     )
 
     async def send_and_leave() -> None:
-        import anyio
-
-        from vanillawell.tests.caller import Callers
-
         async with Callers() as callers, anyio.create_task_group() as tasks:
             tasks.start_soon(callers.send, fleet.entries["entry-1-1"], call)
             running = lambda: bool(fleet.backend_counts()["running"].get("guild"))  # noqa: E731
--- /dev/null
+++ b/vanillawell/tests/silence_proof_tests.py
@@ -0,0 +1,103 @@
+"""Prove that silent connections of callers, peers and the store are found and replaced."""
+
+from __future__ import annotations
+
+import socket
+import time
+from typing import TYPE_CHECKING, Any
+
+from vanillawell.standins.deployment import team_key
+from vanillawell.standins.processes import wait_until
+from vanillawell.tests.builders import QUICK_TIMING
+from vanillawell.tests.caller import Call
+from vanillawell.tests.fleet_base import running_fleet, send_one
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+    from vanillawell.standins.fleet import EntryHandle, Fleet
+
+THREE_ZONES: dict[str, Any] = {
+    "zones": 3,
+    "entries_per_zone": 2,
+    "executors_per_service": 3,
+    "timing": QUICK_TIMING | {"peer_timeout": 1.0},
+}
+
+
+def versions(fleet: Fleet) -> list[int]:
+    return [int(entry.status()["version"]) for entry in fleet.entries.values()]
+
+
+def open_request(entry: EntryHandle, head: str) -> socket.socket:
+    """Send the head of a request over a connection of its own."""
+    connection = socket.create_connection((entry.host, entry.ports.caller), 5)
+    key = team_key("guild")
+    connection.sendall(f"{head}\r\nHost: x\r\nAuthorization: Bearer {key}\r\n".encode())
+    return connection
+
+
+def test_silent_connections_to_the_store_and_to_peers_are_replaced(tmp_path: Path) -> None:
+    """All open connections to the store and between entries go silent; new ones work.
+
+    A watch on a silent connection reports nothing, and a configuration would never arrive.
+    """
+    with running_fleet(tmp_path, **THREE_ZONES) as fleet:
+        fleet.fault("store", "silence-old", link="store")
+        fleet.fault("peers", "silence-old", link="peer")
+        started = time.monotonic()
+        fleet.cli("node", "set", "guild", "limit=5")
+        wait_until(lambda: min(versions(fleet)) == 2, "the change is in force everywhere")
+        print(f"in force after {time.monotonic() - started:.2f} s of silence")
+
+
+def test_peers_alone_replace_silent_connections(tmp_path: Path) -> None:
+    """Connections between entries go silent while one zone has lost the store.
+
+    That zone hears of changes only from its peers, over connections that must be new ones.
+    """
+    with running_fleet(tmp_path, **THREE_ZONES) as fleet:
+        fleet.fault("cut", "cut", link="store-1")
+        fleet.fault("peers", "silence-old", link="peer")
+        fleet.cli("node", "set", "guild", "limit=5")
+        wait_until(lambda: min(versions(fleet)) == 2, "the change is in force everywhere")
+
+
+def test_one_way_cuts_between_zones_do_not_keep_a_change_away(tmp_path: Path) -> None:
+    """Zone 1 has lost the store and can open no connection, but others can reach it."""
+    with running_fleet(tmp_path, **THREE_ZONES) as fleet:
+        fleet.fault("store", "cut", link="store-1")
+        fleet.fault("out", "cut", link="peer", source_zone=1)
+        fleet.cli("node", "set", "guild", "limit=5")
+        wait_until(lambda: min(versions(fleet)) == 2, "the change is in force everywhere")
+
+
+def test_a_caller_that_goes_silent_in_its_request_is_refused(tmp_path: Path) -> None:
+    """A caller announces a body, sends half of it and says nothing more.
+
+    Without a bound each such caller would hold memory and a connection for ever.
+    """
+    with running_fleet(tmp_path) as fleet:
+        entry = fleet.entries["entry-1-1"]
+        with open_request(entry, "POST /check/item HTTP/1.1") as connection:
+            connection.sendall(b"Request-Timeout: 0.5\r\nContent-Length: 100\r\n\r\nhalf")
+            connection.settimeout(10)
+            answer = connection.recv(4096).decode()
+        assert answer.startswith("HTTP/1.1 408")
+        assert "body-late" in answer
+
+
+def test_a_caller_that_stops_reading_frees_its_slot(tmp_path: Path) -> None:
+    """A caller asks for a large answer and takes nothing of it.
+
+    Its unit of the limit and its executor's slot must come free all the same.
+    """
+    with running_fleet(tmp_path, teams={"guild": {"limit": 1}}) as fleet:
+        fleet.behave([], answer_bytes=60_000_000)
+        entry = fleet.entries["entry-1-1"]
+        with open_request(entry, "GET /check/item HTTP/1.1") as connection:
+            connection.sendall(b"\r\n")
+            wait_until(lambda: entry.status()["teams"]["guild"]["running"] == 1, "it runs")
+            wait_until(lambda: entry.status()["teams"]["guild"]["running"] == 0, "it is given up")
+        fleet.behave([], answer_bytes=0)
+        wait_until(lambda: send_one(entry, Call()).status == 200, "the next request runs")
--- a/vanillawell/transport/caller.py
+++ b/vanillawell/transport/caller.py
@@ -10,8 +10,9 @@
 import anyio
 
 from vanillawell import clock
-from vanillawell.coordination.claims import HeldClaim, KeptAnswer, fingerprint
-from vanillawell.coordination.dispatch import Order, Ticket
+from vanillawell.coordination.claims import HeldClaim, KeptAnswer
+from vanillawell.coordination.tickets import Order, Ticket
+from vanillawell.protocol.claim_documents import fingerprint
 from vanillawell.protocol.refusals import Reason, Refusal
 from vanillawell.protocol.verdict import Verdict
 from vanillawell.transport.asgi import (
@@ -21,6 +22,7 @@
     send_bytes,
 )
 from vanillawell.transport.backend import Answer, Forward
+from vanillawell.transport.request_head import Head, RequestRefusedError, read_head, refused
 
 if TYPE_CHECKING:
     from vanillawell.coordination.claims import ClaimDesk
@@ -49,27 +51,13 @@
 NOT_FORWARDED = HOP_BY_HOP | {b"authorization", b"content-length", b"host", b"expect"}
 """Headers of a request that are not passed on; a team's key never reaches a backend server."""
 
-IDEMPOTENT_METHODS = frozenset(("GET", "HEAD", "OPTIONS", "PUT", "DELETE"))
-"""Methods that may run twice without harm (RFC 9110 section 9.2.2)."""
-
-LEAST_URGENT = 4
-"""Urgency (RFC 9218, 0 highest) from which on a request may wait behind all others."""
-
-DEFAULT_URGENCY = 3
-"""Urgency of a request that says nothing (RFC 9218)."""
+LONGEST_STALL = 10.0
+"""Seconds a caller may take no data of its answer before its connection is dropped."""
 
 STOPPING_RETRY_AFTER = 0.5
 """Seconds after which the balancer has another entry for the caller."""
 
 
-class RequestRefusedError(Exception):
-    """Carries a refusal out of a check."""
-
-    def __init__(self, refusal: Refusal) -> None:
-        super().__init__(refusal.reason.slug)
-        self.refusal = refusal
-
-
 class CallerAbortError(Exception):
     """An answer broke off after its head went out; the connection must not end cleanly."""
 
@@ -85,66 +73,6 @@
     """HTTP status; 0 if the caller left before its request was whole."""
 
 
-@dataclass(frozen=True, slots=True)
-class Head:
-    """What the head of a request says."""
-
-    method: str
-    path: str
-    target: bytes
-    headers: dict[bytes, bytes]
-    raw_headers: list[tuple[bytes, bytes]]
-
-    @property
-    def service(self) -> str:
-        """Return the first segment of the path."""
-        return self.path.lstrip("/").partition("/")[0]
-
-    @property
-    def idempotent(self) -> bool:
-        """Tell whether the method allows running twice."""
-        return self.method in IDEMPOTENT_METHODS
-
-    def bearer_key(self) -> str:
-        """Return the team's key (RFC 6750); empty if there is none."""
-        scheme, _, key = self.headers.get(b"authorization", b"").decode("latin-1").partition(" ")
-        return key.strip() if scheme.lower() == "bearer" else ""
-
-    def timeout(self, longest: float) -> float:
-        """Return the seconds the caller gives, at most `longest`."""
-        text = self.headers.get(b"request-timeout")
-        if text is None:
-            return longest
-        try:
-            seconds = float(text)
-        except ValueError:
-            seconds = -1.0
-        if not 0 < seconds < float("inf"):
-            raise refused(Reason.MALFORMED, "Request-Timeout must be a positive number of seconds")
-        return min(seconds, longest)
-
-    def urgent(self) -> bool:
-        """Tell whether the request goes ahead of work that may wait (RFC 9218)."""
-        parts = self.headers.get(b"priority", b"").replace(b" ", b"").split(b",")
-        urgency = next((part[2:] for part in parts if part.startswith(b"u=")), b"")
-        return (int(urgency) if urgency.isdigit() else DEFAULT_URGENCY) < LEAST_URGENT
-
-
-def refused(
-    reason: Reason, detail: str = "", retry_after: float | None = None
-) -> RequestRefusedError:
-    """Build the error for a request that certainly did not run."""
-    return RequestRefusedError(Refusal(reason, Verdict.NOT_RUN, detail, retry_after))
-
-
-def read_head(scope: Scope) -> Head:
-    """Read the head of a request from its ASGI scope."""
-    query = scope.get("query_string", b"")
-    target = scope["raw_path"] + (b"?" + query if query else b"")
-    raw = list(scope["headers"])
-    return Head(scope["method"], scope["path"], target, dict(raw), raw)
-
-
 class CallerApp:
     """The ASGI application that callers' requests reach."""
 
@@ -220,7 +148,10 @@
         labels["service"] = head.service
         deadline = now + head.timeout(team.longest_timeout)
         try:
-            body = await read_body(receive, pool.body_bound)
+            with anyio.fail_after(deadline - now):
+                body = await read_body(receive, pool.body_bound)
+        except TimeoutError:
+            raise refused(Reason.BODY_LATE) from None
         except BodyTooLargeError:
             raise refused(Reason.TOO_LARGE, f"at most {pool.body_bound} bytes") from None
         order = self._order(head, team, pool, body, deadline)
@@ -363,10 +294,10 @@
     async def _send_rest(self, send: Send, answer: Answer) -> None:
         """Pass on a large answer part by part; a cut leaves it visibly incomplete."""
         assert answer.rest is not None
-        await send({"type": "http.response.body", "body": answer.body, "more_body": True})
         async with answer.rest:
+            await _send_part(send, answer.body)
             async for chunk in answer.rest:
-                await send({"type": "http.response.body", "body": chunk, "more_body": True})
+                await _send_part(send, chunk)
         if answer.broken:
             raise CallerAbortError
         await send({"type": "http.response.body", "body": b""})
@@ -380,6 +311,19 @@
         return [(b"connection", b"close")] if self._closing else []
 
 
+async def _send_part(send: Send, part: bytes) -> None:
+    """Send a part of a large answer to a caller that keeps reading.
+
+    A caller whose connection went silent stops taking data and closes nothing. Without a bound
+    its answer would hold an executor's slot and a unit of the team's limit for ever.
+    """
+    try:
+        with anyio.fail_after(LONGEST_STALL):
+            await send({"type": "http.response.body", "body": part, "more_body": True})
+    except TimeoutError:
+        raise CallerAbortError from None
+
+
 def _kept(answer: Answer) -> list[tuple[bytes, bytes]]:
     """Return the headers that a kept answer is replayed with."""
     dropped = HOP_BY_HOP | {b"content-length", b"date"}
