Number the rows of heartbeats, report only what can change a decision, prove the start

Cause: the slopes gave 41 bytes a row, four fifths of them names; at 430 teams and 32 pools an entry would need minutes for one round within 4 KB a second. Change: rows number pools and teams by the configuration's version (reports of another version are left out for that moment); demand below half of an entry's even share is not reported. Ruled out: deltas alone, since names would still dominate what changes.

--- a/vanillawell/coordination/peers.py
+++ b/vanillawell/coordination/peers.py
@@ -39,7 +39,7 @@
     from vanillawell.coordination.follower import DocumentFollower
     from vanillawell.coordination.membership import Membership
     from vanillawell.protocol.documents import Presence
-    from vanillawell.protocol.peer_messages import Message
+    from vanillawell.protocol.peer_messages import Message, NameTable
     from vanillawell.state.board import DemandBoard
     from vanillawell.telemetry import Telemetry
 
@@ -85,6 +85,7 @@
         timing: TimingSettings,
         telemetry: Telemetry,
         local_host: str,
+        names: Callable[[], NameTable],
         own_rows: Callable[[float], Iterable[Row]],
         heard: Callable[[set[str]], None],
     ) -> None:
@@ -96,6 +97,7 @@
         self._timing = timing
         self._telemetry = telemetry
         self._local_host = local_host
+        self._names = names
         self._own_rows = own_rows
         self._heard = heard
         self._links: dict[PeerAddress, anyio.CancelScope] = {}
@@ -149,9 +151,8 @@
                 try:
                     timeout = self._timing.peer_timeout
                     local = self._local_host
-                    raw, stream = await connect(
-                        address.host, address.port, local, timeout, self._count
-                    )
+                    raw = await connect(address.host, address.port, local, timeout)
+                    stream = PeerStream(raw, self._names, self._count)
                     async with raw:
                         self._telemetry.state(f"peer {address.host}:{address.port}", "connected")
                         await self._beat_over(stream, address.same_zone)
@@ -191,7 +192,7 @@
 
     async def serve(self, raw: ByteStream) -> None:
         """Answer one peer that has dialled this entry."""
-        stream = PeerStream(raw, self._count)
+        stream = PeerStream(raw, self._names, self._count)
         try:
             async with raw:
                 while True:
--- a/vanillawell/entry.py
+++ b/vanillawell/entry.py
@@ -22,8 +22,8 @@
 from vanillawell.coordination.static_limits import StaticLimits
 from vanillawell.exceptions import StoreError
 from vanillawell.protocol.documents import Presence, StoreKeys
-from vanillawell.protocol.peer_messages import DocumentKind
-from vanillawell.state.board import DemandBoard, Row
+from vanillawell.protocol.peer_messages import DocumentKind, NameTable
+from vanillawell.state.board import DemandBoard, Row, is_significant
 from vanillawell.state.burn import BurnBook
 from vanillawell.state.policy import place_executors
 from vanillawell.telemetry import Telemetry
@@ -83,6 +83,7 @@
         me = self._introduce()
         rng = random.Random(me.incarnation)
         self._board = DemandBoard()
+        self._names = NameTable()
         self._membership = Membership(store, keys, me, settings.store, timing, self._telemetry)
         self._configuration = ConfigurationFollower(
             store, keys, self._membership, settings.store, self._telemetry
@@ -119,6 +120,7 @@
             timing,
             self._telemetry,
             settings.peer.host,
+            lambda: self._names,
             self._own_rows,
             self._limits.note_reports,
         )
@@ -181,6 +183,9 @@
     def _apply(self) -> None:
         policy = self._configuration.policy
         assert policy is not None
+        self._names = NameTable(
+            policy.version, tuple(sorted(policy.pools)), tuple(sorted(policy.teams))
+        )
         self._static.configure(policy)
         self._limits.configure(policy)
         self._place()
@@ -205,9 +210,23 @@
         return tuple(sorted(self._membership.members))
 
     def _own_rows(self, now: float) -> Iterator[Row]:
+        """Return what other entries must know to divide full pools and scarce limits."""
+        entries = len(self._membership.members)
+        policy = self._configuration.policy
+        if policy is None:
+            return
+        scarce = {
+            name
+            for name, team in policy.teams.items()
+            if is_significant(self._dispatcher.wanted(name), team.limit, entries)
+        }
         for name, pool in self._dispatcher.pools.items():
-            for team, demand, used in pool.own_rows(now):
-                yield Row(name, team, demand, used)
+            rows = pool.own_rows(now)
+            whole = sum(demand for _, demand, _ in rows)
+            pressed = is_significant(whole, len(pool.links) * pool.policy.slots, entries)
+            for team, demand, used in rows:
+                if pressed or team in scarce:
+                    yield Row(name, team, demand, used)
 
     async def run(self) -> None:
         """Serve until a signal asks for a planned stop, then stop without cutting a request."""
--- a/vanillawell/protocol/peer.capnp
+++ b/vanillawell/protocol/peer.capnp
@@ -1,8 +1,8 @@
 @0xb3f1c9a27d5e4a61;
 
 struct Row {
-  pool @0 :Text;
-  team @1 :Text;
+  pool @0 :UInt16;
+  team @1 :UInt16;
   demand @2 :UInt32;
   usedMilliseconds @3 :UInt32;
 }
--- a/vanillawell/protocol/peer_messages.py
+++ b/vanillawell/protocol/peer_messages.py
@@ -20,6 +20,19 @@
 """Age sent by an entry that has never seen its configuration confirmed."""
 
 
+@dataclass(frozen=True, slots=True)
+class NameTable:
+    """Pools and teams of one configuration, in the order that rows number them by.
+
+    Names would be four fifths of a heartbeat. Both ends number them by the same version of the
+    configuration; while versions differ, reports are left out, and the older ones still count.
+    """
+
+    version: int = 0
+    pools: tuple[str, ...] = ()
+    teams: tuple[str, ...] = ()
+
+
 class DocumentKind(StrEnum):
     """The versioned documents that entries pass on to each other."""
 
@@ -89,12 +102,12 @@
 Message = Beat | Acknowledgement | DocumentRequest | DocumentReply
 
 
-def encode(message: Message) -> bytes:
-    """Return a message as packed bytes."""
+def encode(message: Message, names: NameTable) -> bytes:
+    """Return a message as packed bytes; rows of names that are not in the table are left out."""
     wire = SCHEMA.Message.new_message()
     match message:
         case Beat():
-            _fill_beat(wire.init("beat"), message)
+            _fill_beat(wire.init("beat"), message, names)
         case Acknowledgement():
             part = wire.init("acknowledgement")
             part.version = message.versions.configuration
@@ -112,23 +125,23 @@
     return bytes(wire.to_bytes_packed())
 
 
-def decode(data: bytes) -> Message:
-    """Read a message.
+def decode(data: bytes, names: NameTable) -> Message:
+    """Read a message; a heartbeat by another version of the names has no reports.
 
     Raises:
         PeerProtocolError: The bytes are no message of ours.
     """
     try:
         wire = SCHEMA.Message.from_bytes_packed(data)
-        return _read(wire)
-    except (capnp.KjException, ValueError, zlib.error) as error:
+        return _read(wire, names)
+    except (capnp.KjException, ValueError, IndexError, zlib.error) as error:
         raise PeerProtocolError(f"unreadable peer message: {error}") from error
 
 
-def _read(wire: Any) -> Message:
+def _read(wire: Any, names: NameTable) -> Message:
     match str(wire.which()):
         case "beat":
-            return _read_beat(wire.beat)
+            return _read_beat(wire.beat, names)
         case "acknowledgement":
             part = wire.acknowledgement
             versions = Versions(part.version, part.assignment)
@@ -142,7 +155,7 @@
             return DocumentReply(DocumentKind(str(reply.kind)), reply.version, document)
 
 
-def _fill_beat(part: Any, beat: Beat) -> None:
+def _fill_beat(part: Any, beat: Beat, names: NameTable) -> None:
     sender = beat.sender
     part.instance = sender.instance
     part.incarnation = sender.incarnation
@@ -156,22 +169,25 @@
     part.freshAgeMilliseconds = _to_milliseconds(beat.fresh_age)
     reports = part.init("reports", len(beat.reports))
     for target, report in zip(reports, beat.reports, strict=True):
-        _fill_report(target, report)
+        _fill_report(target, report, names)
 
 
-def _fill_report(target: Any, report: SourceReport) -> None:
+def _fill_report(target: Any, report: SourceReport, names: NameTable) -> None:
     target.source = report.source
     target.entries = report.entries
     target.sequence = report.sequence
-    rows = target.init("rows", len(report.rows))
-    for wire, row in zip(rows, report.rows, strict=True):
-        wire.pool = row.pool
-        wire.team = row.team
+    pools = {name: number for number, name in enumerate(names.pools)}
+    teams = {name: number for number, name in enumerate(names.teams)}
+    known = [row for row in report.rows if row.pool in pools and row.team in teams]
+    rows = target.init("rows", len(known))
+    for wire, row in zip(rows, known, strict=True):
+        wire.pool = pools[row.pool]
+        wire.team = teams[row.team]
         wire.demand = row.demand
         wire.usedMilliseconds = int(row.used * 1000)
 
 
-def _read_beat(part: Any) -> Beat:
+def _read_beat(part: Any, names: NameTable) -> Beat:
     sender = Presence(
         instance=part.instance,
         incarnation=part.incarnation,
@@ -181,14 +197,16 @@
         admin_host=part.adminHost,
         admin_port=part.adminPort,
     )
-    reports = tuple(_read_report(report) for report in part.reports)
     versions = Versions(part.version, part.assignment)
+    readable = part.reports if versions.configuration == names.version else ()
+    reports = tuple(_read_report(report, names) for report in readable)
     return Beat(sender, versions, _from_milliseconds(part.freshAgeMilliseconds), reports)
 
 
-def _read_report(report: Any) -> SourceReport:
+def _read_report(report: Any, names: NameTable) -> SourceReport:
     rows = tuple(
-        Row(row.pool, row.team, row.demand, row.usedMilliseconds / 1000) for row in report.rows
+        Row(names.pools[row.pool], names.teams[row.team], row.demand, row.usedMilliseconds / 1000)
+        for row in report.rows
     )
     return SourceReport(report.source, report.entries, report.sequence, rows)
 
--- a/vanillawell/standins/deployment.py
+++ b/vanillawell/standins/deployment.py
@@ -65,6 +65,9 @@
     experiment: dict[str, Any] = {}
     """Baselines that every entry uses instead of the product's decisions."""
 
+    seeded: bool = False
+    """Name the first entry as a seed in the settings of all others."""
+
     store: dict[str, Any] = {}
     """Store settings of every entry, except for its address."""
 
--- a/vanillawell/standins/fleet.py
+++ b/vanillawell/standins/fleet.py
@@ -78,6 +78,7 @@
         self._store_port = free_port()
         self._store_links = {zone: free_port() for zone in range(1, deployment.zones + 1)}
         self._control_ports = {name: free_port() for name in ("backend", "network", "wires")}
+        self._seed_port = free_port()
         self.entries = {
             name: self._entry(name, zone, number) for name, zone, number in entry_names(deployment)
         }
@@ -117,7 +118,9 @@
         return Process(name, module, arguments, self._folder / f"{name}.log")
 
     def _entry(self, name: str, zone: int, number: int) -> EntryHandle:
-        ports = EntryPorts(free_port(), free_port(), free_port(), free_port())
+        first = (zone, number) == (1, 1)
+        advertised = self._seed_port if first else free_port()
+        ports = EntryPorts(free_port(), free_port(), free_port(), advertised)
         path = self._folder / f"{name}.jsonc"
         host = ENTRY_HOST.format(zone=zone, number=number)
         path.write_bytes(orjson.dumps(self._entry_settings(name, zone, host, ports)))
@@ -139,10 +142,15 @@
                 **self.deployment.store,
             },
             "timing": self.deployment.timing,
+            "seeds": self._seeds(name),
             "experiment": self.deployment.experiment,
             "platform": {"host": LOOPBACK, "port": self._store_links[zone]},
         }
 
+    def _seeds(self, name: str) -> list[dict[str, object]]:
+        seeded = self.deployment.seeded and name != "entry-1-1"
+        return [{"host": LOOPBACK, "port": self._seed_port}] if seeded else []
+
     def _backend_arguments(self) -> list[str]:
         executors = [f"{name}={port}" for name, port in self._executor_ports.items()]
         control = str(self._control_ports["backend"])
--- a/vanillawell/standins/measure/slopes.py
+++ b/vanillawell/standins/measure/slopes.py
@@ -10,7 +10,14 @@
 
 from vanillawell.coordination.pool_runtime import PoolRuntime
 from vanillawell.protocol.documents import Configuration, Presence, next_limit_changes
-from vanillawell.protocol.peer_messages import Beat, SourceReport, Versions, decode, encode
+from vanillawell.protocol.peer_messages import (
+    Beat,
+    NameTable,
+    SourceReport,
+    Versions,
+    decode,
+    encode,
+)
 from vanillawell.standins.deployment import Deployment, operator_tree
 from vanillawell.standins.measure.fits import Fit, fit
 from vanillawell.state.board import DemandBoard, Row
@@ -29,6 +36,12 @@
 
 ENTRY_SIZES = (9, 30, 60, 120)
 
+NAMES = NameTable(
+    1000,
+    tuple(f"pool-s{number}" for number in range(32)),
+    tuple(f"team-{number:03d}" for number in range(430)),
+)
+
 MILLION = 1_000_000
 
 
@@ -71,7 +84,7 @@
     """Build one encoded heartbeat."""
     sender = Presence("entry-1-1", "0" * 12, "zone-1", "127.0.0.1", 7000, "127.0.0.1", 7001)
     report = SourceReport("entry-1-1", 1, 1_700_000_000_000, rows_of(rows))
-    return encode(Beat(sender, Versions(1000, 2000), 0.5, (report,)))
+    return encode(Beat(sender, Versions(1000, 2000), 0.5, (report,)), NAMES)
 
 
 def memory_of(build: Callable[[], object]) -> float:
@@ -135,7 +148,7 @@
             {n: seconds_of(lambda n=n: beat_of(n)) * MILLION for n in ROW_SIZES}, "µs"  # type: ignore[misc]
         ),
         "heartbeat decode time by rows": fit(
-            {n: seconds_of(lambda d=d: decode(d)) * MILLION for n, d in encoded.items()},  # type: ignore[misc]
+            {n: seconds_of(lambda d=d: decode(d, NAMES)) * MILLION for n, d in encoded.items()},  # type: ignore[misc]
             "µs",
         ),
     }
--- a/vanillawell/state/board.py
+++ b/vanillawell/state/board.py
@@ -18,6 +18,19 @@
 """Seconds after which a report that was not renewed counts for nothing."""
 
 
+SIGNIFICANT_PART = 0.5
+"""Part of an entry's even share of slots or limit below which its demand changes nothing."""
+
+
+def is_significant(demand: int, whole: int, entries: int) -> bool:
+    """Tell whether demand here is worth a report.
+
+    If every entry stays below half of its even share, the pool or limit is at most half used,
+    and nobody needs to know more. Between peaks nearly all rows fall away.
+    """
+    return demand > 0 and demand >= SIGNIFICANT_PART * whole / max(1, entries)
+
+
 @dataclass(frozen=True, slots=True)
 class Row:
     """What one source needs and has used of one pool for one team."""
--- a/vanillawell/tests/config_tests.py
+++ b/vanillawell/tests/config_tests.py
@@ -24,6 +24,7 @@
     DocumentReply,
     DocumentRequest,
     Message,
+    NameTable,
     SourceReport,
     Versions,
     decode,
@@ -146,7 +147,22 @@
         DocumentRequest(DocumentKind.ASSIGNMENT, 3),
         DocumentReply(DocumentKind.CONFIGURATION, 8, b"{}"),
     ]
-    assert [decode(encode(message)) for message in messages] == messages
+    names = NameTable(7, ("pool-check",), ("builders", "guild"))
+    assert [decode(encode(message, names), names) for message in messages] == messages
+
+
+def test_reports_by_another_version_of_the_names_are_left_out() -> None:
+    """Two entries have different configurations for a moment and number teams differently.
+
+    Rows read by the wrong numbers would count one team's demand as another's.
+    """
+    rows = (Row("pool-check", "guild", 3, 1.25),)
+    beat = Beat(presence("entry-1"), Versions(7, 3), 0.5, (SourceReport("zone-2", 3, 99, rows),))
+    old = NameTable(7, ("pool-check",), ("guild",))
+    new = NameTable(8, ("pool-check",), ("bakers", "guild"))
+    read = decode(encode(beat, old), new)
+    assert isinstance(read, Beat)
+    assert read.reports == ()
 
 
 def test_the_settings_reference_is_in_step_with_the_classes() -> None:
--- /dev/null
+++ b/vanillawell/tests/startup_tests.py
@@ -0,0 +1,65 @@
+"""Start an entry when something that it needs is missing or taken."""
+
+from __future__ import annotations
+
+import socket
+from typing import TYPE_CHECKING
+
+from vanillawell.standins.processes import wait_until
+from vanillawell.tests.caller import Call
+from vanillawell.tests.fleet_base import running_fleet, send_one
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+
+def test_an_entry_waits_for_a_store_that_is_not_there_and_says_so_once(tmp_path: Path) -> None:
+    """An entry starts during an outage of the store and knows no peer.
+
+    It must neither end nor fill its log, and serve as soon as the store is back.
+    """
+    with running_fleet(tmp_path) as fleet:
+        entry = fleet.entries["entry-1-1"]
+        entry.process.kill()
+        fleet.store_faults(down=True)
+        before = entry.process.log_text.count('"unreachable"')
+        entry.process.start()
+        wait_until(
+            lambda: entry.process.log_text.count('"unreachable"') == before + 1, "it says so"
+        )
+        wait_until(lambda: send_one(entry, Call()).problem == "starting", "it refuses as not run")
+        assert not entry.ready
+        fleet.store_faults(down=False)
+        wait_until(lambda: send_one(entry, Call()).status == 200, "it serves")
+        assert entry.process.log_text.count('"unreachable"') == before + 1
+
+
+def test_a_taken_port_ends_the_start_with_one_clear_line(tmp_path: Path) -> None:
+    with running_fleet(tmp_path) as fleet:
+        entry = fleet.entries["entry-1-1"]
+        entry.process.kill()
+        with socket.socket() as other:
+            other.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            other.bind((entry.host, entry.ports.caller))
+            other.listen()
+            entry.process.start()
+            assert entry.process.wait() == 3
+        last = entry.process.log_text.splitlines()[-1]
+        assert last.startswith("vanillawelld: caller: cannot bind")
+        assert last.endswith("Address already in use")
+
+
+def test_a_restarted_entry_learns_from_seeds_while_the_store_is_down(tmp_path: Path) -> None:
+    """An entry is replaced during an outage; its settings name a peer to ask.
+
+    It learns the configuration from there, but holds no units of any limit, and says so.
+    """
+    with running_fleet(tmp_path, entries_per_zone=2, seeded=True) as fleet:
+        entry = fleet.entries["entry-1-2"]
+        entry.process.kill()
+        fleet.store_faults(down=True)
+        entry.process.start()
+        wait_until(lambda: entry.ready, "it has a configuration")
+        wait_until(lambda: send_one(entry, Call()).problem == "no-limit-units", "it holds nothing")
+        fleet.store_faults(down=False)
+        wait_until(lambda: send_one(entry, Call()).status == 200, "it serves")
--- a/vanillawell/transport/peer_stream.py
+++ b/vanillawell/transport/peer_stream.py
@@ -9,7 +9,7 @@
 from anyio.streams.buffered import BufferedByteReceiveStream
 
 from vanillawell.exceptions import PeerProtocolError
-from vanillawell.protocol.peer_messages import Message, decode, encode
+from vanillawell.protocol.peer_messages import Message, NameTable, decode, encode
 from vanillawell.transport.sockets import apply_silence_options
 
 if TYPE_CHECKING:
@@ -26,14 +26,20 @@
 class PeerStream:
     """Send and receive whole messages over one connection."""
 
-    def __init__(self, stream: ByteStream, count: Callable[[str, int], None]) -> None:
+    def __init__(
+        self,
+        stream: ByteStream,
+        names: Callable[[], NameTable],
+        count: Callable[[str, int], None],
+    ) -> None:
         self._stream = stream
+        self._names = names
         self._reader = BufferedByteReceiveStream(stream)
         self._count = count
 
     async def send(self, message: Message) -> int:
         """Send one message and return its bytes on the wire."""
-        data = encode(message)
+        data = encode(message, self._names())
         await self._stream.send(LENGTH.pack(len(data)) + data)
         self._count("sent", len(data) + LENGTH.size)
         return len(data) + LENGTH.size
@@ -45,15 +51,13 @@
             raise PeerProtocolError(f"peer message of {length} bytes")
         data = await self._reader.receive_exactly(length)
         self._count("received", length + LENGTH.size)
-        return decode(data)
+        return decode(data, self._names())
 
 
-async def connect(
-    host: str, port: int, local_host: str, timeout: float, count: Callable[[str, int], None]
-) -> tuple[ByteStream, PeerStream]:
+async def connect(host: str, port: int, local_host: str, timeout: float) -> ByteStream:
     """Open a connection to a peer; raises OSError or TimeoutError."""
     with anyio.fail_after(timeout):
         stream = await anyio.connect_tcp(host, port, local_host=local_host)
     raw = stream.extra(anyio.abc.SocketAttribute.raw_socket)
     apply_silence_options(raw)
-    return stream, PeerStream(stream, count)
+    return stream
