Keep units spread over entries while nobody lacks them

Cause: with the store down from the beginning, 1879 of 5514 requests of the Riga peaks were refused for want of units: between peaks all but the reserve had gone back to the ledger, where nobody can use it. Weighed: a larger reserve (reserve=1), which would hold back two thirds of a limit from a zone that has all the demand. Change: an idle entry holds an even part, and gives it at once when others report that they lack.

--- a/vanillawell/coordination/limit_keeper.py
+++ b/vanillawell/coordination/limit_keeper.py
@@ -224,7 +224,7 @@
         copy = self._copies[team]
         if copy.revision < 0 or copy.cap is not None:
             return True
-        lacking = max(self._wanted(team), self._team_limit(team).floor) > copy.usable
+        lacking = max(self._wanted(team), self._team_limit(team).even_part) > copy.usable
         return lacking and now - copy.read_at > STALE_AFTER
 
     async def _read(self, teams: list[str]) -> None:
--- a/vanillawell/state/limits.py
+++ b/vanillawell/state/limits.py
@@ -103,6 +103,11 @@
         """Return the change that is in force."""
         return self.changes[-1]
 
+    @property
+    def even_part(self) -> int:
+        """Return the units an idle entry holds while no other entry lacks them."""
+        return self.current.limit // max(1, self.entries)
+
     @property
     def floor(self) -> int:
         """Return the units an idle entry keeps, so that a cut-off zone can serve something."""
@@ -168,7 +173,9 @@
     goal = goal_units(team, demand)
     if goal > held:
         return held + min(goal - held, ledger.free)
-    return _after_giving(held, goal, team, demand)
+    if _lacking(held, team, demand) > 0:
+        return _after_giving(held, goal, team, demand)
+    return _spread(ledger, held, goal, team, demand)
 
 
 def _fair_cut(ledger: Ledger, held: int) -> int:
@@ -176,11 +183,25 @@
     return math.ceil(held * -ledger.free / ledger.granted)
 
 
+def _lacking(held: int, team: TeamLimit, demand: Demand) -> int:
+    """Return the units that others need and cannot have while `held` stay here."""
+    return demand.elsewhere - (team.current.limit - held)
+
+
 def _after_giving(held: int, goal: int, team: TeamLimit, demand: Demand) -> int:
-    """Give at once what others lack, and after some seconds what was not needed here."""
-    lacking = demand.elsewhere - (team.current.limit - held)
-    if lacking > 0:
-        idle = held - max(goal, demand.charged)
-        return held - max(0, min(idle, lacking))
-    unused = held - max(demand.recent_peak, goal)
-    return held - max(0, unused)
+    """Give at once what others lack, as far as it is not in use here."""
+    idle = held - max(goal, demand.charged)
+    return held - max(0, min(idle, _lacking(held, team, demand)))
+
+
+def _spread(ledger: Ledger, held: int, goal: int, team: TeamLimit, demand: Demand) -> int:
+    """Hold an even part while nobody lacks it, and return what is beyond after some seconds.
+
+    Units that nobody holds are of no use to anyone while the store is down or a zone is cut off.
+    """
+    wanted = max(goal, demand.recent_peak, team.even_part)
+    if held > wanted:
+        return wanted
+    affordable = team.current.limit - demand.elsewhere
+    more = min(wanted, affordable) - held
+    return held + max(0, min(more, ledger.free))
--- a/vanillawell/tests/state_tests.py
+++ b/vanillawell/tests/state_tests.py
@@ -91,6 +91,18 @@
     assert plan.holders == {"new/2": 4}
 
 
+def test_an_idle_entry_holds_an_even_part_until_others_lack_it() -> None:
+    """Units that lie in the ledger are lost to everyone when the store goes down."""
+    ledger = Ledger(limit=12, version=1, holders={"b": 4, "c": 4})
+    team = team_limit(12, entries=3)
+    idle = plan_ledger(ledger, "a", team, Demand(0, 0, 0), set())
+    assert idle is not None
+    assert idle.holders["a"] == 4
+    asked = plan_ledger(idle, "a", team, Demand(0, 0, 0, elsewhere=11), set())
+    assert asked is not None
+    assert asked.holders["a"] == 1
+
+
 def test_urgent_work_goes_ahead_of_work_that_may_wait() -> None:
     queue = FairQueue()
     queue.add(Waiting("a", urgent=False, arrived=0.0, deadline=9.0))
