--- a/vanillawell/coordination/claims.py
+++ b/vanillawell/coordination/claims.py
@@ -38,6 +38,10 @@
 CLAIMS_PER_WRITE = 60
 """Claims in one transaction; etcd allows 128 operations, and each claim takes two."""
 
+FLEET_WRITES_PER_SECOND = 100.0
+"""Transactions a second that all entries together make at most for claims, and as many again
+for conclusions; the platform's service takes several hundred writes a second."""
+
 LARGEST_KEPT_ANSWER = 16_384
 """Bytes of an answer that are kept for replay; a larger one is only known to have run."""
 
@@ -218,7 +222,16 @@
                     self._wake = anyio.Event()
                     await self._wake.wait()
                 await self.flush()
-                await anyio.sleep(self._timing.claim_interval)
+                await anyio.sleep(self._pause())
+
+    def _pause(self) -> float:
+        """Return the pause between two writes, longer in a larger fleet.
+
+        The store's rate does not grow with the fleet; what grows is the number of claims that
+        share a write.
+        """
+        entries = len(self._membership.members)
+        return max(self._timing.claim_interval, entries / FLEET_WRITES_PER_SECOND)
 
     async def _free_orphans(self) -> None:
         """Delete claims that took effect although their requests were refused as not run.
--- a/vanillawell/coordination/limit_keeper.py
+++ b/vanillawell/coordination/limit_keeper.py
@@ -44,6 +44,9 @@
 TEAMS_PER_WRITE = 40
 """Ledgers changed in one transaction; etcd allows 128 operations, and each takes three."""
 
+FLEET_SETTLEMENTS_PER_SECOND = 150.0
+"""Settlements a second that all entries together make at most, whatever the fleet's size."""
+
 LONGEST_BACKOFF = 2.0
 """Seconds between two tries at a store that is down."""
 
@@ -163,7 +166,12 @@
                 self._dirty.update(self._teams)
                 failures += 1
                 await anyio.sleep(self._backoff(failures))
-            await anyio.sleep(self._timing.ledger_interval * self._rng.uniform(0.5, 1.0))
+            await anyio.sleep(self._pause() * self._rng.uniform(0.5, 1.0))
+
+    def _pause(self) -> float:
+        """Return the pause between two settlements, longer in a larger fleet."""
+        entries = len(self._membership.members)
+        return max(self._timing.ledger_interval, entries / FLEET_SETTLEMENTS_PER_SECOND)
 
     def _backoff(self, failures: int) -> float:
         """Return a growing, scattered pause, so that a store in trouble is not pressed harder."""
--- a/vanillawell/tests/rollout_proof_tests.py
+++ b/vanillawell/tests/rollout_proof_tests.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 import threading
 import time
 from base64 import b64encode
@@ -33,6 +34,11 @@
     return int(entry.status()["teams"]["guild"]["units_held"])
 
 
+def versions_applied(entry: EntryHandle) -> list[str]:
+    """Return the versions that an entry has brought into force, in their order."""
+    return re.findall(r'"state":"version (\d+)"', entry.process.log_text)
+
+
 def versions(fleet: Fleet) -> list[int]:
     return [int(entry.status()["version"]) for entry in fleet.entries.values()]
 
@@ -104,8 +110,13 @@
         fleet.clear("cut")
         wait_until(lambda: restarted.ready, "the restarted entry is ready")
         wait_until(lambda: min(versions(fleet)) == 2, "it learns the newer one from its peers")
-        time.sleep(2.0)
+        wait_until(
+            lambda: any("older" in e.process.log_text for e in fleet.entries.values()),
+            "the older one is noticed",
+        )
         assert versions(fleet) == [2] * 6
+        others = [entry for entry in fleet.entries.values() if entry is not restarted]
+        assert all(versions_applied(entry) == ["1", "2"] for entry in others)
 
 
 def test_of_racing_operators_none_is_lost(tmp_path: Path) -> None:
