Work that may wait: jobs on the platform's workers, in troughs and by their hour

Weighed: placing by declared sizes (wrong by far) against measured use with a margin; a role of its own against the planner's. A role of its own, so that a long wave does not hold up jobs; both now share coordination/role.py. Change: jobs in one stored book, least slack first; they start below half of a pool's slots in demand and give way by checkpoint above 80 %, unless their hour nears; a start is reserved before the platform hears of it, under an id that stays the same; declared sizes are corrected by kind; a job that fails on three workers gets its final error, a worker on which three jobs failed and none succeeded is left out. vanillawell job submit, list; pool add.

--- a/vanillawell/cli.py
+++ b/vanillawell/cli.py
@@ -17,6 +17,7 @@
 key_app = typer.Typer(no_args_is_help=True, help="Grant and withdraw team keys.")
 maintenance_app = typer.Typer(no_args_is_help=True, help="Run maintenance waves.")
 pool_app = typer.Typer(no_args_is_help=True, help="Move instances between pools.")
+job_app = typer.Typer(no_args_is_help=True, help="Run work that may wait.")
 report_app = typer.Typer(no_args_is_help=True, help="Report on service levels.")
 settings_app = typer.Typer(no_args_is_help=True, help="Check daemon settings.")
 app.add_typer(config_app, name="config")
@@ -24,6 +25,7 @@
 app.add_typer(key_app, name="key")
 app.add_typer(maintenance_app, name="maintenance")
 app.add_typer(pool_app, name="pool")
+app.add_typer(job_app, name="job")
 app.add_typer(report_app, name="report")
 app.add_typer(settings_app, name="settings")
 
@@ -244,6 +246,46 @@
     show(context.obj, wait)
 
 
+@job_app.command("submit")
+def job_submit(
+    context: typer.Context,
+    team: str,
+    kind: str,
+    core_seconds: Annotated[float, typer.Option(help="Declared amount of work.")],
+    within: Annotated[float, typer.Option(help="Seconds until it must be done.")],
+    cores: Annotated[float, typer.Option(help="Declared processors.")] = 1.0,
+) -> None:
+    """Add a job. Example: job submit guild rebuild --core-seconds 7200 --within 28800."""
+    from vanillawell.commands.jobs import submit
+
+    submit(context.obj, team, kind, core_seconds, cores, within)
+
+
+@job_app.command("list")
+def job_list(context: typer.Context) -> None:
+    """Show all jobs."""
+    from vanillawell.commands.jobs import show
+
+    show(context.obj)
+
+
+@pool_app.command("add")
+def pool_add(
+    context: typer.Context,
+    instance: str,
+    pool: str,
+    address: Annotated[str, typer.Option(help="IP:PORT where it takes requests.")],
+    zone: Annotated[str, typer.Option()],
+    rack: Annotated[str, typer.Option()],
+    wait: WaitOption = False,
+) -> None:
+    """Add an instance to a pool's home list."""
+    from vanillawell.commands.config import PushOptions
+    from vanillawell.commands.nodes import add_instance
+
+    add_instance(context.obj, pool, instance, (address, zone, rack), PushOptions(wait=wait))
+
+
 @pool_app.command("move")
 def pool_move(context: typer.Context, instance: str, pool: str) -> None:
     """Drain an instance and put it in another pool. Example: pool move spare-1 pool-check."""
--- /dev/null
+++ b/vanillawell/commands/jobs.py
@@ -0,0 +1,85 @@
+"""Submit and show work that may wait."""
+
+from __future__ import annotations
+
+import time
+import uuid
+from typing import TYPE_CHECKING
+
+import anyio
+
+from vanillawell.commands.printing import print_document, print_rows
+from vanillawell.exceptions import ConflictError, SettingsError, StoreOutcomeUnknownError
+from vanillawell.protocol.store import Compare, Put, Transaction
+from vanillawell.state.jobs import Job, JobBook
+
+if TYPE_CHECKING:
+    from vanillawell.commands.context import CommandContext
+    from vanillawell.protocol.store import Store
+
+TRIES = 20
+"""Tries against a job runner that writes at the same time."""
+
+
+def submit(
+    context: CommandContext, team: str, kind: str, work: float, cores: float, within: float
+) -> None:
+    """Add a job that must be done within some seconds."""
+    if work <= 0 or cores <= 0 or within <= 0:
+        raise SettingsError("--core-seconds, --cores and --within must be above 0")
+    job_id = f"{kind}-{uuid.uuid4().hex[:8]}"
+    job = Job(job_id, team, kind, work, cores, time.time() + within)
+    anyio.run(_submit, context, job)
+    print_document({"job": job_id})
+
+
+async def _submit(context: CommandContext, job: Job) -> None:
+    async with context.connect() as store:
+        current = await context.editor(store).current()
+        if current is None or job.team not in current.tree.of_kind("team"):
+            raise SettingsError(f"no team is named {job.team!r}")
+        for _ in range(TRIES):
+            if await _try_submit(context, store, job):
+                return
+    raise ConflictError("the job runner kept changing the jobs; run again")
+
+
+async def _try_submit(context: CommandContext, store: Store, job: Job) -> bool:
+    """Make one try; a job that is already there was added by a try whose answer was lost."""
+    key = context.keys.jobs
+    found = await store.get(key)
+    book = JobBook.from_bytes(found.value) if found else JobBook()
+    if job.job_id in book.jobs:
+        return True
+    compare = Compare(key, found.mod_revision if found else 0)
+    put = Put(key, book.with_job(job).to_bytes())
+    try:
+        result = await store.transact(Transaction(compares=[compare], puts=[put]))
+    except StoreOutcomeUnknownError:
+        return False
+    return result.succeeded
+
+
+def show(context: CommandContext) -> None:
+    """Print all jobs."""
+    anyio.run(_show, context)
+
+
+async def _show(context: CommandContext) -> None:
+    async with context.connect() as store:
+        found = await store.get(context.keys.jobs)
+    book = JobBook.from_bytes(found.value) if found else JobBook()
+    rows = [
+        {
+            "job": job.job_id,
+            "team": job.team,
+            "state": job.state,
+            "worker": job.worker or "-",
+            "attempts": job.attempt,
+            "saved_core_seconds": round(job.checkpoint, 1),
+            "finish_in": round(job.finish_by - time.time()),
+            "error": job.error or "-",
+        }
+        for job in sorted(book.jobs.values(), key=lambda item: item.finish_by)
+    ]
+    print_rows(rows, context.output)
--- a/vanillawell/commands/nodes.py
+++ b/vanillawell/commands/nodes.py
@@ -12,7 +12,7 @@
 from vanillawell.commands.config import PushOptions, apply_change
 from vanillawell.commands.printing import print_document
 from vanillawell.config.loader import validate
-from vanillawell.config.tree import Key, Kind, Node, OperatorTree, ScopedSettings
+from vanillawell.config.tree import Instance, Key, Kind, Node, OperatorTree, ScopedSettings
 from vanillawell.exceptions import SettingsError
 
 if TYPE_CHECKING:
@@ -77,6 +77,25 @@
     _change_node(context, name, update, options)
 
 
+def add_instance(
+    context: CommandContext,
+    pool: str,
+    name: str,
+    place: tuple[str, str, str],
+    options: PushOptions,
+) -> None:
+    """Add an instance to a pool; `place` is its address, zone and rack."""
+    address, zone, rack = place
+    host, _, port = address.rpartition(":")
+    document = {"address": {"host": host, "port": port}, "zone": zone, "rack": rack}
+    instance = validate(document, Instance, name)
+
+    def update(node: Node) -> Node:
+        return node.model_copy(update={"instances": {**node.instances, name: instance}})
+
+    _change_node(context, pool, update, options)
+
+
 def remove(context: CommandContext, name: str, options: PushOptions) -> None:
     """Remove a node."""
 
--- a/vanillawell/coordination/dispatch.py
+++ b/vanillawell/coordination/dispatch.py
@@ -206,6 +206,13 @@
             for pool in self._pools.values():
                 self._look_after(pool, now)
 
+    def pressure(self) -> float:
+        """Return how much of its slots the most wanted pool has in demand now."""
+        now = clock.read()
+        for pool in self._pools.values():
+            pool.refresh(self._board, self._shares, now)
+        return max((pool.pressure for pool in self._pools.values()), default=0.0)
+
     def _look_after(self, pool: PoolRuntime, now: float) -> None:
         if len(pool.queue) or pool.full:
             self.pump(pool, now)
--- a/vanillawell/coordination/planner.py
+++ b/vanillawell/coordination/planner.py
@@ -15,6 +15,7 @@
 
 from vanillawell.config.settings import Address
 from vanillawell.coordination.membership import ENTRIES_PER_SECOND
+from vanillawell.coordination.role import NotHolderError, Role
 from vanillawell.exceptions import StoreError
 from vanillawell.protocol.store import Compare, Put, Transaction
 from vanillawell.state.pools import (
@@ -57,10 +58,6 @@
 """Seconds an entry may take to say what it runs on an instance."""
 
 
-class NotPlannerError(Exception):
-    """Another entry holds the role, or a write of this one was refused."""
-
-
 class Planner:
     """Plan and carry out steps while this entry holds the role."""
 
@@ -83,7 +80,7 @@
         self._follower = assignment
         self._timing = timing
         self._telemetry = telemetry
-        self._role_revision = 0
+        self._role = Role(store, keys.planner, membership)
 
     async def run(self) -> None:
         """Take the role when it is free and act while it is held, until cancelled."""
@@ -91,7 +88,7 @@
             try:
                 await self._round()
                 self._telemetry.state("planner", "active")
-            except NotPlannerError:
+            except NotHolderError:
                 self._telemetry.state("planner", "passive")
                 entries = len(self._membership.members)
                 await anyio.sleep(max(PASSIVE_PAUSE, entries / ENTRIES_PER_SECOND))
@@ -101,37 +98,21 @@
 
     async def _round(self) -> None:
         policy, tree = self._configuration.policy, self._configuration.tree
-        if policy is None or tree is None or not self._membership.lease:
-            raise NotPlannerError
-        await self._hold_role()
+        if policy is None or tree is None:
+            raise NotHolderError
+        await self._role.hold()
         await self._follower.check_store()
         listed = await self._platform.instances()
         await self._advance(policy, _view(policy, tree, listed, self._follower.assignment))
         if listed.age <= OLDEST_LIST:
             await self._begin(policy, tree, listed)
 
-    async def _hold_role(self) -> None:
-        """Take the role if nobody has it; raises NotPlannerError if somebody else does."""
-        found = await self._store.get(self._keys.planner)
-        me = self._membership.me.holder.encode()
-        if found is not None and found.value == me:
-            self._role_revision = found.mod_revision
-            return
-        if found is not None:
-            raise NotPlannerError
-        put = Put(self._keys.planner, me, self._membership.lease)
-        compare = Compare(self._keys.planner, 0)
-        result = await self._store.transact(Transaction(compares=[compare], puts=[put]))
-        if not result.succeeded:
-            raise NotPlannerError
-        self._role_revision = result.revision
-
     async def _write(self, assignment: Assignment) -> None:
-        """Write the next assignment; raises NotPlannerError if anything changed meanwhile."""
+        """Write the next assignment; raises NotHolderError if anything changed meanwhile."""
         document = assignment.to_bytes()
         transaction = Transaction(
             compares=[
-                Compare(self._keys.planner, self._role_revision),
+                self._role.guard,
                 Compare(self._keys.assignment, self._follower.revision),
             ],
             puts=[Put(self._keys.assignment, document)],
@@ -142,7 +123,7 @@
         if self._keys.assignment in result.values:
             self._follower.take(result.values[self._keys.assignment])
         if not result.succeeded:
-            raise NotPlannerError
+            raise NotHolderError
 
     async def _begin(self, policy: Policy, tree: OperatorTree, listed: InstanceList) -> None:
         """Reserve steps, each checked against the assignment that its write requires."""
--- a/vanillawell/coordination/pool_runtime.py
+++ b/vanillawell/coordination/pool_runtime.py
@@ -51,6 +51,7 @@
         self._targets: Mapping[str, float] = {}
         self._others_used: Counter[str] = Counter()
         self._full = False
+        self._pressure = 0.0
         self._exceeded_at = 0.0
         self._most_running = 1
 
@@ -59,6 +60,11 @@
         """Tell whether the fleet wants more of this pool than it holds."""
         return self._full
 
+    @property
+    def pressure(self) -> float:
+        """Return the fleet's demand as a part of the pool's slots."""
+        return self._pressure
+
     def configure(self, policy: PoolPolicy, entries: tuple[str, ...]) -> None:
         """Take over a policy and the fleet's entries; links that leave finish what they run."""
         self.policy = policy
@@ -106,7 +112,9 @@
         names = tuple(name for name in self.links if not self.health.of(name).ejected(now))
         total = len(names) * self.policy.slots
         self._others_used = board.slots_used(self.policy.name)
-        self._full = sum(demand.by_team().values()) > total
+        wanted = sum(demand.by_team().values())
+        self._full = wanted > total
+        self._pressure = wanted / total if total else 0.0
         targets = source_targets(total, demand, shares)
         self._targets = targets.get(self._source, {})
         sums = {source: sum(row.values()) for source, row in targets.items()}
--- a/vanillawell/entry.py
+++ b/vanillawell/entry.py
@@ -15,6 +15,7 @@
 from vanillawell.coordination.claims import ClaimDesk
 from vanillawell.coordination.configuration import ConfigurationFollower
 from vanillawell.coordination.dispatch import Dispatcher
+from vanillawell.coordination.job_runner import JobRunner
 from vanillawell.coordination.limit_keeper import LimitKeeper
 from vanillawell.coordination.membership import Membership
 from vanillawell.coordination.peers import PeerAddress, Peers
@@ -133,6 +134,7 @@
             self._configuration, self._dispatcher, self._claims, self._telemetry, burn, me.holder
         )
         self._planner: Planner | None = None
+        self._job_runner: JobRunner | None = None
         if platform:
             self._planner = Planner(
                 store,
@@ -144,6 +146,9 @@
                 timing,
                 self._telemetry,
             )
+            self._job_runner = JobRunner(
+                store, keys, platform, self._membership, self._dispatcher.pressure, self._telemetry
+            )
         self._admin_app = AdminApp(
             self._membership,
             self._configuration,
@@ -246,8 +251,9 @@
             self._serve_peers,
         ):
             self._tasks.start_soon(task)
-        if self._planner:
+        if self._planner and self._job_runner:
             self._tasks.start_soon(self._planner.run)
+            self._tasks.start_soon(self._job_runner.run)
         self._tasks.start_soon(self._serve, self._admin_server, self._listeners.admin)
         caller_done = anyio.Event()
         self._tasks.start_soon(self._serve_callers, caller_done)
--- a/vanillawell/protocol/documents.py
+++ b/vanillawell/protocol/documents.py
@@ -47,6 +47,16 @@
         """Key of the planner's role, under its holder's lease."""
         return f"{self.prefix}/role/planner"
 
+    @property
+    def jobs(self) -> str:
+        """Key of all work that may wait."""
+        return f"{self.prefix}/jobs"
+
+    @property
+    def job_runner(self) -> str:
+        """Key of the job runner's role, under its holder's lease."""
+        return f"{self.prefix}/role/job-runner"
+
     def presence(self, instance: str) -> str:
         """Key of one entry's presence, under its lease."""
         return f"{self.prefix}/presence/{instance}"
--- a/vanillawell/standins/fleet.py
+++ b/vanillawell/standins/fleet.py
@@ -300,6 +300,14 @@
         entry.process.kill()
         call(LOOPBACK, self._store_port, "/control/gone", {"instances": [entry.name]})
 
+    def set_up_workers(self, **fields: object) -> None:
+        """Tell the platform which workers it has, and which jobs cannot run."""
+        call(LOOPBACK, self._store_port, "/control/workers", fields)
+
+    def finished_jobs(self) -> Any:
+        """Return the jobs that workers have done, and how many tasks were stopped."""
+        return call(LOOPBACK, self._store_port, "/control/finished")
+
     def margins(self) -> Any:
         """Return the platform's true record of available instances."""
         return call(LOOPBACK, self._store_port, "/control/margins")
--- a/vanillawell/standins/platform.py
+++ b/vanillawell/standins/platform.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import Annotated
+from typing import Annotated, Any
 
 import anyio
 import orjson
@@ -18,6 +18,7 @@
     StoreDownError,
     key_text,
 )
+from vanillawell.standins.workers import Workers
 from vanillawell.transport.asgi import (
     Receive,
     Scope,
@@ -39,6 +40,7 @@
     def __init__(self) -> None:
         self._store = MemoryStore()
         self._machines = Machines()
+        self._workers = Workers()
         self._store.on_put = self._machines.note_put
 
     @property
@@ -104,9 +106,11 @@
         async for frame in take:
             await send({"type": "http.response.body", "body": frame, "more_body": True})
 
-    async def _platform(self, path: str, request: dict[str, str], send: Send) -> None:
+    async def _platform(self, path: str, request: dict[str, Any], send: Send) -> None:
         now = anyio.current_time()
-        if path == "/platform/instances":
+        if path.startswith(("/platform/workers", "/platform/tasks")):
+            await send_json(send, self._workers.call(path, request, now))
+        elif path == "/platform/instances":
             await send_json(send, self._machines.listed(now))
         elif path.startswith("/platform/instances/"):
             await send_json(send, self._machines.state_of(path.rpartition("/")[2]))
@@ -126,6 +130,12 @@
             case "/control/fail":
                 self._machines.fail(request["instances"], request["seconds"], anyio.current_time())
                 await send_json(send, {"ok": True})
+            case "/control/workers":
+                self._workers.set_up(request)
+                await send_json(send, {"ok": True})
+            case "/control/finished":
+                finished, stops = self._workers.finished, self._workers.stops
+                await send_json(send, {"finished": finished, "stops": stops})
             case "/control/gone":
                 self._machines.end_for_good(request["instances"])
                 await send_json(send, {"ok": True})
--- a/vanillawell/standins/proxy.py
+++ b/vanillawell/standins/proxy.py
@@ -36,6 +36,9 @@
 DELAYED_CHUNKS = 1_000
 """Chunks that may be under way in one direction of a delayed connection."""
 
+SILENCE_POLL = 0.2
+"""Seconds between two looks at whether a silent connection's fault was cleared."""
+
 ENDED = (
     anyio.EndOfStream,
     anyio.BrokenResourceError,
@@ -214,6 +217,7 @@
             try:
                 data = await source.receive(CHUNK)
             except ENDED:
+                await self._while_silent()
                 return
             if self._silent():
                 continue
@@ -226,6 +230,11 @@
             else:
                 await sink.send(data)
 
+    async def _while_silent(self) -> None:
+        """Keep the end of a silent connection to oneself; whoever lost track tells nobody."""
+        while self._silent():
+            await anyio.sleep(SILENCE_POLL)
+
     async def _deliver(
         self, take: MemoryObjectReceiveStream[tuple[float, bytes]], sink: SocketStream
     ) -> None:
--- /dev/null
+++ b/vanillawell/tests/jobs_tests.py
@@ -0,0 +1,159 @@
+"""Check when and where work that may wait runs."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from typing import TYPE_CHECKING, Any
+
+from vanillawell.standins.processes import wait_until
+from vanillawell.state.jobs import (
+    Job,
+    JobBook,
+    JobState,
+    TaskReport,
+    TaskState,
+    Worker,
+    conclude,
+    jobs_to_start,
+    jobs_to_stop,
+)
+from vanillawell.tests.builders import QUICK_TIMING
+from vanillawell.tests.caller import Call
+from vanillawell.tests.fleet_base import SteadyCallers, during_load, running_fleet
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+    from vanillawell.standins.fleet import EntryHandle, Fleet
+
+
+def job(name: str, finish_by: float = 1000.0, **changes: Any) -> Job:
+    return replace(Job(name, "guild", "rebuild", 10.0, 1.0, finish_by), **changes)
+
+
+def book(*jobs: Job, **changes: Any) -> JobBook:
+    return replace(JobBook(1, {item.job_id: item for item in jobs}), **changes)
+
+
+def workers(count: int = 2, cores: float = 2.0, used: float = 0.0) -> list[Worker]:
+    return [Worker(f"w{number}", cores, used, True) for number in range(count)]
+
+
+def test_the_job_with_least_slack_starts_first() -> None:
+    started = jobs_to_start(book(job("late", 500), job("soon", 60)), workers(1, 1.2), 0.0, 0.0)
+    assert [item.job_id for item, _ in started] == ["soon"]
+
+
+def test_jobs_give_way_to_urgent_work_unless_their_hour_nears() -> None:
+    """A peak begins while a job runs that has hours left and one that has none."""
+    free = job("free", 1000, state=JobState.RUNNING, worker="w0")
+    pressed = job("pressed", 12, state=JobState.RUNNING, worker="w1")
+    assert [item.job_id for item in jobs_to_stop(book(free, pressed), 0.9, 0.0)] == ["free"]
+    waiting = book(job("free"), job("pressed", 12))
+    assert [item.job_id for item, _ in jobs_to_start(waiting, workers(), 0.9, 0.0)] == ["pressed"]
+
+
+def test_a_declaration_that_was_wrong_is_not_trusted_again() -> None:
+    running = job("a", state=JobState.RUNNING, worker="w0")
+    report = TaskReport(TaskState.RUNNING, 1.0, 0.0, 8.0)
+    learned = conclude(book(running), running, report)
+    assert learned.expected_cores(job("b")) > 4.0
+    assert jobs_to_start(replace(learned, jobs={"b": job("b")}), workers(), 0.0, 0.0) == []
+
+
+def test_a_job_that_fails_everywhere_gets_its_final_error() -> None:
+    book_now, current = book(job("bad")), job("bad")
+    for number in range(3):
+        current = replace(current, state=JobState.RUNNING, worker=f"w{number}")
+        book_now = conclude(book_now, current, TaskReport(TaskState.FAILED, 0, 0, 0))
+        current = book_now.jobs["bad"]
+    assert current.state is JobState.FAILED
+    assert "w0, w1, w2" in current.error
+
+
+def test_a_worker_that_fails_everything_is_left_out() -> None:
+    failed = [job(f"j{number}", failed_on=("w0",)) for number in range(3)]
+    assert book(*failed).left_out() == {"w0"}
+    assert book(*failed, succeeded_on={"w0": 1}).left_out() == set()
+    assert all(worker == "w1" for _, worker in jobs_to_start(book(*failed), workers(), 0.0, 0.0))
+
+
+def test_a_lost_task_goes_on_from_its_checkpoint() -> None:
+    running = job("a", state=JobState.RUNNING, worker="w0", attempt=1)
+    after = conclude(book(running), running, TaskReport(TaskState.LOST, 6.0, 5.0, 1.0))
+    assert after.jobs["a"].state is JobState.WAITING
+    assert after.jobs["a"].checkpoint == 5.0
+
+
+def test_a_book_survives_the_store() -> None:
+    one = book(job("a", failed_on=("w0",)), size_ratio={"rebuild": 2.0}, succeeded_on={"w1": 3})
+    assert JobBook.from_bytes(one.to_bytes()) == one
+
+
+def states(fleet: Fleet) -> dict[str, str]:
+    return {row["job"]: row["state"] for row in fleet.cli("job", "list")}
+
+
+def running_well(fleet: Fleet) -> int:
+    """Count the jobs that run on workers which do not fail everything."""
+    rows = fleet.cli("job", "list")
+    return sum(row["state"] == "running" and row["worker"].startswith("good") for row in rows)
+
+
+def job_runner(fleet: Fleet) -> EntryHandle:
+    """Return the entry that starts jobs."""
+
+    def active(entry: EntryHandle) -> bool:
+        lines = [line for line in entry.process.log_text.splitlines() if '"job runner"' in line]
+        return bool(lines) and '"active"' in lines[-1] and entry.process.running
+
+    wait_until(lambda: any(active(entry) for entry in fleet.entries.values()), "one runs jobs")
+    return next(entry for entry in fleet.entries.values() if active(entry))
+
+
+def test_each_job_is_done_once_through_a_peak_and_a_killed_runner(tmp_path: Path) -> None:
+    """Jobs run, a peak of urgent work begins, and the entry that starts jobs is killed.
+
+    The jobs must give way, go on from their checkpoints afterwards, and each be done once; the
+    one that can never run gets its final error, and the worker that fails everything no more.
+    """
+    workers_document = {
+        "good-1": {"cores": 4},
+        "good-2": {"cores": 4},
+        "good-3": {"cores": 4},
+        "bad-1": {"cores": 8, "fails_all": True},
+    }
+    with running_fleet(
+        tmp_path,
+        zones=2,
+        teams={"guild": {"limit": 100}},
+        executors_per_service=2,
+        timing=QUICK_TIMING,
+    ) as fleet:
+        kinds = [f"kind{number}" for number in range(4)]
+        jobs = {
+            kind: fleet.cli(
+                "job", "submit", "guild", kind, "--core-seconds", "6", "--within", "120"
+            )["job"]
+            for kind in (*kinds, "broken")
+        }
+        fleet.set_up_workers(workers=workers_document, broken_jobs=[jobs["broken"]])
+        wait_until(lambda: running_well(fleet) >= 3, "jobs run")
+        callers = SteadyCallers(
+            list(fleet.entries.values()),
+            lambda n: Call(mark=f"m{n}", run_seconds=0.2, timeout=5.0),
+            open_requests=30,
+        )
+
+        def peak() -> None:
+            wait_until(lambda: fleet.finished_jobs()["stops"] > 0, "jobs give way")
+            killed = job_runner(fleet)
+            callers.leave(killed)
+            killed.process.kill()
+
+        during_load(callers, peak)
+        ended = {"done", "failed"}
+        wait_until(lambda: set(states(fleet).values()) <= ended, "all jobs end", bound=60.0)
+        good = sorted(jobs[kind] for kind in kinds)
+        assert sorted(fleet.finished_jobs()["finished"]) == good
+        assert states(fleet)[jobs["broken"]] == "failed"
--- a/vanillawell/tests/planner_tests.py
+++ b/vanillawell/tests/planner_tests.py
@@ -8,7 +8,8 @@
 import pytest
 
 from vanillawell.coordination.assignment import AssignmentFollower
-from vanillawell.coordination.planner import NotPlannerError, Planner
+from vanillawell.coordination.planner import Planner
+from vanillawell.coordination.role import NotHolderError
 from vanillawell.protocol.documents import StoreKeys
 from vanillawell.state.pools import Assignment, Phase, Placement
 from vanillawell.telemetry import Telemetry
@@ -53,12 +54,12 @@
     second, second_follower = planner_of(store, "entry-2")
 
     async def play() -> None:
-        await first._hold_role()
+        await first._role.hold()
         await first_follower.check_store()
         store.delete(KEYS.planner)
-        await second._hold_role()
+        await second._role.hold()
         await second_follower.check_store()
-        with pytest.raises(NotPlannerError):
+        with pytest.raises(NotHolderError):
             await first._write(assignment(1, "a1"))
         await second._write(assignment(1, "a2"))
 
@@ -72,10 +73,10 @@
     planner, follower = planner_of(store, "entry-1")
 
     async def play() -> None:
-        await planner._hold_role()
+        await planner._role.hold()
         await follower.check_store()
         store.put(KEYS.assignment, assignment(1, "b1").to_bytes())
-        with pytest.raises(NotPlannerError):
+        with pytest.raises(NotHolderError):
             await planner._write(assignment(1, "a1"))
 
     anyio.run(play)
@@ -88,8 +89,8 @@
     second, _ = planner_of(store, "entry-2")
 
     async def play() -> None:
-        await first._hold_role()
-        with pytest.raises(NotPlannerError):
-            await second._hold_role()
+        await first._role.hold()
+        with pytest.raises(NotHolderError):
+            await second._role.hold()
 
     anyio.run(play)
--- a/vanillawell/tests/rollout_proof_tests.py
+++ b/vanillawell/tests/rollout_proof_tests.py
@@ -120,11 +120,12 @@
 
 
 def test_of_racing_operators_none_is_lost(tmp_path: Path) -> None:
-    """Several operators change settings at the same moment.
+    """Several operators change settings at the same moment, and the store is slow.
 
     Each either wins or is told what the other changed; nobody's accepted change disappears.
     """
     with running_fleet(tmp_path) as fleet:
+        fleet.store_faults(delay=0.4)
         results: dict[int, Any] = {}
 
         def change(number: int) -> None:
--- a/vanillawell/transport/platform.py
+++ b/vanillawell/transport/platform.py
@@ -9,10 +9,12 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 
+from vanillawell.state.jobs import TaskReport, TaskState, Worker
 from vanillawell.transport.http_client import JsonClient, NoAnswerError, NotSentError
 
 if TYPE_CHECKING:
     from vanillawell.config.settings import Address
+    from vanillawell.state.jobs import Job
 
 CALL_TIMEOUT = 2.0
 """Seconds that one call may take."""
@@ -48,6 +50,41 @@
         answer = await self._call(f"/platform/instances/{instance}", None)
         return bool(answer["state"] == "gone")
 
+    async def workers(self) -> list[Worker]:
+        """Read the lagging report on workers."""
+        answer = await self._call("/platform/workers", None)
+        return [
+            Worker(name, float(item["cores"]), float(item["used"]), bool(item["live"]))
+            for name, item in answer["workers"].items()
+        ]
+
+    async def start_task(self, job: Job, cores: float, ttl: float) -> None:
+        """Start a job's present attempt under a lease; the same id never starts a second one."""
+        document = {
+            "id": job.task_id,
+            "job": job.job_id,
+            "worker": job.worker,
+            "work": job.core_seconds,
+            "cores": cores,
+            "checkpoint": job.checkpoint,
+            "ttl": ttl,
+        }
+        await self._call("/platform/tasks/start", document)
+
+    async def stop_task(self, task_id: str) -> None:
+        """Let a task make a checkpoint and end."""
+        await self._call("/platform/tasks/stop", {"id": task_id})
+
+    async def tasks(self, ids: list[str], ttl: float) -> dict[str, TaskReport]:
+        """Report tasks and renew their leases; tasks the platform never heard of are missing."""
+        answer = await self._call("/platform/tasks", {"ids": ids, "ttl": ttl})
+        return {
+            key: TaskReport(
+                TaskState(item["state"]), item["done"], item["checkpoint"], item["used_cores"]
+            )
+            for key, item in answer["tasks"].items()
+        }
+
     async def reboot(self, operation: str, instance: str) -> bool:
         """Ask for a reboot, or for how it went; True once it is done.
 
