Measure shares while load is sent, not while queues run dry

Cause: bank-e and bank-f were refused nothing and yet showed 0.12 of the slots where 0.15 is due: the slots used while the other teams' queues ran dry after the load counted, too. Change: slots are read when sending ends.

--- a/vanillawell/standins/measure/runs.py
+++ b/vanillawell/standins/measure/runs.py
@@ -43,6 +43,28 @@
     return anyio.run(generator.run, streams, seconds, backend_options={"use_uvloop": True})
 
 
+def load_window(
+    fleet: Fleet, streams: Sequence[Stream], seconds: float, seed: int
+) -> tuple[LoadResult, dict[str, float]]:
+    """Send streams, and read the slots used when sending ends, before queues run dry."""
+    generator = LoadGenerator(targets_of(fleet), seed, fleet.deployment.client_delay_ms / 1000)
+    used: dict[str, float] = {}
+    results: list[LoadResult] = []
+
+    async def send() -> None:
+        results.append(await generator.run(streams, seconds))
+
+    async def both() -> None:
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(send)
+            await anyio.sleep(seconds)
+            counts = await anyio.to_thread.run_sync(fleet.backend_counts)
+            used.update(counts["slot_seconds"])
+
+    anyio.run(both, backend_options={"use_uvloop": True})
+    return results[0], used
+
+
 def summary(result: LoadResult) -> dict[str, Any]:
     """Return what callers saw, as plain data."""
     total = result.total()
@@ -84,8 +106,7 @@
             ]
             load(fleet, streams, 3.0, seed)
             fleet.reset_backend()
-            result = load(fleet, streams, 8.0, seed + 1)
-            used = fleet.backend_counts()["slot_seconds"]
+            result, used = load_window(fleet, streams, 8.0, seed + 1)
         total = sum(used.values())
         offered = {name: rate * team.weight / weights * 0.1 for name, team in teams.items()}
         due = fair_slots(slots, offered, {name: team.share for name, team in teams.items()})
@@ -103,7 +124,7 @@
                 }
                 for name in teams
             },
-            "slots_used": round(total / result.seconds / slots, 3),
+            "slots_used": round(total / 8.0 / slots, 3),
             **summary(result),
         }
 
