--- a/vanillawell/entry.py
+++ b/vanillawell/entry.py
@@ -285,6 +285,7 @@
         self._admin_app.stop()
         self._caller_app.close_connections()
         await anyio.sleep(self._settings.timing.stop_notice)
+        self._caller_app.refuse_new()
         self._caller_server.should_exit = True
         await caller_done.wait()
         while self._dispatcher.unfinished or self._claims.unfinished:
--- a/vanillawell/protocol/documents.py
+++ b/vanillawell/protocol/documents.py
@@ -70,11 +70,6 @@
         """Key of one team's limit ledger."""
         return f"{self.prefix}/ledger/{team}"
 
-    @property
-    def all_ledgers(self) -> str:
-        """Prefix of all ledgers."""
-        return f"{self.prefix}/ledger/"
-
     def claim(self, team: str, idempotency_key: str) -> str:
         """Key of the claim on one request."""
         return f"{self.prefix}/claim/{team}/{idempotency_key}"
--- a/vanillawell/protocol/refusals.py
+++ b/vanillawell/protocol/refusals.py
@@ -29,7 +29,6 @@
     STORE_DOWN = ("store-unavailable", 503, "The idempotency record cannot be written now")
     DEADLINE = ("deadline-exceeded", 504, "The deadline passed")
     BACKEND_FAILED = ("backend-failed", 502, "The backend server gave no whole answer")
-    CANNOT_RUN = ("cannot-run", 422, "The request failed on several backend servers")
     IN_PROGRESS = ("in-progress", 409, "A request with this Idempotency-Key is running")
     KEY_REUSED = ("idempotency-key-reused", 422, "This Idempotency-Key came with another request")
     KEY_EXPIRED = ("idempotency-key-expired", 409, "This Idempotency-Key is too old to be known")
--- a/vanillawell/standins/store.py
+++ b/vanillawell/standins/store.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import itertools
-from base64 import b64decode, b64encode
+from base64 import b64decode
 from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -264,8 +264,3 @@
 def key_text(encoded: str) -> str:
     """Decode a key for people to read."""
     return b64decode(encoded).decode()
-
-
-def encode_key(text: str) -> str:
-    """Encode a key as the gateway does."""
-    return b64encode(text.encode()).decode()
--- a/vanillawell/telemetry.py
+++ b/vanillawell/telemetry.py
@@ -55,9 +55,6 @@
             "vanillawell_configuration_age_seconds",
             "Seconds since the configuration was last confirmed as the newest one.",
         )
-        self.running = self._gauge(
-            "vanillawell_running", "Units of a team's limit in use here, by team."
-        )
         self.held = self._gauge(
             "vanillawell_units_held", "Units of a team's limit held by this entry, by team."
         )
