Forget reports of peers that are gone also when no peer is left

Its board still showed the dead entry's demand: old reports were dropped only while a heartbeat was built, and with no peer left none is built. The same would have left the dead entry its slots and units. Ruled out: the role (the other entry held it), the workers (idle). Change: the dispatcher drops old reports at every look. The loop of roles, which stood twice, moved to coordination/role.py; a measurement of urgent requests beside deferrable ones.

--- a/vanillawell/coordination/dispatch.py
+++ b/vanillawell/coordination/dispatch.py
@@ -201,6 +201,9 @@
         while True:
             await anyio.sleep(TICK if self.unfinished else IDLE_TICK)
             now = clock.read()
+            # An entry that reaches no peer any more hears nothing, and nothing else would tell it
+            # that their demand is gone: it would leave them slots and units for ever.
+            self._board.expire(now)
             for team in self._charges.release_due(now):
                 self._limits.note_demand(team)
             for pool in self._pools.values():
--- a/vanillawell/coordination/job_runner.py
+++ b/vanillawell/coordination/job_runner.py
@@ -11,11 +11,7 @@
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
-import anyio
-
-from vanillawell.coordination.membership import ENTRIES_PER_SECOND
-from vanillawell.coordination.role import NotHolderError, Role
-from vanillawell.exceptions import StoreError
+from vanillawell.coordination.role import NotHolderError, Role, act_while_held
 from vanillawell.protocol.store import Compare, Put, Transaction
 from vanillawell.state.jobs import (
     Job,
@@ -27,7 +23,6 @@
     jobs_to_start,
     jobs_to_stop,
 )
-from vanillawell.transport.platform import PlatformUnavailableError
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -38,12 +33,6 @@
     from vanillawell.telemetry import Telemetry
     from vanillawell.transport.platform import PlatformClient
 
-PAUSE = 0.5
-"""Seconds between two rounds."""
-
-PASSIVE_PAUSE = 2.0
-"""Seconds after which an entry without the role looks again whether it is free."""
-
 TASK_TTL = 15.0
 """Seconds that a task outlives its last renewal; longer than another entry takes to take over."""
 
@@ -72,17 +61,7 @@
 
     async def run(self) -> None:
         """Take the role when it is free and act while it is held, until cancelled."""
-        while True:
-            try:
-                await self._round()
-                self._telemetry.state("job runner", "active")
-            except NotHolderError:
-                self._telemetry.state("job runner", "passive")
-                entries = len(self._membership.members)
-                await anyio.sleep(max(PASSIVE_PAUSE, entries / ENTRIES_PER_SECOND))
-            except (StoreError, PlatformUnavailableError) as error:
-                self._telemetry.state("job runner", f"waiting: {error}", logging.WARNING)
-            await anyio.sleep(PAUSE)
+        await act_while_held("job runner", self._round, self._membership, self._telemetry)
 
     async def _round(self) -> None:
         await self._role.hold()
--- a/vanillawell/coordination/peers.py
+++ b/vanillawell/coordination/peers.py
@@ -252,7 +252,6 @@
         return self._board.receive(report.source, report.entries, report.sequence, report.rows, now)
 
     def _beat(self, now: float, same_zone: bool) -> Beat:
-        self._board.expire(now)
         reports = self._reports_for_mates(now) if same_zone else [self._zone_sum(now)]
         return Beat(
             sender=self._membership.me,
--- a/vanillawell/coordination/planner.py
+++ b/vanillawell/coordination/planner.py
@@ -14,9 +14,7 @@
 import anyio
 
 from vanillawell.config.settings import Address
-from vanillawell.coordination.membership import ENTRIES_PER_SECOND
-from vanillawell.coordination.role import NotHolderError, Role
-from vanillawell.exceptions import StoreError
+from vanillawell.coordination.role import NotHolderError, Role, act_while_held
 from vanillawell.protocol.store import Compare, Put, Transaction
 from vanillawell.state.pools import (
     Assignment,
@@ -29,7 +27,7 @@
     next_steps,
 )
 from vanillawell.transport.http_client import JsonClient, NoAnswerError, NotSentError
-from vanillawell.transport.platform import PlatformClient, PlatformUnavailableError
+from vanillawell.transport.platform import PlatformClient
 
 if TYPE_CHECKING:
     from vanillawell.config.settings import TimingSettings
@@ -45,12 +43,6 @@
 
 log = logging.getLogger(__name__)
 
-PAUSE = 0.5
-"""Seconds between two rounds of the planner."""
-
-PASSIVE_PAUSE = 2.0
-"""Seconds after which an entry without the role looks again whether it is free."""
-
 OLDEST_LIST = 60.0
 """Seconds by which the platform's list may lag before no new step is begun."""
 
@@ -84,17 +76,7 @@
 
     async def run(self) -> None:
         """Take the role when it is free and act while it is held, until cancelled."""
-        while True:
-            try:
-                await self._round()
-                self._telemetry.state("planner", "active")
-            except NotHolderError:
-                self._telemetry.state("planner", "passive")
-                entries = len(self._membership.members)
-                await anyio.sleep(max(PASSIVE_PAUSE, entries / ENTRIES_PER_SECOND))
-            except (StoreError, PlatformUnavailableError) as error:
-                self._telemetry.state("planner", f"waiting: {error}", logging.WARNING)
-            await anyio.sleep(PAUSE)
+        await act_while_held("planner", self._round, self._membership, self._telemetry)
 
     async def _round(self) -> None:
         policy, tree = self._configuration.policy, self._configuration.tree
--- a/vanillawell/coordination/role.py
+++ b/vanillawell/coordination/role.py
@@ -2,13 +2,28 @@
 
 from __future__ import annotations
 
+import logging
 from typing import TYPE_CHECKING
 
+import anyio
+
+from vanillawell.coordination.membership import ENTRIES_PER_SECOND
+from vanillawell.exceptions import StoreError
 from vanillawell.protocol.store import Compare, Put, Transaction
+from vanillawell.transport.platform import PlatformUnavailableError
 
 if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
     from vanillawell.coordination.membership import Membership
     from vanillawell.protocol.store import Store
+    from vanillawell.telemetry import Telemetry
+
+PAUSE = 0.5
+"""Seconds between two rounds of an entry that holds a role."""
+
+PASSIVE_PAUSE = 2.0
+"""Seconds after which an entry without the role looks again whether it is free."""
 
 
 class NotHolderError(Exception):
@@ -52,3 +67,24 @@
         if not result.succeeded:
             raise NotHolderError
         self._revision = result.revision
+
+
+async def act_while_held(
+    name: str, act: Callable[[], Awaitable[None]], membership: Membership, telemetry: Telemetry
+) -> None:
+    """Call `act` again and again until cancelled; it takes the role first, if that is free.
+
+    Entries without the role look less often in a larger fleet, so that the store's load from
+    looking stays the same.
+    """
+    while True:
+        try:
+            await act()
+            telemetry.state(name, "active")
+        except NotHolderError:
+            telemetry.state(name, "passive")
+            entries = len(membership.members)
+            await anyio.sleep(max(PASSIVE_PAUSE, entries / ENTRIES_PER_SECOND))
+        except (StoreError, PlatformUnavailableError) as error:
+            telemetry.state(name, f"waiting: {error}", logging.WARNING)
+        await anyio.sleep(PAUSE)
--- a/vanillawell/standins/load.py
+++ b/vanillawell/standins/load.py
@@ -45,6 +45,9 @@
     zone: int = 0
     """Zone whose entries it reaches; 0 for all."""
 
+    urgency: int = 3
+    """Urgency by RFC 9218; 4 and above may wait behind all others."""
+
 
 @dataclass(slots=True)
 class Tally:
@@ -157,6 +160,7 @@
         headers = [
             ("authorization", f"Bearer {team_key(stream.team)}"),
             ("request-timeout", str(stream.timeout)),
+            ("priority", f"u={stream.urgency}"),
         ]
         await anyio.sleep(self._client_delay)
         pool = self._take_connection(target)
--- a/vanillawell/standins/measure/__main__.py
+++ b/vanillawell/standins/measure/__main__.py
@@ -25,6 +25,7 @@
     OVERHEAD = "overhead"
     SHARES = "shares"
     ONE_ZONE = "one-zone"
+    URGENT = "urgent"
     PEAK = "peak"
     ROLLOUT = "rollout"
     CONTROL = "control"
@@ -62,6 +63,7 @@
         Measurement.OVERHEAD: runs.measure_overhead,
         Measurement.SHARES: runs.measure_shares,
         Measurement.ONE_ZONE: runs.measure_one_zone,
+        Measurement.URGENT: runs.measure_urgent,
         Measurement.ROLLOUT: runs.measure_rollout,
         Measurement.CONTROL: runs.measure_control,
         Measurement.MAINTENANCE: runs.measure_maintenance,
--- a/vanillawell/standins/measure/runs.py
+++ b/vanillawell/standins/measure/runs.py
@@ -131,6 +131,25 @@
     return {"product": run({}), "baseline": run(BASELINE)}
 
 
+def measure_urgent(deployment: Deployment, seed: int) -> dict[str, Any]:
+    """Measure how soon urgent requests are answered while deferrable ones flood the pool."""
+    service = next(iter(deployment.services))
+    slots = deployment.executors_per_service * deployment.slots
+    changes = {
+        "teams": {"urgent": {"limit": 100}, "nightly": {"limit": 500}},
+        "services": {service: {"mean_seconds": 0.1}},
+    }
+    with fleet_of(deployment, **changes) as fleet:
+        streams = [
+            Stream("nightly", service, steady(3 * slots / 0.1), timeout=3.0, urgency=6),
+            Stream("urgent", service, steady(0.2 * slots / 0.1), timeout=3.0),
+        ]
+        load(fleet, streams, 2.0, seed)
+        result = load(fleet, streams, 8.0, seed + 1)
+    tallies = result.tallies.items()
+    return {name: summary(LoadResult(result.seconds, {name: tally})) for name, tally in tallies}
+
+
 def measure_one_zone(deployment: Deployment, seed: int) -> dict[str, Any]:
     """Measure how much of a team's limit is used when all its demand is in one zone."""
     service = next(iter(deployment.services))
