Leave no entry without units by rounding while others keep two

With a limit of eight, six entries and twelve requests open, four entries could hold two units each; each one's part, 1.33, was rounded up to two, so nobody gave and two entries held none. Ruled out: the stop itself (the requests were at running entries, not cut). Change: an entry gives down to its part rounded down, at least one, and takes up to it rounded up.

--- a/vanillawell/coordination/limit_keeper.py
+++ b/vanillawell/coordination/limit_keeper.py
@@ -21,7 +21,7 @@
     Demand,
     Ledger,
     TeamLimit,
-    goal_units,
+    least_units,
     plan_ledger,
     usable_units,
 )
@@ -346,8 +346,8 @@
         copy = self._copies[team]
         limit = self._team_limit(team)
         held = self.held(team)
-        goal = goal_units(limit, demand)
+        least = least_units(limit, demand)
         contended = demand.wanted + demand.elsewhere > limit.current.limit
         step = max(1, int(held * SOFT_STEP))
-        copy.soft = max(goal, held - step) if contended and self._reachable else None
+        copy.soft = max(least, held - step) if contended and self._reachable else None
         self._recompute(team)
--- a/vanillawell/state/limits.py
+++ b/vanillawell/state/limits.py
@@ -167,6 +167,20 @@
     return max(wanted, min(team.floor, limit))
 
 
+def least_units(team: TeamLimit, demand: Demand) -> int:
+    """Return the units below which this entry gives nothing to entries that lack some.
+
+    Rounded down, where `goal_units` rounds up: with both rounded up, four entries could keep all
+    of a limit of eight, two each, while two more wait with none until their deadlines.
+    """
+    wanted = demand.wanted
+    total = wanted + demand.elsewhere
+    limit = team.current.limit
+    if total > limit and wanted:
+        wanted = max(1, limit * wanted // total)
+    return max(wanted, min(team.floor, limit))
+
+
 def _target(ledger: Ledger, held: int, team: TeamLimit, demand: Demand) -> int:
     if ledger.free < 0:
         return max(held - _fair_cut(ledger, held), min(held, demand.charged))
@@ -174,7 +188,7 @@
     if goal > held:
         return held + min(goal - held, ledger.free)
     if _lacking(held, team, demand) > 0:
-        return _after_giving(held, goal, team, demand)
+        return _after_giving(held, team, demand)
     return _spread(ledger, held, goal, team, demand)
 
 
@@ -188,9 +202,9 @@
     return demand.elsewhere - (team.current.limit - held)
 
 
-def _after_giving(held: int, goal: int, team: TeamLimit, demand: Demand) -> int:
+def _after_giving(held: int, team: TeamLimit, demand: Demand) -> int:
     """Give at once what others lack, as far as it is not in use here."""
-    idle = held - max(goal, demand.charged)
+    idle = held - max(least_units(team, demand), demand.charged)
     return held - max(0, min(idle, _lacking(held, team, demand)))
 
 
--- a/vanillawell/tests/state_tests.py
+++ b/vanillawell/tests/state_tests.py
@@ -91,6 +91,19 @@
     assert plan.holders == {"new/2": 4}
 
 
+def test_rounding_leaves_no_entry_without_units_while_others_keep_two() -> None:
+    """Six entries want two units each of a limit of eight, and four of them hold two each.
+
+    Nobody's part is less than one unit, but rounded up the four would keep what they have, and
+    callers at the other two would wait until their deadlines.
+    """
+    ledger = Ledger(limit=8, version=1, holders=dict.fromkeys("abcd", 2))
+    team = team_limit(8, entries=6)
+    plan = plan_ledger(ledger, "a", team, Demand(2, 1, 2, elsewhere=10), set())
+    assert plan is not None
+    assert plan.holders["a"] == 1
+
+
 def test_an_idle_entry_holds_an_even_part_until_others_lack_it() -> None:
     """Units that lie in the ledger are lost to everyone when the store goes down."""
     ledger = Ledger(limit=12, version=1, holders={"b": 4, "c": 4})
