Start no request that is about to be given up while others of its team wait

With 1.6 s a request and 6 s to wait, the third in line started after about 4.8 s and was given up on 1.2 s later, and so was each one after it: all slots busy, no caller answered. Admission counted what waits but not what runs, so it let one request too many in; and a request taken from the queue was started however little time it had left.

Ruled out: units not given back (status shows all six held and in use), ejected executors (none), the test's own callers (their replies are whole refusals).

Change: admission counts the running request as well. Before a start, a request with less time left than answers usually need (smoothed mean less smoothed deviation of run times) is refused as not run if another one of its team waits. If none waits it starts, so that the measured times stay fresh and a service that was slow once is not refused for ever.

Conclusion: a real fault of the product, not of the test: whole slots were spent for nobody under overload with deadlines near a multiple of the run time.

--- a/vanillawell/coordination/dispatch.py
+++ b/vanillawell/coordination/dispatch.py
@@ -14,7 +14,7 @@
 from vanillawell.coordination.tickets import LimitSource, Order, Ticket, delivered_to, failure_of
 from vanillawell.protocol.refusals import Reason, Refusal
 from vanillawell.protocol.verdict import Verdict
-from vanillawell.state.admission import QueueState, admit, spread
+from vanillawell.state.admission import QueueState, admit, spread, worth_starting
 from vanillawell.state.charges import ChargeBook
 from vanillawell.state.queueing import Waiting
 from vanillawell.state.retries import (
@@ -250,12 +250,28 @@
             item = pool.queue.pick(may_start, debt)
             if item is None:
                 return
+            if not self._worth_starting(pool, item, now):
+                self._refuse_hopeless(pool, item)
+                continue
             executor = self._routing.choose(pool.view(item.tried, now), pool.health, now)
             if executor is None:
                 pool.queue.add(item, front=True)
                 return
             self._start(pool, item, executor, now)
 
+    def _worth_starting(self, pool: PoolRuntime, item: Waiting, now: float) -> bool:
+        others_wait = pool.queue.length(item.team) > 0
+        return worth_starting(item.deadline - now, pool.service_time.usual_least, others_wait)
+
+    def _refuse_hopeless(self, pool: PoolRuntime, item: Waiting) -> None:
+        """Give the final outcome of a request that waited too long; a hedge is just dropped."""
+        ticket = self._tickets[item]
+        if ticket.running:
+            return
+        wait = spread(pool.service_time.mean, self._rng)
+        refusal = Refusal(Reason.CANNOT_FINISH, ticket.verdict_if_given_up, retry_after=wait)
+        self._finish(ticket, ticket.last_answer or refusal)
+
     def _start(self, pool: PoolRuntime, item: Waiting, executor: str, now: float) -> None:
         ticket = self._tickets[item]
         link = pool.links[executor]
--- a/vanillawell/state/admission.py
+++ b/vanillawell/state/admission.py
@@ -39,7 +39,7 @@
 
 def admit(state: QueueState, time_left: float, rng: random.Random) -> Admission:
     """Admit a request unless its queue is full or it cannot finish in `time_left` seconds."""
-    wait = drain_time(state)
+    wait = start_delay(state)
     if state.length >= state.bound:
         return Admission(False, True, spread(wait, rng))
     if state.length and wait + state.service_time > time_left:
@@ -47,9 +47,26 @@
     return Admission(True)
 
 
-def drain_time(state: QueueState) -> float:
-    """Estimate the seconds until all that waits now has started."""
-    return state.length * state.service_time / max(state.slots, 0.5)
+def start_delay(state: QueueState) -> float:
+    """Estimate the seconds until a request that arrives now would start.
+
+    While others wait, every slot is taken: what runs has to end first, then what waits. Left out
+    of the sum, the running request makes each queued one start just too late to finish.
+    """
+    if not state.length:
+        return 0.0
+    return (state.length + 1) * state.service_time / max(state.slots, 0.5)
+
+
+def worth_starting(time_left: float, usual_least: float, others_wait: bool) -> bool:
+    """Tell whether to start a request that has waited, rather than the next one of its team.
+
+    A request that starts shortly before its deadline occupies a slot and is given up on. Once the
+    queue is that old, each one that starts does so too late: every slot is busy and no caller
+    gets an answer. While nobody else waits the slot has no better use, and its run keeps the
+    measured times fresh, so that a service that was slow once is not refused for ever.
+    """
+    return not others_wait or time_left >= usual_least
 
 
 def spread(seconds: float, rng: random.Random) -> float:
--- a/vanillawell/state/silence.py
+++ b/vanillawell/state/silence.py
@@ -33,6 +33,11 @@
         """Return the smoothed mean; 0 while unknown."""
         return self._mean or 0.0
 
+    @property
+    def usual_least(self) -> float:
+        """Return the seconds below which few answers come; 0 while times are too mixed to tell."""
+        return max(0.0, self.mean - self._deviation)
+
     def add(self, seconds: float) -> None:
         """Add one sample."""
         if self._mean is None:
--- a/vanillawell/tests/outcome_proof_tests.py
+++ b/vanillawell/tests/outcome_proof_tests.py
@@ -98,6 +98,27 @@
         assert counts["struck half-answer"] == 15
 
 
+def test_a_flooded_team_with_short_deadlines_still_gets_answers(tmp_path: Path) -> None:
+    """Callers ask for several times what their team's limit can run, and wait only so long.
+
+    A queue that lets each request start shortly before its deadline has every slot busy with
+    work whose caller is about to leave: all slots are used and nobody gets an answer.
+    """
+    teams = {"guild": {"limit": 1}}
+    timing = QUICK_TIMING | {"longest_request": 1.5}
+    with running_fleet(tmp_path, teams=teams, timing=timing) as fleet:
+
+        def make(number: int) -> Call:
+            return Call(mark=f"m{number}", run_seconds=1.0, timeout=3.5)
+
+        callers = SteadyCallers(list(fleet.entries.values()), make, open_requests=8)
+        replies = during_load(
+            callers, lambda: wait_until(lambda: len(fleet.backend_runs()) >= 12, "12 have run")
+        )
+        answered = sum(reply.status == 200 for reply in replies)
+        assert answered >= 8, "slots were spent on requests that could not finish"
+
+
 def test_refusals_of_a_flooded_fleet_are_true(tmp_path: Path) -> None:
     """Callers ask for several times what the pool holds, and some leave in waves.
 
--- a/vanillawell/tests/state_tests.py
+++ b/vanillawell/tests/state_tests.py
@@ -9,7 +9,7 @@
 from hypothesis import strategies as st
 
 from vanillawell.protocol.verdict import Verdict
-from vanillawell.state.admission import QueueState, admit
+from vanillawell.state.admission import QueueState, admit, worth_starting
 from vanillawell.state.allotment import (
     PoolDemand,
     executor_quotas,
@@ -149,6 +149,18 @@
     assert verdict.retry_after >= 3.5
 
 
+def test_what_runs_already_counts_when_a_request_is_admitted() -> None:
+    state = QueueState(length=2, bound=100, service_time=1.0, slots=1.0)
+    assert not admit(state, 3.5, random.Random(1)).admitted
+    assert admit(state, 4.0, random.Random(1)).admitted
+
+
+def test_a_request_starts_late_only_if_nobody_of_its_team_waits() -> None:
+    assert not worth_starting(0.5, usual_least=1.0, others_wait=True)
+    assert worth_starting(0.5, usual_least=1.0, others_wait=False)
+    assert worth_starting(0.5, usual_least=0.0, others_wait=True)
+
+
 def test_retries_never_exceed_their_budget() -> None:
     budget = RetryBudget(0.1)
     failed = FailedAttempt(Failure.NOT_SENT, False, 1, 1.0)
