Give no instance away that a cut-off zone may still use

Cause: a planner asked the entries on the list of members whether they run anything on a leaving instance. An entry that is cut off from the store drops off that list after lease_ttl and goes on serving with the units it holds, without hearing of the move. So a zone cut turned "every entry confirms" into "every entry that can be asked confirms", and the instance served two pools.

Ruled out: stopping cut-off entries from sending (they are to serve what they can), and asking the platform alone (it knows instances, not whom an entry sends to).

Change: holders of limit units that are missing without proof of their end, the same rule by which units come back, count as not having confirmed. The move then waits for the end of the cut, for proof, or for drain_bound, which operators set. An entry without units cannot send anything and is not waited for. The wave test that kills a planner for good now says how long its units last (holding_term 4 s), since that entry has to be accounted for first.

Also proved: a stamp tried again after its first zone was cut off runs once, and its kept answer reaches the caller when the cut heals; a zone that can send but not be reached hears of a change.

Executors stay reachable in these tests; what the platform does with a zone that it cannot reach itself is not tried.

--- a/vanillawell/coordination/planner.py
+++ b/vanillawell/coordination/planner.py
@@ -172,7 +172,14 @@
         await self._write(changed)
 
     async def _drained(self, instance: str) -> bool:
-        """Ask all entries whether they have the assignment and run nothing on the instance."""
+        """Ask all entries whether they have the assignment and run nothing on the instance.
+
+        An entry in a zone that is cut off has left the list of members, has not heard of the
+        move, and goes on sending. Asking only those on the list would give its instance away
+        under it, and callers would see their requests cut.
+        """
+        if self._membership.unaccounted():
+            return False
         version = self._follower.version
         answers: list[bool] = []
         async with anyio.create_task_group() as tasks:
--- a/vanillawell/tests/maintenance_proof_tests.py
+++ b/vanillawell/tests/maintenance_proof_tests.py
@@ -105,7 +105,8 @@
     A step taken on an old view, or twice, would take the pool below its budget or reboot an
     instance twice.
     """
-    with running_fleet(tmp_path, **SIX_AND_SPARES) as fleet:
+    timing = SIX_AND_SPARES["timing"] | {"holding_term": 4.0}
+    with running_fleet(tmp_path, **SIX_AND_SPARES | {"timing": timing}) as fleet:
         fleet.set_up_machines(reboot_seconds=2.0)
         callers = callers_of(fleet)
 
@@ -177,3 +178,45 @@
         replies = during_load(callers, script)
         assert [reply for reply in replies if reply.status != 200] == []
         assert [run for run in fleet.backend_runs() if run["executor"] == "check-5"] == []
+
+
+def test_an_instance_that_a_cut_off_zone_still_uses_is_not_given_away(tmp_path: Path) -> None:
+    """A zone loses the store and all peers and goes on serving; operators move an instance.
+
+    Its entries have left the list of members and cannot hear of the move. If the planner asked
+    only those on the list, the instance would serve two pools at once.
+    """
+    services = {
+        "check": {"mean_seconds": 0.02, "budget": 2},
+        "stamp": {"mean_seconds": 0.02, "budget": 1},
+    }
+    with running_fleet(tmp_path, **SIX_AND_SPARES | {"services": services}) as fleet:
+        watching = fleet.entries["entry-1-1"]
+        callers = callers_of(fleet)
+
+        def executors(pool: str) -> int:
+            return int(watching.status()["pools"][pool]["executors"])
+
+        def script() -> None:
+            wait_for_answers(callers, 20, "requests are answered")
+            cut_off_zone_2(fleet)
+            wait_until(lambda: watching.status()["entries"] == 2, "two have left the list")
+            fleet.cli("pool", "move", "check-5", "pool-stamp")
+            wait_until(lambda: executors("pool-check") == 5, "it leaves")
+            fleet.reset_backend()
+            wait_for_answers(callers, 100, "requests are answered during the cut")
+            assert "check-5" in {run["executor"] for run in fleet.backend_runs()}
+            assert executors("pool-stamp") == 6, "it was given away while it was in use"
+            for name in ("store", "in", "out"):
+                fleet.clear(name)
+            wait_until(lambda: executors("pool-stamp") == 7, "the move ends after the cut")
+
+        replies = during_load(callers, script)
+        assert [reply for reply in replies if reply.status != 200] == []
+
+
+def cut_off_zone_2(fleet: Fleet) -> None:
+    """Cut zone 2 off from the store and from the other zone's entries."""
+    fleet.fault("store", "cut", link="store-2")
+    fleet.fault("out", "cut", link="peer", source_zone=2)
+    fleet.fault("in", "cut", link="peer", target_zone=2)
--- a/vanillawell/tests/outcome_proof_tests.py
+++ b/vanillawell/tests/outcome_proof_tests.py
@@ -209,6 +209,40 @@
         assert all(reply.status in (200, 409) for reply in replies)
 
 
+def test_a_stamp_sent_again_after_its_zone_was_cut_off_runs_once(tmp_path: Path) -> None:
+    """A zone loses the store and all peers between the two tries of a stamp.
+
+    The first entry runs it to its end and cannot say so to anybody; the second one knows only
+    that it was begun. When the cut heals, the answer that was kept must reach the caller.
+    """
+    with running_fleet(tmp_path, **TWO_ZONES) as fleet:
+        key = new_key()
+        start_stamp(fleet, key, "stamp", 1.0)
+        cut_off_zone_1(fleet)
+        reply = resend_elsewhere(fleet, key, "stamp")
+        assert (reply.status, reply.verdict) == (409, "may-have-run")
+        again = Call(method="POST", mark="late", body=b"late", idempotency_key=new_key())
+        refused = send_one(fleet.entries["entry-1-1"], again)
+        assert (refused.problem, refused.verdict) == ("store-unavailable", "not-run")
+        assert send_one(fleet.entries["entry-2-1"], again).status == 200
+        for name in ("store", "in", "out"):
+            fleet.clear(name)
+        wait_until(
+            lambda: resend_elsewhere(fleet, key, "stamp").status == 200, "its answer is replayed"
+        )
+        wait_until(
+            lambda: send_one(fleet.entries["entry-1-1"], again).status == 200, "both know of it"
+        )
+        assert runs_by_mark(fleet) == {"stamp": 1, "late": 1}
+
+
+def cut_off_zone_1(fleet: Fleet) -> None:
+    """Cut zone 1 off from the store and from the other zone's entry."""
+    fleet.fault("store", "cut", link="store-1")
+    fleet.fault("out", "cut", link="peer", source_zone=1)
+    fleet.fault("in", "cut", link="peer", target_zone=1)
+
+
 def test_stamps_are_refused_as_not_run_while_the_store_is_down(tmp_path: Path) -> None:
     """The store is down, so nothing guards a stamp with a key against a second run."""
     with running_fleet(tmp_path, **TWO_ZONES) as fleet:
--- a/vanillawell/tests/silence_proof_tests.py
+++ b/vanillawell/tests/silence_proof_tests.py
@@ -72,6 +72,15 @@
         wait_until(lambda: min(versions(fleet)) == 2, "the change is in force everywhere")
 
 
+def test_a_zone_that_can_send_but_not_be_reached_hears_of_a_change(tmp_path: Path) -> None:
+    """Zone 1 has lost the store and nobody can open a connection to it, but it can to others."""
+    with running_fleet(tmp_path, **THREE_ZONES) as fleet:
+        fleet.fault("store", "cut", link="store-1")
+        fleet.fault("in", "cut", link="peer", target_zone=1)
+        fleet.cli("node", "set", "guild", "limit=5")
+        wait_until(lambda: min(versions(fleet)) == 2, "the change is in force everywhere")
+
+
 def test_a_caller_that_goes_silent_in_its_request_is_refused(tmp_path: Path) -> None:
     """A caller announces a body, sends half of it and says nothing more.
 
