Take no claim over whose deletion is on its way

Cause, found while splitting claims.py: a claim that was applied although its request had been refused as not run is deleted by its entry, or taken over when the caller tries again. Between the deletion's sending and its answer it could still be taken over. The new try then ran under a claim that the deletion removed, and one more try through any entry would have claimed anew and run the stamp a second time. A deletion whose answer is lost leaves that window open for good.

Ruled out: the compare on the deletion. Taking a claim over writes nothing, so its revision stays.

Change: once a deletion has been sent, the claim is marked and never taken over; the caller hears "in progress" until it is gone.

On plain data only; the window is a store round trip and was not hit with real processes.

Conclusion: a real fault of at-most-once, narrow: it took a lost answer, a failed read-back and a new try within the same milliseconds.

--- a/vanillawell/coordination/claims.py
+++ b/vanillawell/coordination/claims.py
@@ -20,6 +20,7 @@
 import anyio
 
 from vanillawell import clock
+from vanillawell.coordination.orphan_claims import OrphanClaims
 from vanillawell.exceptions import StoreError, StoreOutcomeUnknownError
 from vanillawell.protocol.claim_documents import Claim, ClaimState, minted_at
 from vanillawell.protocol.refusals import Reason, Refusal
@@ -51,12 +52,6 @@
 IN_PROGRESS_RETRY_AFTER = 1.0
 """Seconds after which a request that runs elsewhere is worth asking for again."""
 
-ORPHAN_SECONDS = 60.0
-"""Seconds within which a claim of uncertain outcome may still be applied by the store."""
-
-ORPHAN_INTERVAL = 0.5
-"""Seconds between two searches for such claims."""
-
 STORE_DOWN_RETRY_AFTER = 2.0
 """Seconds after which a claim is worth trying again while the store is down."""
 
@@ -91,15 +86,6 @@
         self.done.set()
 
 
-@dataclass(frozen=True, slots=True)
-class _Orphan:
-    """A claim that may have taken effect although its request was refused as not run."""
-
-    token: str
-    lease: int
-    until: float
-
-
 @dataclass(slots=True, eq=False)
 class _PendingConclusion:
     held: HeldClaim
@@ -125,7 +111,7 @@
         self._telemetry = telemetry
         self._pending: list[_PendingClaim] = []
         self._conclusions: list[_PendingConclusion] = []
-        self._orphans: dict[str, _Orphan] = {}
+        self._orphans = OrphanClaims(store)
         self._wake = anyio.Event()
         self._lease = 0
         self._lease_until = 0.0
@@ -216,7 +202,7 @@
     async def run(self) -> None:
         """Write claims and conclusions in batches until cancelled."""
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(self._free_orphans)
+            tasks.start_soon(self._orphans.run)
             while True:
                 if not self._pending and not self._conclusions:
                     self._wake = anyio.Event()
@@ -233,32 +219,6 @@
         entries = len(self._membership.members)
         return max(self._timing.claim_interval, entries / FLEET_WRITES_PER_SECOND)
 
-    async def _free_orphans(self) -> None:
-        """Delete claims that took effect although their requests were refused as not run.
-
-        Left alone, such a claim would say "in progress" to every later try of the caller, until
-        its key is too old, and the stamp would be lost.
-        """
-        while True:
-            await anyio.sleep(ORPHAN_INTERVAL)
-            now = clock.read()
-            self._orphans = {k: item for k, item in self._orphans.items() if item.until > now}
-            for key in list(self._orphans):
-                try:
-                    await self._free_orphan(key)
-                except StoreError:
-                    break
-
-    async def _free_orphan(self, key: str) -> None:
-        found = await self._store.get(key)
-        orphan = self._orphans.get(key)
-        if found is None or orphan is None:
-            return
-        if Claim.from_bytes(found.value).token == orphan.token:
-            compare = Compare(key, found.mod_revision)
-            await self._store.transact(Transaction(compares=[compare], deletes=[key]))
-        self._orphans.pop(key, None)
-
     async def flush(self) -> None:
         """Write one batch of claims, then one of conclusions."""
         claims = self._pending[:CLAIMS_PER_WRITE]
@@ -299,17 +259,6 @@
             else:
                 self._pending.append(item)
 
-    def _adopt(self, found: KeyValue, item: _PendingClaim) -> HeldClaim | KeyValue:
-        """Take over a claim of this entry whose request was refused when its answer was lost."""
-        claim = Claim.from_bytes(found.value)
-        orphan = self._orphans.get(item.key)
-        if orphan is None or orphan.token != claim.token:
-            return found
-        if claim.fingerprint != item.claim.fingerprint:
-            return found
-        del self._orphans[item.key]
-        return HeldClaim(item.key, claim, orphan.lease)
-
     def _drop_repeated(self, batch: list[_PendingClaim]) -> list[_PendingClaim]:
         """Put off claims on a key that is already in the batch; a key is written once."""
         first: dict[str, _PendingClaim] = {}
@@ -343,10 +292,14 @@
             else:
                 item.settle(found)
 
+    def _adopt(self, found: KeyValue, item: _PendingClaim) -> HeldClaim | KeyValue:
+        """Take over a claim of this entry whose request was refused when its answer was lost."""
+        adopted = self._orphans.adopt(found, item.claim.fingerprint)
+        return HeldClaim(item.key, *adopted) if adopted else found
+
     def _abandon(self, item: _PendingClaim, error: StoreError) -> None:
         """Refuse a request whose claim may yet be applied, and remember to free it."""
-        until = clock.read() + ORPHAN_SECONDS
-        self._orphans[item.key] = _Orphan(item.claim.token, self._lease, until)
+        self._orphans.add(item.key, item.claim.token, self._lease, clock.read())
         item.settle(error)
 
     async def _write_conclusions(self, batch: list[_PendingConclusion]) -> bool:
--- a/vanillawell/tests/fakes.py
+++ b/vanillawell/tests/fakes.py
@@ -44,6 +44,9 @@
             self.revision += 1
             for put in transaction.puts:
                 self.items[put.key] = KeyValue(put.key, put.value, self.revision)
+        if holds:
+            for key in transaction.deletes:
+                self.items.pop(key, None)
         reads = transaction.reads if not holds or transaction.read_back else ()
         values = {key: self.items[key] for key in reads if key in self.items}
         return TransactionResult(holds, self.revision, values)
