Write a conclusion only over the claim it concludes, and apart from claims

Cause 1, found on reading: a conclusion was written without a compare and repeated when its answer was lost. If the lost one had freed the key, another entry could have claimed it meanwhile; the repeat then removed or overwrote that claim, and one more try of the caller ran the stamp twice.

Ruled out: comparing the token in the value; the store's protocol here compares revisions only, and a claim's revision changes with every write, which is what is wanted.

Change: a claim keeps the revision it was made at, and each conclusion requires it. When the store refuses a batch, those whose claim still stands are tried again, the others are done. Claims and conclusions are written by two tasks.

Before: test_a_conclusion_repeated_after_a_lost_answer_leaves_anothers_claim_alone failed (the other entry's claim was gone).

Conclusion: a real fault of at-most-once, now closed on plain data; latency in a slow store is one write and the wait for the one before it.

--- a/vanillawell/coordination/claims.py
+++ b/vanillawell/coordination/claims.py
@@ -72,6 +72,8 @@
     key: str
     claim: Claim
     lease: int
+    revision: int
+    """Revision at which the store made it; its conclusion is written only over that."""
 
 
 @dataclass(slots=True, eq=False)
@@ -112,7 +114,8 @@
         self._pending: list[_PendingClaim] = []
         self._conclusions: list[_PendingConclusion] = []
         self._orphans = OrphanClaims(store)
-        self._wake = anyio.Event()
+        self._claims_wake = anyio.Event()
+        self._conclusions_wake = anyio.Event()
         self._lease = 0
         self._lease_until = 0.0
 
@@ -145,7 +148,7 @@
         claim = Claim(self._membership.me.holder, token, print_of_request)
         pending = _PendingClaim(self._keys.claim(team, key), claim)
         self._pending.append(pending)
-        self._wake.set()
+        self._claims_wake.set()
         await pending.done.wait()
         match pending.result:
             case HeldClaim():
@@ -174,13 +177,13 @@
     def conclude_not_run(self, held: HeldClaim) -> None:
         """Free a claim whose request provably did not run."""
         self._conclusions.append(_PendingConclusion(held, None))
-        self._wake.set()
+        self._conclusions_wake.set()
 
     def conclude_unknown(self, held: HeldClaim) -> None:
         """Record that the request may have run."""
         claim = replace(held.claim, state=ClaimState.MAY_HAVE_RUN)
         self._conclusions.append(_PendingConclusion(held, claim))
-        self._wake.set()
+        self._conclusions_wake.set()
 
     def conclude_ran(
         self, held: HeldClaim, status: int, headers: Sequence[tuple[bytes, bytes]], body: bytes
@@ -197,18 +200,38 @@
             body=b64encode(body).decode() if fits else None,
         )
         self._conclusions.append(_PendingConclusion(held, claim))
-        self._wake.set()
+        self._conclusions_wake.set()
 
     async def run(self) -> None:
-        """Write claims and conclusions in batches until cancelled."""
+        """Write claims and conclusions in batches until cancelled.
+
+        They are written apart: a request waits for its claim, and behind a conclusion in a slow
+        store it would wait twice.
+        """
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._orphans.run)
-            while True:
-                if not self._pending and not self._conclusions:
-                    self._wake = anyio.Event()
-                    await self._wake.wait()
-                await self.flush()
-                await anyio.sleep(self._pause())
+            tasks.start_soon(self._run_claims)
+            tasks.start_soon(self._run_conclusions)
+
+    async def _run_claims(self) -> None:
+        while True:
+            if not self._pending:
+                self._claims_wake = anyio.Event()
+                await self._claims_wake.wait()
+            claims = self._pending[:CLAIMS_PER_WRITE]
+            del self._pending[: len(claims)]
+            await self._write_claims(claims)
+            await anyio.sleep(self._pause())
+
+    async def _run_conclusions(self) -> None:
+        while True:
+            if not self._conclusions:
+                self._conclusions_wake = anyio.Event()
+                await self._conclusions_wake.wait()
+            conclusions = self._conclusions[:CLAIMS_PER_WRITE]
+            settled = await self._write_conclusions(conclusions)
+            self._conclusions = [item for item in self._conclusions if item not in settled]
+            await anyio.sleep(self._pause())
 
     def _pause(self) -> float:
         """Return the pause between two writes, longer in a larger fleet.
@@ -219,16 +242,6 @@
         entries = len(self._membership.members)
         return max(self._timing.claim_interval, entries / FLEET_WRITES_PER_SECOND)
 
-    async def flush(self) -> None:
-        """Write one batch of claims, then one of conclusions."""
-        claims = self._pending[:CLAIMS_PER_WRITE]
-        del self._pending[: len(claims)]
-        if claims:
-            await self._write_claims(claims)
-        conclusions = self._conclusions[:CLAIMS_PER_WRITE]
-        if conclusions and await self._write_conclusions(conclusions):
-            del self._conclusions[: len(conclusions)]
-
     async def _write_claims(self, batch: list[_PendingClaim]) -> None:
         batch = self._drop_repeated(batch)
         transaction_keys = [item.key for item in batch]
@@ -253,7 +266,7 @@
         self._count("claim", "ok" if result.succeeded else "conflict")
         for item in batch:
             if result.succeeded:
-                item.settle(HeldClaim(item.key, item.claim, lease))
+                item.settle(HeldClaim(item.key, item.claim, lease, result.revision))
             elif item.key in result.values:
                 item.settle(self._adopt(result.values[item.key], item))
             else:
@@ -288,35 +301,53 @@
             if found is None:
                 self._abandon(item, error)
             elif Claim.from_bytes(found.value).token == item.claim.token:
-                item.settle(HeldClaim(item.key, item.claim, self._lease))
+                item.settle(HeldClaim(item.key, item.claim, self._lease, found.mod_revision))
             else:
                 item.settle(found)
 
     def _adopt(self, found: KeyValue, item: _PendingClaim) -> HeldClaim | KeyValue:
         """Take over a claim of this entry whose request was refused when its answer was lost."""
         adopted = self._orphans.adopt(found, item.claim.fingerprint)
-        return HeldClaim(item.key, *adopted) if adopted else found
+        return HeldClaim(item.key, *adopted, found.mod_revision) if adopted else found
 
     def _abandon(self, item: _PendingClaim, error: StoreError) -> None:
         """Refuse a request whose claim may yet be applied, and remember to free it."""
         self._orphans.add(item.key, item.claim.token, self._lease, clock.read())
         item.settle(error)
 
-    async def _write_conclusions(self, batch: list[_PendingConclusion]) -> bool:
-        """Write how requests ended; only this entry run ever changes its own claims."""
-        puts = [
-            Put(item.held.key, item.claim.to_bytes(), item.held.lease)
-            for item in batch
-            if item.claim is not None
-        ]
-        deletes = [item.held.key for item in batch if item.claim is None]
+    async def _write_conclusions(self, batch: list[_PendingConclusion]) -> list[_PendingConclusion]:
+        """Write how requests ended; return those that need no further try.
+
+        Each is written only over the very claim that it concludes. The store may have applied an
+        earlier try whose answer was lost, and another entry may have claimed a freed key since.
+        Written over that, a conclusion would remove the other's claim, and one more try of the
+        caller would run the request twice.
+        """
+        keys = [item.held.key for item in batch]
+        transaction = Transaction(
+            compares=[Compare(item.held.key, item.held.revision) for item in batch],
+            puts=[
+                Put(item.held.key, item.claim.to_bytes(), item.held.lease)
+                for item in batch
+                if item.claim is not None
+            ],
+            deletes=[item.held.key for item in batch if item.claim is None],
+            reads=keys,
+        )
         try:
-            await self._store.transact(Transaction(puts=puts, deletes=deletes))
+            result = await self._store.transact(transaction)
         except StoreError:
             self._count("conclusion", "unavailable")
-            return False
-        self._count("conclusion", "ok")
-        return True
+            return []
+        self._count("conclusion", "ok" if result.succeeded else "conflict")
+        if result.succeeded:
+            return batch
+        return [
+            item
+            for item in batch
+            if item.held.key not in result.values
+            or result.values[item.held.key].mod_revision != item.held.revision
+        ]
 
     async def _current_lease(self) -> int:
         """Return a lease that outlives the acceptance of every key claimed under it now."""
