--- a/vanillawell/cli.py
+++ b/vanillawell/cli.py
@@ -46,9 +46,40 @@
     output: Annotated[OutputFormat, typer.Option(help="How to print results.")] = (
         OutputFormat.TABLE
     ),
+    store_user: Annotated[
+        str, typer.Option(envvar="VANILLAWELL_STORE_USER", help="User of the store.")
+    ] = "",
+    store_password_file: Annotated[
+        Path | None, typer.Option(envvar="VANILLAWELL_STORE_PASSWORD_FILE")
+    ] = None,
+    store_tls: Annotated[
+        bool, typer.Option("--store-tls", envvar="VANILLAWELL_STORE_TLS", help="Reach it by TLS.")
+    ] = False,
+    authorities: Annotated[
+        Path | None,
+        typer.Option(
+            envvar="VANILLAWELL_AUTHORITIES",
+            help="PEM file that certificates of entries' admin ports (and the store) come from.",
+        ),
+    ] = None,
+    admin_token_file: Annotated[
+        Path | None,
+        typer.Option(
+            envvar="VANILLAWELL_ADMIN_TOKEN_FILE", help="File with the admin ports' secret."
+        ),
+    ] = None,
 ) -> None:
     """Take the options that all commands share."""
-    context.obj = CommandContext(store, prefix, output)
+    context.obj = CommandContext(
+        store,
+        prefix,
+        output,
+        user=store_user,
+        password_file=store_password_file,
+        authorities=authorities,
+        store_by_tls=store_tls,
+        admin_token_file=admin_token_file,
+    )
 
 
 @app.command()
@@ -60,11 +91,11 @@
 
 
 @settings_app.command("check")
-def settings_check(file: Path) -> None:
+def settings_check(context: typer.Context, file: Path) -> None:
     """Check a daemon's settings file. Example: vanillawell settings check entry.jsonc."""
     from vanillawell.commands.settings import check
 
-    check(file)
+    check(context.obj, file)
 
 
 @settings_app.command("reference")
--- a/vanillawell/commands/config.py
+++ b/vanillawell/commands/config.py
@@ -4,7 +4,7 @@
 
 import time
 from dataclasses import dataclass
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 import anyio
 
@@ -55,25 +55,32 @@
             print_line(f"warning: {warning}")
         if proposal.findings.errors:
             raise SettingsError("\n".join(str(error) for error in proposal.findings.errors))
+        result: dict[str, Any] = {
+            "changed": False,
+            "differences": [str(item) for item in proposal.differences],
+            "warnings": [str(item) for item in proposal.findings.warnings],
+        }
         if options.dry_run or not proposal.differences:
             print_line("nothing was changed")
+            print_document(result)
             return
         written_at = time.monotonic()
         accepted = await editor.accept(proposal, options.note)
         print_line(f"version {accepted.version} accepted as change {accepted.change_id}")
+        result |= {"changed": True, "version": accepted.version, "change": accepted.change_id}
         if not options.wait:
-            print_document({"version": accepted.version})
+            print_document(result)
             return
         rollout = await wait_for_rollout(
-            store, context.keys, accepted.version, written_at, options.wait_bound
+            store, context.keys, context.access, accepted.version, written_at, options.wait_bound
         )
-    _report(rollout)
+    _report(result, rollout)
 
 
-def _report(rollout: Rollout) -> None:
+def _report(result: dict[str, Any], rollout: Rollout) -> None:
     print_document(
         {
-            "version": rollout.version,
+            **result,
             "entries": len(rollout.seconds),
             "rollout_seconds": round(max(rollout.seconds.values(), default=0.0), 3),
             "lagging": sorted(rollout.lagging),
--- a/vanillawell/commands/context.py
+++ b/vanillawell/commands/context.py
@@ -7,12 +7,17 @@
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
 from enum import StrEnum
+from functools import cached_property
+from pathlib import Path
 
-from vanillawell.config.settings import Address, StoreSettings
+from vanillawell.config.settings import Address, ClientTls, StoreSettings
 from vanillawell.coordination.operator import ConfigurationEditor
 from vanillawell.exceptions import SettingsError
+from vanillawell.identity import read_secret
 from vanillawell.protocol.documents import StoreKeys
+from vanillawell.transport.admin_client import AdminAccess
 from vanillawell.transport.store_etcd import EtcdStore
+from vanillawell.transport.tls import ClientTrust
 
 
 class OutputFormat(StrEnum):
@@ -22,13 +27,22 @@
     JSON = "json"
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(frozen=True)
 class CommandContext:
     """Options that all commands share."""
 
     store: str
     prefix: str
     output: OutputFormat
+    user: str = ""
+    """User of the store; empty if it asks for none."""
+
+    password_file: Path | None = None
+    authorities: Path | None = None
+    """Authorities of the certificates of the store and of admin ports; None for plain HTTP."""
+
+    store_by_tls: bool = False
+    admin_token_file: Path | None = None
 
     def store_settings(self) -> StoreSettings:
         """Return the store's settings; raises SettingsError for a malformed address."""
@@ -37,7 +51,24 @@
             address = Address(host=host, port=int(port))
         except ValueError as error:
             raise SettingsError(f"--store: {self.store!r} is not IP:PORT") from error
-        return StoreSettings(address=address, prefix=self.prefix)
+        return StoreSettings(
+            address=address,
+            prefix=self.prefix,
+            user=self.user,
+            password_file=self.password_file,
+            tls=self._tls if self.store_by_tls else None,
+        )
+
+    @property
+    def _tls(self) -> ClientTls | None:
+        return ClientTls(authorities=self.authorities) if self.authorities else None
+
+    @cached_property
+    def access(self) -> AdminAccess:
+        """Return how the entries' admin ports are reached."""
+        token = read_secret(self.admin_token_file, "--admin-token-file")
+        trust = ClientTrust("--authorities", self._tls) if self._tls else None
+        return AdminAccess(token, trust)
 
     @property
     def keys(self) -> StoreKeys:
@@ -51,5 +82,5 @@
             yield store
 
     def editor(self, store: EtcdStore) -> ConfigurationEditor:
-        """Return an editor that signs as the present user."""
-        return ConfigurationEditor(store, self.keys, getpass.getuser())
+        """Return an editor that signs as the store's user, or else as the system's."""
+        return ConfigurationEditor(store, self.keys, self.user or getpass.getuser())
--- a/vanillawell/commands/maintenance.py
+++ b/vanillawell/commands/maintenance.py
@@ -8,6 +8,7 @@
 
 import anyio
 
+from vanillawell.commands.context import OutputFormat
 from vanillawell.commands.printing import print_document, print_line, print_rows
 from vanillawell.exceptions import ConflictError, SettingsError, StoreOutcomeUnknownError
 from vanillawell.protocol.store import Compare, Put, Transaction
@@ -121,14 +122,32 @@
 async def _show(context: CommandContext) -> None:
     async with context.connect() as store:
         assignment = await _read(context, store)
+    if context.output is OutputFormat.JSON:
+        print_document(_document(assignment))
+        return
     wave = assignment.wave
     print_line(f"wave {wave.wave_id or '-'}: {wave.state}")
     print_line(f"done {len(wave.done)}, remaining {len(wave.remaining)}")
-    rows = [
+    print_rows(_rows(assignment), context.output)
+
+
+def _document(assignment: Assignment) -> dict[str, object]:
+    wave = assignment.wave
+    return {
+        "wave": wave.wave_id,
+        "state": wave.state,
+        "done": list(wave.done),
+        "remaining": list(wave.remaining),
+        "instances": _rows(assignment),
+    }
+
+
+def _rows(assignment: Assignment) -> list[dict[str, object]]:
+    """Return every instance that is not serving at home."""
+    return [
         {"instance": name, "pool": item.pool, "phase": item.phase, "target": item.target or "-"}
         for name, item in sorted(assignment.placements.items())
     ]
-    print_rows(rows, context.output)
 
 
 async def _follow(context: CommandContext) -> None:
@@ -136,10 +155,13 @@
     shown = -1
     async with context.connect() as store:
         while True:
-            wave = (await _read(context, store)).wave
+            assignment = await _read(context, store)
+            wave = assignment.wave
             if len(wave.done) != shown:
                 shown = len(wave.done)
                 print_line(f"{wave.wave_id}: {shown} done, {len(wave.remaining)} remaining")
             if wave.state in (WaveState.DONE, WaveState.NONE):
+                if context.output is OutputFormat.JSON:
+                    print_document(_document(assignment))
                 return
             await anyio.sleep(FOLLOW_PAUSE)
--- a/vanillawell/commands/reference.py
+++ b/vanillawell/commands/reference.py
@@ -17,6 +17,8 @@
 DAEMON_CLASSES: tuple[type[BaseModel], ...] = (
     settings.DaemonSettings,
     settings.Address,
+    settings.ServerTls,
+    settings.ClientTls,
     settings.StoreSettings,
     settings.TimingSettings,
     settings.ExperimentSettings,
--- a/vanillawell/commands/report.py
+++ b/vanillawell/commands/report.py
@@ -10,10 +10,9 @@
 from vanillawell.commands.printing import print_line, print_rows
 from vanillawell.commands.rollout import ASK_TIMEOUT, list_entries
 from vanillawell.config.effective import effective_value
-from vanillawell.config.settings import Address
 from vanillawell.exceptions import SettingsError
 from vanillawell.state.burn import WindowCounts, burn_rate
-from vanillawell.transport.http_client import JsonClient, NoAnswerError, NotSentError
+from vanillawell.transport.http_client import NoAnswerError, NotSentError
 
 if TYPE_CHECKING:
     from pathlib import Path
@@ -21,6 +20,7 @@
     from vanillawell.commands.context import CommandContext
     from vanillawell.config.tree import OperatorTree
     from vanillawell.protocol.documents import Presence
+    from vanillawell.transport.admin_client import AdminAccess
 
 
 @dataclass(frozen=True, slots=True)
@@ -65,13 +65,14 @@
     totals: dict[tuple[str, str], WindowCounts] = {}
     async with anyio.create_task_group() as tasks:
         for entry in entries:
-            tasks.start_soon(_ask, entry, totals)
+            tasks.start_soon(_ask, context.access, entry, totals)
     return [_row(current.tree, *key, counts) for key, counts in sorted(totals.items())]
 
 
-async def _ask(entry: Presence, totals: dict[tuple[str, str], WindowCounts]) -> None:
-    address = Address(host=entry.admin_host, port=entry.admin_port)
-    async with JsonClient(address) as client:
+async def _ask(
+    access: AdminAccess, entry: Presence, totals: dict[tuple[str, str], WindowCounts]
+) -> None:
+    async with access.client(entry) as client:
         try:
             lines = await client.get("/burn", ASK_TIMEOUT)
         except (NotSentError, NoAnswerError):
@@ -105,9 +106,10 @@
     names = [f"{row.service} · {row.team}" for row in rows]
     places = range(len(rows))
     figure, axes = plt.subplots(figsize=(8, 1.5 + 0.35 * len(rows)))
-    axes.barh([place + 0.2 for place in places], [row.burn_5m for row in rows], 0.4, label="5 min")
-    axes.barh([place - 0.2 for place in places], [row.burn_1h for row in rows], 0.4, label="1 h")
+    axes.barh([place - 0.2 for place in places], [row.burn_5m for row in rows], 0.4, label="5 min")
+    axes.barh([place + 0.2 for place in places], [row.burn_1h for row in rows], 0.4, label="1 h")
     axes.set_yticks(list(places), names)
+    axes.invert_yaxis()
     axes.axvline(1.0, color="grey", linestyle="--")
     axes.set_xlabel("error budget burn (1 = used up just in time)")
     axes.legend()
--- a/vanillawell/commands/rollout.py
+++ b/vanillawell/commands/rollout.py
@@ -8,17 +8,24 @@
 
 import anyio
 
-from vanillawell.config.settings import Address
+from vanillawell.commands.printing import print_line
 from vanillawell.protocol.documents import Presence
-from vanillawell.transport.http_client import JsonClient, NoAnswerError, NotSentError
+from vanillawell.transport.http_client import NoAnswerError, NotSentError
 
 if TYPE_CHECKING:
     from vanillawell.protocol.documents import StoreKeys
     from vanillawell.protocol.store import Store
+    from vanillawell.transport.admin_client import AdminAccess
 
 ASK_INTERVAL = 0.05
 """Seconds between two questions to an entry that lags."""
 
+TELL_INTERVAL = 1.0
+"""Seconds between two lines of progress; a roll-out normally ends before the first."""
+
+NAMED_AT_MOST = 5
+"""Lagging entries named in a line of progress."""
+
 ASK_TIMEOUT = 1.0
 """Seconds an entry may take to answer."""
 
@@ -42,21 +49,36 @@
 
 
 async def wait_for_rollout(
-    store: Store, keys: StoreKeys, version: int, since: float, bound: float
+    store: Store, keys: StoreKeys, access: AdminAccess, version: int, since: float, bound: float
 ) -> Rollout:
     """Ask all registered entries until each has `version` or `bound` seconds have passed."""
     entries = await list_entries(store, keys)
     rollout = Rollout(version, lagging={entry.instance for entry in entries})
     with anyio.move_on_after(bound):
         async with anyio.create_task_group() as tasks:
-            for entry in entries:
-                tasks.start_soon(_follow, entry, rollout, since)
+            tasks.start_soon(_tell, rollout)
+            async with anyio.create_task_group() as questions:
+                for entry in entries:
+                    questions.start_soon(_follow, access, entry, rollout, since)
+            tasks.cancel_scope.cancel()
     return rollout
 
 
-async def _follow(entry: Presence, rollout: Rollout, since: float) -> None:
-    address = Address(host=entry.admin_host, port=entry.admin_port)
-    async with JsonClient(address) as client:
+async def _tell(rollout: Rollout) -> None:
+    """Say who lags while a roll-out takes long."""
+    while True:
+        await anyio.sleep(TELL_INTERVAL)
+        done, lagging = len(rollout.seconds), sorted(rollout.lagging)
+        named = ", ".join(lagging[:NAMED_AT_MOST])
+        more = f" and {len(lagging) - NAMED_AT_MOST} more" if len(lagging) > NAMED_AT_MOST else ""
+        print_line(
+            f"version {rollout.version}: {done} of {done + len(lagging)} entries confirm, "
+            f"waiting for {named}{more}"
+        )
+
+
+async def _follow(access: AdminAccess, entry: Presence, rollout: Rollout, since: float) -> None:
+    async with access.client(entry) as client:
         while True:
             try:
                 status = await client.get("/status", ASK_TIMEOUT)
--- a/vanillawell/commands/status.py
+++ b/vanillawell/commands/status.py
@@ -10,12 +10,12 @@
 from vanillawell.commands.context import OutputFormat
 from vanillawell.commands.printing import print_document, print_rows
 from vanillawell.commands.rollout import ASK_TIMEOUT, list_entries
-from vanillawell.config.settings import Address
-from vanillawell.transport.http_client import JsonClient, NoAnswerError, NotSentError
+from vanillawell.transport.http_client import NoAnswerError, NotSentError
 
 if TYPE_CHECKING:
     from vanillawell.commands.context import CommandContext
     from vanillawell.protocol.documents import Presence
+    from vanillawell.transport.admin_client import AdminAccess
 
 
 def show_status(context: CommandContext) -> None:
@@ -29,7 +29,7 @@
     statuses: dict[str, dict[str, Any]] = {}
     async with anyio.create_task_group() as tasks:
         for entry in entries:
-            tasks.start_soon(_ask, entry, statuses)
+            tasks.start_soon(_ask, context.access, entry, statuses)
     if context.output is OutputFormat.JSON:
         print_document(statuses)
         return
@@ -38,9 +38,8 @@
     print_rows(_pool_rows(statuses), context.output, "Pools")
 
 
-async def _ask(entry: Presence, statuses: dict[str, dict[str, Any]]) -> None:
-    address = Address(host=entry.admin_host, port=entry.admin_port)
-    async with JsonClient(address) as client:
+async def _ask(access: AdminAccess, entry: Presence, statuses: dict[str, dict[str, Any]]) -> None:
+    async with access.client(entry) as client:
         try:
             statuses[entry.instance] = await client.get("/status", ASK_TIMEOUT)
         except (NotSentError, NoAnswerError):
--- a/vanillawell/config/settings.py
+++ b/vanillawell/config/settings.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 import ipaddress
+from pathlib import Path
 from typing import Annotated, Literal
 
-from pydantic import BaseModel, ConfigDict, Field, field_validator
+from pydantic import BaseModel, ConfigDict, Field, field_validator, model_validator
 
 PortNumber = Annotated[int, Field(ge=0, le=65535)]
 Seconds = Annotated[float, Field(gt=0, le=86_400)]
@@ -37,6 +38,32 @@
         return f"{self.host}:{self.port}"
 
 
+class ServerTls(StrictModel):
+    """Certificate files of a listening port; renewed files are taken over while it runs."""
+
+    certificate: Path
+    """PEM file with the certificate and those between it and its authority."""
+
+    key: Path
+    """PEM file with the private key."""
+
+    client_authorities: Path | None = None
+    """PEM file with authorities; if set, whoever connects must show a certificate by one."""
+
+
+class ClientTls(StrictModel):
+    """How the other end of outgoing connections is verified."""
+
+    authorities: Path
+    """PEM file with the authorities that the other end's certificate must come from."""
+
+    certificate: Path | None = None
+    """PEM file with the certificate to show to the other end, together with `key`."""
+
+    key: Path | None = None
+    """PEM file with its private key."""
+
+
 class StoreSettings(StrictModel):
     """How the platform's key-value service is reached."""
 
@@ -55,6 +82,15 @@
     prefix: str = "/vanillawell"
     """Prefix of every key, so that several users can share one service."""
 
+    tls: ClientTls | None = None
+    """Turns TLS towards the store on."""
+
+    user: str = ""
+    """User to log in as; empty if the store asks for none."""
+
+    password_file: Path | None = None
+    """File with the user's password."""
+
 
 class TimingSettings(StrictModel):
     """Bounds on time that all entries of a fleet must share."""
@@ -139,5 +175,26 @@
     seeds: tuple[Address, ...] = ()
     """Peer addresses to try when the store is not there at start."""
 
+    caller_tls: ServerTls | None = None
+    """Turns TLS for callers on."""
+
+    backend_tls: ClientTls | None = None
+    """Turns TLS towards backend servers on."""
+
+    admin_tls: ServerTls | None = None
+    """Turns TLS on the admin port on."""
+
+    admin_trust: ClientTls | None = None
+    """How this entry verifies other entries' admin ports; needed where `admin_tls` is on."""
+
+    admin_token_file: Path | None = None
+    """File with the secret that operators and entries show on admin ports; probes need none."""
+
     log_level: Annotated[str, Field(pattern="^(DEBUG|INFO|WARNING|ERROR)$")] = "INFO"
     """Least severity that is logged."""
+
+    @model_validator(mode="after")
+    def _require_trust(self) -> DaemonSettings:
+        if self.admin_tls and not self.admin_trust:
+            raise ValueError("admin_trust: needed where admin_tls is on, to ask other entries")
+        return self
--- a/vanillawell/coordination/dispatch.py
+++ b/vanillawell/coordination/dispatch.py
@@ -37,6 +37,7 @@
     from vanillawell.state.policy import Policy
     from vanillawell.telemetry import Telemetry
     from vanillawell.transport.backend import ExecutorLink
+    from vanillawell.transport.dialer import Dialer
 
 log = logging.getLogger(__name__)
 
@@ -69,7 +70,7 @@
         rng: random.Random,
         source: str,
         zone: str,
-        local_host: str,
+        dialer: Dialer,
         longest: float,
         experiment: ExperimentSettings,
     ) -> None:
@@ -80,7 +81,7 @@
         self._rng = rng
         self._source = source
         self._zone = zone
-        self._local_host = local_host
+        self._dialer = dialer
         self._longest = longest
         quota = experiment.routing == "quota"
         self._routing: RoutingPolicy = QuotaRouting() if quota else LeastLoadedRouting()
@@ -116,12 +117,18 @@
         self._shares = {name: team.share for name, team in policy.teams.items()}
         for name, pool in policy.pools.items():
             if name not in self._pools:
-                self._pools[name] = PoolRuntime(pool, self._zone, self._source, self._local_host)
+                self._pools[name] = PoolRuntime(pool, self._zone, self._source, self._dialer)
             self._pools[name].configure(pool, entries)
         gone = [name for name in self._pools if name not in policy.pools]
         for name in gone:
             self._refuse_all(self._pools.pop(name))
 
+    def renew_connections(self) -> None:
+        """Send all further requests over new connections, for instance after a new certificate."""
+        for pool in self._pools.values():
+            for link in pool.links.values():
+                self._tasks.start_soon(link.renew, clock.read())
+
     def _refuse_all(self, pool: PoolRuntime) -> None:
         for item in list(pool.queue):
             pool.queue.remove(item)
--- a/vanillawell/coordination/planner.py
+++ b/vanillawell/coordination/planner.py
@@ -15,7 +15,6 @@
 import anyio
 
 from vanillawell import clock
-from vanillawell.config.settings import Address
 from vanillawell.coordination.instance_list import InstanceListCopy
 from vanillawell.coordination.role import NotHolderError, Role, act_while_held
 from vanillawell.protocol.store import Compare, Put, Transaction
@@ -31,7 +30,7 @@
     Step,
     WaveState,
 )
-from vanillawell.transport.http_client import JsonClient, NoAnswerError, NotSentError
+from vanillawell.transport.http_client import NoAnswerError, NotSentError
 from vanillawell.transport.platform import PlatformClient
 
 if TYPE_CHECKING:
@@ -46,6 +45,7 @@
     from vanillawell.protocol.store import Store
     from vanillawell.state.policy import Policy
     from vanillawell.telemetry import Telemetry
+    from vanillawell.transport.admin_client import AdminAccess
     from vanillawell.transport.platform import InstanceList
 
 log = logging.getLogger(__name__)
@@ -81,9 +81,11 @@
         configuration: ConfigurationFollower,
         assignment: AssignmentFollower,
         demand: Callable[[], Mapping[str, int]],
+        access: AdminAccess,
         timing: TimingSettings,
         telemetry: Telemetry,
     ) -> None:
+        self._access = access
         self._store = store
         self._keys = keys
         self._platform = platform
@@ -243,8 +245,7 @@
     async def _ask(
         self, member: Presence, instance: str, version: int, answers: list[bool]
     ) -> None:
-        address = Address(host=member.admin_host, port=member.admin_port)
-        async with JsonClient(address) as client:
+        async with self._access.client(member) as client:
             try:
                 answer = await client.get(f"/executors/{instance}", ASK_TIMEOUT)
             except (NotSentError, NoAnswerError):
--- a/vanillawell/coordination/pool_runtime.py
+++ b/vanillawell/coordination/pool_runtime.py
@@ -23,6 +23,7 @@
 
     from vanillawell.state.board import DemandBoard
     from vanillawell.state.policy import PoolPolicy
+    from vanillawell.transport.dialer import Dialer
 
 EXCEED_INTERVAL = 0.05
 """Seconds between two attempts beyond an entry's own slots of a full pool."""
@@ -34,7 +35,7 @@
 class PoolRuntime:
     """Queue, executors and measurements of one pool in this entry."""
 
-    def __init__(self, policy: PoolPolicy, zone: str, source: str, local_host: str) -> None:
+    def __init__(self, policy: PoolPolicy, zone: str, source: str, dialer: Dialer) -> None:
         self.policy = policy
         self.queue = FairQueue()
         self.health = PoolHealth(policy.eject_ratio, policy.eject_cap)
@@ -44,7 +45,7 @@
         self.retired: list[ExecutorLink] = []
         self.refreshed = 0.0
         self._zone = zone
-        self._local_host = local_host
+        self._dialer = dialer
         self._source = source
         self._uses: dict[str, SlotUse] = {}
         self._quotas: Mapping[str, int] = {}
@@ -82,7 +83,7 @@
         self.retired.extend(self.links.pop(name) for name in gone)
         for name, executor in wanted.items():
             if name not in self.links:
-                self.links[name] = ExecutorLink(executor, self._most_running, self._local_host)
+                self.links[name] = ExecutorLink(executor, self._most_running, self._dialer)
         self.health.keep(set(wanted))
 
     def running(self) -> int:
--- a/vanillawell/entry.py
+++ b/vanillawell/entry.py
@@ -22,6 +22,7 @@
 from vanillawell.coordination.planner import Planner
 from vanillawell.coordination.static_limits import StaticLimits
 from vanillawell.exceptions import StoreError
+from vanillawell.identity import Identity
 from vanillawell.protocol.documents import Presence, StoreKeys
 from vanillawell.protocol.peer_messages import DocumentKind, NameTable
 from vanillawell.state.board import DemandBoard, Row, is_significant
@@ -31,9 +32,11 @@
 from vanillawell.transport.admin import AdminApp
 from vanillawell.transport.asgi import bind, server
 from vanillawell.transport.caller import CallerApp
+from vanillawell.transport.dialer import Dialer
 from vanillawell.transport.platform import PlatformClient
 from vanillawell.transport.sockets import apply_silence_options
 from vanillawell.transport.store_etcd import EtcdStore
+from vanillawell.transport.tls import CertificateWatch
 
 if TYPE_CHECKING:
     import socket
@@ -72,7 +75,12 @@
     """One running entry."""
 
     def __init__(
-        self, settings: DaemonSettings, listeners: Listeners, store: EtcdStore, tasks: TaskGroup
+        self,
+        settings: DaemonSettings,
+        identity: Identity,
+        listeners: Listeners,
+        store: EtcdStore,
+        tasks: TaskGroup,
     ) -> None:
         self._settings = settings
         self._listeners = listeners
@@ -109,7 +117,7 @@
             rng,
             me.instance,
             me.zone,
-            settings.caller.host,
+            Dialer(settings.caller.host, identity.backend),
             timing.longest_request,
             settings.experiment,
         )
@@ -144,6 +152,7 @@
                 self._configuration,
                 self._assignment,
                 self._dispatcher.demand,
+                identity.access,
                 timing,
                 self._telemetry,
             )
@@ -159,9 +168,13 @@
             self._telemetry,
             burn,
             lambda: store.calls,
+            identity.access.token,
+        )
+        self._caller_server = server(self._caller_app, context=identity.caller_context)
+        self._admin_server = server(self._admin_app, stop_timeout=1, context=identity.admin_context)
+        self._certificates = CertificateWatch(
+            identity.renewable, self._telemetry, self._dispatcher.renew_connections
         )
-        self._caller_server = server(self._caller_app)
-        self._admin_server = server(self._admin_app, stop_timeout=1)
         self._connect()
 
     def _introduce(self) -> Presence:
@@ -250,6 +263,7 @@
             self._claims.run,
             self._dispatcher.run,
             self._serve_peers,
+            self._certificates.run,
         ):
             self._tasks.start_soon(task)
         if self._planner and self._job_runner:
@@ -302,13 +316,14 @@
 
 async def run_entry(settings: DaemonSettings) -> None:
     """Run one entry until it is asked to stop."""
+    identity = Identity(settings)
     listeners = Listeners(settings)
     started = clock.read()
     async with (
         EtcdStore(settings.store, settings.admin.host) as store,
         anyio.create_task_group() as tasks,
     ):
-        entry = Entry(settings, listeners, store, tasks)
+        entry = Entry(settings, identity, listeners, store, tasks)
         fields = {"subject": "entry", "state": "started", "clock": started}
         log.info("state changed", extra=fields)
         await entry.run()
--- a/vanillawell/exceptions.py
+++ b/vanillawell/exceptions.py
@@ -36,6 +36,12 @@
     """The call may have taken effect: it went out and no answer came back."""
 
 
+class StoreAccessError(StoreUnavailableError):
+    """The store refused the user or the password, so the call had no effect."""
+
+    exit_status = 7
+
+
 class ConflictError(VanillawellError):
     """Another operator changed the configuration first."""
 
--- a/vanillawell/standins/backend.py
+++ b/vanillawell/standins/backend.py
@@ -7,15 +7,18 @@
 from __future__ import annotations
 
 import random
+import ssl
 import time
 from collections import Counter
 from dataclasses import asdict, dataclass, field
+from pathlib import Path
 from typing import Annotated, Any
 
 import anyio
 import orjson
 import typer
 
+from vanillawell.config.settings import ServerTls
 from vanillawell.transport.asgi import (
     QuietServer,
     Receive,
@@ -27,6 +30,7 @@
     send_json,
     server,
 )
+from vanillawell.transport.tls import server_context
 
 BODY_BOUND = 64 * 2**20
 """Bytes of a request that are read at most."""
@@ -243,7 +247,14 @@
         ledger.most_running = Counter(ledger.running)
 
 
-async def serve(host: str, control: int, executors: list[str], slots: int, seed: int) -> None:
+async def serve(
+    host: str,
+    control: int,
+    executors: list[str],
+    slots: int,
+    seed: int,
+    context: ssl.SSLContext | None,
+) -> None:
     """Serve all executors until the process is ended."""
     ledger = Ledger()
     apps: dict[str, ExecutorApp] = {}
@@ -252,7 +263,7 @@
         for text in executors:
             name, _, port = text.partition("=")
             app = ExecutorApp(name, slots, 64, ledger, random.Random(rng.random()))
-            app.server = server(app, keepalive=60)
+            app.server = server(app, keepalive=60, context=context)
             apps[name] = app
             listener = bind(host, int(port), name)
             tasks.start_soon(_serve_one, app.server, listener)
@@ -270,9 +281,14 @@
     host: Annotated[str, typer.Option()] = "127.0.0.1",
     slots: Annotated[int, typer.Option()] = 8,
     seed: Annotated[int, typer.Option()] = 1,
+    certificate: Annotated[Path | None, typer.Option(help="Turns TLS on.")] = None,
+    key: Annotated[Path | None, typer.Option(help="The certificate's key.")] = None,
 ) -> None:
     """Run the backend servers' stand-in."""
-    anyio.run(serve, host, control, executors, slots, seed, backend_options={"use_uvloop": True})
+    tls = ServerTls(certificate=certificate, key=key) if certificate and key else None
+    context = server_context(tls) if tls else None
+    options = {"use_uvloop": True}
+    anyio.run(serve, host, control, executors, slots, seed, context, backend_options=options)
 
 
 if __name__ == "__main__":
--- a/vanillawell/standins/deployment.py
+++ b/vanillawell/standins/deployment.py
@@ -68,6 +68,18 @@
     seeded: bool = False
     """Name the first entry as a seed in the settings of all others."""
 
+    entry_settings: dict[str, Any] = {}
+    """Further settings of every entry, for instance TLS."""
+
+    backend_options: list[str] = []
+    """Further options of the backend servers' stand-in."""
+
+    cli_options: list[str] = []
+    """Options that every call of the command line gets."""
+
+    store_users: dict[str, str] = {}
+    """Passwords of the store's users; empty if it asks for none."""
+
     store: dict[str, Any] = {}
     """Store settings of every entry, except for its address."""
 
--- a/vanillawell/standins/fleet.py
+++ b/vanillawell/standins/fleet.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import ssl
 import subprocess
 import sys
 from dataclasses import dataclass
+from pathlib import Path
 from typing import TYPE_CHECKING, Any
 
 import httpcore
@@ -18,10 +20,9 @@
     zone_name,
 )
 from vanillawell.standins.load import Target
-from vanillawell.standins.processes import Process, answers, call, free_port, wait_until
+from vanillawell.standins.processes import Door, Process, answers, call, free_port, wait_until
 
 if TYPE_CHECKING:
-    from pathlib import Path
     from types import TracebackType
 
 LOOPBACK = "127.0.0.1"
@@ -43,7 +44,10 @@
 class EntryHandle:
     """One entry of the fleet."""
 
-    def __init__(self, name: str, zone: int, number: int, process: Process, ports: EntryPorts):
+    def __init__(
+        self, name: str, zone: int, number: int, process: Process, ports: EntryPorts, door: Door
+    ):
+        self._door = door
         self.name = name
         self.zone = zone
         self.host = ENTRY_HOST.format(zone=zone, number=number)
@@ -53,16 +57,16 @@
     @property
     def ready(self) -> bool:
         """Tell whether the balancer may send callers to it."""
-        return self.process.running and answers(self.host, self.ports.admin, "/ready")
+        return self.process.running and answers(self.host, self.ports.admin, "/ready", self._door)
 
     def status(self) -> Any:
         """Return its status document."""
-        return call(self.host, self.ports.admin, "/status")
+        return call(self.host, self.ports.admin, "/status", door=self._door)
 
     def metrics(self) -> str:
         """Return its metrics page."""
-        with httpcore.ConnectionPool() as pool:
-            url = f"http://{self.host}:{self.ports.admin}/metrics"
+        with httpcore.ConnectionPool(ssl_context=self._door.context) as pool:
+            url = f"{self._door.scheme}://{self.host}:{self.ports.admin}/metrics"
             return pool.request("GET", url).content.decode()
 
 
@@ -72,6 +76,7 @@
     def __init__(self, deployment: Deployment, folder: Path) -> None:
         self.deployment = deployment
         self._folder = folder
+        self.cli_options: list[str] = list(deployment.cli_options)
         self._places = executor_places(deployment)
         self._executor_ports = {place.name: free_port() for place in self._places}
         self._executor_links = {place.name: free_port() for place in self._places}
@@ -125,7 +130,15 @@
         host = ENTRY_HOST.format(zone=zone, number=number)
         path.write_bytes(orjson.dumps(self._entry_settings(name, zone, host, ports)))
         process = self._process(name, "vanillawell.daemon", [str(path)])
-        return EntryHandle(name, zone, number, process, ports)
+        return EntryHandle(name, zone, number, process, ports, self._door())
+
+    def _door(self) -> Door:
+        """Return how admin ports are reached, by the entries' settings."""
+        settings = self.deployment.entry_settings
+        trust = settings.get("admin_trust")
+        context = ssl.create_default_context(cafile=trust["authorities"]) if trust else None
+        token_file = settings.get("admin_token_file")
+        return Door(context, Path(token_file).read_text().strip() if token_file else "")
 
     def _entry_settings(
         self, name: str, zone: int, host: str, ports: EntryPorts
@@ -145,6 +158,7 @@
             "seeds": self._seeds(name),
             "experiment": self.deployment.experiment,
             "platform": {"host": LOOPBACK, "port": self._store_links[zone]},
+            **self.deployment.entry_settings,
         }
 
     def _seeds(self, name: str) -> list[dict[str, object]]:
@@ -154,7 +168,8 @@
     def _backend_arguments(self) -> list[str]:
         executors = [f"{name}={port}" for name, port in self._executor_ports.items()]
         control = str(self._control_ports["backend"])
-        return ["--control", control, "--slots", str(self.deployment.slots), *executors]
+        options = ["--control", control, "--slots", str(self.deployment.slots)]
+        return [*options, *self.deployment.backend_options, *executors]
 
     def _network_arguments(self) -> list[str]:
         """Return the links to executors; they carry the load."""
@@ -183,6 +198,8 @@
         for process in (self.platform, self.backend, self.network, self.wires):
             process.start()
         wait_until(lambda: answers(LOOPBACK, self._store_port, "/control/counts"), "the platform")
+        if self.deployment.store_users:
+            call(LOOPBACK, self._store_port, "/control/users", self.deployment.store_users)
         for name, port in self._control_ports.items():
             wait_until(lambda p=port: answers(LOOPBACK, p, "/control/counts"), name)  # type: ignore[misc]
         for service, plan in self.deployment.services.items():
@@ -252,7 +269,7 @@
 
     def try_cli(self, *arguments: str) -> subprocess.CompletedProcess[str]:
         """Run the operators' command line, whatever its exit status."""
-        base = ["--store", self.store_address, "--output", "json"]
+        base = ["--store", self.store_address, "--output", "json", *self.cli_options]
         command = [sys.executable, "-m", "vanillawell.cli", *base, *arguments]
         return subprocess.run(command, capture_output=True, text=True, check=False)
 
@@ -275,6 +292,10 @@
         """Let the store be down, slow, or lose answers."""
         call(LOOPBACK, self._store_port, "/control/faults", fields)
 
+    def end_store_tokens(self) -> None:
+        """Let the store forget who has logged in."""
+        call(LOOPBACK, self._store_port, "/control/users", self.deployment.store_users)
+
     def store_counts(self) -> Any:
         """Return the calls that the store has counted."""
         return call(LOOPBACK, self._store_port, "/control/counts")
--- a/vanillawell/standins/measure/operations.py
+++ b/vanillawell/standins/measure/operations.py
@@ -99,7 +99,7 @@
             bound = 60.0
             done = False
             while not done and time.monotonic() - started < bound:
-                done = " done" in fleet.try_cli("maintenance", "status").stderr.splitlines()[0]
+                done = fleet.cli("maintenance", "status")["state"] == "done"
                 time.sleep(0.2)
             record = fleet.margins()
         return {
--- a/vanillawell/standins/measure/slopes.py
+++ b/vanillawell/standins/measure/slopes.py
@@ -32,6 +32,7 @@
     Wave,
     WaveState,
 )
+from vanillawell.transport.dialer import Dialer
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -193,7 +194,7 @@
             Row("pool-s1", f"team-{number:03d}", 3, 0.5) for number in range(min(count, 430))
         )
         board.receive("zone-2", 3, 1, rows, 0.0)
-        pool = PoolRuntime(policy.pools["pool-s1"], "zone-1", "entry-1-1", "127.0.0.1")
+        pool = PoolRuntime(policy.pools["pool-s1"], "zone-1", "entry-1-1", Dialer("127.0.0.1"))
         pool.configure(policy.pools["pool-s1"], ("entry-1-1",))
         return seconds_of(lambda: pool.refresh(board, shares, 0.0))
 
--- a/vanillawell/standins/platform.py
+++ b/vanillawell/standins/platform.py
@@ -42,6 +42,8 @@
         self._machines = Machines()
         self._workers = Workers()
         self._store.on_put = self._machines.note_put
+        self._users: dict[str, str] = {}
+        self._tokens: set[str] = set()
 
     @property
     def store(self) -> MemoryStore:
@@ -63,12 +65,17 @@
             await self._control(path, body, send)
         elif path.startswith("/platform/"):
             await self._platform(path, orjson.loads(body or b"{}"), send)
+        elif path != "/v3/auth/authenticate" and not self._may_call(scope):
+            await send_json(send, {"error": "etcdserver: invalid auth token", "code": 16}, 401)
         elif path == "/v3/watch":
             await self._watch(orjson.loads(body), receive, send)
         else:
             await self._call(path, body, receive, send)
 
     async def _call(self, path: str, body: bytes, receive: Receive, send: Send) -> None:
+        if path == "/v3/auth/authenticate":
+            await self._authenticate(orjson.loads(body), send)
+            return
         try:
             answer = await self._store.call(path, orjson.loads(body), anyio.current_time())
         except StoreDownError:
@@ -80,6 +87,20 @@
         else:
             await send_json(send, answer)
 
+    async def _authenticate(self, request: dict[str, str], send: Send) -> None:
+        """Give a token for a user's password, as etcd's gateway does."""
+        if not self._users or self._users.get(request["name"]) != request["password"]:
+            error = "etcdserver: authentication failed, invalid user ID or password"
+            await send_json(send, {"error": error, "code": 3}, 400)
+            return
+        token = f"{request['name']}.{len(self._tokens)}"
+        self._tokens.add(token)
+        await send_json(send, {"header": {}, "token": token})
+
+    def _may_call(self, scope: Scope) -> bool:
+        shown = next((v for name, v in scope["headers"] if name == b"authorization"), b"")
+        return not self._users or shown.decode() in self._tokens
+
     async def _until_disconnect(self, receive: Receive) -> None:
         with anyio.move_on_after(HELD_FOREVER):
             while (await receive())["type"] != "http.disconnect":
@@ -139,6 +160,10 @@
             case "/control/gone":
                 self._machines.end_for_good(request["instances"])
                 await send_json(send, {"ok": True})
+            case "/control/users":
+                self._users = request
+                self._tokens.clear()
+                await send_json(send, {"ok": True})
             case "/control/margins":
                 await send_json(send, self._machines.report())
             case "/control/counts":
--- a/vanillawell/standins/processes.py
+++ b/vanillawell/standins/processes.py
@@ -9,9 +9,11 @@
 import os
 import signal
 import socket
+import ssl
 import subprocess
 import sys
 import time
+from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 
 import httpcore
@@ -74,25 +76,48 @@
         time.sleep(WAIT_PAUSE)
 
 
-def call(host: str, port: int, path: str, document: object = None) -> Any:
+@dataclass(frozen=True, slots=True)
+class Door:
+    """How a port is reached that asks for more than an address."""
+
+    context: ssl.SSLContext | None = None
+    token: str = ""
+
+    @property
+    def scheme(self) -> str:
+        """Return the URL scheme."""
+        return "https" if self.context else "http"
+
+    @property
+    def headers(self) -> dict[bytes | str, bytes | str]:
+        """Return the headers that prove who calls."""
+        return {"authorization": f"Bearer {self.token}"} if self.token else {}
+
+
+OPEN_DOOR = Door()
+"""Plain HTTP without a token."""
+
+
+def call(host: str, port: int, path: str, document: object = None, door: Door = OPEN_DOOR) -> Any:
     """Make one control call and return the answer's document."""
     method = "GET" if document is None else "POST"
     content = None if document is None else orjson.dumps(document)
-    with httpcore.ConnectionPool() as pool:
+    with httpcore.ConnectionPool(ssl_context=door.context) as pool:
         response = pool.request(
             method,
-            f"http://{host}:{port}{path}",
+            f"{door.scheme}://{host}:{port}{path}",
+            headers=door.headers,
             content=content,
             extensions={"timeout": CALL_TIMEOUT},
         )
     return orjson.loads(response.content)
 
 
-def answers(host: str, port: int, path: str) -> bool:
+def answers(host: str, port: int, path: str, door: Door = OPEN_DOOR) -> bool:
     """Tell whether a call succeeds with status 200."""
     try:
-        with httpcore.ConnectionPool() as pool:
-            url = f"http://{host}:{port}{path}"
+        with httpcore.ConnectionPool(ssl_context=door.context) as pool:
+            url = f"{door.scheme}://{host}:{port}{path}"
             return pool.request("GET", url, extensions={"timeout": CALL_TIMEOUT}).status == 200
     except (httpcore.NetworkError, httpcore.TimeoutException, httpcore.ProtocolError):
         return False
--- a/vanillawell/telemetry.py
+++ b/vanillawell/telemetry.py
@@ -40,6 +40,9 @@
             "vanillawell_moves_total",
             "Moves and drains begun, by reason (demand, no longer needed, maintenance, ...).",
         )
+        self.certificate_reloads = self._counter(
+            "vanillawell_certificate_reloads_total", "Renewed certificate files taken over."
+        )
         self.ejections = self._counter(
             "vanillawell_ejections_total", "Executors left out for failing, by pool."
         )
--- a/vanillawell/tests/maintenance_proof_tests.py
+++ b/vanillawell/tests/maintenance_proof_tests.py
@@ -35,14 +35,13 @@
 
 def wave_state(fleet: Fleet) -> tuple[str, int]:
     """Return the wave's state and how many instances still wait."""
-    text = fleet.try_cli("maintenance", "status").stderr
-    remaining = int(text.rpartition("remaining ")[2].split()[0])
-    return text.partition(": ")[2].split()[0], remaining
+    document = fleet.cli("maintenance", "status")
+    return document["state"], len(document["remaining"])
 
 
 def small_rack_is_leaving(fleet: Fleet) -> bool:
     """Tell whether an instance is away that a loss of the larger rack would need most."""
-    rows = fleet.cli("maintenance", "status")
+    rows = fleet.cli("maintenance", "status")["instances"]
     away = {row["instance"] for row in rows if row["phase"] != "serving"}
     return bool(away & {"check-5", "check-6"})
 
--- a/vanillawell/tests/planner_tests.py
+++ b/vanillawell/tests/planner_tests.py
@@ -15,6 +15,7 @@
 from vanillawell.telemetry import Telemetry
 from vanillawell.tests.builders import presence, store_settings, timing
 from vanillawell.tests.fakes import RacyStore
+from vanillawell.transport.admin_client import AdminAccess
 
 if TYPE_CHECKING:
     from vanillawell.protocol.documents import Presence
@@ -36,7 +37,16 @@
     plain: Any = store
     follower = AssignmentFollower(plain, KEYS, member, store_settings(1), Telemetry())
     planner = Planner(
-        plain, KEYS, anything, member, anything, follower, dict, timing(), Telemetry()
+        plain,
+        KEYS,
+        anything,
+        member,
+        anything,
+        follower,
+        dict,
+        AdminAccess(),
+        timing(),
+        Telemetry(),
     )
     return planner, follower
 
--- a/vanillawell/tests/rollout_proof_tests.py
+++ b/vanillawell/tests/rollout_proof_tests.py
@@ -8,6 +8,8 @@
 from base64 import b64encode
 from typing import TYPE_CHECKING, Any
 
+import orjson
+
 from vanillawell.standins.processes import call as control
 from vanillawell.standins.processes import wait_until
 from vanillawell.tests.builders import QUICK_TIMING
@@ -192,3 +194,30 @@
         assert [reply for reply in replies if reply.status != 200] == []
         held = fleet.entries["entry-1-2"].status()["entries"]
         assert held <= 6
+
+
+def test_a_slow_rollout_names_who_lags_and_ends_with_its_own_status(tmp_path: Path) -> None:
+    """One entry is paused while operators wait for a change to be in force."""
+    with running_fleet(tmp_path, entries_per_zone=2) as fleet:
+        document = fleet.tree_document()
+        document["nodes"]["guild"]["settings"]["limit"] = 5
+        path = tmp_path / "changed.jsonc"
+        path.write_bytes(orjson.dumps(document))
+        fleet.entries["entry-1-2"].process.pause()
+        done = fleet.try_cli("config", "push", str(path), "--wait", "--wait-bound", "2.5")
+        fleet.entries["entry-1-2"].process.resume()
+        assert "1 of 2 entries confirm, waiting for entry-1-2" in done.stderr
+        assert done.returncode == 6
+
+
+def test_a_dry_run_shows_the_difference_and_changes_nothing(tmp_path: Path) -> None:
+    with running_fleet(tmp_path) as fleet:
+        shown = fleet.cli("node", "set", "guild", "limit=5", "--dry-run")
+        assert shown["changed"] is False
+        assert any("limit" in line for line in shown["differences"])
+        assert versions(fleet) == [1]
+        changed = fleet.cli("node", "set", "guild", "limit=5", "--wait")
+        assert (changed["changed"], changed["version"]) == (True, 2)
+        assert changed["differences"] == shown["differences"]
+        again = fleet.cli("node", "set", "guild", "limit=5")
+        assert (again["changed"], again["differences"]) == (False, [])
--- a/vanillawell/tests/startup_tests.py
+++ b/vanillawell/tests/startup_tests.py
@@ -12,6 +12,8 @@
 if TYPE_CHECKING:
     from pathlib import Path
 
+    from vanillawell.standins.fleet import Fleet
+
 
 def test_an_entry_waits_for_a_store_that_is_not_there_and_says_so_once(tmp_path: Path) -> None:
     """An entry starts during an outage of the store and knows no peer.
@@ -28,12 +30,18 @@
             lambda: entry.process.log_text.count('"unreachable"') == before + 1, "it says so"
         )
         wait_until(lambda: send_one(entry, Call()).problem == "starting", "it refuses as not run")
+        tries = leases_asked_for(fleet)
+        wait_until(lambda: leases_asked_for(fleet) >= tries + 4, "it goes on trying")
         assert not entry.ready
         fleet.store_faults(down=False)
         wait_until(lambda: send_one(entry, Call()).status == 200, "it serves")
         assert entry.process.log_text.count('"unreachable"') == before + 1
 
 
+def leases_asked_for(fleet: Fleet) -> int:
+    return int(fleet.store_counts()["calls"].get("lease/grant", 0))
+
+
 def test_a_taken_port_ends_the_start_with_one_clear_line(tmp_path: Path) -> None:
     with running_fleet(tmp_path) as fleet:
         entry = fleet.entries["entry-1-1"]
@@ -55,8 +63,9 @@
     It learns the configuration from there, but holds no units of any limit, and says so.
     """
     with running_fleet(tmp_path, entries_per_zone=2, seeded=True) as fleet:
-        entry = fleet.entries["entry-1-2"]
+        entry, other = fleet.entries["entry-1-2"], fleet.entries["entry-1-1"]
         entry.process.kill()
+        wait_until(lambda: other.status()["entries"] == 1, "the other one has forgotten it")
         fleet.store_faults(down=True)
         entry.process.start()
         wait_until(lambda: entry.ready, "it has a configuration")
--- a/vanillawell/transport/admin.py
+++ b/vanillawell/transport/admin.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import hmac
 from dataclasses import asdict, dataclass
 from typing import TYPE_CHECKING
 
@@ -23,6 +24,9 @@
     from vanillawell.transport.asgi import Receive, Scope, Send
 
 
+OPEN_PATHS = frozenset({"/live", "/ready", "/metrics"})
+"""Pages for the balancer and for collectors of metrics, which show no token."""
+
 EXECUTORS_PATH = "/executors/"
 """Below this path the planner asks whether an executor has been drained."""
 
@@ -83,6 +87,7 @@
         telemetry: Telemetry,
         burn: BurnBook,
         store_calls: Callable[[], int],
+        token: str,
     ) -> None:
         self._membership = membership
         self._configuration = configuration
@@ -92,6 +97,7 @@
         self._telemetry = telemetry
         self._burn = burn
         self._store_calls = store_calls
+        self._token = f"Bearer {token}".encode() if token else b""
         self._stopping = False
 
     @property
@@ -107,6 +113,9 @@
         """Answer one request."""
         if scope["type"] != "http":
             return
+        if scope["path"] not in OPEN_PATHS and not self._authorized(scope):
+            await send_json(send, {"error": "not authorized"}, 401)
+            return
         match scope["path"]:
             case "/metrics":
                 await self._send_metrics(scope, send)
@@ -123,6 +132,10 @@
             case _:
                 await send_json(send, {"error": "no such page"}, 404)
 
+    def _authorized(self, scope: Scope) -> bool:
+        shown = next((value for name, value in scope["headers"] if name == b"authorization"), b"")
+        return hmac.compare_digest(shown, self._token) if self._token else True
+
     def _burn_lines(self) -> list[dict[str, object]]:
         counts = self._burn.counts(clock.read())
         return [
--- a/vanillawell/transport/asgi.py
+++ b/vanillawell/transport/asgi.py
@@ -4,6 +4,7 @@
 
 import contextlib
 import socket
+import ssl
 from collections.abc import Awaitable, Callable, Iterator, MutableMapping
 from typing import Any
 
@@ -56,8 +57,13 @@
     return listener
 
 
-def server(app: Any, keepalive: int = 20, stop_timeout: int | None = None) -> QuietServer:
-    """Build a uvicorn server around an ASGI application."""
+def server(
+    app: Any,
+    keepalive: int = 20,
+    stop_timeout: int | None = None,
+    context: ssl.SSLContext | None = None,
+) -> QuietServer:
+    """Build a uvicorn server around an ASGI application; `context` turns TLS on."""
     config = uvicorn.Config(
         app,
         http="httptools",
@@ -70,6 +76,7 @@
         timeout_keep_alive=keepalive,
         timeout_graceful_shutdown=stop_timeout,
         backlog=LISTEN_BACKLOG,
+        ssl_context_factory=(lambda _config, _default: context) if context else None,
     )
     return QuietServer(config)
 
--- a/vanillawell/transport/backend.py
+++ b/vanillawell/transport/backend.py
@@ -16,7 +16,6 @@
 
 from vanillawell.state.retries import Failure
 from vanillawell.transport.http_client import SendWatcher, TooLateToSendError, timeouts
-from vanillawell.transport.sockets import SILENCE_OPTIONS
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -24,6 +23,7 @@
     from anyio.streams.memory import MemoryObjectReceiveStream, MemoryObjectSendStream
 
     from vanillawell.state.policy import Executor
+    from vanillawell.transport.dialer import Dialer
 
 BUFFER_BOUND = 262_144
 """Bytes of an answer that are collected before any of it goes to the caller."""
@@ -99,10 +99,10 @@
 class ExecutorLink:
     """Own all connections of this entry to one executor."""
 
-    def __init__(self, executor: Executor, connections: int, local_host: str) -> None:
+    def __init__(self, executor: Executor, connections: int, dialer: Dialer) -> None:
         self._executor = executor
         self._connections = connections
-        self._local_host = local_host
+        self._dialer = dialer
         self._pool = self._new_pool()
         self._old_pools: list[httpcore.AsyncConnectionPool] = []
         self._attempts: set[Attempt] = set()
@@ -119,12 +119,7 @@
         return self._executor
 
     def _new_pool(self) -> httpcore.AsyncConnectionPool:
-        return httpcore.AsyncConnectionPool(
-            max_connections=self._connections,
-            keepalive_expiry=KEEPALIVE,
-            socket_options=SILENCE_OPTIONS,
-            local_address=self._local_host,
-        )
+        return self._dialer.pool(self._connections, KEEPALIVE)
 
     async def renew(self, now: float) -> None:
         """Send all further requests over new connections; close old ones that are idle."""
@@ -149,7 +144,7 @@
 
     def _url(self, target: bytes) -> httpcore.URL:
         return httpcore.URL(
-            scheme=b"http",
+            scheme=self._dialer.scheme,
             host=self._executor.host.encode(),
             port=self._executor.port,
             target=target,
@@ -157,9 +152,7 @@
 
     async def probe(self) -> bool:
         """Ask for any answer on a new connection (OPTIONS *, RFC 9110 section 9.3.7)."""
-        async with httpcore.AsyncConnectionPool(
-            max_connections=1, local_address=self._local_host
-        ) as pool:
+        async with self._dialer.pool(1, None) as pool:
             try:
                 await pool.request(
                     "OPTIONS", self._url(b"*"), extensions={"timeout": timeouts(PROBE_TIMEOUT)}
--- a/vanillawell/transport/http_client.py
+++ b/vanillawell/transport/http_client.py
@@ -10,12 +10,17 @@
 from vanillawell.transport.sockets import SILENCE_OPTIONS
 
 if TYPE_CHECKING:
+    import ssl
     from collections.abc import Callable
     from types import TracebackType
 
     from vanillawell.config.settings import Address
 
 
+Headers = dict[bytes | str, bytes | str]
+"""Headers of a call, as httpcore takes them."""
+
+
 class NotSentError(Exception):
     """The call had no effect: no byte of it was written."""
 
@@ -24,6 +29,10 @@
     """The call went out, at least in part, and no whole answer came back."""
 
 
+class UnauthorizedError(NotSentError):
+    """The other end refused who calls (401), so the call had no effect."""
+
+
 class TooLateToSendError(Exception):
     """The request may not be sent any more; nothing of it was."""
 
@@ -70,11 +79,15 @@
         connections: int = 4,
         keepalive: float = 20.0,
         local_host: str | None = None,
+        ssl_context: ssl.SSLContext | None = None,
+        headers: Headers | None = None,
     ) -> None:
-        self._base = f"http://{address}"
+        self._base = f"{'https' if ssl_context else 'http'}://{address}"
+        self._headers: Headers = {"content-type": "application/json", **(headers or {})}
         self._pool = httpcore.AsyncConnectionPool(
             max_connections=connections,
             keepalive_expiry=keepalive,
+            ssl_context=ssl_context,
             socket_options=SILENCE_OPTIONS,
             local_address=local_host,
         )
@@ -99,29 +112,40 @@
         """Return the whole URL of a path."""
         return self._base + path
 
-    async def post(self, path: str, document: object, timeout: float) -> Any:
+    async def post(
+        self, path: str, document: object, timeout: float, headers: Headers | None = None
+    ) -> Any:
         """Send a document and return the answer's document.
 
         Raises:
-            NotSentError: Nothing went out.
+            NotSentError: Nothing went out, or the call was refused for who makes it.
             NoAnswerError: No whole, successful answer came back.
         """
-        return await self._call("POST", path, orjson.dumps(document), timeout)
+        return await self._call("POST", path, orjson.dumps(document), timeout, headers)
 
     async def get(self, path: str, timeout: float) -> Any:
         """Fetch a document; raises as `post` does."""
         return await self._call("GET", path, None, timeout)
 
-    async def _call(self, method: str, path: str, body: bytes | None, timeout: float) -> Any:
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        body: bytes | None,
+        timeout: float,
+        headers: Headers | None = None,
+    ) -> Any:
         watcher = SendWatcher()
         try:
             response = await self._pool.request(
                 method,
                 self._base + path,
-                headers={"content-type": "application/json"},
+                headers={**self._headers, **(headers or {})},
                 content=body,
                 extensions={"timeout": timeouts(timeout), "trace": watcher.trace},
             )
+            if response.status == 401:
+                raise UnauthorizedError(f"{path}: not authorized")
             if response.status != 200:
                 raise NoAnswerError(f"{path}: status {response.status}")
             return orjson.loads(response.content)
--- a/vanillawell/transport/store_etcd.py
+++ b/vanillawell/transport/store_etcd.py
@@ -14,11 +14,24 @@
 import httpcore
 import orjson
 
-from vanillawell.exceptions import StoreOutcomeUnknownError, StoreUnavailableError
+from vanillawell.exceptions import (
+    StoreAccessError,
+    StoreOutcomeUnknownError,
+    StoreUnavailableError,
+)
 from vanillawell.protocol.store import KeyValue, Listing, Transaction, TransactionResult
-from vanillawell.transport.http_client import JsonClient, NoAnswerError, NotSentError, timeouts
+from vanillawell.transport.http_client import (
+    Headers,
+    JsonClient,
+    NoAnswerError,
+    NotSentError,
+    UnauthorizedError,
+    timeouts,
+)
+from vanillawell.transport.tls import ClientTrust
 
 if TYPE_CHECKING:
+    from pathlib import Path
     from types import TracebackType
 
     from vanillawell.config.settings import StoreSettings
@@ -50,8 +63,14 @@
 
     def __init__(self, settings: StoreSettings, local_host: str | None = None) -> None:
         self._settings = settings
-        self._client = JsonClient(settings.address, connections=8, local_host=local_host)
+        self._client = JsonClient(
+            settings.address,
+            connections=8,
+            local_host=local_host,
+            ssl_context=ClientTrust("store.tls", settings.tls).context if settings.tls else None,
+        )
         self._calls = 0
+        self._token = ""
 
     async def __aenter__(self) -> EtcdStore:
         return self
@@ -116,6 +135,7 @@
             async with self._client.pool.stream(
                 "POST",
                 self._client.url("/v3/watch"),
+                headers=await self._login(),
                 content=orjson.dumps({"create_request": create}),
                 extensions={"timeout": limits},
             ) as response:
@@ -123,10 +143,47 @@
         except (httpcore.NetworkError, httpcore.TimeoutException, httpcore.ProtocolError) as error:
             raise StoreUnavailableError(f"store: watch ended: {type(error).__name__}") from error
 
+    async def _login(self) -> Headers:
+        """Return the header that proves the store's user; raises StoreError.
+
+        Source: etcd v3 authentication, where the gateway takes the token as it is.
+        """
+        if not self._settings.user or not self._settings.password_file:
+            return {}
+        if not self._token:
+            self._token = await self._new_token(self._settings.user, self._settings.password_file)
+        return {"authorization": self._token}
+
+    async def _new_token(self, user: str, password_file: Path) -> str:
+        try:
+            document = {"name": user, "password": password_file.read_text().strip()}
+            answer = await self._send("/v3/auth/authenticate", document, {})
+        except OSError as error:
+            raise StoreAccessError(f"store.password_file: {error}") from error
+        except StoreOutcomeUnknownError as error:
+            raise StoreAccessError(f"store: login as {user!r} failed: {error}") from error
+        return str(answer["token"])
+
     async def _post(self, path: str, document: object) -> Any:
+        """Make a call as the store's user, once more with a new token if that was refused.
+
+        Tokens end after some time or when the store restarts. The refusal proves that the call
+        had no effect, so repeating it cannot apply it twice.
+        """
+        try:
+            return await self._send(path, document, await self._login())
+        except StoreAccessError:
+            if not self._token:
+                raise
+            self._token = ""
+            return await self._send(path, document, await self._login())
+
+    async def _send(self, path: str, document: object, headers: Headers) -> Any:
         self._calls += 1
         try:
-            return await self._client.post(path, document, self._settings.timeout)
+            return await self._client.post(path, document, self._settings.timeout, headers)
+        except UnauthorizedError as error:
+            raise StoreAccessError("store: the user or password was refused") from error
         except NotSentError as error:
             raise StoreUnavailableError(f"store not reached: {error}") from error
         except NoAnswerError as error:
