Split admission from dispatch, and share what both document followers did

Change: admission_check.py decides by what refusal a request is answered before it starts, or when it is not tried again. follower.py brings documents into force; each follower only reads its own. No behaviour is meant to change; the log line of an unreadable document keeps its words.

--- /dev/null
+++ b/vanillawell/coordination/admission_check.py
@@ -0,0 +1,85 @@
+"""Decide with what refusal, if any, a request is answered before it is started."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from vanillawell.protocol.refusals import Reason, Refusal
+from vanillawell.protocol.verdict import Verdict
+from vanillawell.state.admission import QueueState, admit, spread, worth_starting
+from vanillawell.state.retries import Failure
+
+if TYPE_CHECKING:
+    import random
+
+    from vanillawell.coordination.pool_runtime import PoolRuntime
+    from vanillawell.coordination.tickets import LimitSource, Order, Ticket
+    from vanillawell.state.policy import TeamPolicy
+    from vanillawell.state.queueing import Waiting
+    from vanillawell.transport.backend import Answer
+
+NO_BACKEND_RETRY_AFTER = 1.0
+"""Seconds to stay away from a service whose backend servers cannot be reached."""
+
+NO_UNITS_RETRY_AFTER = 0.5
+"""Seconds after which the balancer may have an entry that holds units of the team's limit."""
+
+
+class AdmissionCheck:
+    """Refuse what cannot be answered in time, and say when to come back."""
+
+    def __init__(self, limits: LimitSource, rng: random.Random) -> None:
+        self._limits = limits
+        self._rng = rng
+
+    def on_arrival(
+        self, order: Order, pool: PoolRuntime, team: TeamPolicy, now: float
+    ) -> Refusal | None:
+        """Return the refusal of a request that need not be queued."""
+        if not pool.links:
+            return self.no_backend("the pool is empty")
+        by_limit = float(self._limits.usable(order.team, now))
+        if not by_limit and not self._limits.may_grow():
+            return self.no_units(Verdict.NOT_RUN)
+        state = QueueState(
+            length=pool.queue.length(order.team),
+            bound=team.queue_length,
+            service_time=pool.service_time.mean,
+            slots=min(pool.slots_of(order.team), by_limit),
+        )
+        verdict = admit(state, order.deadline - now, self._rng)
+        if verdict.admitted:
+            return None
+        reason = Reason.QUEUE_FULL if verdict.queue_full else Reason.CANNOT_FINISH
+        return Refusal(reason, Verdict.NOT_RUN, retry_after=verdict.retry_after)
+
+    def no_units(self, verdict: Verdict) -> Refusal:
+        """Refuse what waits for units that cannot be had now."""
+        wait = spread(NO_UNITS_RETRY_AFTER, self._rng)
+        return Refusal(Reason.NO_UNITS, verdict, retry_after=wait)
+
+    def no_backend(self, detail: str = "") -> Refusal:
+        """Refuse what no backend server can be reached for."""
+        wait = spread(NO_BACKEND_RETRY_AFTER, self._rng)
+        return Refusal(Reason.NO_BACKEND, Verdict.NOT_RUN, detail, wait)
+
+    def worth_starting(self, pool: PoolRuntime, item: Waiting, now: float) -> bool:
+        """Tell whether a request that has waited has enough time left to be started."""
+        others_wait = pool.queue.length(item.team) > 0
+        return worth_starting(item.deadline - now, pool.service_time.usual_least, others_wait)
+
+    def hopeless(self, pool: PoolRuntime, ticket: Ticket) -> Answer | Refusal:
+        """Return the final outcome of a request that has too little time left."""
+        wait = spread(pool.service_time.mean, self._rng)
+        refusal = Refusal(Reason.CANNOT_FINISH, ticket.verdict_if_given_up, retry_after=wait)
+        return ticket.last_answer or refusal
+
+    def after_failure(self, ticket: Ticket, failure: Failure) -> Answer | Refusal:
+        """Return the final outcome of a request that is not tried again."""
+        if ticket.last_answer is not None:
+            return ticket.last_answer
+        if ticket.may_have_run:
+            return Refusal(Reason.BACKEND_FAILED, Verdict.MAY_HAVE_RUN)
+        if failure in (Failure.REFUSED_FULL, Failure.TOO_LATE):
+            return Refusal(Reason.DEADLINE, Verdict.NOT_RUN)
+        return self.no_backend()
--- a/vanillawell/coordination/configuration.py
+++ b/vanillawell/coordination/configuration.py
@@ -2,17 +2,13 @@
 
 from __future__ import annotations
 
-import logging
 from typing import TYPE_CHECKING
 
 from vanillawell.coordination.follower import DocumentFollower
-from vanillawell.exceptions import SettingsError
 from vanillawell.protocol.documents import Configuration
 from vanillawell.state.policy import Policy, compile_policy
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-
     from vanillawell.config.settings import StoreSettings
     from vanillawell.config.tree import OperatorTree
     from vanillawell.coordination.membership import Membership
@@ -20,8 +16,6 @@
     from vanillawell.protocol.store import Store
     from vanillawell.telemetry import Telemetry
 
-log = logging.getLogger(__name__)
-
 
 class ConfigurationFollower(DocumentFollower):
     """Own the configuration in force in this entry."""
@@ -39,7 +33,6 @@
         )
         self._policy: Policy | None = None
         self._tree: OperatorTree | None = None
-        self._listeners: list[Callable[[], None]] = []
 
     @property
     def policy(self) -> Policy | None:
@@ -56,25 +49,13 @@
         """Return the version in force; 0 before the first."""
         return self._policy.version if self._policy else 0
 
-    def on_change(self, listener: Callable[[], None]) -> None:
-        """Call `listener` after each change."""
-        self._listeners.append(listener)
-
-    def apply(self, document: bytes) -> bool:
-        """Bring a document into force if it is newer; False if it is not or is unreadable."""
-        try:
-            configuration = Configuration.from_bytes(document)
-        except (SettingsError, ValueError, TypeError, KeyError) as error:
-            log.error("configuration refused", extra={"reason": str(error)})
-            return False
+    def _adopt(self, document: bytes) -> bool:
+        configuration = Configuration.from_bytes(document)
         if configuration.version <= self.version:
             return False
         changes = configuration.limit_changes
         self._policy = compile_policy(configuration.tree, configuration.version, changes)
         self._tree = configuration.tree
-        self._document = document
         self._telemetry.configuration.set({}, configuration.version)
         self._telemetry.state("configuration", f"version {configuration.version}")
-        for listener in self._listeners:
-            listener()
         return True
--- a/vanillawell/coordination/dispatch.py
+++ b/vanillawell/coordination/dispatch.py
@@ -9,12 +9,12 @@
 import anyio
 
 from vanillawell import clock
+from vanillawell.coordination.admission_check import AdmissionCheck
 from vanillawell.coordination.link_watch import LinkWatch
 from vanillawell.coordination.pool_runtime import PoolRuntime
 from vanillawell.coordination.tickets import LimitSource, Order, Ticket, delivered_to, failure_of
 from vanillawell.protocol.refusals import Reason, Refusal
 from vanillawell.protocol.verdict import Verdict
-from vanillawell.state.admission import QueueState, admit, spread, worth_starting
 from vanillawell.state.charges import ChargeBook
 from vanillawell.state.queueing import Waiting
 from vanillawell.state.retries import (
@@ -50,13 +50,6 @@
 REFRESH_INTERVAL = 0.05
 """Seconds between two divisions of a pool's slots."""
 
-NO_BACKEND_RETRY_AFTER = 1.0
-"""Seconds to stay away from a service whose backend servers cannot be reached."""
-
-
-NO_UNITS_RETRY_AFTER = 0.5
-"""Seconds after which the balancer may have an entry that holds units of the team's limit."""
-
 
 class Dispatcher:
     """Own the queues, charges and attempts of one entry."""
@@ -78,7 +71,7 @@
         self._limits = limits
         self._board = board
         self._telemetry = telemetry
-        self._rng = rng
+        self._admission = AdmissionCheck(limits, rng)
         self._source = source
         self._zone = zone
         self._dialer = dialer
@@ -146,10 +139,8 @@
         if pool is None or self._policy is None or order.team not in self._policy.teams:
             detail = "the configuration changed while the request arrived"
             return Refusal(Reason.NO_SUCH_SERVICE, Verdict.NOT_RUN, detail)
-        if not pool.links:
-            wait = spread(NO_BACKEND_RETRY_AFTER, self._rng)
-            return Refusal(Reason.NO_BACKEND, Verdict.NOT_RUN, "the pool is empty", wait)
-        refusal = self._check_admission(order, pool, now)
+        team = self._policy.teams[order.team]
+        refusal = self._admission.on_arrival(order, pool, team, now)
         if refusal:
             return refusal
         waiting = Waiting(order.team, order.urgent, now, order.deadline)
@@ -169,28 +160,7 @@
                 if ticket is None or ticket.running or self._charges.charged(item.team):
                     continue
                 pool.queue.remove(item)
-                wait = spread(NO_UNITS_RETRY_AFTER, self._rng)
-                refusal = Refusal(Reason.NO_UNITS, ticket.verdict_if_given_up, retry_after=wait)
-                self._finish(ticket, refusal)
-
-    def _check_admission(self, order: Order, pool: PoolRuntime, now: float) -> Refusal | None:
-        assert self._policy is not None
-        team = self._policy.teams[order.team]
-        by_limit = float(self._limits.usable(order.team, now))
-        if not by_limit and not self._limits.may_grow():
-            wait = spread(NO_UNITS_RETRY_AFTER, self._rng)
-            return Refusal(Reason.NO_UNITS, Verdict.NOT_RUN, retry_after=wait)
-        state = QueueState(
-            length=pool.queue.length(order.team),
-            bound=team.queue_length,
-            service_time=pool.service_time.mean,
-            slots=min(pool.slots_of(order.team), by_limit),
-        )
-        verdict = admit(state, order.deadline - now, self._rng)
-        if verdict.admitted:
-            return None
-        reason = Reason.QUEUE_FULL if verdict.queue_full else Reason.CANNOT_FINISH
-        return Refusal(reason, Verdict.NOT_RUN, retry_after=verdict.retry_after)
+                self._finish(ticket, self._admission.no_units(ticket.verdict_if_given_up))
 
     def give_up(self, ticket: Ticket, reason: Reason, now: float) -> Refusal:
         """End a request early, for its deadline or because its caller left."""
@@ -265,7 +235,7 @@
             item = pool.queue.pick(may_start, debt)
             if item is None:
                 return
-            if not self._worth_starting(pool, item, now):
+            if not self._admission.worth_starting(pool, item, now):
                 self._refuse_hopeless(pool, item)
                 continue
             executor = self._routing.choose(pool.view(item.tried, now), pool.health, now)
@@ -274,18 +244,11 @@
                 return
             self._start(pool, item, executor, now)
 
-    def _worth_starting(self, pool: PoolRuntime, item: Waiting, now: float) -> bool:
-        others_wait = pool.queue.length(item.team) > 0
-        return worth_starting(item.deadline - now, pool.service_time.usual_least, others_wait)
-
     def _refuse_hopeless(self, pool: PoolRuntime, item: Waiting) -> None:
-        """Give the final outcome of a request that waited too long; a hedge is just dropped."""
+        """End a request that waited too long; a second attempt of one that runs is dropped."""
         ticket = self._tickets[item]
-        if ticket.running:
-            return
-        wait = spread(pool.service_time.mean, self._rng)
-        refusal = Refusal(Reason.CANNOT_FINISH, ticket.verdict_if_given_up, retry_after=wait)
-        self._finish(ticket, ticket.last_answer or refusal)
+        if not ticket.running:
+            self._finish(ticket, self._admission.hopeless(pool, ticket))
 
     def _start(self, pool: PoolRuntime, item: Waiting, executor: str, now: float) -> None:
         ticket = self._tickets[item]
@@ -399,23 +362,12 @@
         budget = pool.budget if self._budgeted else RetryBudget(0.0, bounded=False)
         decision = decide(failed, reachable, budget)
         if decision is RetryDecision.GIVE_UP or order.pool not in self._pools:
-            self._finish(ticket, self._final(ticket, failure))
+            self._finish(ticket, self._admission.after_failure(ticket, failure))
             return
         self._telemetry.retries.inc({"pool": order.pool, "kind": decision.name.lower()})
         pool.queue.remove(ticket.waiting)
         pool.queue.add(ticket.waiting, front=True)
 
-    def _final(self, ticket: Ticket, failure: Failure) -> Answer | Refusal:
-        """Return the final outcome of a request that is not tried again."""
-        if ticket.last_answer is not None:
-            return ticket.last_answer
-        if ticket.may_have_run:
-            return Refusal(Reason.BACKEND_FAILED, Verdict.MAY_HAVE_RUN)
-        if failure in (Failure.REFUSED_FULL, Failure.TOO_LATE):
-            return Refusal(Reason.DEADLINE, Verdict.NOT_RUN)
-        wait = spread(NO_BACKEND_RETRY_AFTER, self._rng)
-        return Refusal(Reason.NO_BACKEND, Verdict.NOT_RUN, retry_after=wait)
-
     def _finish(self, ticket: Ticket, outcome: Answer | Refusal | None) -> None:
         """Set the outcome and forget the request, also a second attempt of it that waits."""
         self._tickets.pop(ticket.waiting, None)
--- a/vanillawell/coordination/follower.py
+++ b/vanillawell/coordination/follower.py
@@ -14,15 +14,19 @@
 import anyio
 
 from vanillawell import clock
-from vanillawell.exceptions import StoreError
+from vanillawell.exceptions import SettingsError, StoreError
 from vanillawell.protocol.store import Compare, Transaction
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from vanillawell.config.settings import StoreSettings
     from vanillawell.coordination.membership import Membership
     from vanillawell.protocol.store import KeyValue, Store
     from vanillawell.telemetry import Telemetry
 
+log = logging.getLogger(__name__)
+
 RETRY_PAUSE = 0.3
 """Seconds between two tries to reach a store that is down."""
 
@@ -49,6 +53,7 @@
         self._settings = settings
         self._telemetry = telemetry
         self._document = b""
+        self._listeners: list[Callable[[], None]] = []
         self._revision = 0
         self._confirmed_at = float("-inf")
 
@@ -72,8 +77,33 @@
         return now - self._confirmed_at
 
     @abstractmethod
+    def _adopt(self, document: bytes) -> bool:
+        """Bring a document into force if it is newer, and tell whether it was.
+
+        Raises SettingsError, ValueError, TypeError or KeyError if it is unreadable.
+        """
+
+    def on_change(self, listener: Callable[[], None]) -> None:
+        """Call `listener` after each change."""
+        self._listeners.append(listener)
+
     def apply(self, document: bytes) -> bool:
-        """Bring a document into force if it is newer; False if it is not or is unreadable."""
+        """Bring a document into force if it is newer; False if it is not or is unreadable.
+
+        An unreadable one, written by a later version of the program or by hand, must not end an
+        entry that serves well by the document it has.
+        """
+        try:
+            newer = self._adopt(document)
+        except (SettingsError, ValueError, TypeError, KeyError) as error:
+            log.error("%s refused", self._name, extra={"reason": str(error)})
+            return False
+        if not newer:
+            return False
+        self._document = document
+        for listener in self._listeners:
+            listener()
+        return True
 
     def confirm(self, version: int, age: float, now: float) -> None:
         """Note that `version` was the newest one `age` seconds ago, as a peer says."""
