Keep what was lent for a foreseen peak from its very start

Cause, found on reading: under buffer-cost demand must last three seconds before anything is lent for it, also for a peak that was foreseen. As the peak began the need fell to nothing, and what had come ahead of it went home after two seconds, or to another pool at once.

Change: a peak that was foreseen needs no patience.

Before: the new test of plain data failed (0, 0, 0 instances needed in the first three seconds, not 3, 3, 3). After: passes.

--- a/vanillawell/state/lending.py
+++ b/vanillawell/state/lending.py
@@ -133,19 +133,24 @@
             return NO_NEED
         rule = RULES[weigh]
         tracked = self._pools.setdefault(pool, _Tracked())
+        foreseen = tracked.forecast.expected(rule.ahead, now)
         tracked.forecast.note(demand, own * slots, now)
-        expected = tracked.forecast.expected(rule.ahead, now)
-        lasting = self._lasting(tracked, rule, demand > own * slots, now)
+        exceeds = demand > own * slots
+        lasting = self._lasting(tracked, rule, exceeds, foreseen > 0, now)
+        expected = 0.0 if exceeds else foreseen
         wanted = max(demand if lasting else 0.0, expected)
         needed = max(0, math.ceil(wanted / (slots * rule.filled)) - own)
         return self._with_hold(tracked, rule, needed, now)
 
-    def _lasting(self, tracked: _Tracked, rule: LendingRule, exceeds: bool, now: float) -> bool:
+    def _lasting(
+        self, tracked: _Tracked, rule: LendingRule, exceeds: bool, foreseen: bool, now: float
+    ) -> bool:
+        """Tell whether demand has exceeded the pool for long enough, or was expected to."""
         if not exceeds:
             tracked.exceeded_since = None
             return False
         if tracked.exceeded_since is None:
-            tracked.exceeded_since = now
+            tracked.exceeded_since = now - rule.patience if foreseen else now
         return now - tracked.exceeded_since >= rule.patience
 
     def _with_hold(self, tracked: _Tracked, rule: LendingRule, needed: int, now: float) -> PoolNeed:
--- a/vanillawell/tests/lending_tests.py
+++ b/vanillawell/tests/lending_tests.py
@@ -85,6 +85,21 @@
     assert need(desk, Lending.NEARNESS, 5.0, 64.0).now == 0
 
 
+def test_what_was_lent_for_a_foreseen_peak_is_needed_from_its_start() -> None:
+    """Demand must last before buffer-cost lends for it; a peak that was foreseen need not.
+
+    Else the instances that came ahead of it would be sent home, or to others, in its midst.
+    """
+    desk = LendingDesk()
+    for start in (0.0, 20.0, 40.0):
+        need(desk, Lending.BUFFER_COST, 70.0, start)
+        need(desk, Lending.BUFFER_COST, 5.0, start + 2.0)
+    assert need(desk, Lending.BUFFER_COST, 5.0, 59.0).now == 3
+    assert [need(desk, Lending.BUFFER_COST, 70.0, 60.0 + t).now for t in range(3)] == [3, 3, 3]
+    assert need(desk, Lending.BUFFER_COST, 5.0, 63.0).now == 0
+    assert need(desk, Lending.BUFFER_COST, 70.0, 70.0).now == 0
+
+
 @pytest.mark.parametrize("starts", [(0.0, 20.0, 27.0), (0.0, 20.0)])
 def test_irregular_or_few_peaks_are_not_foreseen(starts: tuple[float, ...]) -> None:
     forecast = PeakForecast()
