--- /dev/null
+++ b/vanillawell/config/node_settings.py
@@ -0,0 +1,96 @@
+"""Define the settings of one scheduler process."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from pydantic import Field, field_validator
+
+from vanillawell.config.settings import Address, StrictModel
+
+
+class PlatformKeys(StrictModel):
+    """Where the platform's own documents lie in its store."""
+
+    configuration: str = "op/config"
+    """Key of the operators' configuration."""
+
+    operators: str = "op/"
+    """Prefix of everything that operators write."""
+
+    waves: str = "op/wave/"
+    """Prefix of requests for upkeep."""
+
+    executors: str = "servers/"
+    """Prefix of the registry of executors."""
+
+    wave_states: str = "status/wave/"
+    """Prefix under which operators look for the state of a wave."""
+
+
+class NodeBounds(StrictModel):
+    """Bounds that the platform sets for all of its users, in milliseconds unless said."""
+
+    lease_most_ms: int = Field(gt=0)
+    """Longest lease that an executor gives to what it runs."""
+
+    kill_grace_ms: int = Field(ge=0)
+    """Longest time that a stop takes."""
+
+    revoke_ms: int = Field(gt=0)
+    """Time after which a withdrawn key must not work anywhere."""
+
+    strict_revoke: bool = True
+    """Whether that holds for entries that can hear nothing, too."""
+
+    state_kept_s: int = Field(gt=0)
+    """Seconds for which the state of a final job must be told."""
+
+    duty_lease_ms: int = Field(gt=0)
+    """Time that must lie between orders of two holders for one machine."""
+
+    grace_s: float = Field(gt=0)
+    """Seconds between the request to stop and the kill."""
+
+    drain_ms: int = Field(ge=0)
+    """Time for which a leaving executor still serves."""
+
+
+class NodeSettings(StrictModel):
+    """Settings of one process of the scheduler, filled in from the platform's template."""
+
+    instance: str
+    zone: str
+    caller: Address
+    """Where callers connect."""
+
+    ready: Address
+    """Where the balancer asks whether to send callers here."""
+
+    metrics: Address
+    """Where counters and histograms are served."""
+
+    store: str
+    """Address of the platform's store."""
+
+    machines: str
+    """Address of the service that owns all machines."""
+
+    advice: str = ""
+    """Address of the service that says which executors may run a step; empty if there is none."""
+
+    shortest_lease_ms: int = Field(gt=0)
+    """Shortest lease that the store gives."""
+
+    bounds: NodeBounds
+    keys: PlatformKeys = PlatformKeys()
+    log_level: str = "INFO"
+
+    @field_validator("caller", "ready", "metrics", mode="before")
+    @classmethod
+    def _split_address(cls, value: Any) -> Any:
+        """Read `HOST:PORT`."""
+        if not isinstance(value, str):
+            return value
+        host, _, port = value.rpartition(":")
+        return {"host": host, "port": port}
--- /dev/null
+++ b/vanillawell/coordination/ports.py
@@ -0,0 +1,43 @@
+"""Name everything outside that the scheduler talks to."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from vanillawell.protocol.executor_calls import ExecutorCalls
+    from vanillawell.protocol.machine_calls import AdviceCalls, MachineCalls
+    from vanillawell.protocol.store import FollowedStore
+    from vanillawell.state.executors import ExecutorFacts
+    from vanillawell.state.upkeep import Wave
+    from vanillawell.state.work_policy import WorkPolicy
+
+
+@dataclass(frozen=True, slots=True)
+class DocumentReader:
+    """Read and write the documents that others keep in the store.
+
+    Each reader raises ValueError if the bytes are no such document.
+    """
+
+    policy: Callable[[bytes], WorkPolicy]
+    wave: Callable[[bytes], Wave]
+    executor: Callable[[str, bytes], ExecutorFacts]
+    """Read an executor's entry in the registry, from its key and its value."""
+
+    write_wave_state: Callable[[int, bool], bytes]
+    """Write a wave's state for operators, from its number and whether it is completed."""
+
+
+@dataclass(frozen=True, slots=True)
+class Ports:
+    """Everything outside that the scheduler talks to."""
+
+    store: FollowedStore
+    executors: ExecutorCalls
+    machines: MachineCalls
+    advice: AdviceCalls | None
+    documents: DocumentReader
--- /dev/null
+++ b/vanillawell/coordination/shard_owner.py
@@ -0,0 +1,353 @@
+"""Own a shard for one term: load it, decide in turns, store, then act."""
+
+from __future__ import annotations
+
+import logging
+import time
+from typing import TYPE_CHECKING
+
+import anyio
+import orjson
+
+from vanillawell import clock
+from vanillawell.coordination.advice_desk import AdviceDesk
+from vanillawell.coordination.executor_driver import (
+    CLOCK_DRIFT,
+    HOLDING_AFTER_LAPSE,
+    ExecutorDriver,
+)
+from vanillawell.coordination.follow import Backoff, PrefixFollower
+from vanillawell.coordination.turn_batch import TurnBatch
+from vanillawell.coordination.upkeep_runner import UpkeepRunner
+from vanillawell.exceptions import StoreError
+from vanillawell.protocol.store import Put
+from vanillawell.protocol.work_documents import read_job, read_record
+from vanillawell.state.shard import Shard
+
+if TYPE_CHECKING:
+    from anyio.abc import TaskGroup
+
+    from vanillawell.config.node_settings import NodeSettings
+    from vanillawell.coordination.policy_follower import PolicyFollower
+    from vanillawell.coordination.ports import Ports
+    from vanillawell.coordination.term import Term
+    from vanillawell.protocol.store import Changes, Listing
+    from vanillawell.protocol.work_documents import WorkKeys
+    from vanillawell.state.executors import Executor
+    from vanillawell.state.work import Run
+    from vanillawell.work_telemetry import WorkTelemetry
+
+log = logging.getLogger(__name__)
+
+FOLLOW_WAIT = 2.0
+"""Seconds one call waits for new jobs or changes of executors."""
+
+QUIET_TURN = 0.25
+"""Seconds after which the owner looks again without any news: for leases and due times."""
+
+
+class ShardOwner:
+    """Run a shard from the moment it was taken until it is lost or given up."""
+
+    def __init__(
+        self,
+        name: str,
+        term: Term,
+        ports: Ports,
+        keys: WorkKeys,
+        settings: NodeSettings,
+        policies: PolicyFollower,
+        telemetry: WorkTelemetry,
+    ) -> None:
+        self._name = name
+        self._term = term
+        self._ports = ports
+        self._keys = keys
+        self._settings = settings
+        self._policies = policies
+        self._telemetry = telemetry
+        self._bounds = settings.bounds
+        self._shard = Shard(self._bounds.state_kept_s)
+        self._drivers: dict[str, ExecutorDriver] = {}
+        self._news = anyio.Event()
+        self._stopping = False
+        self._idle = anyio.Event()
+        self._published: dict[str, int] | None = None
+
+    @property
+    def shard(self) -> Shard:
+        """Return the decisions' state."""
+        return self._shard
+
+    def wake(self) -> None:
+        """Take another turn soon."""
+        self._news.set()
+
+    def stop_placing(self) -> None:
+        """Decide on no further starts, since another entry will take over."""
+        self._stopping = True
+        self.wake()
+
+    async def run(self) -> None:
+        """Own the shard until cancelled; raises TermLostError or DeposedError when it is lost."""
+        self._apply_policy()
+        self._policies.on_change(self._apply_policy)
+        try:
+            await self._load()
+            async with anyio.create_task_group() as tasks:
+                self._start_tasks(tasks)
+                await self._take_turns(tasks)
+        finally:
+            self._policies.remove_listener(self._apply_policy)
+
+    def _start_tasks(self, tasks: TaskGroup) -> None:
+        store, keys = self._ports.store, self._settings.keys
+        tasks.start_soon(self._term.keep)
+        inbox = PrefixFollower(
+            store, self._keys.inbox, FOLLOW_WAIT, self._take_inbox_listing, self._take_inbox
+        )
+        registry = PrefixFollower(
+            store, keys.executors, FOLLOW_WAIT, self._take_registry_listing, self._take_registry
+        )
+        upkeep = UpkeepRunner(
+            self._shard,
+            self._term,
+            self._ports,
+            self._keys,
+            self._settings,
+            self._policies,
+            self.wake,
+        )
+        tasks.start_soon(inbox.run)
+        tasks.start_soon(registry.run)
+        tasks.start_soon(upkeep.run)
+        if self._ports.advice is not None:
+            desk = AdviceDesk(self._shard, self._ports.advice, self.wake)
+            tasks.start_soon(desk.run)
+
+    async def _load(self) -> None:
+        """Read all jobs and their records, as the former owners left them."""
+        backoff = Backoff()
+        while True:
+            try:
+                orders = await self._ports.store.list(self._keys.inbox)
+                records = await self._ports.store.list(self._keys.records)
+                break
+            except StoreError as error:
+                log.warning("shard not loaded", extra={"why": str(error)})
+                await backoff.wait()
+        self._restore(orders, records)
+
+    def _restore(self, orders: Listing, records: Listing) -> None:
+        now = clock.read()
+        bound = self._bounds.lease_most_ms / 1000 * (1 + CLOCK_DRIFT) + HOLDING_AFTER_LAPSE
+        lease_over = now + bound + self._bounds.kill_grace_ms / 1000
+        known = {item.key: item.value for item in records.items}
+        recalled = 0
+        for item in orders.items:
+            job_id = self._keys.is_order(item.key)
+            if not job_id:
+                continue
+            try:
+                job = read_job(item.value)
+                record, runs = read_record(job, known.get(self._keys.record(job_id)), now)
+            except ValueError as error:
+                log.error("unreadable job", extra={"job": job_id, "reason": str(error)})
+                continue
+            recalled += len(runs)
+            self._shard.restore(record, runs, lease_over)
+        for item in orders.items:
+            cancelled = self._keys.is_cancel(item.key)
+            if cancelled:
+                self._cancel(cancelled)
+        jobs = len(self._shard.board.jobs)
+        fields = {"shard": self._name, "token": self._term.token}
+        log.info("shard loaded", extra={**fields, "jobs": jobs, "runs": recalled})
+
+    def _apply_policy(self) -> None:
+        if self._policies.policy is not None:
+            self._shard.apply_policy(self._policies.policy)
+        self.wake()
+
+    def _take_inbox_listing(self, listing: Listing) -> None:
+        for item in listing.items:
+            self._take_order(item.key, item.value)
+        self.wake()
+
+    def _take_inbox(self, changes: Changes) -> None:
+        for change in changes.changes:
+            if change.value is not None:
+                self._take_order(change.key, change.value)
+        self.wake()
+
+    def _take_order(self, key: str, value: bytes) -> None:
+        cancelled = self._keys.is_cancel(key)
+        if cancelled:
+            self._cancel(cancelled)
+            return
+        job_id = self._keys.is_order(key)
+        if not job_id or job_id in self._shard.board.jobs:
+            return
+        try:
+            job = read_job(value)
+        except ValueError as error:
+            log.error("unreadable job", extra={"job": job_id, "reason": str(error)})
+            return
+        record = self._shard.admit(job, clock.read())
+        if record is not None:
+            log.info(
+                "job admitted",
+                extra={
+                    "job": job_id,
+                    "queue": job.queue,
+                    "organisation": job.organisation,
+                    "tasks": sum(step.count for step in job.steps),
+                    "objective": round(record.late_by - record.seen, 3),
+                    "waited": round(time.time() - job.accepted_at, 3),
+                },
+            )
+
+    def _cancel(self, job_id: str) -> None:
+        if self._shard.cancel(job_id, time.time()):
+            log.info("job cancelled", extra={"job": job_id})
+
+    def _take_registry_listing(self, listing: Listing) -> None:
+        present = {item.key.removeprefix(self._settings.keys.executors) for item in listing.items}
+        for name, executor in list(self._shard.ledger.executors.items()):
+            if executor.registered and name not in present:
+                self._unregister(name)
+        for item in listing.items:
+            self._register(item.key, item.value)
+        self.wake()
+
+    def _take_registry(self, changes: Changes) -> None:
+        for change in changes.changes:
+            if change.value is None:
+                self._unregister(change.key.removeprefix(self._settings.keys.executors))
+            else:
+                self._register(change.key, change.value)
+        self.wake()
+
+    def _register(self, key: str, value: bytes) -> None:
+        try:
+            facts = self._ports.documents.executor(key, value)
+        except ValueError as error:
+            log.error("unreadable executor", extra={"key": key, "reason": str(error)})
+            return
+        before = self._shard.ledger.executors.get(facts.executor)
+        known = before is not None and before.registered
+        if not known or (before is not None and before.facts.draining != facts.draining):
+            log.info(
+                "executor registered",
+                extra={
+                    "executor": facts.executor,
+                    "service": facts.service,
+                    "machine": facts.machine,
+                    "draining": facts.draining,
+                },
+            )
+        self._shard.register(facts, clock.read())
+
+    def _unregister(self, name: str) -> None:
+        log.info("executor unregistered", extra={"executor": name})
+        self._shard.ledger.unregister(name)
+
+    async def _take_turns(self, tasks: TaskGroup) -> None:
+        """Decide, store and act, again and again.
+
+        All that happened while a turn was being stored is decided in the next one, so the number
+        of writes does not grow with the number of tasks.
+        """
+        while True:
+            now = clock.read()
+            self._shard.expire(now, time.time())
+            if not self._stopping:
+                self._shard.place(now, time.time())
+            self._drive(tasks)
+            self._send_stops()
+            await self._store_turn()
+            if not self._shard.board.changed and not self._news.is_set():
+                with anyio.move_on_after(self._pause()):
+                    await self._news.wait()
+            self._news = anyio.Event()
+
+    def _pause(self) -> float:
+        due = self._shard.board.next_due()
+        if due is None:
+            return QUIET_TURN
+        return min(QUIET_TURN, max(0.001, due - time.time()))
+
+    def _drive(self, tasks: TaskGroup) -> None:
+        """Give each executor a driver, and tell all drivers that something changed."""
+        executors = self._shard.ledger.executors
+        for name, executor in executors.items():
+            driver = self._drivers.get(name)
+            if driver is None or driver.executor is not executor:
+                if driver is not None:
+                    driver.notify()
+                driver = self._new_driver(executor, tasks)
+                self._drivers[name] = driver
+            driver.notify()
+        for name in [name for name in self._drivers if name not in executors]:
+            self._drivers.pop(name).notify()
+
+    def _new_driver(self, executor: Executor, tasks: TaskGroup) -> ExecutorDriver:
+        driver = ExecutorDriver(
+            executor,
+            self._ports.executors,
+            self._shard,
+            self._term,
+            tasks,
+            self.wake,
+            time.time,
+            self._bounds.lease_most_ms / 1000,
+            self._bounds.kill_grace_ms / 1000,
+        )
+        tasks.start_soon(driver.run)
+        return driver
+
+    def _send_stops(self) -> None:
+        outbox = self._shard.outbox
+        stops, outbox.stops = outbox.stops, []
+        for run in stops:
+            driver = self._drivers.get(run.executor)
+            if driver is not None:
+                driver.stop(run)
+        strays, outbox.stray_stops = outbox.stray_stops, []
+        for stray in strays:
+            driver = self._drivers.get(stray.executor)
+            if driver is not None:
+                driver.stop_stray(stray)
+
+    async def _store_turn(self) -> None:
+        """Store what changed, then let the starts and the confirmed ends of it go out."""
+        batch = TurnBatch.collect(self._shard, self._keys, time.time())
+        pending = self._shard.board.pending()
+        if batch.is_empty and pending == self._published:
+            return
+        for part in batch.parts(self._pending_put(pending)):
+            stored_at = await self._term.write(part.puts, part.deletes)
+            self._telemetry.store_writes.inc({"kind": "turn"})
+            for end in part.ends:
+                end.executor.unsaved_ends.discard(end.sequence)
+            for run in part.planned:
+                self._submit(run, stored_at)
+            self._notify_drivers()
+        self._published = pending
+
+    def _submit(self, run: Run, stored_at: float) -> None:
+        driver = self._drivers.get(run.executor)
+        if driver is None:
+            self._shard.never_began(run, clock.read(), time.time())
+        else:
+            driver.submit(run, stored_at)
+
+    def _pending_put(self, pending: dict[str, int]) -> Put | None:
+        """Return the write that publishes how many jobs wait, if that has changed."""
+        if pending == self._published:
+            return None
+        return Put(self._keys.pending(self._name), orjson.dumps(pending))
+
+    def _notify_drivers(self) -> None:
+        for driver in self._drivers.values():
+            driver.notify()
--- /dev/null
+++ b/vanillawell/coordination/turn_batch.py
@@ -0,0 +1,94 @@
+"""Collect what one turn of a shard's owner has to store, and what may happen only afterwards."""
+
+from __future__ import annotations
+
+import itertools
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from vanillawell.protocol.store import Put
+from vanillawell.protocol.work_documents import write_record
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Iterator
+
+    from vanillawell.protocol.work_documents import WorkKeys
+    from vanillawell.state.shard import SavedEnd, Shard
+    from vanillawell.state.work import Run
+
+LARGEST_TRANSACTION = 32
+"""Entries of all kinds that the store takes in one transaction, as published."""
+
+RECORDS_AT_ONCE = LARGEST_TRANSACTION - 3
+"""Records in one transaction, beside the term's comparison and write and the published counts."""
+
+
+@dataclass(slots=True)
+class TurnPart:
+    """One transaction, and what it allows."""
+
+    puts: list[Put] = field(default_factory=list)
+    deletes: list[str] = field(default_factory=list)
+    planned: list[Run] = field(default_factory=list)
+    ends: list[SavedEnd] = field(default_factory=list)
+
+
+@dataclass(slots=True)
+class TurnBatch:
+    """Everything that one turn has to store."""
+
+    records: dict[str, bytes]
+    """Record by job id."""
+
+    deletes: list[str]
+    planned: list[Run]
+    ends: list[SavedEnd]
+    keys: WorkKeys
+
+    @classmethod
+    def collect(cls, shard: Shard, keys: WorkKeys, wall: float) -> TurnBatch:
+        """Take everything out of the shard's outbox."""
+        changed, shard.board.changed = shard.board.changed, {}
+        outbox = shard.outbox
+        planned, outbox.planned = outbox.planned, []
+        ends, outbox.ends = outbox.ends, []
+        deletes: list[str] = []
+        for record in list(shard.board.forgettable(wall)):
+            job_id = record.job.job_id
+            shard.board.forget(job_id)
+            changed.pop(job_id, None)
+            deletes.extend((keys.order(job_id), keys.cancel(job_id), keys.record(job_id)))
+        records = {job_id: write_record(record) for job_id, record in changed.items()}
+        return cls(records, deletes, planned, ends, keys)
+
+    @property
+    def is_empty(self) -> bool:
+        """Tell whether there is nothing to store."""
+        return not (self.records or self.deletes or self.planned or self.ends)
+
+    def parts(self, extra: Put | None) -> Iterator[TurnPart]:
+        """Yield transactions; `extra` goes into the first.
+
+        Ends become confirmable with the last one: which job an end belongs to does not matter
+        then, and all of them are stored.
+        """
+        parts = [self._records_part(chunk) for chunk in _chunks(self.records, RECORDS_AT_ONCE)]
+        parts.extend(TurnPart(deletes=chunk) for chunk in _chunks(self.deletes, RECORDS_AT_ONCE))
+        if not parts:
+            parts.append(TurnPart())
+        if extra is not None:
+            parts[0].puts.append(extra)
+        parts[-1].ends = self.ends
+        yield from parts
+
+    def _records_part(self, job_ids: list[str]) -> TurnPart:
+        puts = [Put(self.keys.record(job_id), self.records[job_id]) for job_id in job_ids]
+        chosen = set(job_ids)
+        planned = [run for run in self.planned if run.task.task_id.job_id in chosen]
+        return TurnPart(puts=puts, planned=planned)
+
+
+def _chunks(items: Iterable[str], size: int) -> Iterator[list[str]]:
+    iterator = iter(items)
+    while chunk := list(itertools.islice(iterator, size)):
+        yield chunk
--- /dev/null
+++ b/vanillawell/coordination/upkeep_runner.py
@@ -0,0 +1,247 @@
+"""Carry out waves of upkeep: empty machines, order their upkeep, and tell operators."""
+
+from __future__ import annotations
+
+import logging
+import time
+from typing import TYPE_CHECKING
+
+import anyio
+import orjson
+
+from vanillawell import clock
+from vanillawell.exceptions import StoreError
+from vanillawell.protocol.calls import NoAnswerError, NotSentError
+from vanillawell.protocol.machine_calls import (
+    MachineDuty,
+    MachineState,
+    UpkeepRefusal,
+    UpkeepRefusedError,
+)
+from vanillawell.protocol.store import Put
+from vanillawell.state.upkeep import (
+    Wave,
+    WaveProgress,
+    is_empty_enough,
+    life_of,
+    to_close,
+    to_stop,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from vanillawell.config.node_settings import NodeSettings
+    from vanillawell.coordination.policy_follower import PolicyFollower
+    from vanillawell.coordination.ports import Ports
+    from vanillawell.coordination.term import Term
+    from vanillawell.protocol.machine_calls import Machine
+    from vanillawell.protocol.work_documents import WorkKeys
+    from vanillawell.state.executors import Executor
+    from vanillawell.state.shard import Shard
+
+log = logging.getLogger(__name__)
+
+PAUSE = 0.1
+"""Seconds between two looks at a wave that is under way."""
+
+IDLE_PAUSE = 0.5
+"""Seconds between two looks for new waves."""
+
+LIST_PAUSE = 1.0
+"""Seconds between two readings of the list of machines during a wave; readings are priced."""
+
+
+class UpkeepRunner:
+    """Own all waves of one term."""
+
+    def __init__(
+        self,
+        shard: Shard,
+        term: Term,
+        ports: Ports,
+        keys: WorkKeys,
+        settings: NodeSettings,
+        policies: PolicyFollower,
+        wake: Callable[[], None],
+    ) -> None:
+        self._shard = shard
+        self._term = term
+        self._ports = ports
+        self._keys = keys
+        self._settings = settings
+        self._policies = policies
+        self._wake = wake
+        self._waves: dict[int, WaveProgress] = {}
+        self._machines: dict[str, Machine] = {}
+        self._listed = 0.0
+        self._duty = MachineDuty(settings.instance, term.token)
+
+    async def run(self) -> None:
+        """Carry waves out until cancelled.
+
+        A new owner waits before its first order: a former one may have given an order just now,
+        and orders for one machine must not come from two holders in short turns.
+        """
+        await anyio.sleep(self._settings.bounds.duty_lease_ms / 1000 if self._term.token > 1 else 0)
+        while True:
+            try:
+                busy = await self._look()
+            except (StoreError, NotSentError, NoAnswerError) as error:
+                log.warning("upkeep waits", extra={"why": str(error)})
+                busy = False
+            await anyio.sleep(PAUSE if busy else IDLE_PAUSE)
+
+    async def _look(self) -> bool:
+        """Take one step in each wave; returns whether any is under way."""
+        for number, wave in self._policies.waves.items():
+            if number not in self._waves:
+                self._waves[number] = await self._open(wave)
+        active = [item for item in self._waves.values() if not item.completed]
+        if not active:
+            return False
+        await self._list()
+        for progress in active:
+            await self._advance(progress)
+        return True
+
+    async def _open(self, wave: Wave) -> WaveProgress:
+        """Read how far a wave came under former owners."""
+        found = await self._ports.store.get(self._keys.wave(wave.number))
+        progress = WaveProgress(wave, clock.read())
+        if found is None:
+            await self._save(progress)
+            return progress
+        document = orjson.loads(found.value)
+        progress.begun = set(document["begun"])
+        progress.completed = document["completed"]
+        self._listed = 0.0
+        await self._list()
+        progress.away = {
+            name: "unknown"
+            for name in progress.begun
+            if name in self._machines and self._machines[name].state is MachineState.UPKEEP
+        }
+        return progress
+
+    async def _save(self, progress: WaveProgress) -> None:
+        number = progress.wave.number
+        document = {"begun": sorted(progress.begun), "completed": progress.completed}
+        state = self._ports.documents.write_wave_state(number, progress.completed)
+        status_key = f"{self._settings.keys.wave_states}{number}"
+        await self._term.write(
+            [Put(self._keys.wave(number), orjson.dumps(document)), Put(status_key, state)]
+        )
+
+    async def _list(self) -> None:
+        now = clock.read()
+        if now < self._listed + LIST_PAUSE:
+            return
+        machines = await self._ports.machines.list_machines()
+        self._machines = {item.name: item for item in machines}
+        self._listed = now
+
+    def _executors(self) -> dict[str, Executor]:
+        """Return the live executors by machine."""
+        executors = self._shard.ledger.executors.values()
+        return {item.facts.machine: item for item in executors if item.registered}
+
+    async def _advance(self, progress: WaveProgress) -> None:
+        now = clock.read()
+        executors = self._executors()
+        progress.returned({name: life_of(item) for name, item in executors.items()})
+        self._note_returned_by_list(progress)
+        for name in to_close(progress, executors):
+            progress.closed[name] = now
+            executors[name].cordoned = True
+            fields = {"wave": progress.wave.number, "machine": name}
+            log.info("machine closed", extra={**fields, "runs": len(executors[name].runs)})
+        for name, since in list(progress.closed.items()):
+            executor = executors.get(name)
+            if executor is None:
+                del progress.closed[name]
+                continue
+            executor.cordoned = True
+            await self._empty(progress, name, executor, since, now)
+        await self._order_unregistered(progress, executors)
+        await self._finish(progress)
+
+    def _note_returned_by_list(self, progress: WaveProgress) -> None:
+        for name, life in list(progress.away.items()):
+            machine = self._machines.get(name)
+            if life == "unknown" and (machine is None or machine.state is MachineState.UP):
+                del progress.away[name]
+
+    async def _empty(
+        self, progress: WaveProgress, name: str, executor: Executor, since: float, now: float
+    ) -> None:
+        """Move tasks away from a closed machine, and order its upkeep once it is empty."""
+        hurried = progress.hurried(now)
+        for run in to_stop(executor):
+            self._shard.want_stop(run)
+        self._wake()
+        if len(progress.away) >= progress.wave.most_away:
+            return
+        if is_empty_enough(executor, since, hurried, now):
+            await self._order(progress, name, executor)
+
+    async def _order(self, progress: WaveProgress, name: str, executor: Executor | None) -> None:
+        if name not in progress.begun:
+            progress.begun.add(name)
+            await self._save(progress)
+        progress.away[name] = life_of(executor) if executor else "unknown"
+        fields = {"wave": progress.wave.number, "machine": name, "token": self._term.token}
+        try:
+            await self._ports.machines.begin_upkeep(name, progress.wave.number, self._duty)
+        except UpkeepRefusedError as error:
+            log.warning("upkeep refused", extra={**fields, "reason": error.reason.value})
+            self._refused(progress, name, executor, error.reason)
+            return
+        except (NotSentError, NoAnswerError) as error:
+            log.warning("upkeep unanswered", extra={**fields, "why": str(error)})
+            return
+        progress.closed.pop(name, None)
+        log.info("upkeep begun", extra={**fields, "away": len(progress.away)})
+        if executor is not None:
+            facts = executor.facts
+            self._shard.dead(facts.executor, facts.incarnation, clock.read(), time.time())
+        self._wake()
+
+    def _refused(
+        self,
+        progress: WaveProgress,
+        name: str,
+        executor: Executor | None,
+        reason: UpkeepRefusal,
+    ) -> None:
+        """Let a machine go whose upkeep was refused; it is tried again later if that can help."""
+        progress.away.pop(name, None)
+        progress.closed.pop(name, None)
+        if executor is not None:
+            executor.cordoned = False
+        if reason is UpkeepRefusal.BUSY:
+            progress.begun.discard(name)
+
+    async def _order_unregistered(
+        self, progress: WaveProgress, executors: dict[str, Executor]
+    ) -> None:
+        """Order the upkeep of machines that are up and on which no executor lives."""
+        for name in progress.wave.machines:
+            machine = self._machines.get(name)
+            if name in progress.begun or name in executors or machine is None:
+                continue
+            if machine.state is MachineState.UP and len(progress.away) < progress.wave.most_away:
+                await self._order(progress, name, None)
+
+    async def _finish(self, progress: WaveProgress) -> None:
+        """Tell operators that the wave is completed once each machine has had its upkeep."""
+        left = [
+            name
+            for name in progress.wave.machines
+            if name not in progress.begun and name in self._machines
+        ]
+        if left or progress.closed:
+            return
+        progress.completed = True
+        await self._save(progress)
+        log.info("wave completed", extra={"wave": progress.wave.number})
--- a/vanillawell/exceptions.py
+++ b/vanillawell/exceptions.py
@@ -36,6 +36,14 @@
     """The call may have taken effect: it went out and no answer came back."""
 
 
+class LeaseEndedError(StoreUnavailableError):
+    """A write named a lease that has ended, so nothing was written."""
+
+
+class HistoryGoneError(StoreUnavailableError):
+    """The store no longer keeps the changes that were asked for."""
+
+
 class StoreAccessError(StoreUnavailableError):
     """The store refused the user or the password, so the call had no effect."""
 
--- /dev/null
+++ b/vanillawell/node.py
@@ -0,0 +1,105 @@
+"""Put the scheduler's tasks of one entry together and run them from start to planned stop."""
+
+from __future__ import annotations
+
+import logging
+import signal
+from typing import TYPE_CHECKING
+
+import anyio
+
+from vanillawell import clock
+from vanillawell.coordination.executor_driver import DeposedError
+from vanillawell.coordination.policy_follower import PolicyFollower
+from vanillawell.coordination.shard_owner import ShardOwner
+from vanillawell.coordination.term import Candidate, Term, TermLostError
+from vanillawell.coordination.work_desk import WorkDesk
+from vanillawell.exceptions import StoreError
+from vanillawell.protocol.work_documents import WorkKeys
+from vanillawell.work_telemetry import WorkTelemetry
+
+if TYPE_CHECKING:
+    from vanillawell.config.node_settings import NodeSettings
+    from vanillawell.coordination.ports import Ports
+
+log = logging.getLogger(__name__)
+
+SHARD = "all"
+"""Name of the only shard so far: all services belong to it."""
+
+STOP_NOTICE = 2.6
+"""Seconds between not being ready and closing.
+
+The balancer asks each second and goes on sending callers until the second miss."""
+
+HANDOVER_BOUND = 1.0
+"""Seconds for which a stopping owner waits for the end of its turn before it gives the shard up."""
+
+
+class Node:
+    """One running scheduler process."""
+
+    def __init__(self, settings: NodeSettings, ports: Ports) -> None:
+        self._settings = settings
+        self._ports = ports
+        self._keys = WorkKeys()
+        self.telemetry = WorkTelemetry()
+        self._policies = PolicyFollower(
+            ports.store, settings.keys, ports.documents.policy, ports.documents.wave
+        )
+        bounds = settings.bounds
+        revoke_bound = bounds.revoke_ms / 1000 if bounds.strict_revoke else None
+        self.desk = WorkDesk(ports.store, self._keys, SHARD, self._policies, revoke_bound)
+        self._candidate = Candidate(ports.store, self._keys, SHARD, settings.instance)
+        self._owner: ShardOwner | None = None
+        self._term: Term | None = None
+        self._stopping = anyio.Event()
+
+    async def run(self) -> None:
+        """Follow the configuration and own the shard whenever it falls to this entry."""
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._policies.run)
+            tasks.start_soon(self._candidate.follow)
+            tasks.start_soon(self._own)
+
+    async def _own(self) -> None:
+        while not self._stopping.is_set():
+            self._term = await self._candidate.win()
+            await self._own_one_term(self._term)
+            self._term = self._owner = None
+
+    async def _own_one_term(self, term: Term) -> None:
+        owner = ShardOwner(
+            SHARD, term, self._ports, self._keys, self._settings, self._policies, self.telemetry
+        )
+        self._owner = owner
+        try:
+            await owner.run()
+        except* (TermLostError, DeposedError) as group:
+            reasons = sorted({str(error) for error in group.exceptions})
+            fields = {"shard": SHARD, "token": term.token, "reasons": reasons}
+            log.warning("shard lost", extra=fields)
+
+    async def hand_over(self) -> None:
+        """Stop owning, so that another entry takes over at once."""
+        self._stopping.set()
+        term, owner = self._term, self._owner
+        if term is None or owner is None:
+            return
+        owner.stop_placing()
+        try:
+            with anyio.move_on_after(HANDOVER_BOUND):
+                await term.give_up()
+        except StoreError as error:
+            log.warning("shard left to its lease", extra={"why": str(error)})
+        log.info("shard given up", extra={"shard": SHARD, "token": term.token})
+
+
+async def wait_for_stop() -> None:
+    """Return once a planned stop is asked for; a reload needs nothing, since all is followed."""
+    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
+        async for number in signals:
+            if number is not signal.SIGHUP:
+                log.info("stop requested", extra={"clock": clock.read()})
+                return
+            log.info("reload requested", extra={"outcome": "settings hold nothing that changes"})
--- /dev/null
+++ b/vanillawell/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Speak the users' platform's names and formats; nothing here decides anything."""
--- /dev/null
+++ b/vanillawell/platform/callers.py
@@ -0,0 +1,145 @@
+"""Answer callers over HTTP in the platform's words."""
+
+from __future__ import annotations
+
+import logging
+import time
+from typing import TYPE_CHECKING
+
+import orjson
+
+from vanillawell import clock
+from vanillawell.coordination.work_desk import LONGEST_CALL, Access, WorkDesk
+from vanillawell.platform.documents import (
+    JOB_ID,
+    UnreadableDocumentError,
+    key_digest,
+    read_job_body,
+)
+from vanillawell.protocol.refusals import Reason, Refusal
+from vanillawell.protocol.verdict import Verdict
+from vanillawell.state.work import JobState
+from vanillawell.transport.asgi import (
+    BodyTooLargeError,
+    CallerGoneError,
+    read_body,
+    send_bytes,
+    send_json,
+)
+
+if TYPE_CHECKING:
+    from vanillawell.transport.asgi import Receive, Scope, Send
+    from vanillawell.work_telemetry import WorkTelemetry
+
+log = logging.getLogger(__name__)
+
+
+class CallerApp:
+    """The ASGI application that callers' requests reach."""
+
+    def __init__(self, desk: WorkDesk, telemetry: WorkTelemetry) -> None:
+        self._desk = desk
+        self._telemetry = telemetry
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Answer one request."""
+        began = clock.read()
+        headers = dict(scope["headers"])
+        host = headers.get(b"host", b"").decode("latin-1").partition(":")[0].lower()
+        path = scope["path"]
+        key = headers.get(b"x-key", b"").decode("latin-1").strip()
+        access = self._desk.admit(host, path, key_digest(key) if key else None, began)
+        try:
+            if isinstance(access, Refusal):
+                answer: Refusal | dict[str, object] = access
+            else:
+                answer = await self._answer(scope, receive, access, path, _time(headers))
+        except CallerGoneError:
+            return
+        await self._send(send, scope["method"], path, answer, began)
+
+    async def _answer(
+        self, scope: Scope, receive: Receive, access: Access, path: str, time_left: float
+    ) -> Refusal | dict[str, object]:
+        name = path[len(access.queue.prefix) :]
+        method = scope["method"]
+        if not name:
+            return await self._count(method, access)
+        if not JOB_ID.fullmatch(name):
+            return _refuse(Reason.NO_SUCH_QUEUE)
+        if method == "POST":
+            return await self._submit(receive, access, name, time_left)
+        if method == "GET":
+            state = await self._desk.show(name)
+            return {"state": state.value} if isinstance(state, JobState) else state
+        if method == "DELETE":
+            return await self._desk.cancel(name, time_left) or {}
+        return _refuse(Reason.MALFORMED)
+
+    async def _count(self, method: str, access: Access) -> Refusal | dict[str, object]:
+        if method != "GET":
+            return _refuse(Reason.MALFORMED)
+        count = await self._desk.pending(access.queue)
+        return count if isinstance(count, Refusal) else {"pending": count}
+
+    async def _submit(
+        self, receive: Receive, access: Access, job_id: str, time_left: float
+    ) -> Refusal | dict[str, object]:
+        try:
+            body = await read_body(receive, self._desk.body_bound())
+            job = read_job_body(body, job_id, access.queue.name, access.organisation, time.time())
+        except BodyTooLargeError:
+            return _refuse(Reason.TOO_LARGE)
+        except UnreadableDocumentError as error:
+            return Refusal(Reason.MALFORMED, Verdict.NOT_RUN, str(error))
+        return await self._desk.submit(job, time_left) or {}
+
+    async def _send(
+        self,
+        send: Send,
+        method: str,
+        path: str,
+        answer: Refusal | dict[str, object],
+        began: float,
+    ) -> None:
+        status = answer.reason.status if isinstance(answer, Refusal) else 200
+        self._telemetry.calls.inc({"operation": method, "status": str(status)})
+        self._telemetry.latency.observe({"operation": method}, clock.read() - began)
+        if isinstance(answer, Refusal):
+            log.info(
+                "call refused",
+                extra={
+                    "job": path.rpartition("/")[2],
+                    "operation": method,
+                    "reason": answer.reason.slug,
+                    "retry_after": answer.retry_after,
+                },
+            )
+            await send_bytes(send, status, answer.body(), answer.headers())
+        else:
+            await send_json(send, answer)
+
+
+class ReadyApp:
+    """Tell the balancer whether to send callers here."""
+
+    def __init__(self, desk: WorkDesk) -> None:
+        self._desk = desk
+        self.stopping = False
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Answer 200 or 503."""
+        ready = not self.stopping and self._desk.is_ready(clock.read())
+        await send_bytes(send, 200 if ready else 503, orjson.dumps({"ready": ready}))
+
+
+def _time(headers: dict[bytes, bytes]) -> float:
+    """Return the seconds that a caller waits for its answer."""
+    try:
+        return float(headers[b"x-deadline-ms"]) / 1000
+    except (KeyError, ValueError):
+        return LONGEST_CALL
+
+
+def _refuse(reason: Reason) -> Refusal:
+    return Refusal(reason, Verdict.NOT_RUN)
--- /dev/null
+++ b/vanillawell/platform/documents.py
@@ -0,0 +1,282 @@
+"""Decode the platform's documents into the product's own types, once, at the border.
+
+Everything is validated here. An entry that cannot be read is reported by the caller of these
+functions and names nothing to use.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import re
+from typing import TYPE_CHECKING, Annotated, TypeVar
+
+import orjson
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
+
+from vanillawell.state.executors import ExecutorFacts
+from vanillawell.state.upkeep import Wave
+from vanillawell.state.work import Job, Resources, Step
+from vanillawell.state.work_policy import (
+    AdviceRule,
+    OrganisationLimits,
+    Queue,
+    Service,
+    WorkPolicy,
+)
+
+if TYPE_CHECKING:
+    from vanillawell.config.node_settings import PlatformKeys
+
+Count = Annotated[int, Field(ge=0)]
+Milliseconds = Annotated[float, Field(ge=0)]
+
+Model = TypeVar("Model", bound=BaseModel)
+
+JOB_ID = re.compile(r"[0-9a-fA-F]{16}")
+
+
+class UnreadableDocumentError(ValueError):
+    """A document is not what its place promises; the text says why."""
+
+
+class _Wire(BaseModel):
+    """Ignore fields that are not known, since new ones may come at any time."""
+
+    model_config = ConfigDict(extra="ignore", strict=False)
+
+
+class _Amounts(_Wire):
+    cpu: Count = 0
+    """Thousandths of a core."""
+    memMb: Count = 0  # noqa: N815
+    gpu: Count = 0
+
+    def decode(self) -> Resources:
+        return Resources(self.cpu, self.memMb, self.gpu)
+
+
+class _Hint(_Wire):
+    decideMs: Milliseconds  # noqa: N815
+    eachMs: Milliseconds  # noqa: N815
+    validityMs: Milliseconds  # noqa: N815
+
+
+class _Route(_Wire):
+    """A queue; the platform calls it a route."""
+
+    name: str
+    host: str
+    prefix: str
+    service: str
+    priority: Count = 0
+    attempts: Count = 3
+    slackFactor: float = 1.0  # noqa: N815
+    targetLatencyMs: Milliseconds = 0  # noqa: N815
+    allowAnon: bool = False  # noqa: N815
+    hint: _Hint | None = None
+
+
+class _Service(_Wire):
+    name: str
+    rejectsOverload: bool = False  # noqa: N815
+    standby: bool = False
+
+
+class _Tenant(_Wire):
+    """An organisation; `weight` is its share when all is full."""
+
+    name: str
+    apiKeys: list[str] = []  # noqa: N815
+    weight: float = 1.0
+    maximum: _Amounts = _Amounts()
+
+
+class _Limits(_Wire):
+    maxBodyBytes: Count = 262_144  # noqa: N815
+
+
+class _Config(_Wire):
+    version: int
+    routes: list[_Route] = []
+    services: list[_Service] = []
+    tenants: list[_Tenant] = []
+    limits: _Limits = _Limits()
+
+
+class _Beat(_Wire):
+    """What an executor writes into the registry."""
+
+    service: str
+    address: str
+    zone: str = ""
+    state: str
+    machine: str = ""
+    born: int = 0
+    capacity: _Amounts
+    labels: list[str] = []
+    """The executor's kind, then its rack."""
+
+
+class _Wave(_Wire):
+    wave: int
+    machines: list[str]
+    durationS: float  # noqa: N815
+    maximum: Count = 1
+
+
+class _Step(_Wire):
+    count: Annotated[int, Field(ge=1, le=100_000)]
+    cpu: Count = 0
+    memMb: Count = 0  # noqa: N815
+    gpu: Count = 0
+    estimateMs: Milliseconds = 0  # noqa: N815
+    after: list[Count] = []
+    savesProgress: bool = False  # noqa: N815
+    gang: bool = False
+    sameRack: bool = False  # noqa: N815
+    requiredLabel: str = ""  # noqa: N815
+    affinity: str = ""
+    """The rack where the data lies."""
+    maxPerServer: Count = 0  # noqa: N815
+    speculative: bool = False
+    longRunning: bool = False  # noqa: N815
+    image: str = ""
+    targetMs: Milliseconds = 0  # noqa: N815
+    fills: bool = False
+    maxUnavailable: Count = 0  # noqa: N815
+
+    def decode(self) -> Step:
+        return Step(
+            count=self.count,
+            need=Resources(self.cpu, self.memMb, self.gpu),
+            estimate=self.estimateMs / 1000,
+            after=tuple(self.after),
+            saves_progress=self.savesProgress,
+            gang=self.gang,
+            same_rack=self.sameRack,
+            required_label=self.requiredLabel,
+            data_rack=self.affinity,
+            most_per_executor=self.maxPerServer,
+            speculative=self.speculative,
+            long_running=self.longRunning,
+            image=self.image,
+            tail_target=self.targetMs / 1000,
+            fills=self.fills,
+            most_away=self.maxUnavailable,
+        )
+
+
+class _JobBody(_Wire):
+    spec: Annotated[str, Field(max_length=4_000)] = ""
+    """Text for the tasks; it specifies nothing that matters here."""
+    steps: Annotated[list[_Step], Field(min_length=1, max_length=1_000)]
+    times: Count = 0
+    startTimeMs: float = 0  # noqa: N815
+    intervalMs: Milliseconds = 0  # noqa: N815
+
+
+def _load(model: type[Model], data: bytes) -> Model:
+    try:
+        return model.model_validate(orjson.loads(data))
+    except (ValidationError, orjson.JSONDecodeError) as error:
+        reason = str(error).splitlines()
+        raise UnreadableDocumentError("; ".join(line.strip() for line in reason[:4])) from error
+
+
+def key_digest(key: str) -> str:
+    """Return the digest by which a key is known; keys themselves are not kept."""
+    return hashlib.sha256(key.encode()).hexdigest()
+
+
+def read_config(data: bytes) -> WorkPolicy:
+    """Read the operators' configuration."""
+    config = _load(_Config, data)
+    queues = (
+        Queue(
+            name=route.name,
+            host=route.host.lower(),
+            prefix=route.prefix,
+            service=route.service,
+            priority=route.priority,
+            attempts=max(1, route.attempts),
+            slack_factor=route.slackFactor,
+            objective=route.targetLatencyMs / 1000,
+            anonymous=route.allowAnon,
+            advice=_advice(route.hint),
+        )
+        for route in config.routes
+    )
+    return WorkPolicy(
+        version=config.version,
+        queues={queue.name: queue for queue in queues},
+        services={
+            item.name: Service(item.name, item.rejectsOverload, item.standby)
+            for item in config.services
+        },
+        organisations={
+            item.name: OrganisationLimits(item.name, item.weight, item.maximum.decode())
+            for item in config.tenants
+        },
+        key_owners={key_digest(key): item.name for item in config.tenants for key in item.apiKeys},
+        body_bound=config.limits.maxBodyBytes,
+    )
+
+
+def _advice(hint: _Hint | None) -> AdviceRule | None:
+    if hint is None:
+        return None
+    return AdviceRule(hint.decideMs / 1000, hint.eachMs / 1000, hint.validityMs / 1000)
+
+
+def read_executor(keys: PlatformKeys, key: str, data: bytes) -> ExecutorFacts:
+    """Read an executor's entry in the registry."""
+    beat = _load(_Beat, data)
+    if beat.state not in ("ready", "draining"):
+        raise UnreadableDocumentError(f"state {beat.state!r} is not known")
+    host, _, port = beat.address.rpartition(":")
+    if not host or not port.isdigit():
+        raise UnreadableDocumentError(f"address {beat.address!r} is none")
+    return ExecutorFacts(
+        executor=key.removeprefix(keys.executors),
+        incarnation=beat.born,
+        service=beat.service,
+        address=beat.address,
+        zone=beat.zone,
+        rack=beat.labels[1] if len(beat.labels) > 1 else "",
+        machine=beat.machine,
+        labels=frozenset(beat.labels),
+        capacity=beat.capacity.decode(),
+        draining=beat.state == "draining",
+    )
+
+
+def read_wave(data: bytes) -> Wave:
+    """Read a request for the upkeep of machines."""
+    wave = _load(_Wave, data)
+    return Wave(wave.wave, tuple(wave.machines), wave.durationS, max(1, wave.maximum))
+
+
+def write_wave_state(number: int, completed: bool) -> bytes:
+    """Write how far a wave has come, for operators."""
+    return orjson.dumps({"wave": number, "state": "completed" if completed else "running"})
+
+
+def read_job_body(
+    data: bytes, job_id: str, queue: str, organisation: str, accepted_at: float
+) -> Job:
+    """Read a job that a caller hands in."""
+    body = _load(_JobBody, data)
+    for position, step in enumerate(body.steps):
+        if any(earlier >= position for earlier in step.after):
+            raise UnreadableDocumentError(f"step {position} waits for itself or a later step")
+    return Job(
+        job_id=job_id,
+        queue=queue,
+        organisation=organisation,
+        payload=body.spec,
+        steps=tuple(step.decode() for step in body.steps),
+        accepted_at=accepted_at,
+        times=body.times,
+        first_due=body.startTimeMs / 1000,
+        interval=body.intervalMs / 1000,
+    )
--- /dev/null
+++ b/vanillawell/platform/executors.py
@@ -0,0 +1,144 @@
+"""Call executors: start, stop, hold and pace runs."""
+
+from __future__ import annotations
+
+import re
+from typing import TYPE_CHECKING, Any
+
+from vanillawell.protocol.calls import NoAnswerError
+from vanillawell.protocol.executor_calls import (
+    EndRow,
+    HoldReport,
+    OrderRefusedError,
+    Refused,
+    RunningRow,
+    StartOrder,
+    Target,
+    WrongIncarnationError,
+)
+from vanillawell.state.work import Ending, TaskId
+
+if TYPE_CHECKING:
+    from vanillawell.platform.http import HttpClient
+
+ORDER_BOUND = 1.0
+"""Seconds to wait for the answer to an order; a sound executor takes some milliseconds."""
+
+TASK_NAME = re.compile(r"([0-9a-fA-F]{16})\.(\d+)\.(\d+)\.(\d+)")
+
+REASONS = {
+    "fence": Refused.FENCE,
+    "old": Refused.OLD,
+    "late": Refused.LATE,
+    "room": Refused.ROOM,
+    "ticket": Refused.TICKET,
+}
+
+
+def task_name(task_id: TaskId) -> str:
+    """Write a task's name."""
+    return f"{task_id.job_id}.{task_id.occurrence}.{task_id.step}.{task_id.task}"
+
+
+def read_task_name(name: str) -> TaskId | None:
+    """Read a task's name; None if it is none of ours."""
+    match = TASK_NAME.fullmatch(name)
+    if match is None:
+        return None
+    return TaskId(match[1], int(match[2]), int(match[3]), int(match[4]))
+
+
+class PlatformExecutors:
+    """Speak to all executors."""
+
+    def __init__(self, http: HttpClient) -> None:
+        self._http = http
+
+    async def start(self, target: Target, order: StartOrder, fence: int) -> float:
+        """Start a run; returns the executor's clock."""
+        document: dict[str, Any] = {
+            "task": task_name(order.task_id),
+            "run": order.run,
+            "spec": order.payload,
+            "deadlineMs": int(order.lease_end * 1000),
+            "fence": fence,
+        }
+        if order.checkpoint:
+            document["lastCheckpoint"] = order.checkpoint
+        if order.ticket:
+            document["ticket"] = order.ticket
+        return _clock(await self._order(target, "/run-start", document))
+
+    async def stop(self, target: Target, task_id: TaskId, run: int, fence: int) -> float:
+        """Stop a run, or see to it that it never begins; returns the executor's clock."""
+        document = {"task": task_name(task_id), "run": run, "fence": fence}
+        return _clock(await self._order(target, "/run-stop", document))
+
+    async def pace(
+        self, target: Target, task_id: TaskId, run: int, percent: int, fence: int
+    ) -> float:
+        """Let a run work at a percentage of its full pace; returns the executor's clock."""
+        document = {"task": task_name(task_id), "run": run, "percent": percent, "fence": fence}
+        return _clock(await self._order(target, "/pace", document))
+
+    async def hold(
+        self, target: Target, fence: int, saved_end: int, lease_end: float | None, wait: float
+    ) -> HoldReport:
+        """Renew leases, confirm stored ends and report."""
+        document: dict[str, Any] = {"fence": fence, "lastSeen": saved_end}
+        if lease_end is not None:
+            document["deadlineMs"] = int(lease_end * 1000)
+        if wait:
+            document["waitMs"] = round(wait * 1000)
+        content = await self._order(target, "/hold", document, wait)
+        try:
+            return HoldReport(
+                _clock(content),
+                int(content.get("born", target.incarnation)),
+                [_running(row) for row in content["running"]],
+                [_end(row) for row in content["finished"]],
+            )
+        except (KeyError, TypeError, ValueError, IndexError) as error:
+            raise NoAnswerError(f"/hold: malformed report: {error!r}") from error
+
+    async def _order(
+        self, target: Target, path: str, document: dict[str, Any], wait: float = 0.0
+    ) -> Any:
+        answer = await self._http.call(
+            target.address,
+            "POST",
+            path,
+            document,
+            ORDER_BOUND + wait,
+            {"X-Expect-Instance": target.executor},
+        )
+        if answer.status == 200:
+            return answer.document()
+        if answer.status == 421:
+            raise WrongIncarnationError(target.executor)
+        if answer.status == 409:
+            reason = REASONS.get(answer.document().get("reason"))
+            raise OrderRefusedError(reason or Refused.MALFORMED)
+        if answer.status in (429, 503):
+            raise OrderRefusedError(Refused.UNHEALTHY)
+        if answer.status == 400:
+            raise OrderRefusedError(Refused.MALFORMED)
+        raise NoAnswerError(f"{path}: status {answer.status}")
+
+
+def _clock(content: Any) -> float:
+    try:
+        return float(content["clockMs"]) / 1000
+    except (KeyError, TypeError, ValueError) as error:
+        raise NoAnswerError(f"no clock in the answer: {error!r}") from error
+
+
+def _running(row: list[Any]) -> RunningRow:
+    """Read [task, run, saved, percent, measure]; the measure is missing for plain tasks."""
+    measure = float(row[4]) if len(row) > 4 and row[4] is not None else 0.0
+    return RunningRow(read_task_name(row[0]), row[1], row[2] or "", int(row[3]), measure)
+
+
+def _end(row: list[Any]) -> EndRow:
+    """Read [number, task, run, how, saved]."""
+    return EndRow(row[0], read_task_name(row[1]), row[2], Ending(row[3]), row[4] or "")
--- a/vanillawell/protocol/store.py
+++ b/vanillawell/protocol/store.py
@@ -66,6 +66,62 @@
     items: tuple[KeyValue, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class Change:
+    """One key that was written, or deleted if `value` is None."""
+
+    key: str
+    value: bytes | None
+    mod_revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class Changes:
+    """Changes under a prefix up to one store revision, in their order."""
+
+    revision: int
+    """Revision from which to ask on."""
+
+    changes: tuple[Change, ...]
+
+
+class FollowedStore(Protocol):
+    """Calls to a store whose changes are asked for prefix by prefix.
+
+    Each raises StoreUnavailableError if it had no effect for certain, and
+    StoreOutcomeUnknownError if it may have had one, even seconds later.
+    """
+
+    async def get(self, key: str) -> KeyValue | None:
+        """Read one key."""
+
+    async def list(self, prefix: str) -> Listing:
+        """Read all keys that start with `prefix`; `revision` is safe to follow on from."""
+
+    async def transact(self, transaction: Transaction) -> TransactionResult:
+        """Run one transaction; a failed one returns the present values of what it compared.
+
+        Raises:
+            LeaseEndedError: A lease that a write names has ended; nothing was written.
+        """
+
+    async def grant_lease(self, ttl: float) -> int:
+        """Create a lease of `ttl` seconds and return its id."""
+
+    async def keep_alive(self, lease: int) -> bool:
+        """Renew a lease; False means that it has ended."""
+
+    async def revoke(self, lease: int) -> None:
+        """End a lease and delete its keys."""
+
+    async def changes(self, prefix: str, after: int, wait: float) -> Changes:
+        """Return the changes after a revision, waiting up to `wait` seconds for the first.
+
+        Raises:
+            HistoryGoneError: These changes are no longer kept; list the prefix again.
+        """
+
+
 class Store(Protocol):
     """Calls that the product makes to the platform's key-value service.
 
--- /dev/null
+++ b/vanillawell/protocol/work_documents.py
@@ -0,0 +1,213 @@
+"""Define where jobs lie in the store and how their records are written there.
+
+Two values belong to a job. The *order* is what the caller handed in; it is written once, by the
+entry that accepted it. The *record* says how far the job has come; only the owner of its shard
+writes it, in the chain of transactions that `TermDocument` guards.
+"""
+
+from __future__ import annotations
+
+import logging
+from dataclasses import asdict, dataclass
+from typing import TYPE_CHECKING, Any
+
+import orjson
+
+from vanillawell.state.work import (
+    Job,
+    JobRecord,
+    JobState,
+    Resources,
+    Run,
+    RunPhase,
+    Step,
+    StepProgress,
+    Task,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+log = logging.getLogger(__name__)
+
+
+@dataclass(frozen=True, slots=True)
+class WorkKeys:
+    """Name the keys of the scheduler under one prefix of the store."""
+
+    prefix: str = "vanillawell/"
+
+    @property
+    def inbox(self) -> str:
+        """Return the prefix of everything that callers ask for."""
+        return f"{self.prefix}inbox/"
+
+    def order(self, job_id: str) -> str:
+        """Return the key of a job as handed in."""
+        return f"{self.inbox}job/{job_id}"
+
+    def cancel(self, job_id: str) -> str:
+        """Return the key that asks for a job to be cancelled."""
+        return f"{self.inbox}cancel/{job_id}"
+
+    @property
+    def records(self) -> str:
+        """Return the prefix of all records."""
+        return f"{self.prefix}record/"
+
+    def record(self, job_id: str) -> str:
+        """Return the key of a job's record."""
+        return self.records + job_id
+
+    def pending(self, shard: str) -> str:
+        """Return the key of the counts of jobs that wait for their first start, by queue."""
+        return f"{self.prefix}pending/{shard}"
+
+    @property
+    def holders(self) -> str:
+        """Return the prefix of the keys that say who owns a shard, each under a lease."""
+        return f"{self.prefix}holder/"
+
+    def holder(self, shard: str) -> str:
+        """Return the key that the owner of a shard keeps under its lease."""
+        return self.holders + shard
+
+    def term(self, shard: str) -> str:
+        """Return the key that each write of a shard's owner must find unchanged."""
+        return f"{self.prefix}term/{shard}"
+
+    def wave(self, number: int) -> str:
+        """Return the key that says which machines of a wave have had their upkeep."""
+        return f"{self.prefix}wave/{number}"
+
+    def is_order(self, key: str) -> str:
+        """Return the job id if the key is an order's, else an empty string."""
+        head = f"{self.inbox}job/"
+        return key[len(head) :] if key.startswith(head) else ""
+
+    def is_cancel(self, key: str) -> str:
+        """Return the job id if the key asks for a cancellation, else an empty string."""
+        head = f"{self.inbox}cancel/"
+        return key[len(head) :] if key.startswith(head) else ""
+
+
+@dataclass(frozen=True, slots=True)
+class TermDocument:
+    """Who owned a shard last, and the number of its latest write.
+
+    Every write of an owner replaces this value and requires its former revision. So a write whose
+    answer was lost cannot take effect after a later one, and a former owner cannot write at all.
+    """
+
+    token: int
+    """Fencing token; it rises with each change of owner."""
+
+    holder: str
+    sequence: int = 0
+
+    def to_bytes(self) -> bytes:
+        """Write the document."""
+        return orjson.dumps(self)
+
+    @classmethod
+    def from_bytes(cls, data: bytes) -> TermDocument:
+        """Read the document."""
+        return cls(**orjson.loads(data))
+
+
+def write_job(job: Job) -> bytes:
+    """Write a job as handed in, without the fields that have their default."""
+    document = asdict(job)
+    document["steps"] = [_without_defaults(step) for step in job.steps]
+    return orjson.dumps(document)
+
+
+def _without_defaults(step: Step) -> dict[str, Any]:
+    return {
+        name: value
+        for name, value in asdict(step).items()
+        if value not in (0, False, "", (), 0.0) or name in ("count", "need", "estimate")
+    }
+
+
+def read_job(data: bytes) -> Job:
+    """Read a job as handed in; raises ValueError if it is none."""
+    try:
+        document = orjson.loads(data)
+        steps = tuple(_read_step(item) for item in document["steps"])
+        return Job(**{**document, "steps": steps})
+    except (TypeError, KeyError, AttributeError) as error:
+        raise ValueError(f"not a job: {error}") from error
+
+
+def _read_step(item: dict[str, Any]) -> Step:
+    need = Resources(**item["need"])
+    return Step(**{**item, "need": need, "after": tuple(item.get("after", ()))})
+
+
+def write_record(record: JobRecord) -> bytes:
+    """Write how far a job has come."""
+    occurrences = {
+        str(number): [_write_step(step) for step in steps]
+        for number, steps in record.occurrences.items()
+    }
+    return orjson.dumps(
+        {
+            "state": record.state,
+            "next": record.next_occurrence,
+            "ended": record.ended,
+            "occurrences": occurrences,
+        }
+    )
+
+
+def _write_step(step: StepProgress) -> dict[str, Any]:
+    """Write the done tasks as a list of indexes, and the touched ones with their latest run."""
+    touched = {
+        str(task.task_id.task): _write_task(task)
+        for task in step.tasks
+        if task.number and (not task.done or task.run is not None)
+    }
+    done = [task.task_id.task for task in step.tasks if task.done]
+    return {"done": done, "tasks": touched, "failed_gangs": step.failed_gangs}
+
+
+def _write_task(task: Task) -> list[Any]:
+    run = task.run
+    where = [run.executor, run.incarnation, run.number] if run else None
+    return [task.number, task.failures, task.checkpoint, where]
+
+
+def read_state(data: bytes) -> JobState:
+    """Read only the state from a record."""
+    return JobState(orjson.loads(data)["state"])
+
+
+def read_record(job: Job, data: bytes | None, now: float) -> tuple[JobRecord, list[Run]]:
+    """Read a record, and the runs that were open when it was written."""
+    record = JobRecord(job, now)
+    if data is None:
+        return record, []
+    document = orjson.loads(data)
+    record.state = JobState(document["state"])
+    record.ended = document["ended"]
+    runs: list[Run] = []
+    for number, steps in document["occurrences"].items():
+        progress = record.open(int(number))
+        for step, item in zip(progress, steps, strict=True):
+            runs.extend(_read_progress(step, item, now))
+    record.next_occurrence = document["next"]
+    return record, runs
+
+
+def _read_progress(step: StepProgress, item: dict[str, Any], now: float) -> Iterable[Run]:
+    for index in item["done"]:
+        step.tasks[index].done = True
+    step.left = sum(not task.done for task in step.tasks)
+    step.failed_gangs = item["failed_gangs"]
+    for index, (number, failures, checkpoint, where) in item["tasks"].items():
+        task = step.tasks[int(index)]
+        task.number, task.failures, task.checkpoint = number, failures, checkpoint
+        if where is not None:
+            executor, incarnation, run_number = where
+            yield Run(task, run_number, executor, incarnation, RunPhase.RECALLED, now)
--- /dev/null
+++ b/vanillawell/state/executors.py
@@ -0,0 +1,150 @@
+"""Keep what is known of executors: who they are, what runs on them, whether they are sound."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from vanillawell.state.work import NOTHING, Ending, Resources, Run, TaskId
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+SUSPICION = 1.0
+"""Seconds for which an executor that could not be reached gets no new work; a first guess."""
+
+FAILURES_IN_A_ROW = 5
+"""Failed runs without a success between them that put an executor's soundness in doubt.
+
+One task in thirty fails by itself in the busiest image that was seen; five in a row by chance are
+fewer than one in ten million runs."""
+
+JOBS_IN_DOUBT = 2
+"""Different jobs that these failures must come from: otherwise the fault is the job's."""
+
+QUARANTINE = 4.0
+"""Seconds for which a doubtful executor gets no new work; then it is tried again."""
+
+
+@dataclass(frozen=True, slots=True)
+class ExecutorFacts:
+    """What an executor says of itself in the registry."""
+
+    executor: str
+    """Its id."""
+
+    incarnation: int
+    """Start time of its present life, in milliseconds since the epoch."""
+
+    service: str
+    address: str
+    zone: str
+    rack: str
+    machine: str
+    labels: frozenset[str]
+    capacity: Resources
+    draining: bool
+
+
+@dataclass(slots=True, eq=False)
+class Executor:
+    """One life of an executor, and what it is charged with."""
+
+    facts: ExecutorFacts
+    registered: bool = True
+    contacted: bool = False
+    """Whether it has reported since this process became its owner."""
+
+    runs: dict[tuple[TaskId, int], Run] = field(default_factory=dict)
+    used: Resources = NOTHING
+    seen_end: int = 0
+    """Highest number of an end that was taken in from its reports."""
+
+    unsaved_ends: set[int] = field(default_factory=set)
+    """Numbers of ends whose effect is not stored yet."""
+
+    lease_over: float = 0.0
+    """Clock of decisions at which everything on it is surely dead unless renewed."""
+
+    began_at: float = 0.0
+    """Clock of decisions at which a new life under the same id was noticed; 0 for the first."""
+
+    suspected_until: float = 0.0
+    cordoned: bool = False
+    """Whether planned work keeps new tasks away."""
+
+    failures: list[str] = field(default_factory=list)
+    """Jobs of the failed runs since the last success."""
+
+    @property
+    def name(self) -> str:
+        """Return its id."""
+        return self.facts.executor
+
+    @property
+    def free(self) -> Resources:
+        """Return the capacity that nothing is charged for."""
+        return self.facts.capacity - self.used
+
+    @property
+    def saved_end(self) -> int:
+        """Return the highest number up to which all ends are stored."""
+        return min(self.unsaved_ends) - 1 if self.unsaved_ends else self.seen_end
+
+    def begin_life(self, now: float) -> None:
+        """Note that it has started again under its id.
+
+        It holds and knows nothing of before, so only its next report tells which runs it has:
+        an order that was sent just now may already belong to the new life.
+        """
+        self.contacted = False
+        self.seen_end = 0
+        self.unsaved_ends.clear()
+        self.failures.clear()
+        self.began_at = now
+
+    def takes_work(self, now: float) -> bool:
+        """Tell whether new tasks may be placed here."""
+        return (
+            self.registered
+            and self.contacted
+            and not self.facts.draining
+            and not self.cordoned
+            and now >= self.suspected_until
+        )
+
+    def charge(self, run: Run) -> None:
+        """Count a run until it is proved over."""
+        self.runs[run.task.task_id, run.number] = run
+        self.used += run.reserved
+
+    def release(self, run: Run) -> None:
+        """Stop counting a run."""
+        del self.runs[run.task.task_id, run.number]
+        self.used -= run.reserved
+
+    def suspect(self, until: float) -> None:
+        """Keep new work away until a moment."""
+        self.suspected_until = max(self.suspected_until, until)
+
+    def judge(self, run: Run, ending: Ending, now: float) -> bool:
+        """Learn from how a run ended; True if the executor has just been put in quarantine.
+
+        An executor that fails all it starts looks idle, so it would draw ever more work.
+        """
+        if ending is Ending.DONE:
+            self.failures.clear()
+        if ending is not Ending.FAILED:
+            return False
+        self.failures.append(run.task.task_id.job_id)
+        recent = self.failures[-FAILURES_IN_A_ROW:]
+        if len(recent) < FAILURES_IN_A_ROW or len(set(recent)) < JOBS_IN_DOUBT:
+            return False
+        self.suspect(now + QUARANTINE)
+        del self.failures[:-2]
+        return True
+
+
+def by_service(executors: Iterable[Executor], service: str) -> list[Executor]:
+    """Return the executors of one service."""
+    return [item for item in executors if item.facts.service == service]
--- /dev/null
+++ b/vanillawell/state/ledger.py
@@ -0,0 +1,237 @@
+"""Charge runs to executors and organisations until it is proved that they are over.
+
+An order without an answer may be carried out seconds later, and an executor that cannot be reached
+may go on working. Whoever frees their capacity too early starts a task twice, or passes an upper
+limit. So a run stays charged until one of these is known: the executor lists its end; the executor
+confirmed a stop and does not list it any more; the executor began a new life; its lease has surely
+expired; or a hold with a newer fencing token than the order's does not list it.
+"""
+
+from __future__ import annotations
+
+import itertools
+from collections import defaultdict
+from dataclasses import dataclass, field, replace
+from typing import TYPE_CHECKING
+
+from vanillawell.state.executors import Executor, ExecutorFacts
+from vanillawell.state.work import NOTHING, Ending, Resources, Run, RunPhase, Task, TaskId
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterator
+
+    from vanillawell.protocol.executor_calls import EndRow, HoldReport, RunningRow
+
+
+@dataclass(frozen=True, slots=True)
+class Ended:
+    """One run that is over."""
+
+    run: Run
+    ending: Ending
+    checkpoint: str = ""
+
+
+@dataclass(slots=True)
+class ReportOutcome:
+    """What a report changed."""
+
+    ended: list[Ended] = field(default_factory=list)
+    late_ends: list[EndRow] = field(default_factory=list)
+    """Ends of runs that are not the present run of their task."""
+
+    strays: list[RunningRow] = field(default_factory=list)
+    """Runs that nobody wants and that have to be stopped."""
+
+    recheck: list[Run] = field(default_factory=list)
+    """Runs whose order may still be on its way; a stop order settles that."""
+
+
+class Ledger:
+    """Own all executors of a shard and what is charged to them."""
+
+    def __init__(self) -> None:
+        self.executors: dict[str, Executor] = {}
+        self._usage: defaultdict[str, Resources] = defaultdict(Resources)
+
+    def usage(self, organisation: str) -> Resources:
+        """Return what an organisation has running, or may have running."""
+        return self._usage[organisation]
+
+    def runs(self) -> Iterator[Run]:
+        """Iterate over all charged runs."""
+        return itertools.chain.from_iterable(
+            list(executor.runs.values()) for executor in self.executors.values()
+        )
+
+    def register(self, facts: ExecutorFacts, now: float) -> None:
+        """Take in what an executor says of itself in the registry."""
+        known = self.executors.get(facts.executor)
+        if known is None:
+            self.executors[facts.executor] = Executor(facts)
+            return
+        if facts.incarnation < known.facts.incarnation:
+            return
+        if facts.incarnation > known.facts.incarnation:
+            known.begin_life(now)
+        known.facts = facts
+        known.registered = True
+
+    def _abandon(self, executor: Executor) -> list[Ended]:
+        runs = list(executor.runs.values())
+        for run in runs:
+            self._discharge(executor, run)
+        return [Ended(run, Ending.LOST) for run in runs]
+
+    def unregister(self, name: str) -> None:
+        """Give an executor no new work; what it runs stays charged."""
+        executor = self.executors.get(name)
+        if executor is None:
+            return
+        executor.registered = False
+        self._forget_if_empty(executor)
+
+    def dead(self, name: str, incarnation: int) -> list[Ended]:
+        """Take in the proof that a life of an executor is over."""
+        executor = self.executors.get(name)
+        if executor is None or executor.facts.incarnation != incarnation:
+            return []
+        executor.registered = False
+        ended = self._abandon(executor)
+        self._forget_if_empty(executor)
+        return ended
+
+    def _forget_if_empty(self, executor: Executor) -> None:
+        if not executor.registered and not executor.runs:
+            self.executors.pop(executor.name, None)
+
+    def charge(self, executor: Executor, run: Run) -> None:
+        """Charge a run to its executor and its organisation."""
+        executor.charge(run)
+        record = run.task.step.record
+        record.open_runs += 1
+        run.task.run = run
+        self._usage[record.job.organisation] += run.task.step.spec.need
+
+    def _discharge(self, executor: Executor, run: Run) -> None:
+        executor.release(run)
+        record = run.task.step.record
+        record.open_runs -= 1
+        if run.task.run is run:
+            run.task.run = None
+        self._usage[record.job.organisation] -= run.task.step.spec.need
+
+    def close(self, run: Run) -> bool:
+        """Stop charging a run; False if it was closed before."""
+        executor = self.executors.get(run.executor)
+        if executor is None or (run.task.task_id, run.number) not in executor.runs:
+            return False
+        self._discharge(executor, run)
+        self._forget_if_empty(executor)
+        return True
+
+    def recall(self, task: Task, run: Run, lease_over: float) -> None:
+        """Charge a run that the store tells of, until its executor says what became of it."""
+        executor = self.executors.get(run.executor)
+        if executor is None:
+            facts = ExecutorFacts(
+                run.executor, run.incarnation, "", "", "", "", "", frozenset(), NOTHING, True
+            )
+            executor = Executor(facts, registered=False)
+            self.executors[run.executor] = executor
+        executor.lease_over = max(executor.lease_over, lease_over)
+        self.charge(executor, run)
+
+    def expire(self, now: float) -> list[Ended]:
+        """Close the runs on executors whose lease has surely expired."""
+        found: list[Ended] = []
+        for executor in list(self.executors.values()):
+            if not executor.runs or now < executor.lease_over:
+                continue
+            gone = [run for run in executor.runs.values() if run.phase is not RunPhase.PLANNED]
+            for run in gone:
+                self._discharge(executor, run)
+                found.append(Ended(run, Ending.LAPSED))
+            self._forget_if_empty(executor)
+        return found
+
+    def take_report(
+        self,
+        executor: Executor,
+        report: HoldReport,
+        sent: float,
+        now: float,
+        find: Callable[[TaskId], Task | None],
+    ) -> ReportOutcome:
+        """Take in what an executor reported on a call that was sent at `sent`."""
+        outcome = ReportOutcome()
+        if report.incarnation != executor.facts.incarnation:
+            executor.facts = replace(executor.facts, incarnation=report.incarnation)
+            executor.begin_life(now)
+        executor.contacted = True
+        for end in report.ended:
+            if end.sequence > executor.seen_end:
+                self._take_end(executor, end, outcome, now, find)
+        present = {(row.task_id, row.run): row for row in report.running if row.task_id is not None}
+        for run in list(executor.runs.values()):
+            row = present.pop((run.task.task_id, run.number), None)
+            if row is not None:
+                self._confirm(run, row, now)
+            elif self._is_over(executor, run, sent):
+                self._discharge(executor, run)
+                outcome.ended.append(Ended(run, Ending.LOST))
+            elif self._may_still_begin(run, sent):
+                outcome.recheck.append(run)
+        outcome.strays.extend(present.values())
+        self._forget_if_empty(executor)
+        return outcome
+
+    def _take_end(
+        self,
+        executor: Executor,
+        end: EndRow,
+        outcome: ReportOutcome,
+        now: float,
+        find: Callable[[TaskId], Task | None],
+    ) -> None:
+        executor.seen_end = end.sequence
+        if end.task_id is None:
+            return
+        run = executor.runs.get((end.task_id, end.run))
+        if run is None:
+            if find(end.task_id) is not None:
+                executor.unsaved_ends.add(end.sequence)
+                outcome.late_ends.append(end)
+            return
+        executor.unsaved_ends.add(end.sequence)
+        executor.judge(run, end.ending, now)
+        self._discharge(executor, run)
+        outcome.ended.append(Ended(run, end.ending, end.checkpoint))
+
+    @staticmethod
+    def _confirm(run: Run, row: RunningRow, now: float) -> None:
+        if run.phase is not RunPhase.RUNNING:
+            run.enter(RunPhase.RUNNING, now)
+        if run.started is None:
+            run.started = now
+        run.at_work = row.percent >= 100
+        if row.checkpoint:
+            run.task.checkpoint = row.checkpoint
+        if run.task.step.spec.tail_target:
+            run.tail = row.measure / 1000
+
+    @staticmethod
+    def _is_over(executor: Executor, run: Run, sent: float) -> bool:
+        """Tell whether a run that a report leaves out can neither be there nor begin there."""
+        if run.phase is RunPhase.RECALLED:
+            return True
+        if run.phase is RunPhase.RUNNING and executor.began_at >= run.since:
+            return sent > run.since
+        stopped = run.stop_confirmed
+        return stopped is not None and sent >= stopped
+
+    @staticmethod
+    def _may_still_begin(run: Run, sent: float) -> bool:
+        """Tell whether only a stop order can settle what becomes of a run."""
+        lost = run.phase in (RunPhase.UNCERTAIN, RunPhase.RUNNING)
+        return lost and sent > run.since and run.stop_confirmed is None
--- /dev/null
+++ b/vanillawell/state/placement.py
@@ -0,0 +1,136 @@
+"""Choose executors for the tasks of a step."""
+
+from __future__ import annotations
+
+from collections import Counter
+from typing import TYPE_CHECKING
+
+from vanillawell.state.work import NOTHING, Resources
+
+if TYPE_CHECKING:
+    from collections.abc import Collection, Mapping, Sequence
+
+    from vanillawell.state.executors import Executor
+    from vanillawell.state.work import Step, StepProgress, Task
+
+
+def load(executor: Executor) -> float:
+    """Return the part of an executor's processors that is charged."""
+    capacity = executor.facts.capacity.cpu
+    return executor.used.cpu / capacity if capacity else 1.0
+
+
+def fills_on(executor: Executor) -> int:
+    """Return the number of tasks there that live on what others leave."""
+    return sum(run.task.step.spec.fills for run in executor.runs.values())
+
+
+class StepPlacer:
+    """Place tasks of one step, one after the other, on executors that may run them."""
+
+    def __init__(
+        self, step: StepProgress, candidates: Sequence[Executor], tickets: Mapping[str, str] | None
+    ) -> None:
+        spec = step.spec
+        self._spec = spec
+        self._tickets = tickets
+        self._candidates = [item for item in candidates if self._may_run(item)]
+        held = [task.run for task in step.tasks if task.run is not None]
+        self._on_executor = Counter(run.executor for run in held)
+        racks = {item.name: item.facts.rack for item in candidates}
+        self._on_rack = Counter(racks.get(run.executor, "") for run in held)
+        self._rack = self._gang_rack() if spec.same_rack else ""
+
+    def _may_run(self, executor: Executor) -> bool:
+        label = self._spec.required_label
+        if label and label not in executor.facts.labels:
+            return False
+        return self._tickets is None or executor.name in self._tickets
+
+    def _gang_rack(self) -> str:
+        """Return the rack that has room for most of the step's tasks."""
+        fitting: Counter[str] = Counter()
+        for executor in self._candidates:
+            fitting[executor.facts.rack] += fits_times(self._spec, executor)
+        best = fitting.most_common(1)
+        return best[0][0] if best else ""
+
+    def choose(self, task: Task, taken: Collection[str] = ()) -> Executor | None:
+        """Return the executor for a task, None if none has room; `taken` ones are left out."""
+        fitting = [
+            item
+            for item in self._candidates
+            if item.name not in taken
+            and self._spec.reserved.fits(item.free)
+            and not self._is_full_of_step(item)
+        ]
+        if not fitting:
+            return None
+        return min(fitting, key=lambda item: self._cost(item, task))
+
+    def _is_full_of_step(self, executor: Executor) -> bool:
+        bound = self._spec.most_per_executor
+        return bool(bound) and self._on_executor[executor.name] >= bound
+
+    def _cost(self, executor: Executor, task: Task) -> tuple[bool, bool, int, int, float, str]:
+        """Return what speaks against an executor, most important first.
+
+        Tasks that last are spread over racks, so that one lost rack takes few of them. All others
+        go where their data is, then where most is free: tasks on one executor slow each other.
+        """
+        spec = self._spec
+        rack = executor.facts.rack
+        wanted = self._rack or spec.data_rack
+        spread = self._on_rack[rack] if spec.long_running else 0
+        crowd = self._on_executor[executor.name] if spec.long_running else 0
+        if spec.fills:
+            crowd += fills_on(executor)
+        return (
+            executor.name == task.failed_on,
+            bool(wanted) and rack != wanted,
+            crowd,
+            spread,
+            load(executor),
+            executor.name,
+        )
+
+    def placed(self, executor: Executor) -> None:
+        """Count a task that was placed."""
+        self._on_executor[executor.name] += 1
+        self._on_rack[executor.facts.rack] += 1
+
+    def roomiest(self) -> Executor | None:
+        """Return the executor that is nearest to having room, to be kept free for the step."""
+        allowed = [item for item in self._candidates if not self._is_full_of_step(item)]
+        return min(allowed, key=lambda item: (load(item), item.name), default=None)
+
+
+def fits_times(spec: Step, executor: Executor) -> int:
+    """Return how many tasks of a step have room on an executor."""
+    need, free = spec.reserved, executor.free
+    pairs = ((free.cpu, need.cpu), (free.memory, need.memory), (free.gpu, need.gpu))
+    counts = [max(0, have // want) for have, want in pairs if want]
+    fitting = min(counts, default=spec.count)
+    bound = spec.most_per_executor or spec.count
+    return min(fitting, bound, spec.count)
+
+
+class FullMemo:
+    """Remember in one pass what found no room, so that equal or larger needs are not tried.
+
+    Under a peak hundreds of steps wait; trying each on each executor in every pass would cost the
+    owner more time than all its calls.
+    """
+
+    def __init__(self) -> None:
+        self._failed: dict[str, list[Resources]] = {}
+
+    def failed(self, service: str, need: Resources) -> None:
+        """Note that a need without further conditions found no room."""
+        self._failed.setdefault(service, []).append(need)
+
+    def hopeless(self, service: str, need: Resources) -> bool:
+        """Tell whether a smaller or equal need found no room in this pass."""
+        return need != NOTHING and any(
+            smaller.fits(need) for smaller in self._failed.get(service, ())
+        )
--- /dev/null
+++ b/vanillawell/state/shard.py
@@ -0,0 +1,366 @@
+"""Decide for one shard of jobs: what starts where, what stops, and what each report means.
+
+A shard is a set of services with their queues, jobs and executors; one entry owns it at a time.
+Nothing here does I/O. Decisions are collected in an `Outbox`; starts and confirmed ends leave it
+only after the jobs they concern have been stored.
+"""
+
+from __future__ import annotations
+
+import logging
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from vanillawell.state.durations import DurationBook
+from vanillawell.state.executors import Executor, by_service
+from vanillawell.state.job_board import JobBoard
+from vanillawell.state.ledger import Ended, Ledger
+from vanillawell.state.placement import FullMemo, StepPlacer
+from vanillawell.state.work import (
+    Ending,
+    Job,
+    JobRecord,
+    Run,
+    RunPhase,
+    StepProgress,
+    Task,
+    TaskId,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Mapping
+
+    from vanillawell.protocol.executor_calls import EndRow, HoldReport
+    from vanillawell.state.executors import ExecutorFacts
+    from vanillawell.state.work_policy import Queue, WorkPolicy
+
+log = logging.getLogger(__name__)
+
+DEFAULT_ATTEMPTS = 3
+"""Failed runs that fail a job whose queue is no longer configured; a first guess."""
+
+WORTHLESS_AFTER = 3.0
+"""Multiple of its objective after which a job helps nobody any more; it then waits for the rest.
+
+The published terms count a job as late up to this multiple, and as nothing beyond."""
+
+
+@dataclass(frozen=True, slots=True)
+class StrayStop:
+    """A run to stop that is not charged to any task."""
+
+    executor: str
+    task_id: TaskId
+    run: int
+
+
+@dataclass(frozen=True, slots=True)
+class SavedEnd:
+    """An end that may be confirmed to its executor once it is stored."""
+
+    executor: Executor
+    sequence: int
+
+
+@dataclass(slots=True)
+class Outbox:
+    """What the decisions so far ask for."""
+
+    planned: list[Run] = field(default_factory=list)
+    ends: list[SavedEnd] = field(default_factory=list)
+    stops: list[Run] = field(default_factory=list)
+    stray_stops: list[StrayStop] = field(default_factory=list)
+
+
+class Shard:
+    """Own the state of one shard."""
+
+    def __init__(self, kept: float) -> None:
+        self.ledger = Ledger()
+        self.board = JobBoard(self._attempts, kept)
+        self.durations = DurationBook()
+        self.outbox = Outbox()
+        self.tickets: dict[tuple[str, int, int], Mapping[str, str]] = {}
+        """Tickets by executor for steps of queues that need advice."""
+        self._policy: WorkPolicy | None = None
+        self._queues: dict[str, Queue] = {}
+
+    def _attempts(self, queue: str) -> int:
+        known = self._queues.get(queue)
+        return known.attempts if known else DEFAULT_ATTEMPTS
+
+    @property
+    def policy(self) -> WorkPolicy | None:
+        """Return the configuration in force."""
+        return self._policy
+
+    def apply_policy(self, policy: WorkPolicy) -> None:
+        """Use a newer configuration; queues that it drops keep their last rules."""
+        self._policy = policy
+        self._queues.update(policy.queues)
+
+    def queue_of(self, job: Job) -> Queue | None:
+        """Return the rules of a job's queue."""
+        return self._queues.get(job.queue)
+
+    def admit(self, job: Job, now: float) -> JobRecord | None:
+        """Begin to follow an accepted job; None if it is known already."""
+        if job.job_id in self.board.jobs:
+            return None
+        record = JobRecord(job, now)
+        self._set_objective(record)
+        self.board.add(record)
+        return record
+
+    def _set_objective(self, record: JobRecord) -> None:
+        queue = self.queue_of(record.job)
+        if queue is None:
+            record.late_by = record.seen
+            return
+        path = self.durations.critical_path(record.job)
+        record.late_by = record.seen + queue.slack_factor * path + queue.objective
+
+    def restore(self, record: JobRecord, runs: Iterable[Run], lease_over: float) -> None:
+        """Take over a job with the runs that the store tells of."""
+        self._set_objective(record)
+        self.board.add(record)
+        for run in runs:
+            self.ledger.recall(run.task, run, lease_over)
+            if record.state.final or run.task.done:
+                self.want_stop(run)
+
+    def cancel(self, job_id: str, wall: float) -> bool:
+        """Cancel a job and ask for all its runs to be stopped; False if it was final."""
+        record = self.board.cancel(job_id, wall)
+        if record is None:
+            return False
+        self._stop_runs(record)
+        return True
+
+    def _stop_runs(self, record: JobRecord) -> None:
+        for steps in record.occurrences.values():
+            for step in steps:
+                for task in step.tasks:
+                    if task.run is not None:
+                        self.want_stop(task.run)
+
+    def want_stop(self, run: Run) -> None:
+        """Ask for a run to be stopped."""
+        if run.stop_wanted:
+            return
+        run.stop_wanted = True
+        if run.phase is not RunPhase.PLANNED:
+            self.outbox.stops.append(run)
+
+    def register(self, facts: ExecutorFacts, now: float) -> None:
+        """Take in a change in the registry of executors."""
+        self.ledger.register(facts, now)
+
+    def dead(self, name: str, incarnation: int, now: float, wall: float) -> None:
+        """Take in the proof that a life of an executor is over."""
+        self._settle(self.ledger.dead(name, incarnation), now, wall)
+
+    def expire(self, now: float, wall: float) -> None:
+        """Give up runs whose lease has surely expired."""
+        self._settle(self.ledger.expire(now), now, wall)
+
+    def take_report(
+        self, executor: Executor, report: HoldReport, sent: float, now: float, wall: float
+    ) -> None:
+        """Take in a report of an executor on a call that was sent at `sent`."""
+        outcome = self.ledger.take_report(executor, report, sent, now, self.board.find)
+        numbers = [end.sequence for end in report.ended if end.sequence in executor.unsaved_ends]
+        self.outbox.ends.extend(SavedEnd(executor, number) for number in numbers)
+        self._settle(outcome.ended, now, wall)
+        for end in outcome.late_ends:
+            self._take_late_end(end, now, wall)
+        for run in outcome.recheck:
+            self.want_stop(run)
+        for row in outcome.strays:
+            if row.task_id is not None:
+                self.outbox.stray_stops.append(StrayStop(executor.name, row.task_id, row.run))
+
+    def _take_late_end(self, end: EndRow, now: float, wall: float) -> None:
+        """Take in the end of a run that had been given up."""
+        task = self.board.find(end.task_id) if end.task_id else None
+        if task is None:
+            return
+        self.board.changed[task.step.record.job.job_id] = task.step.record
+        if end.ending is not Ending.DONE or task.done:
+            return
+        if task.run is not None:
+            self.want_stop(task.run)
+        self.board.ended(task, Ending.DONE, end.checkpoint, now, wall)
+
+    def _settle(self, ended: Iterable[Ended], now: float, wall: float) -> None:
+        """Let the jobs of ended runs go on."""
+        for item in ended:
+            self._settle_one(item, now, wall)
+
+    def _settle_one(self, item: Ended, now: float, wall: float) -> None:
+        run, task = item.run, item.run.task
+        record = task.step.record
+        was_final = record.state.final
+        if item.ending is Ending.DONE and run.started is not None:
+            self.durations.learn(record.job.queue, task.step.spec, now - run.started)
+        if item.ending is Ending.FAILED:
+            task.failed_on = run.executor
+        self.board.ended(task, item.ending, item.checkpoint, now, wall)
+        log.info(
+            "run ended",
+            extra={
+                "job": record.job.job_id,
+                "task": task.task_id[1:],
+                "run": run.number,
+                "executor": run.executor,
+                "ending": item.ending,
+                "failures": task.failures,
+                "seconds": round(now - run.started, 3) if run.started else None,
+            },
+        )
+        if record.state.final and not was_final:
+            self._stop_runs(record)
+            log.info(
+                "job ended",
+                extra={
+                    "job": record.job.job_id,
+                    "state": record.state,
+                    "seconds": round(now - record.seen, 3),
+                    "late_by": round(now - record.late_by, 3),
+                },
+            )
+
+    def never_began(self, run: Run, now: float, wall: float) -> None:
+        """Take in the proof that a run was not and will not be started."""
+        if self.ledger.close(run):
+            self._settle_one(Ended(run, Ending.LOST), now, wall)
+
+    def place(self, now: float, wall: float) -> None:
+        """Start what can be started now."""
+        if self._policy is None:
+            return
+        self.board.begin_due(wall)
+        pass_ = PlacementPass(self, self._policy, now)
+        for step in sorted(self.board.open_steps, key=lambda item: self._order(item, now)):
+            if step.waiting:
+                pass_.place(step)
+
+    def _order(self, step: StepProgress, now: float) -> tuple[bool, int, bool, float]:
+        """Return the sort key of a step: what must run at all times, then what still helps."""
+        record = step.record
+        queue = self.queue_of(record.job)
+        priority = queue.priority if queue else 0
+        span = record.late_by - record.seen
+        worthless = now > record.seen + WORTHLESS_AFTER * span
+        return (not step.spec.long_running, priority, worthless, record.late_by)
+
+    def plan(self, task: Task, executor: Executor, number: int, ticket: str, now: float) -> Run:
+        """Decide on a run; it is charged from this moment."""
+        task.number = number
+        life = executor.facts.incarnation
+        run = Run(task, number, executor.name, life, RunPhase.PLANNED, now, ticket=ticket)
+        self.ledger.charge(executor, run)
+        return run
+
+    def settle_plan(self, run: Run) -> None:
+        """Let a planned run go out once it is stored."""
+        self.board.begun(run.task)
+        self.outbox.planned.append(run)
+
+    def unplan(self, run: Run) -> None:
+        """Take a plan back that was not settled."""
+        self.ledger.close(run)
+
+
+class PlacementPass:
+    """One look at all steps that may start."""
+
+    def __init__(self, shard: Shard, policy: WorkPolicy, now: float) -> None:
+        self._shard = shard
+        self._policy = policy
+        self._now = now
+        self._memo = FullMemo()
+        self._kept_free: set[str] = set()
+        self._pools: dict[str, list[Executor]] = {}
+
+    def _pool(self, service: str) -> list[Executor]:
+        if service not in self._pools:
+            pool = by_service(self._shard.ledger.executors.values(), service)
+            self._pools[service] = [item for item in pool if item.takes_work(self._now)]
+        return self._pools[service]
+
+    def place(self, step: StepProgress) -> None:
+        """Place the waiting tasks of a step as far as there is room."""
+        job = step.record.job
+        queue = self._shard.queue_of(job)
+        if queue is None or self._memo.hopeless(queue.service, step.spec.reserved):
+            return
+        tickets = None
+        if queue.advice:
+            tickets = self._shard.tickets.get((job.job_id, step.occurrence, step.position))
+            if tickets is None:
+                return
+        placer = StepPlacer(step, self._pool(queue.service), tickets)
+        if step.spec.gang:
+            self._place_gang(step, placer, tickets)
+            return
+        for task in step.waiting:
+            run = self._place_task(task, placer, tickets, task.number + 1)
+            if run is None:
+                self._note_full(step, queue, placer)
+                return
+            self._shard.settle_plan(run)
+
+    def _place_task(
+        self, task: Task, placer: StepPlacer, tickets: Mapping[str, str] | None, number: int
+    ) -> Run | None:
+        spec = task.step.spec
+        if not self._allowed(task):
+            return None
+        kept_free = () if spec.long_running else self._kept_free
+        executor = placer.choose(task, kept_free)
+        if executor is None:
+            return None
+        placer.placed(executor)
+        ticket = tickets[executor.name] if tickets else ""
+        return self._shard.plan(task, executor, number, ticket, self._now)
+
+    def _allowed(self, task: Task) -> bool:
+        """Tell whether the task's organisation may have it running too."""
+        organisation = task.step.record.job.organisation
+        limits = self._policy.organisations.get(organisation)
+        if limits is None:
+            return True
+        return limits.allows(self._shard.ledger.usage(organisation), task.step.spec.need)
+
+    def _place_gang(
+        self, step: StepProgress, placer: StepPlacer, tickets: Mapping[str, str] | None
+    ) -> None:
+        """Place all tasks of a gang or none: a part of it only holds room and waits."""
+        if any(task.run is not None for task in step.tasks):
+            return
+        number = max(task.number for task in step.tasks) + 1
+        runs: list[Run] = []
+        for task in step.tasks:
+            run = self._place_task(task, placer, tickets, number)
+            if run is None:
+                for planned in runs:
+                    self._shard.unplan(planned)
+                return
+            runs.append(run)
+        for run in runs:
+            self._shard.settle_plan(run)
+
+    def _note_full(self, step: StepProgress, queue: Queue, placer: StepPlacer) -> None:
+        """Spare later steps the search, and keep room for tasks that must run at all times."""
+        spec = step.spec
+        if not self._allowed(step.waiting[0]):
+            return
+        if spec.long_running:
+            roomiest = placer.roomiest()
+            if roomiest:
+                self._kept_free.add(roomiest.name)
+            return
+        conditions = spec.required_label or spec.most_per_executor or queue.advice
+        if not conditions and not self._kept_free:
+            self._memo.failed(queue.service, spec.reserved)
--- /dev/null
+++ b/vanillawell/state/upkeep.py
@@ -0,0 +1,139 @@
+"""Plan the upkeep of machines in waves without taking away more than may be away.
+
+The upkeep of a machine ends everything on it at once. So a machine is first closed to new tasks,
+its long-running tasks are moved one after the other as far as their steps allow, and the others
+are given time to end. The next machine is emptied while the present one is away: emptying takes
+about as long as the upkeep itself, and done one after the other waves would be late.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Mapping
+
+    from vanillawell.state.executors import Executor
+    from vanillawell.state.work import Run, StepProgress
+
+EMPTIED_AHEAD = 1
+"""Machines that are emptied beyond those that may be away; more would only take room away."""
+
+PATIENCE = 4.0
+"""Seconds for which tasks that end by themselves are waited for; longer ones are stopped."""
+
+HASTE = 0.75
+"""Part of a wave's time after which nothing is waited for any more."""
+
+
+@dataclass(frozen=True, slots=True)
+class Wave:
+    """A request that each of these machines has its upkeep in time."""
+
+    number: int
+    machines: tuple[str, ...]
+    duration: float
+    """Seconds."""
+
+    most_away: int
+    """Machines of the wave that may be away for their upkeep at the same time."""
+
+
+@dataclass(slots=True)
+class WaveProgress:
+    """How far a wave has come."""
+
+    wave: Wave
+    seen: float
+    """Clock of decisions when it was first seen."""
+
+    begun: set[str] = field(default_factory=set)
+    """Machines whose upkeep was decided; stored before the order goes out."""
+
+    away: dict[str, str] = field(default_factory=dict)
+    """Machines that are away, each with the life of the executor that it had before."""
+
+    closed: dict[str, float] = field(default_factory=dict)
+    """Machines being emptied, each with the time at which that began."""
+
+    completed: bool = False
+
+    def hurried(self, now: float) -> bool:
+        """Tell whether so much time has passed that nothing is waited for any more."""
+        return now > self.seen + HASTE * self.wave.duration
+
+    def returned(self, lives: Mapping[str, str]) -> None:
+        """Forget machines that are back; `lives` tells which life each machine has now."""
+        for machine, before in list(self.away.items()):
+            if lives.get(machine, before) != before:
+                del self.away[machine]
+
+
+def life_of(executor: Executor) -> str:
+    """Return what tells two lives of an executor apart."""
+    return f"{executor.name}@{executor.facts.incarnation}"
+
+
+def others_away(step: StepProgress, run: Run) -> int:
+    """Return how many other tasks of a step are not at work."""
+    return sum(
+        task.run is None or not task.run.at_work or task.run.stop_wanted
+        for task in step.tasks
+        if task.run is not run
+    )
+
+
+def may_take_away(run: Run) -> bool:
+    """Tell whether planned work may end this run now.
+
+    A step says how many of its tasks may be away at once. Tasks that are away for any other cause
+    count too: they would be missing all the same.
+    """
+    bound = run.task.step.spec.most_away
+    if not bound or not run.at_work:
+        return True
+    return others_away(run.task.step, run) < bound
+
+
+def to_close(progress: WaveProgress, executors: Mapping[str, Executor]) -> list[str]:
+    """Return machines that should be emptied now, those with least work first.
+
+    Machines that are down for other reasons are left for later. Of each service one machine is
+    emptied at a time, so that a pool loses no more room than needed.
+    """
+    wave = progress.wave
+    room = wave.most_away + EMPTIED_AHEAD - len(progress.away) - len(progress.closed)
+    waiting = [
+        name
+        for name in wave.machines
+        if name not in progress.begun and name not in progress.closed and name in executors
+    ]
+    waiting.sort(key=lambda name: (len(executors[name].runs), executors[name].used.cpu, name))
+    busy = {executors[name].facts.service for name in progress.closed if name in executors}
+    chosen: list[str] = []
+    for name in waiting:
+        service = executors[name].facts.service
+        if len(chosen) < room and service not in busy:
+            chosen.append(name)
+            busy.add(service)
+    return chosen
+
+
+def to_stop(executor: Executor) -> list[Run]:
+    """Return long-running tasks of a closed machine that may be moved now, one of a step."""
+    chosen: dict[StepProgress, Run] = {}
+    for run in executor.runs.values():
+        step = run.task.step
+        movable = step.spec.long_running and not run.stop_wanted and step not in chosen
+        if movable and may_take_away(run):
+            chosen[step] = run
+    return list(chosen.values())
+
+
+def is_empty_enough(executor: Executor, since: float, hurried: bool, now: float) -> bool:
+    """Tell whether the upkeep of a closed machine may begin."""
+    runs: Iterable[Run] = executor.runs.values()
+    if any(run.task.step.spec.long_running for run in runs):
+        return hurried and all(may_take_away(run) for run in runs if run.at_work)
+    return not executor.runs or hurried or now > since + PATIENCE
--- /dev/null
+++ b/vanillawell/work_telemetry.py
@@ -0,0 +1,40 @@
+"""Count what the scheduler does."""
+
+from __future__ import annotations
+
+from aioprometheus import Counter, Gauge, Histogram, Registry
+
+from vanillawell.telemetry import LATENCY_BUCKETS
+
+
+class WorkTelemetry:
+    """Own all metrics of one scheduler process."""
+
+    def __init__(self) -> None:
+        self.registry = Registry()
+        self.calls = Counter(
+            "vanillawell_calls_total",
+            "Callers' requests by operation and status.",
+            registry=self.registry,
+        )
+        self.latency = Histogram(
+            "vanillawell_call_seconds",
+            "Seconds from a request's head to its answer, by operation.",
+            buckets=LATENCY_BUCKETS,
+            registry=self.registry,
+        )
+        self.store_writes = Counter(
+            "vanillawell_store_writes_total",
+            "Transactions written in the store, by kind.",
+            registry=self.registry,
+        )
+        self.policy_version = Gauge(
+            "vanillawell_policy_version",
+            "Version of the configuration in force here.",
+            registry=self.registry,
+        )
+        self.log_lines_dropped = Gauge(
+            "vanillawell_log_lines_dropped",
+            "Log lines dropped so far, since nobody read them or there were too many of a kind.",
+            registry=self.registry,
+        )
