Keep connections open, and count machines in upkeep that no executor was seen on

Cause: the parser forgets whether a connection stays open once a message is complete, so every call opened a new one; a machine without an executor was counted as back by a list older than its order. Ruled out: executors closing connections (they keep them). Change: read the parser in its callback; compare the list's age with the order's. Open: the wave's state counts as told late at Riga, cause not found yet.

--- a/vanillawell/coordination/upkeep_runner.py
+++ b/vanillawell/coordination/upkeep_runner.py
@@ -51,6 +51,9 @@
 LIST_PAUSE = 1.0
 """Seconds between two readings of the list of machines during a wave; readings are priced."""
 
+UNKNOWN_LIFE = "unknown"
+"""Stands for the life of an executor on a machine where none was seen before its upkeep."""
+
 
 class UpkeepRunner:
     """Own all waves of one term."""
@@ -118,7 +121,7 @@
         self._listed = 0.0
         await self._list()
         progress.away = {
-            name: "unknown"
+            name: UNKNOWN_LIFE
             for name in progress.begun
             if name in self._machines and self._machines[name].state is MachineState.UPKEEP
         }
@@ -139,7 +142,7 @@
             return
         machines = await self._ports.machines.list_machines()
         self._machines = {item.name: item for item in machines}
-        self._listed = now
+        self._listed = now  # when the list was asked for: it may be older than its answer
 
     def _executors(self) -> dict[str, Executor]:
         """Return the live executors by machine."""
@@ -167,9 +170,15 @@
         await self._finish(progress)
 
     def _note_returned_by_list(self, progress: WaveProgress) -> None:
+        """Free the places of machines without a known executor, once the list shows them up.
+
+        The list must be newer than the order: an older one shows each machine as up.
+        """
         for name, life in list(progress.away.items()):
             machine = self._machines.get(name)
-            if life == "unknown" and (machine is None or machine.state is MachineState.UP):
+            newer = self._listed > progress.ordered.get(name, 0.0)
+            gone = machine is None or machine.state is MachineState.UP
+            if life == UNKNOWN_LIFE and newer and gone:
                 del progress.away[name]
 
     async def _empty(
@@ -189,7 +198,8 @@
         if name not in progress.begun:
             progress.begun.add(name)
             await self._save(progress)
-        progress.away[name] = life_of(executor) if executor else "unknown"
+        progress.away[name] = life_of(executor) if executor else UNKNOWN_LIFE
+        progress.ordered[name] = clock.read()
         fields = {"wave": progress.wave.number, "machine": name, "token": self._term.token}
         try:
             await self._ports.machines.begin_upkeep(name, progress.wave.number, self._duty)
@@ -240,7 +250,7 @@
             for name in progress.wave.machines
             if name not in progress.begun and name in self._machines
         ]
-        if left or progress.closed:
+        if left or progress.closed or progress.away:
             return
         progress.completed = True
         await self._save(progress)
--- a/vanillawell/platform/http.py
+++ b/vanillawell/platform/http.py
@@ -62,6 +62,7 @@
 
     def __init__(self) -> None:
         self.complete = False
+        self.reusable = False
         self.body = bytearray()
         self.parser = httptools.HttpResponseParser(self)
 
@@ -70,8 +71,12 @@
         self.body += data
 
     def on_message_complete(self) -> None:
-        """Note that the answer is whole."""
+        """Note that the answer is whole, and whether the connection stays open after it.
+
+        The parser forgets the latter with the next message, so it is read here.
+        """
         self.complete = True
+        self.reusable = self.parser.should_keep_alive()
 
 
 class _Connection:
@@ -90,7 +95,7 @@
         answer = _Answer()
         while not answer.complete:
             answer.parser.feed_data(await self._stream.receive(READ_SIZE))
-        self.reusable = answer.parser.should_keep_alive()
+        self.reusable = answer.reusable
         return HttpAnswer(answer.parser.get_status_code(), bytes(answer.body))
 
     async def close(self) -> None:
--- a/vanillawell/state/upkeep.py
+++ b/vanillawell/state/upkeep.py
@@ -54,6 +54,9 @@
     away: dict[str, str] = field(default_factory=dict)
     """Machines that are away, each with the life of the executor that it had before."""
 
+    ordered: dict[str, float] = field(default_factory=dict)
+    """Clock of decisions at which the latest order for each machine went out."""
+
     closed: dict[str, float] = field(default_factory=dict)
     """Machines being emptied, each with the time at which that began."""
 
