--- a/vanillawell/cli.py
+++ b/vanillawell/cli.py
@@ -13,8 +13,10 @@
 
 app = typer.Typer(no_args_is_help=True, help="Operate a vanillawell fleet.")
 config_app = typer.Typer(no_args_is_help=True, help="Push, show and restore configurations.")
-node_app = typer.Typer(no_args_is_help=True, help="Create and change teams, pools and groups.")
-key_app = typer.Typer(no_args_is_help=True, help="Grant and withdraw team keys.")
+node_app = typer.Typer(
+    no_args_is_help=True, help="Create and change organisations, pools and groups."
+)
+key_app = typer.Typer(no_args_is_help=True, help="Grant and withdraw organisation keys.")
 maintenance_app = typer.Typer(no_args_is_help=True, help="Run maintenance waves.")
 pool_app = typer.Typer(no_args_is_help=True, help="Move instances between pools.")
 job_app = typer.Typer(no_args_is_help=True, help="Run work that may wait.")
@@ -84,7 +86,7 @@
 
 @app.command()
 def status(context: typer.Context) -> None:
-    """Show entries, teams and pools."""
+    """Show entries, organisations and pools."""
     from vanillawell.commands.status import show_status
 
     show_status(context.obj)
@@ -176,14 +178,14 @@
 def node_create(
     context: typer.Context,
     name: str,
-    kind: Annotated[str, typer.Option(help="region, zone, group, team or pool")],
+    kind: Annotated[str, typer.Option(help="region, zone, group, organisation or pool")],
     parent: Annotated[str, typer.Option()] = "fleet",
     service: Annotated[str | None, typer.Option(help="Service that a pool runs.")] = None,
     settings: Annotated[list[str] | None, typer.Option("--set", help="KEY=VALUE")] = None,
     wait: WaitOption = False,
     dry_run: DryRun = False,
 ) -> None:
-    """Add a node. Example: vanillawell node create guild --kind team --set limit=40."""
+    """Add a node. Example: vanillawell node create guild --kind organisation --set limit=40."""
     from vanillawell.commands.config import PushOptions
     from vanillawell.commands.nodes import create
     from vanillawell.config.tree import Kind
@@ -219,21 +221,25 @@
 
 
 @key_app.command("grant")
-def key_grant(context: typer.Context, team: str, key_id: str, wait: WaitOption = False) -> None:
+def key_grant(
+    context: typer.Context, organisation: str, key_id: str, wait: WaitOption = False
+) -> None:
     """Make a key and print it once. Example: vanillawell key grant guild 2026-12."""
     from vanillawell.commands.config import PushOptions
     from vanillawell.commands.nodes import grant_key
 
-    grant_key(context.obj, team, key_id, PushOptions(wait=wait))
+    grant_key(context.obj, organisation, key_id, PushOptions(wait=wait))
 
 
 @key_app.command("withdraw")
-def key_withdraw(context: typer.Context, team: str, key_id: str, wait: WaitOption = False) -> None:
+def key_withdraw(
+    context: typer.Context, organisation: str, key_id: str, wait: WaitOption = False
+) -> None:
     """Withdraw a key. Example: vanillawell key withdraw guild 2026-12 --wait."""
     from vanillawell.commands.config import PushOptions
     from vanillawell.commands.nodes import withdraw_key
 
-    withdraw_key(context.obj, team, key_id, PushOptions(wait=wait))
+    withdraw_key(context.obj, organisation, key_id, PushOptions(wait=wait))
 
 
 @maintenance_app.command("start")
@@ -280,7 +286,7 @@
 @job_app.command("submit")
 def job_submit(
     context: typer.Context,
-    team: str,
+    organisation: str,
     kind: str,
     core_seconds: Annotated[float, typer.Option(help="Declared amount of work.")],
     within: Annotated[float, typer.Option(help="Seconds until it must be done.")],
@@ -289,7 +295,7 @@
     """Add a job. Example: job submit guild rebuild --core-seconds 7200 --within 28800."""
     from vanillawell.commands.jobs import submit
 
-    submit(context.obj, team, kind, core_seconds, cores, within)
+    submit(context.obj, organisation, kind, core_seconds, cores, within)
 
 
 @job_app.command("list")
--- a/vanillawell/commands/jobs.py
+++ b/vanillawell/commands/jobs.py
@@ -22,13 +22,13 @@
 
 
 def submit(
-    context: CommandContext, team: str, kind: str, work: float, cores: float, within: float
+    context: CommandContext, organisation: str, kind: str, work: float, cores: float, within: float
 ) -> None:
     """Add a job that must be done within some seconds."""
     if work <= 0 or cores <= 0 or within <= 0:
         raise SettingsError("--core-seconds, --cores and --within must be above 0")
     job_id = f"{kind}-{uuid.uuid4().hex[:8]}"
-    job = Job(job_id, team, kind, work, cores, time.time() + within)
+    job = Job(job_id, organisation, kind, work, cores, time.time() + within)
     anyio.run(_submit, context, job)
     print_document({"job": job_id})
 
@@ -36,8 +36,8 @@
 async def _submit(context: CommandContext, job: Job) -> None:
     async with context.connect() as store:
         current = await context.editor(store).current()
-        if current is None or job.team not in current.tree.of_kind("team"):
-            raise SettingsError(f"no team is named {job.team!r}")
+        if current is None or job.organisation not in current.tree.of_kind("organisation"):
+            raise SettingsError(f"no organisation is named {job.organisation!r}")
         for _ in range(TRIES):
             if await _try_submit(context, store, job):
                 return
@@ -72,7 +72,7 @@
     rows = [
         {
             "job": job.job_id,
-            "team": job.team,
+            "organisation": job.organisation,
             "state": job.state,
             "worker": job.worker or "-",
             "attempts": job.attempt,
--- a/vanillawell/commands/nodes.py
+++ b/vanillawell/commands/nodes.py
@@ -1,4 +1,4 @@
-"""Create and change nodes of the tree: teams, pools, groups, settings and keys."""
+"""Create and change nodes of the tree: organisations, pools, groups, settings and keys."""
 
 from __future__ import annotations
 
@@ -107,31 +107,35 @@
     apply_change(context, change, options)
 
 
-def grant_key(context: CommandContext, team: str, key_id: str, options: PushOptions) -> None:
-    """Make a new key for a team and print it; it cannot be shown again."""
+def grant_key(
+    context: CommandContext, organisation: str, key_id: str, options: PushOptions
+) -> None:
+    """Make a new key for an organisation and print it; it cannot be shown again."""
     secret = f"vw-{secrets.token_urlsafe(KEY_BYTES)}"
     key = Key(sha256=hashlib.sha256(secret.encode()).hexdigest())
 
     def update(node: Node) -> Node:
         if key_id in node.keys:
-            raise SettingsError(f"{team} already has a key named {key_id!r}")
+            raise SettingsError(f"{organisation} already has a key named {key_id!r}")
         return node.model_copy(update={"keys": {**node.keys, key_id: key}})
 
-    _change_node(context, team, update, options)
+    _change_node(context, organisation, update, options)
     if not options.dry_run:
-        print_document({"team": team, "id": key_id, "key": secret})
+        print_document({"organisation": organisation, "id": key_id, "key": secret})
 
 
-def withdraw_key(context: CommandContext, team: str, key_id: str, options: PushOptions) -> None:
+def withdraw_key(
+    context: CommandContext, organisation: str, key_id: str, options: PushOptions
+) -> None:
     """Withdraw a key; entries refuse it as soon as the configuration is in force."""
 
     def update(node: Node) -> Node:
         if key_id not in node.keys:
-            raise SettingsError(f"{team} has no key named {key_id!r}")
+            raise SettingsError(f"{organisation} has no key named {key_id!r}")
         withdrawn = node.keys[key_id].model_copy(update={"withdrawn": True})
         return node.model_copy(update={"keys": {**node.keys, key_id: withdrawn}})
 
-    _change_node(context, team, update, options)
+    _change_node(context, organisation, update, options)
 
 
 def _change_node(
--- a/vanillawell/commands/report.py
+++ b/vanillawell/commands/report.py
@@ -28,7 +28,7 @@
     """One line of the report."""
 
     service: str
-    team: str
+    organisation: str
     objective: float
     requests: int
     bad: int
@@ -37,7 +37,7 @@
 
 
 def burn(context: CommandContext, plot: Path | None) -> None:
-    """Print burn by service and team over five minutes and an hour; optionally plot it."""
+    """Print burn by service and organisation over five minutes and an hour; optionally plot it."""
     rows = anyio.run(_collect, context)
     if plot:
         _plot(rows, plot)
@@ -47,7 +47,7 @@
 def _shown(row: BurnRow) -> dict[str, Any]:
     return {
         "service": row.service,
-        "team": row.team,
+        "organisation": row.organisation,
         "objective": row.objective,
         "requests": row.requests,
         "bad": row.bad,
@@ -79,16 +79,16 @@
             print_line(f"warning: {entry.instance} does not answer; its requests are missing")
             return
     for line in lines:
-        key = (line.pop("service"), line.pop("team"))
+        key = (line.pop("service"), line.pop("organisation"))
         totals[key] = totals.get(key, WindowCounts()) + WindowCounts(**line)
 
 
-def _row(tree: OperatorTree, service: str, team: str, counts: WindowCounts) -> BurnRow:
-    known = team in tree.nodes
-    objective = effective_value(tree, team if known else "fleet", "objective").value
+def _row(tree: OperatorTree, service: str, organisation: str, counts: WindowCounts) -> BurnRow:
+    known = organisation in tree.nodes
+    objective = effective_value(tree, organisation if known else "fleet", "objective").value
     return BurnRow(
         service,
-        team,
+        organisation,
         objective,
         counts.good_long + counts.bad_long,
         counts.bad_long,
@@ -103,7 +103,7 @@
         import matplotlib.pyplot as plt
     except ImportError as error:
         raise SettingsError("--plot needs matplotlib: install vanillawell[plots]") from error
-    names = [f"{row.service} · {row.team}" for row in rows]
+    names = [f"{row.service} · {row.organisation}" for row in rows]
     places = range(len(rows))
     figure, axes = plt.subplots(figsize=(8, 1.5 + 0.35 * len(rows)))
     axes.barh([place - 0.2 for place in places], [row.burn_5m for row in rows], 0.4, label="5 min")
--- a/vanillawell/commands/status.py
+++ b/vanillawell/commands/status.py
@@ -19,7 +19,7 @@
 
 
 def show_status(context: CommandContext) -> None:
-    """Print entries, teams and pools."""
+    """Print entries, organisations and pools."""
     anyio.run(_show_status, context)
 
 
@@ -34,7 +34,7 @@
         print_document(statuses)
         return
     print_rows([_entry_row(entry, statuses) for entry in entries], context.output, "Entries")
-    print_rows(_team_rows(statuses), context.output, "Teams")
+    print_rows(_organisation_rows(statuses), context.output, "Organisations")
     print_rows(_pool_rows(statuses), context.output, "Pools")
 
 
@@ -59,17 +59,17 @@
     }
 
 
-def _team_rows(statuses: dict[str, dict[str, Any]]) -> list[dict[str, Any]]:
+def _organisation_rows(statuses: dict[str, dict[str, Any]]) -> list[dict[str, Any]]:
     running: Counter[str] = Counter()
     held: Counter[str] = Counter()
     limits: dict[str, int] = {}
     for status in statuses.values():
-        for name, team in status["teams"].items():
-            limits[name] = team["limit"]
-            running[name] += team["running"]
-            held[name] += team["units_held"]
+        for name, organisation in status["organisations"].items():
+            limits[name] = organisation["limit"]
+            running[name] += organisation["running"]
+            held[name] += organisation["units_held"]
     return [
-        {"team": name, "limit": limits[name], "running": running[name], "held": held[name]}
+        {"organisation": name, "limit": limits[name], "running": running[name], "held": held[name]}
         for name in sorted(limits)
     ]
 
--- a/vanillawell/config/tree.py
+++ b/vanillawell/config/tree.py
@@ -11,7 +11,7 @@
 ROOT = "fleet"
 """Name of the node that every other one descends from."""
 
-Kind = Literal["fleet", "region", "zone", "group", "team", "pool"]
+Kind = Literal["fleet", "region", "zone", "group", "organisation", "pool"]
 Ratio = Annotated[float, Field(ge=0, le=1)]
 Count = Annotated[int, Field(ge=0, le=1_000_000)]
 
@@ -20,19 +20,20 @@
     """Settings that any node may set; None means inherited from the parent."""
 
     share: Annotated[float, Field(gt=0, le=1e6)] | None = None
-    """Weight of a team when all slots are taken."""
+    """Weight of an organisation when all slots are taken."""
 
     limit: Count | None = None
-    """Most requests of a team that may run at once across the whole fleet."""
+    """Most requests of an organisation that may run at once across the whole fleet."""
 
     guaranteed: Count | None = None
-    """Slots promised to a team when all is full; a limit below it is refused."""
+    """Slots promised to an organisation when all is full; a limit below it is refused."""
 
     reserve: Ratio | None = None
-    """Part of a team's limit that stays spread over all entries for zones that get cut off."""
+    """Part of an organisation's limit that stays spread over all entries for zones that get cut
+    off."""
 
     queue_length: Count | None = None
-    """Most requests of a team that wait in one entry for one pool."""
+    """Most requests of an organisation that wait in one entry for one pool."""
 
     longest_timeout: Seconds | None = None
     """Most seconds a caller may ask an entry to try; also the default."""
@@ -102,7 +103,7 @@
 
 
 class Key(StrictModel):
-    """One team key; only its hash is kept."""
+    """One organisation key; only its hash is kept."""
 
     sha256: Annotated[str, Field(pattern="^[0-9a-f]{64}$")]
     """SHA-256 of the key, in hexadecimal."""
@@ -137,7 +138,7 @@
     """What differs from the parent."""
 
     keys: dict[Name, Key] = {}
-    """Keys of a team by id."""
+    """Keys of an organisation by id."""
 
     service: Name | None = None
     """Service that a pool runs; None for the spare pool."""
--- a/vanillawell/config/validation.py
+++ b/vanillawell/config/validation.py
@@ -72,8 +72,8 @@
 
 def _check_roles(tree: OperatorTree) -> Iterator[Finding]:
     for name, node in tree.nodes.items():
-        if node.keys and node.kind != "team":
-            yield Finding(f"nodes.{name}.keys", "only a team has keys")
+        if node.keys and node.kind != "organisation":
+            yield Finding(f"nodes.{name}.keys", "only an organisation has keys")
         if (node.instances or node.service) and node.kind != "pool":
             yield Finding(f"nodes.{name}", "only a pool has instances or a service")
 
@@ -87,13 +87,13 @@
 
 
 def _check_limits(tree: OperatorTree) -> Iterator[Finding]:
-    for team in tree.of_kind("team"):
-        limit = effective_value(tree, team, "limit")
-        guaranteed = effective_value(tree, team, "guaranteed")
+    for organisation in tree.of_kind("organisation"):
+        limit = effective_value(tree, organisation, "limit")
+        guaranteed = effective_value(tree, organisation, "guaranteed")
         if limit.value < guaranteed.value:
             reason = f"{limit.value} (from {limit.level}) is below the guaranteed share of "
             reason += f"{guaranteed.value} (from {guaranteed.level})"
-            yield Finding(f"nodes.{team}.settings.limit", reason)
+            yield Finding(f"nodes.{organisation}.settings.limit", reason)
 
 
 def _check_budgets(tree: OperatorTree) -> Iterator[Finding]:
@@ -113,7 +113,7 @@
 
 def _check_keys(tree: OperatorTree) -> Iterator[Finding]:
     hashes = Counter(
-        key.sha256 for node in tree.of_kind("team").values() for key in node.keys.values()
+        key.sha256 for node in tree.of_kind("organisation").values() for key in node.keys.values()
     )
     for digest, count in hashes.items():
         if count > 1:
@@ -121,8 +121,10 @@
 
 
 def _warn(tree: OperatorTree) -> Iterator[Finding]:
-    for name, node in tree.of_kind("team").items():
+    for name, node in tree.of_kind("organisation").items():
         if not any(not key.withdrawn for key in node.keys.values()):
-            yield Finding(f"nodes.{name}.keys", "the team has no key in force")
+            yield Finding(f"nodes.{name}.keys", "the organisation has no key in force")
         if effective_value(tree, name, "limit").value == 0:
-            yield Finding(f"nodes.{name}.settings.limit", "is 0, so nothing of the team runs")
+            yield Finding(
+                f"nodes.{name}.settings.limit", "is 0, so nothing of the organisation runs"
+            )
--- a/vanillawell/coordination/admission_check.py
+++ b/vanillawell/coordination/admission_check.py
@@ -14,7 +14,7 @@
 
     from vanillawell.coordination.pool_runtime import PoolRuntime
     from vanillawell.coordination.tickets import LimitSource, Order, Ticket
-    from vanillawell.state.policy import TeamPolicy
+    from vanillawell.state.policy import OrganisationPolicy
     from vanillawell.state.queueing import Waiting
     from vanillawell.transport.backend import Answer
 
@@ -22,7 +22,8 @@
 """Seconds to stay away from a service whose backend servers cannot be reached."""
 
 NO_UNITS_RETRY_AFTER = 0.5
-"""Seconds after which the balancer may have an entry that holds units of the team's limit."""
+"""Seconds after which the balancer may have an entry that holds units of the organisation's limit.
+Seconds after which the balancer may have an entry that holds units of the organisation's limit."""
 
 
 class AdmissionCheck:
@@ -33,19 +34,19 @@
         self._rng = rng
 
     def on_arrival(
-        self, order: Order, pool: PoolRuntime, team: TeamPolicy, now: float
+        self, order: Order, pool: PoolRuntime, organisation: OrganisationPolicy, now: float
     ) -> Refusal | None:
         """Return the refusal of a request that need not be queued."""
         if not pool.links:
             return self.no_backend("the pool is empty")
-        by_limit = float(self._limits.usable(order.team, now))
+        by_limit = float(self._limits.usable(order.organisation, now))
         if not by_limit and not self._limits.may_grow():
             return self.no_units(Verdict.NOT_RUN)
         state = QueueState(
-            length=pool.queue.length(order.team),
-            bound=team.queue_length,
+            length=pool.queue.length(order.organisation),
+            bound=organisation.queue_length,
             service_time=pool.service_time.mean,
-            slots=min(pool.slots_of(order.team), by_limit),
+            slots=min(pool.slots_of(order.organisation), by_limit),
         )
         verdict = admit(state, order.deadline - now, self._rng)
         if verdict.admitted:
@@ -65,7 +66,7 @@
 
     def worth_starting(self, pool: PoolRuntime, item: Waiting, now: float) -> bool:
         """Tell whether a request that has waited has enough time left to be started."""
-        others_wait = pool.queue.length(item.team) > 0
+        others_wait = pool.queue.length(item.organisation) > 0
         return worth_starting(item.deadline - now, pool.service_time.usual_least, others_wait)
 
     def hopeless(self, pool: PoolRuntime, ticket: Ticket) -> Answer | Refusal:
--- a/vanillawell/coordination/claims.py
+++ b/vanillawell/coordination/claims.py
@@ -141,12 +141,12 @@
         return None
 
     async def claim(
-        self, team: str, key: str, print_of_request: str
+        self, organisation: str, key: str, print_of_request: str
     ) -> HeldClaim | KeptAnswer | Refusal:
         """Claim a request, or return what is known of it already."""
         token = uuid.uuid4().hex
         claim = Claim(self._membership.me.holder, token, print_of_request)
-        pending = _PendingClaim(self._keys.claim(team, key), claim)
+        pending = _PendingClaim(self._keys.claim(organisation, key), claim)
         self._pending.append(pending)
         self._claims_wake.set()
         await pending.done.wait()
--- a/vanillawell/coordination/dispatch.py
+++ b/vanillawell/coordination/dispatch.py
@@ -90,7 +90,7 @@
 
     @property
     def charges(self) -> ChargeBook:
-        """Return the units of teams' limits in use."""
+        """Return the units of organisations' limits in use."""
         return self._charges
 
     @property
@@ -107,7 +107,9 @@
     def configure(self, policy: Policy, entries: tuple[str, ...]) -> None:
         """Take over a configuration and the fleet's entries."""
         self._policy = policy
-        self._shares = {name: team.share for name, team in policy.teams.items()}
+        self._shares = {
+            name: organisation.share for name, organisation in policy.organisations.items()
+        }
         for name, pool in policy.pools.items():
             if name not in self._pools:
                 self._pools[name] = PoolRuntime(pool, self._zone, self._source, self._dialer)
@@ -128,36 +130,42 @@
             ticket = self._tickets.pop(item)
             ticket.finish(Refusal(Reason.NO_SUCH_SERVICE, ticket.verdict_if_given_up))
 
-    def wanted(self, team: str) -> int:
-        """Return the units of a team's limit that this entry could use now."""
-        queued = sum(pool.queue.length(team) for pool in self._pools.values())
-        return self._charges.charged(team) + queued
+    def wanted(self, organisation: str) -> int:
+        """Return the units of an organisation's limit that this entry could use now."""
+        queued = sum(pool.queue.length(organisation) for pool in self._pools.values())
+        return self._charges.charged(organisation) + queued
 
     def submit(self, order: Order, now: float) -> Ticket | Refusal:
         """Accept a request into its queue, or refuse it at once."""
         pool = self._pools.get(order.pool)
-        if pool is None or self._policy is None or order.team not in self._policy.teams:
+        if (
+            pool is None
+            or self._policy is None
+            or order.organisation not in self._policy.organisations
+        ):
             detail = "the configuration changed while the request arrived"
             return Refusal(Reason.NO_SUCH_SERVICE, Verdict.NOT_RUN, detail)
-        team = self._policy.teams[order.team]
-        refusal = self._admission.on_arrival(order, pool, team, now)
+        organisation = self._policy.organisations[order.organisation]
+        refusal = self._admission.on_arrival(order, pool, organisation, now)
         if refusal:
             return refusal
-        waiting = Waiting(order.team, order.urgent, now, order.deadline)
+        waiting = Waiting(order.organisation, order.urgent, now, order.deadline)
         ticket = Ticket(order, waiting)
         self._tickets[waiting] = ticket
         pool.queue.add(waiting)
         pool.budget.note_first_attempt()
-        self._limits.note_demand(order.team)
+        self._limits.note_demand(order.organisation)
         self.pump(pool, now)
         return ticket
 
     def refuse_without_units(self, now: float) -> None:
         """Refuse at once what waits for units that cannot be had while the store is away."""
         for pool in self._pools.values():
-            for item in [item for item in pool.queue if not self._limits.usable(item.team, now)]:
+            for item in [
+                item for item in pool.queue if not self._limits.usable(item.organisation, now)
+            ]:
                 ticket = self._tickets.get(item)
-                if ticket is None or ticket.running or self._charges.charged(item.team):
+                if ticket is None or ticket.running or self._charges.charged(item.organisation):
                     continue
                 pool.queue.remove(item)
                 self._finish(ticket, self._admission.no_units(ticket.verdict_if_given_up))
@@ -167,7 +175,7 @@
         pool = self._pools.get(ticket.order.pool)
         if pool and pool.queue.remove(ticket.waiting):
             self._tickets.pop(ticket.waiting, None)
-            self._limits.note_demand(ticket.order.team)
+            self._limits.note_demand(ticket.order.organisation)
         known = ticket.verdict_if_given_up
         refusal = Refusal(reason, Verdict.MAY_HAVE_RUN if ticket.running else known)
         ticket.finish(refusal)
@@ -181,8 +189,8 @@
             # An entry that reaches no peer any more hears nothing, and nothing else would tell it
             # that their demand is gone: it would leave them slots and units for ever.
             self._board.expire(now)
-            for team in self._charges.release_due(now):
-                self._limits.note_demand(team)
+            for organisation in self._charges.release_due(now):
+                self._limits.note_demand(organisation)
             for pool in self._pools.values():
                 self._look_after(pool, now)
 
@@ -225,11 +233,11 @@
         if now - pool.refreshed > REFRESH_INTERVAL:
             pool.refresh(self._board, self._shares, now)
 
-        def may_start(team: str) -> bool:
-            return self._charges.charged(team) < self._limits.usable(team, now)
+        def may_start(organisation: str) -> bool:
+            return self._charges.charged(organisation) < self._limits.usable(organisation, now)
 
         def debt(item: Waiting) -> float:
-            return item.arrived if self._fifo else pool.debt(item.team, self._shares, now)
+            return item.arrived if self._fifo else pool.debt(item.organisation, self._shares, now)
 
         while len(pool.queue):
             item = pool.queue.pick(may_start, debt)
@@ -254,8 +262,8 @@
         ticket = self._tickets[item]
         link = pool.links[executor]
         ticket.running += 1
-        self._charges.charge(item.team)
-        pool.occupy(item.team, 1, now)
+        self._charges.charge(item.organisation)
+        pool.occupy(item.organisation, 1, now)
         pool.note_start(executor, now)
         attempt = Attempt(now, lambda: self._may_send(ticket))
         self._owners[attempt] = ticket
@@ -266,7 +274,7 @@
         """Tell whether a request that was started may still go out now."""
         now = clock.read()
         expired = ticket.outcome is not None or now >= ticket.order.deadline
-        return not expired and self._limits.usable(ticket.order.team, now) > 0
+        return not expired and self._limits.usable(ticket.order.organisation, now) > 0
 
     async def _attempt(
         self, pool: PoolRuntime, ticket: Ticket, link: ExecutorLink, attempt: Attempt
@@ -292,19 +300,19 @@
         now = clock.read()
         del self._owners[attempt]
         self._settle_charge(ticket, attempt, error, now)
-        pool.occupy(ticket.order.team, -1, now)
+        pool.occupy(ticket.order.organisation, -1, now)
         self._conclude(pool, ticket, link.executor.name, error, delivered, now)
         self.pump_all(now)
 
     def _settle_charge(
         self, ticket: Ticket, attempt: Attempt, error: AttemptError | None, now: float
     ) -> None:
-        team = ticket.order.team
+        organisation = ticket.order.organisation
         if error is not None and error.failure is Failure.NO_WHOLE_ANSWER:
-            self._charges.release_later(team, attempt.started + self._longest)
+            self._charges.release_later(organisation, attempt.started + self._longest)
         else:
-            self._charges.release(team)
-        self._limits.note_demand(team)
+            self._charges.release(organisation)
+        self._limits.note_demand(organisation)
 
     def pump_all(self, now: float) -> None:
         """Start what may start in any pool."""
--- a/vanillawell/coordination/ledger_copy.py
+++ b/vanillawell/coordination/ledger_copy.py
@@ -1,4 +1,4 @@
-"""Hold what one entry knows of one team's ledger."""
+"""Hold what one entry knows of one organisation's ledger."""
 
 from __future__ import annotations
 
@@ -14,7 +14,7 @@
 
 @dataclass(slots=True)
 class LedgerCopy:
-    """What this entry knows of one team's ledger."""
+    """What this entry knows of one organisation's ledger."""
 
     ledger: Ledger
     revision: int
--- a/vanillawell/coordination/membership.py
+++ b/vanillawell/coordination/membership.py
@@ -48,7 +48,7 @@
     """Decide when a holder of limit units, and all it may have started, has ended.
 
     A holder that is merely cut off goes on using its units until its own term runs out. If its
-    units were given away before, a team would exceed its limit; one would notice only by
+    units were given away before, an organisation would exceed its limit; one would notice only by
     counting at the backend servers. Proof of an earlier end is a newer run of the same instance,
     since the old process must have ended before the new one could bind its address; or the
     platform's word that the instance is gone for good.
--- a/vanillawell/coordination/peers.py
+++ b/vanillawell/coordination/peers.py
@@ -240,12 +240,12 @@
 
     def _take_beat(self, beat: Beat, now: float) -> None:
         self._membership.learn(beat.sender)
-        teams: set[str] = set()
+        organisations: set[str] = set()
         for report in beat.reports:
             if self._accept(report, beat.sender, now):
-                teams.update(row.team for row in report.rows)
-        if teams:
-            self._heard(teams)
+                organisations.update(row.organisation for row in report.rows)
+        if organisations:
+            self._heard(organisations)
 
     def _accept(self, report: SourceReport, sender: Presence, now: float) -> bool:
         me = self._membership.me
@@ -293,10 +293,13 @@
 
 
 def sum_rows(rows: Iterable[Row]) -> tuple[Row, ...]:
-    """Add up rows of several sources by pool and team."""
+    """Add up rows of several sources by pool and organisation."""
     demand: Counter[tuple[str, str]] = Counter()
     used: Counter[tuple[str, str]] = Counter()
     for row in rows:
-        demand[row.pool, row.team] += row.demand
-        used[row.pool, row.team] += row.used  # type: ignore[assignment]
-    return tuple(Row(pool, team, demand[pool, team], used[pool, team]) for pool, team in demand)
+        demand[row.pool, row.organisation] += row.demand
+        used[row.pool, row.organisation] += row.used  # type: ignore[assignment]
+    return tuple(
+        Row(pool, organisation, demand[pool, organisation], used[pool, organisation])
+        for pool, organisation in demand
+    )
--- a/vanillawell/coordination/planner.py
+++ b/vanillawell/coordination/planner.py
@@ -244,7 +244,7 @@
         return all(answers) and not self._membership.unaccounted(await self._holders())
 
     async def _holders(self) -> set[str]:
-        """Return all who hold units of any team's limit, by the store's ledgers of now."""
+        """Return all who hold units of any organisation's limit, by the store's ledgers of now."""
         listing = await self._store.list(self._keys.all_ledgers)
         ledgers = (Ledger.from_bytes(item.value) for item in listing.items)
         return set(itertools.chain.from_iterable(ledger.holders for ledger in ledgers))
--- a/vanillawell/coordination/pool_runtime.py
+++ b/vanillawell/coordination/pool_runtime.py
@@ -29,7 +29,7 @@
 """Seconds between two attempts beyond an entry's own slots of a full pool."""
 
 LEAST_DEMAND = 0.05
-"""Slot-seconds below which a team's past use of a pool is no longer reported."""
+"""Slot-seconds below which an organisation's past use of a pool is no longer reported."""
 
 
 class PoolRuntime:
@@ -95,31 +95,40 @@
         links = (*self.links.values(), *self.retired)
         return sum(len(link.attempts) for link in links if link.executor.name == executor)
 
-    def occupy(self, team: str, delta: int, now: float) -> None:
-        """Note that `delta` slots were taken or, if negative, freed by a team."""
-        self._uses.setdefault(team, SlotUse(now)).change(delta, now)
+    def occupy(self, organisation: str, delta: int, now: float) -> None:
+        """Note that `delta` slots were taken or, if negative, freed by an organisation."""
+        self._uses.setdefault(organisation, SlotUse(now)).change(delta, now)
 
     def own_demand(self) -> dict[str, int]:
-        """Return the requests running or queued here by team."""
-        running = {team: use.running for team, use in self._uses.items() if use.running}
+        """Return the requests running or queued here by organisation."""
+        running = {
+            organisation: use.running for organisation, use in self._uses.items() if use.running
+        }
         return dict(Counter(running) + Counter(self.queue.lengths()))
 
     def own_rows(self, now: float) -> list[tuple[str, int, float]]:
-        """Return team, demand and slot-seconds of each team seen lately."""
+        """Return organisation, demand and slot-seconds of each organisation seen lately."""
         demand = self.own_demand()
-        rows = [(team, demand.get(team, 0), use.used(now)) for team, use in self._uses.items()]
-        waiting = [(team, count, 0.0) for team, count in demand.items() if team not in self._uses]
+        rows = [
+            (organisation, demand.get(organisation, 0), use.used(now))
+            for organisation, use in self._uses.items()
+        ]
+        waiting = [
+            (organisation, count, 0.0)
+            for organisation, count in demand.items()
+            if organisation not in self._uses
+        ]
         return [row for row in (*rows, *waiting) if row[1] or row[2] > LEAST_DEMAND]
 
     def refresh(self, board: DemandBoard, shares: Mapping[str, float], now: float) -> None:
         """Divide the pool's slots anew from the latest reports."""
         self.refreshed = now
         demand = board.pool_demand(self.policy.name, self._source, self.own_demand())
-        demand = _known_teams(demand, shares)
+        demand = _known_organisations(demand, shares)
         names = tuple(name for name in self.links if not self.health.of(name).ejected(now))
         total = len(names) * self.policy.slots
         self._others_used = board.slots_used(self.policy.name)
-        wanted = sum(demand.by_team().values())
+        wanted = sum(demand.by_organisation().values())
         self._full = wanted > total
         self._wanted = wanted
         self._pressure = wanted / total if total else 0.0
@@ -152,24 +161,26 @@
         if self._full and self.running_at(executor) >= self._quotas.get(executor, 0):
             self._exceeded_at = now
 
-    def debt(self, team: str, shares: Mapping[str, float], now: float) -> float:
-        """Return the fleet's slot use of a team over its share."""
-        use = self._uses.get(team)
-        used = self._others_used[team] + (use.used(now) if use else 0.0)
-        return used / shares.get(team, 1.0)
+    def debt(self, organisation: str, shares: Mapping[str, float], now: float) -> float:
+        """Return the fleet's slot use of an organisation over its share."""
+        use = self._uses.get(organisation)
+        used = self._others_used[organisation] + (use.used(now) if use else 0.0)
+        return used / shares.get(organisation, 1.0)
 
-    def slots_of(self, team: str) -> float:
-        """Return the slots a team gets here while its queue drains."""
+    def slots_of(self, organisation: str) -> float:
+        """Return the slots an organisation gets here while its queue drains."""
         if self._full:
-            return self._targets.get(team, 0.0)
+            return self._targets.get(organisation, 0.0)
         return float(len(self.links) * self.policy.slots)
 
 
-def _known_teams(demand: PoolDemand, shares: Mapping[str, float]) -> PoolDemand:
-    """Leave out teams that this entry's configuration does not have (yet, or any more)."""
+def _known_organisations(demand: PoolDemand, shares: Mapping[str, float]) -> PoolDemand:
+    """Leave out organisations that this entry's configuration does not have (yet, or any more)."""
     return PoolDemand(
         {
-            source: {team: count for team, count in row.items() if team in shares}
+            source: {
+                organisation: count for organisation, count in row.items() if organisation in shares
+            }
             for source, row in demand.by_source.items()
         }
     )
--- a/vanillawell/coordination/static_limits.py
+++ b/vanillawell/coordination/static_limits.py
@@ -18,15 +18,17 @@
 
     def configure(self, policy: Policy) -> None:
         """Take over a configuration."""
-        self._limits = {name: team.limit for name, team in policy.teams.items()}
+        self._limits = {
+            name: organisation.limit for name, organisation in policy.organisations.items()
+        }
 
-    def usable(self, team: str, now: float) -> int:
+    def usable(self, organisation: str, now: float) -> int:
         """Return this entry's part, the remainder going to the first ones by name."""
         entries = sorted(self._membership.members)
-        part, rest = divmod(self._limits.get(team, 0), len(entries))
+        part, rest = divmod(self._limits.get(organisation, 0), len(entries))
         return part + (entries.index(self._membership.me.instance) < rest)
 
-    def note_demand(self, team: str) -> None:
+    def note_demand(self, organisation: str) -> None:
         """Take no notice."""
 
     def may_grow(self) -> bool:
--- a/vanillawell/coordination/tickets.py
+++ b/vanillawell/coordination/tickets.py
@@ -20,13 +20,13 @@
 
 
 class LimitSource(Protocol):
-    """Say how many requests of a team may run here."""
+    """Say how many requests of an organisation may run here."""
 
-    def usable(self, team: str, now: float) -> int:
-        """Return the units of the team's limit that this entry may use now."""
+    def usable(self, organisation: str, now: float) -> int:
+        """Return the units of the organisation's limit that this entry may use now."""
 
-    def note_demand(self, team: str) -> None:
-        """Note that the team's demand here has changed."""
+    def note_demand(self, organisation: str) -> None:
+        """Note that the organisation's demand here has changed."""
 
     def may_grow(self) -> bool:
         """Tell whether units can be had from the store now."""
@@ -37,7 +37,7 @@
     """One authenticated, checked request."""
 
     request_id: str
-    team: str
+    organisation: str
     pool: str
     urgent: bool
     idempotent: bool
--- a/vanillawell/entry.py
+++ b/vanillawell/entry.py
@@ -207,7 +207,7 @@
         policy = self._configuration.policy
         assert policy is not None
         self._names = NameTable(
-            policy.version, tuple(sorted(policy.pools)), tuple(sorted(policy.teams))
+            policy.version, tuple(sorted(policy.pools)), tuple(sorted(policy.organisations))
         )
         self._static.configure(policy)
         self._limits.configure(policy)
@@ -240,16 +240,16 @@
             return
         scarce = {
             name
-            for name, team in policy.teams.items()
-            if is_significant(self._dispatcher.wanted(name), team.limit, entries)
+            for name, organisation in policy.organisations.items()
+            if is_significant(self._dispatcher.wanted(name), organisation.limit, entries)
         }
         for name, pool in self._dispatcher.pools.items():
             rows = pool.own_rows(now)
             whole = sum(demand for _, demand, _ in rows)
             pressed = is_significant(whole, len(pool.links) * pool.policy.slots, entries)
-            for team, demand, used in rows:
-                if pressed or team in scarce:
-                    yield Row(name, team, demand, used)
+            for organisation, demand, used in rows:
+                if pressed or organisation in scarce:
+                    yield Row(name, organisation, demand, used)
 
     async def run(self) -> None:
         """Serve until a signal asks for a planned stop, then stop without cutting a request."""
--- a/vanillawell/protocol/documents.py
+++ b/vanillawell/protocol/documents.py
@@ -14,7 +14,8 @@
 from vanillawell.state.limits import LimitChange
 
 CHANGES_KEPT = 16
-"""Changes of one team's limit that are told apart; older ones are merged into the highest."""
+"""Changes of one organisation's limit that are told apart; older ones are merged into the highest.
+Changes of one organisation's limit that are told apart; older ones are merged into the highest."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -68,16 +69,16 @@
 
     @property
     def all_ledgers(self) -> str:
-        """Prefix of all teams' limit ledgers."""
+        """Prefix of all organisations' limit ledgers."""
         return f"{self.prefix}/ledger/"
 
-    def ledger(self, team: str) -> str:
-        """Key of one team's limit ledger."""
-        return f"{self.prefix}/ledger/{team}"
+    def ledger(self, organisation: str) -> str:
+        """Key of one organisation's limit ledger."""
+        return f"{self.prefix}/ledger/{organisation}"
 
-    def claim(self, team: str, idempotency_key: str) -> str:
+    def claim(self, organisation: str, idempotency_key: str) -> str:
         """Key of the claim on one request."""
-        return f"{self.prefix}/claim/{team}/{idempotency_key}"
+        return f"{self.prefix}/claim/{organisation}/{idempotency_key}"
 
 
 @dataclass(frozen=True, slots=True)
@@ -97,13 +98,13 @@
     note: str
     tree: OperatorTree
     limit_changes: dict[str, tuple[LimitChange, ...]]
-    """Recent changes of each team's effective limit, oldest first."""
+    """Recent changes of each organisation's effective limit, oldest first."""
 
     def to_bytes(self) -> bytes:
         """Write the document, compressed, leaving out everything that is inherited.
 
         Each change goes whole to a few watchers in every zone and from there to all entries;
-        at 430 teams and 4,000 instances compression makes it a tenth.
+        at 430 organisations and 4,000 instances compression makes it a tenth.
         """
         document = {
             "version": self.version,
@@ -113,8 +114,8 @@
             "note": self.note,
             "tree": self.tree.model_dump(mode="json", exclude_defaults=True),
             "limit_changes": {
-                team: [[change.version, change.limit] for change in changes]
-                for team, changes in self.limit_changes.items()
+                organisation: [[change.version, change.limit] for change in changes]
+                for organisation, changes in self.limit_changes.items()
             },
         }
         return zlib.compress(orjson.dumps(document))
@@ -133,8 +134,8 @@
             raise ValueError(f"configuration is not compressed: {error}") from error
         tree = validate(document.pop("tree"), OperatorTree, "configuration in the store")
         changes = {
-            team: tuple(LimitChange(*pair) for pair in pairs)
-            for team, pairs in document.pop("limit_changes").items()
+            organisation: tuple(LimitChange(*pair) for pair in pairs)
+            for organisation, pairs in document.pop("limit_changes").items()
         }
         return cls(tree=tree, limit_changes=changes, **document)
 
@@ -144,10 +145,11 @@
 ) -> dict[str, tuple[LimitChange, ...]]:
     """Extend the record of limit changes by those that `tree` makes at `version`."""
     return {
-        team: _extend(
-            previous.get(team, ()), LimitChange(version, effective_value(tree, team, "limit").value)
+        organisation: _extend(
+            previous.get(organisation, ()),
+            LimitChange(version, effective_value(tree, organisation, "limit").value),
         )
-        for team in tree.of_kind("team")
+        for organisation in tree.of_kind("organisation")
     }
 
 
--- a/vanillawell/protocol/peer.capnp
+++ b/vanillawell/protocol/peer.capnp
@@ -2,7 +2,7 @@
 
 struct Row {
   pool @0 :UInt16;
-  team @1 :UInt16;
+  organisation @1 :UInt16;
   demand @2 :UInt32;
   usedMilliseconds @3 :UInt32;
 }
--- a/vanillawell/protocol/peer_messages.py
+++ b/vanillawell/protocol/peer_messages.py
@@ -21,7 +21,7 @@
 
 @dataclass(frozen=True, slots=True)
 class NameTable:
-    """Pools and teams of one configuration, in the order that rows number them by.
+    """Pools and organisations of one configuration, in the order that rows number them by.
 
     Names would be four fifths of a heartbeat. Both ends number them by the same version of the
     configuration; while versions differ, reports are left out, and the older ones still count.
@@ -29,7 +29,7 @@
 
     version: int = 0
     pools: tuple[str, ...] = ()
-    teams: tuple[str, ...] = ()
+    organisations: tuple[str, ...] = ()
 
 
 class DocumentKind(StrEnum):
@@ -176,12 +176,12 @@
     target.entries = report.entries
     target.sequence = report.sequence
     pools = {name: number for number, name in enumerate(names.pools)}
-    teams = {name: number for number, name in enumerate(names.teams)}
-    known = [row for row in report.rows if row.pool in pools and row.team in teams]
+    organisations = {name: number for number, name in enumerate(names.organisations)}
+    known = [row for row in report.rows if row.pool in pools and row.organisation in organisations]
     rows = target.init("rows", len(known))
     for wire, row in zip(rows, known, strict=True):
         wire.pool = pools[row.pool]
-        wire.team = teams[row.team]
+        wire.organisation = organisations[row.organisation]
         wire.demand = row.demand
         wire.usedMilliseconds = int(row.used * 1000)
 
@@ -204,7 +204,12 @@
 
 def _read_report(report: Any, names: NameTable) -> SourceReport:
     rows = tuple(
-        Row(names.pools[row.pool], names.teams[row.team], row.demand, row.usedMilliseconds / 1000)
+        Row(
+            names.pools[row.pool],
+            names.organisations[row.organisation],
+            row.demand,
+            row.usedMilliseconds / 1000,
+        )
         for row in report.rows
     )
     return SourceReport(report.source, report.entries, report.sequence, rows)
--- a/vanillawell/protocol/refusals.py
+++ b/vanillawell/protocol/refusals.py
@@ -23,7 +23,7 @@
     ACCEPTANCE_UNKNOWN = ("acceptance-unknown", 504, "The store gave no answer; ask again")
     BODY_LATE = ("body-late", 408, "The request body did not arrive in time")
     TOO_LARGE = ("too-large", 413, "The request body is larger than allowed")
-    QUEUE_FULL = ("queue-full", 429, "The team's queue is full")
+    QUEUE_FULL = ("queue-full", 429, "The organisation's queue is full")
     CANNOT_FINISH = ("cannot-finish-in-time", 429, "The queue is too long for the deadline")
     NO_UNITS = ("no-limit-units", 503, "The store is away and this entry holds none of the limit")
     NO_BACKEND = ("no-backend-server", 503, "No backend server can take the request")
--- a/vanillawell/standins/backend.py
+++ b/vanillawell/standins/backend.py
@@ -1,7 +1,7 @@
 """Run the backend servers' stand-in: executors with slots that record each request they run.
 
 All executors of a deployment run in one process, so that it sees at every moment how many
-requests of each team run in the whole fleet.
+requests of each organisation run in the whole fleet.
 """
 
 from __future__ import annotations
@@ -68,7 +68,7 @@
     """One request that an executor ran."""
 
     request: str
-    team: str
+    organisation: str
     executor: str
     method: str
     path: str
@@ -90,15 +90,17 @@
     refused: int = 0
     over_connections: int = 0
 
-    def start(self, team: str) -> None:
+    def start(self, organisation: str) -> None:
         """Note that a request begins to run."""
-        self.running[team] += 1
-        self.most_running[team] = max(self.most_running[team], self.running[team])
+        self.running[organisation] += 1
+        self.most_running[organisation] = max(
+            self.most_running[organisation], self.running[organisation]
+        )
 
     def end(self, run: Run) -> None:
         """Note that a request has ended."""
-        self.running[run.team] -= 1
-        self.slot_seconds[run.team] += run.ended - run.started  # type: ignore[assignment]
+        self.running[run.organisation] -= 1
+        self.slot_seconds[run.organisation] += run.ended - run.started  # type: ignore[assignment]
         self.runs.append(run)
 
 
@@ -143,19 +145,19 @@
         if behaviour.fail_fast:
             await send_bytes(send, 500, b"failed")
             return
-        team = headers.get(b"vanillawell-team", b"-").decode()
+        organisation = headers.get(b"vanillawell-organisation", b"-").decode()
         request = headers.get(b"vanillawell-request", b"-").decode()
         mark = headers.get(b"mark", b"").decode()
         started = time.monotonic()
         self.running += 1
-        self._ledger.start(team)
+        self._ledger.start(organisation)
         try:
             await anyio.sleep(self._run_time(headers))
         finally:
             self.running -= 1
             run = Run(
                 request,
-                team,
+                organisation,
                 self._name,
                 scope["method"],
                 scope["path"],
--- a/vanillawell/standins/demo.py
+++ b/vanillawell/standins/demo.py
@@ -21,21 +21,22 @@
 
 
 def streams_of(deployment: Deployment, rate: float) -> list[Stream]:
-    """Spread `rate` requests a second over services and teams, each service peaking in turn."""
+    """Spread `rate` requests a second over services and organisations, each service peaking in
+    turn."""
     services = list(deployment.services)
-    weights = sum(team.weight for team in deployment.teams.values())
+    weights = sum(organisation.weight for organisation in deployment.organisations.values())
     peak = PERIOD_SECONDS / len(services)
     return [
         Stream(
-            team=name,
+            organisation=name,
             service=service,
             rate=peaks(
-                rate / len(services) * team.weight / weights, PERIOD_SECONDS, i * peak, peak
+                rate / len(services) * organisation.weight / weights, PERIOD_SECONDS, i * peak, peak
             ),
             method="POST" if (i + len(name)) % 2 else "GET",
         )
         for i, service in enumerate(services)
-        for name, team in deployment.teams.items()
+        for name, organisation in deployment.organisations.items()
     ]
 
 
@@ -75,16 +76,23 @@
     )
     used = counts["slot_seconds"]
     whole = sum(used.values()) or 1.0
-    shares = sum(team.share for team in deployment.teams.values())
-    table = Table(title="Teams", title_justify="left")
-    for column in ("team", "limit", "most running", "share", "part of slot-time", "answered"):
+    shares = sum(organisation.share for organisation in deployment.organisations.values())
+    table = Table(title="Organisations", title_justify="left")
+    for column in (
+        "organisation",
+        "limit",
+        "most running",
+        "share",
+        "part of slot-time",
+        "answered",
+    ):
         table.add_column(column)
-    for name, team in deployment.teams.items():
+    for name, organisation in deployment.organisations.items():
         table.add_row(
             name,
-            str(team.limit),
+            str(organisation.limit),
             str(counts["most_running"].get(name, 0)),
-            f"{team.share / shares:.1%}",
+            f"{organisation.share / shares:.1%}",
             f"{used.get(name, 0.0) / whole:.1%}",
             str(result.tallies[name].answered),
         )
--- a/vanillawell/standins/deployment.py
+++ b/vanillawell/standins/deployment.py
@@ -1,4 +1,4 @@
-"""Describe a deployment to emulate: zones, entries, services, teams and latencies."""
+"""Describe a deployment to emulate: zones, entries, services, organisations and latencies."""
 
 from __future__ import annotations
 
@@ -18,8 +18,8 @@
 """Instances of a pool that share a rack; the rest stand in a rack of the next zone."""
 
 
-class TeamPlan(StrictModel):
-    """One team."""
+class OrganisationPlan(StrictModel):
+    """One organisation."""
 
     share: float = 1.0
     limit: int = 20
@@ -55,7 +55,7 @@
     """Instances of the spare pool, each in a rack of its own."""
 
     services: dict[Name, ServicePlan]
-    teams: dict[Name, TeamPlan]
+    organisations: dict[Name, OrganisationPlan]
     fleet_settings: dict[str, Any] = {}
     """Settings of the operators' root node."""
 
@@ -136,9 +136,9 @@
     )
 
 
-def team_key(team: str) -> str:
-    """Return the key that the emulated callers of a team use."""
-    return f"vw-demo-{team}"
+def organisation_key(organisation: str) -> str:
+    """Return the key that the emulated callers of an organisation use."""
+    return f"vw-demo-{organisation}"
 
 
 def operator_tree(deployment: Deployment, ports: dict[str, int]) -> OperatorTree:
@@ -157,12 +157,12 @@
     if deployment.spares:
         instances = _instances(deployment, SPARE, ports)
         nodes["pool-spare"] = {"kind": "pool", "parent": "fleet", "instances": instances}
-    for team, team_plan in deployment.teams.items():
-        digest = hashlib.sha256(team_key(team).encode()).hexdigest()
-        nodes[team] = {
-            "kind": "team",
+    for organisation, organisation_plan in deployment.organisations.items():
+        digest = hashlib.sha256(organisation_key(organisation).encode()).hexdigest()
+        nodes[organisation] = {
+            "kind": "organisation",
             "parent": "fleet",
-            "settings": {"share": team_plan.share, "limit": team_plan.limit},
+            "settings": {"share": organisation_plan.share, "limit": organisation_plan.limit},
             "keys": {"first": {"sha256": digest}},
         }
     return OperatorTree.model_validate({"nodes": nodes})
--- a/vanillawell/standins/load.py
+++ b/vanillawell/standins/load.py
@@ -14,7 +14,7 @@
 import httpcore
 import orjson
 
-from vanillawell.standins.deployment import team_key
+from vanillawell.standins.deployment import organisation_key
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
@@ -34,9 +34,9 @@
 
 @dataclass(frozen=True, slots=True)
 class Stream:
-    """Requests of one team for one service."""
+    """Requests of one organisation for one service."""
 
-    team: str
+    organisation: str
     service: str
     rate: Callable[[float], float]
     """Requests a second at a time since the start."""
@@ -55,7 +55,7 @@
 
 @dataclass(slots=True)
 class Tally:
-    """What the callers of one team saw."""
+    """What the callers of one organisation saw."""
 
     sent: int = 0
     answered: int = 0
@@ -79,7 +79,7 @@
     tallies: dict[str, Tally]
 
     def total(self) -> Tally:
-        """Add up all teams."""
+        """Add up all organisations."""
         whole = Tally()
         for tally in self.tallies.values():
             whole.sent += tally.sent
@@ -111,7 +111,7 @@
         started = time.monotonic()
         async with anyio.create_task_group() as tasks:
             for stream in streams:
-                self._tallies.setdefault(stream.team, Tally())
+                self._tallies.setdefault(stream.organisation, Tally())
                 rng = random.Random(self._rng.random())
                 tasks.start_soon(self._send_stream, stream, rng, seconds)
         for pool in (pool for pools in self._idle.values() for pool in pools):
@@ -120,7 +120,7 @@
 
     async def closed_loop(self, stream: Stream, callers: int, seconds: float) -> float:
         """Send without a pause by some callers; return answers a second."""
-        tally = self._tallies.setdefault(stream.team, Tally())
+        tally = self._tallies.setdefault(stream.organisation, Tally())
         end = time.monotonic() + seconds
 
         async def repeat() -> None:
@@ -158,11 +158,11 @@
 
     async def _send_one(self, stream: Stream) -> None:
         target = next(self._turns[stream.zone])
-        tally = self._tallies[stream.team]
+        tally = self._tallies[stream.organisation]
         tally.sent += 1
         started = time.monotonic()
         headers = [
-            ("authorization", f"Bearer {team_key(stream.team)}"),
+            ("authorization", f"Bearer {organisation_key(stream.organisation)}"),
             ("request-timeout", str(stream.timeout)),
             ("priority", f"u={stream.urgency}"),
         ]
--- a/vanillawell/standins/measure/operations.py
+++ b/vanillawell/standins/measure/operations.py
@@ -23,11 +23,11 @@
     rng = random.Random(seed)
     for zones, each in ((1, 3), (3, 3), (3, 6), (6, 6)):
         with fleet_of(deployment, zones=zones, entries_per_zone=each) as fleet:
-            team = next(iter(deployment.teams))
+            organisation = next(iter(deployment.organisations))
             times = []
             for _ in range(8):
                 limit = rng.randrange(10, 500)
-                answer = fleet.cli("node", "set", team, f"limit={limit}", "--wait")
+                answer = fleet.cli("node", "set", organisation, f"limit={limit}", "--wait")
                 times.append(answer["rollout_seconds"])
         results[str(zones * each)] = {
             "median_seconds": statistics.median(times),
@@ -39,11 +39,11 @@
 def measure_control(deployment: Deployment, seed: int) -> dict[str, Any]:
     """Measure store calls, peer bytes and processor time at rest, under load and in an outage."""
     services = list(deployment.services)
-    weights = sum(team.weight for team in deployment.teams.values())
+    weights = sum(organisation.weight for organisation in deployment.organisations.values())
     streams = [
-        Stream(name, service, peaks(60 * team.weight / weights, 10.0, 2.0 * number, 2.0))
+        Stream(name, service, peaks(60 * organisation.weight / weights, 10.0, 2.0 * number, 2.0))
         for number, service in enumerate(services)
-        for name, team in deployment.teams.items()
+        for name, organisation in deployment.organisations.items()
     ]
     results: dict[str, Any] = {}
     with fleet_of(deployment) as fleet:
@@ -144,21 +144,23 @@
     """Measure peaks beyond each pool's own slots, with instances lent by each rule and by none."""
     spares = 6
     mean_rate = 0.3 * deployment.executors_per_service * deployment.slots / 0.3
-    weights = sum(team.weight for team in deployment.teams.values())
+    weights = sum(organisation.weight for organisation in deployment.organisations.values())
     streams = [
         Stream(
             name,
             service,
-            peaks(mean_rate * team.weight / weights, 15.0, 3.0 * number, 3.0),
+            peaks(mean_rate * organisation.weight / weights, 15.0, 3.0 * number, 3.0),
             timeout=1.5,
         )
         for number, service in enumerate(deployment.services)
-        for name, team in deployment.teams.items()
+        for name, organisation in deployment.organisations.items()
     ]
     changes = {
         "spares": spares,
         "services": {name: {"mean_seconds": 0.3, "budget": 1} for name in deployment.services},
-        "teams": {name: {"limit": 500, "share": t.share} for name, t in deployment.teams.items()},
+        "organisations": {
+            name: {"limit": 500, "share": t.share} for name, t in deployment.organisations.items()
+        },
     }
 
     def run(lending: str) -> dict[str, Any]:
@@ -171,8 +173,8 @@
             "idle_spares_mean": round(statistics.fmean(places.idle_spares), 2),
             "spares_needed": spares - min(places.idle_spares),
             "moves_begun": moves,
-            "least_answered_part_of_a_team": round(min(parts), 4),
-            "largest_answered_part_of_a_team": round(max(parts), 4),
+            "least_answered_part_of_a_organisation": round(min(parts), 4),
+            "largest_answered_part_of_a_organisation": round(max(parts), 4),
             **summary(result),
         }
 
--- a/vanillawell/standins/measure/requests.py
+++ b/vanillawell/standins/measure/requests.py
@@ -17,50 +17,61 @@
 
 
 def measure_shares(deployment: Deployment, seed: int) -> dict[str, Any]:
-    """Measure nearness to share while the teams ask for three times what one pool holds.
+    """Measure nearness to share while the organisations ask for three times what one pool holds.
 
-    What is due to a team is its part by weighted max-min fairness on what it offers: a team
-    that offers less than its share is due just that.
+    What is due to an organisation is its part by weighted max-min fairness on what it offers: an
+    organisation that offers less than its share is due just that.
     """
     service = next(iter(deployment.services))
-    teams = {
-        name: team.model_copy(update={"limit": 500}) for name, team in deployment.teams.items()
+    organisations = {
+        name: organisation.model_copy(update={"limit": 500})
+        for name, organisation in deployment.organisations.items()
     }
-    weights = sum(team.weight for team in teams.values())
+    weights = sum(organisation.weight for organisation in organisations.values())
     slots = deployment.executors_per_service * deployment.slots
     rate = 3 * slots / 0.1
 
     def run(experiment: dict[str, str]) -> dict[str, Any]:
         changes = {
-            "teams": {name: team.model_dump() for name, team in teams.items()},
+            "organisations": {
+                name: organisation.model_dump() for name, organisation in organisations.items()
+            },
             "services": {service: {"mean_seconds": 0.1}},
             "experiment": experiment,
             "fleet_settings": {"queue_length": 40},
         }
         with fleet_of(deployment, **changes) as fleet:
             streams = [
-                Stream(name, service, steady(rate * team.weight / weights), timeout=3.0)
-                for name, team in teams.items()
+                Stream(name, service, steady(rate * organisation.weight / weights), timeout=3.0)
+                for name, organisation in organisations.items()
             ]
             load(fleet, streams, 3.0, seed)
             fleet.reset_backend()
             result, used = load_window(fleet, streams, 8.0, seed + 1)
         total = sum(used.values())
-        offered = {name: rate * team.weight / weights * 0.1 for name, team in teams.items()}
-        due = fair_slots(slots, offered, {name: team.share for name, team in teams.items()})
+        offered = {
+            name: rate * organisation.weight / weights * 0.1
+            for name, organisation in organisations.items()
+        }
+        due = fair_slots(
+            slots,
+            offered,
+            {name: organisation.share for name, organisation in organisations.items()},
+        )
         distances = {
-            name: abs(used.get(name, 0.0) / total / (due[name] / slots) - 1) for name in teams
+            name: abs(used.get(name, 0.0) / total / (due[name] / slots) - 1)
+            for name in organisations
         }
         return {
             "largest_distance": round(max(distances.values()), 3),
             "mean_distance": round(statistics.fmean(distances.values()), 3),
-            "by_team": {
+            "by_organisation": {
                 name: {
                     "part_due": round(due[name] / slots, 3),
                     "part_used": round(used.get(name, 0.0) / total, 3),
                     "refused": dict(result.tallies[name].refused),
                 }
-                for name in teams
+                for name in organisations
             },
             "slots_used": round(total / 8.0 / slots, 3),
             **summary(result),
@@ -74,7 +85,7 @@
     service = next(iter(deployment.services))
     slots = deployment.executors_per_service * deployment.slots
     changes = {
-        "teams": {"urgent": {"limit": 100}, "nightly": {"limit": 500}},
+        "organisations": {"urgent": {"limit": 100}, "nightly": {"limit": 500}},
         "services": {service: {"mean_seconds": 0.1}},
     }
     with fleet_of(deployment, **changes) as fleet:
@@ -89,12 +100,12 @@
 
 
 def measure_one_zone(deployment: Deployment, seed: int) -> dict[str, Any]:
-    """Measure how much of a team's limit is used when all its demand is in one zone."""
+    """Measure how much of an organisation's limit is used when all its demand is in one zone."""
     service = next(iter(deployment.services))
 
     def run(experiment: dict[str, str]) -> dict[str, Any]:
         changes = {
-            "teams": {"solo": {"limit": 27}},
+            "organisations": {"solo": {"limit": 27}},
             "services": {service: {"mean_seconds": 0.1}},
             "experiment": experiment,
         }
@@ -114,7 +125,7 @@
 def measure_peak(deployment: Deployment, seed: int, fault: str = "") -> dict[str, Any]:
     """Measure goodput and latency through peaks of five times the mean, with a fault by name."""
     services = list(deployment.services)
-    weights = sum(team.weight for team in deployment.teams.values())
+    weights = sum(organisation.weight for organisation in deployment.organisations.values())
 
     def run(experiment: dict[str, str]) -> dict[str, Any]:
         with fleet_of(deployment, experiment=experiment) as fleet:
@@ -123,12 +134,12 @@
                 Stream(
                     name,
                     service,
-                    peaks(60 * team.weight / weights, 10.0, 2.0 * number, 2.0),
+                    peaks(60 * organisation.weight / weights, 10.0, 2.0 * number, 2.0),
                     method="POST" if number % 2 else "GET",
                     timeout=3.0,
                 )
                 for number, service in enumerate(services)
-                for name, team in deployment.teams.items()
+                for name, organisation in deployment.organisations.items()
             ]
             result = load(fleet, streams, 20.0, seed)
             counts = fleet.backend_counts()
@@ -161,7 +172,7 @@
     """Measure what at-most-once costs: stamps with and without a key, by the store's state."""
     service = next(iter(deployment.services))
     changes = {
-        "teams": {"solo": {"limit": 500}},
+        "organisations": {"solo": {"limit": 500}},
         "services": {service: {"mean_seconds": 0.02}},
     }
     results: dict[str, Any] = {}
@@ -197,7 +208,7 @@
         "zone_delay_ms": 0.0,
         "client_delay_ms": 0.0,
         "services": {"check": {"mean_seconds": 0.001}},
-        "teams": {"solo": {"limit": 1000}},
+        "organisations": {"solo": {"limit": 1000}},
     }
     with fleet_of(deployment, **changes) as fleet:
         entry = fleet.entries["entry-1-1"]
--- a/vanillawell/standins/measure/slopes.py
+++ b/vanillawell/standins/measure/slopes.py
@@ -20,7 +20,7 @@
 from vanillawell.standins.deployment import Deployment, operator_tree
 from vanillawell.standins.measure.fits import Fit, fit
 from vanillawell.state.board import DemandBoard, Row
-from vanillawell.state.limits import Demand, Ledger, LimitChange, TeamLimit, plan_ledger
+from vanillawell.state.limits import Demand, Ledger, LimitChange, OrganisationLimit, plan_ledger
 from vanillawell.state.policy import compile_policy
 from vanillawell.state.pool_steps import next_steps
 from vanillawell.state.pools import (
@@ -37,7 +37,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-TEAM_SIZES = (100, 200, 430, 860)
+ORGANISATION_SIZES = (100, 200, 430, 860)
 
 INSTANCE_SIZES = (500, 1000, 2000, 4000)
 
@@ -48,7 +48,7 @@
 NAMES = NameTable(
     1000,
     tuple(f"pool-s{number}" for number in range(32)),
-    tuple(f"team-{number:03d}" for number in range(430)),
+    tuple(f"organisation-{number:03d}" for number in range(430)),
 )
 
 MILLION = 1_000_000
@@ -64,7 +64,7 @@
     return min(times)
 
 
-def configuration_of(teams: int, instances: int, pools: int = 32) -> Configuration:
+def configuration_of(organisations: int, instances: int, pools: int = 32) -> Configuration:
     """Build a configuration of a given size."""
     deployment = Deployment.model_validate(
         {
@@ -72,7 +72,9 @@
             "zones": 20,
             "executors_per_service": instances // pools,
             "services": {f"s{number}": {} for number in range(pools)},
-            "teams": {f"team-{number:03d}": {"limit": 50} for number in range(teams)},
+            "organisations": {
+                f"organisation-{number:03d}": {"limit": 50} for number in range(organisations)
+            },
         }
     )
     names = [f"s{s}-{n + 1}" for s in range(pools) for n in range(instances // pools)]
@@ -84,7 +86,12 @@
     """Build the rows of one report."""
     rng = random.Random(1)
     return tuple(
-        Row(f"pool-s{number % 32}", f"team-{number // 2:03d}", rng.randrange(1, 40), rng.random())
+        Row(
+            f"pool-s{number % 32}",
+            f"organisation-{number // 2:03d}",
+            rng.randrange(1, 40),
+            rng.random(),
+        )
         for number in range(count)
     )
 
@@ -107,8 +114,8 @@
 
 
 def measure_configuration() -> dict[str, Fit]:
-    """Measure documents, memory and processor time by teams and instances."""
-    by_team = {n: configuration_of(n, 320).to_bytes() for n in TEAM_SIZES}
+    """Measure documents, memory and processor time by organisations and instances."""
+    by_organisation = {n: configuration_of(n, 320).to_bytes() for n in ORGANISATION_SIZES}
     by_instance = {n: configuration_of(100, n).to_bytes() for n in INSTANCE_SIZES}
 
     def apply(data: bytes) -> Any:
@@ -128,7 +135,7 @@
             ),
         }
 
-    return fits(by_team, "teams") | fits(by_instance, "instances")
+    return fits(by_organisation, "organisations") | fits(by_instance, "instances")
 
 
 def measure_assignment() -> dict[str, Fit]:
@@ -161,22 +168,22 @@
 
 
 def measure_ledgers() -> dict[str, Fit]:
-    """Measure a look at all ledgers by teams, and one ledger by its holders."""
-    team = TeamLimit((LimitChange(1, 50),), 0.25, 60)
+    """Measure a look at all ledgers by organisations, and one ledger by its holders."""
+    organisation = OrganisationLimit((LimitChange(1, 50),), 0.25, 60)
     holders = {f"entry-{n}/{n:012d}": 1 for n in range(30)}
     ledger = Ledger(50, 1, holders)
     demand = Demand(3, 2, 4, 20)
 
     def scan(count: int) -> None:
         for _ in range(count):
-            plan_ledger(ledger, "entry-3/000000000003", team, demand, set())
+            plan_ledger(ledger, "entry-3/000000000003", organisation, demand, set())
 
     def document(count: int) -> bytes:
         return Ledger(500, 1, {f"entry-{n}/{n:012d}": 3 for n in range(count)}).to_bytes()
 
     return {
-        "ledger scan time by teams": fit(
-            {n: seconds_of(lambda n=n: scan(n)) * MILLION for n in TEAM_SIZES}, "µs"  # type: ignore[misc]
+        "ledger scan time by organisations": fit(
+            {n: seconds_of(lambda n=n: scan(n)) * MILLION for n in ORGANISATION_SIZES}, "µs"  # type: ignore[misc]
         ),
         "ledger bytes by entries": fit({n: len(document(n)) for n in ENTRY_SIZES}, "B"),
     }
@@ -186,12 +193,13 @@
     """Measure one division of a pool's slots by the rows that it is made from."""
     configuration = configuration_of(430, 4000)
     policy = compile_policy(configuration.tree, 1, configuration.limit_changes)
-    shares = {name: team.share for name, team in policy.teams.items()}
+    shares = {name: organisation.share for name, organisation in policy.organisations.items()}
 
     def division(count: int) -> float:
         board = DemandBoard()
         rows = tuple(
-            Row("pool-s1", f"team-{number:03d}", 3, 0.5) for number in range(min(count, 430))
+            Row("pool-s1", f"organisation-{number:03d}", 3, 0.5)
+            for number in range(min(count, 430))
         )
         board.receive("zone-2", 3, 1, rows, 0.0)
         pool = PoolRuntime(policy.pools["pool-s1"], "zone-1", "entry-1-1", Dialer("127.0.0.1"))
@@ -199,7 +207,9 @@
         return seconds_of(lambda: pool.refresh(board, shares, 0.0))
 
     sizes = (50, 100, 200, 430)
-    return {"slot division time by teams": fit({n: division(n) * MILLION for n in sizes}, "µs")}
+    return {
+        "slot division time by organisations": fit({n: division(n) * MILLION for n in sizes}, "µs")
+    }
 
 
 def planner_view(instances: int, pools: int = 32) -> FleetView:
--- a/vanillawell/standins/processes.py
+++ b/vanillawell/standins/processes.py
@@ -29,6 +29,12 @@
 LAST_PORT = 15_000
 """Below the range that the system gives to clients' sockets, which would collide."""
 
+BLOCK = 1_000
+"""Ports of one process; the largest fleet takes some two hundred."""
+
+FIRST_GUARD = 1_900
+"""Guard ports that say which blocks are taken, one for each block."""
+
 WAIT_BOUND = 30.0
 """Seconds after which a condition that does not come true is an error."""
 
@@ -43,11 +49,30 @@
     """A condition did not come true in time."""
 
 
+def _claim_block() -> tuple[socket.socket, range]:
+    """Claim a block of ports for this process alone, by a guard port that stays bound.
+
+    A port found free may be taken by another fleet before it is used, if several are started side
+    by side; the guard keeps their blocks apart for as long as their processes live.
+    """
+    for number in range((LAST_PORT - FIRST_PORT) // BLOCK):
+        guard = socket.socket()
+        try:
+            guard.bind(("127.0.0.1", FIRST_GUARD + number))
+        except OSError:
+            guard.close()
+            continue
+        first = FIRST_PORT + number * BLOCK
+        return guard, range(first, first + BLOCK)
+    raise NeverTrueError("no block of ports is free for another fleet")
+
+
 def _ports() -> Iterator[int]:
-    start = FIRST_PORT + (os.getpid() * 97) % (LAST_PORT - FIRST_PORT)
-    for port in itertools.chain(range(start, LAST_PORT), itertools.cycle(range(FIRST_PORT, start))):
-        if _is_free(port):
-            yield port
+    guard, block = _claim_block()
+    with guard:
+        for port in itertools.cycle(block):
+            if _is_free(port):
+                yield port
 
 
 def _is_free(port: int) -> bool:
--- a/vanillawell/state/admission.py
+++ b/vanillawell/state/admission.py
@@ -17,7 +17,7 @@
 
 @dataclass(frozen=True, slots=True)
 class QueueState:
-    """What an entry knows about one team's queue for one pool."""
+    """What an entry knows about one organisation's queue for one pool."""
 
     length: int
     bound: int
@@ -25,7 +25,7 @@
     """Mean seconds one request occupies a slot; 0 while unknown."""
 
     slots: float
-    """Slots the team gets here while the queue drains."""
+    """Slots the organisation gets here while the queue drains."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -59,7 +59,8 @@
 
 
 def worth_starting(time_left: float, usual_least: float, others_wait: bool) -> bool:
-    """Tell whether to start a request that has waited, rather than the next one of its team.
+    """Tell whether to start a request that has waited, rather than the next one of its
+    organisation.
 
     A request that starts shortly before its deadline occupies a slot and is given up on. Once the
     queue is that old, each one that starts does so too late: every slot is busy and no caller
--- a/vanillawell/state/allotment.py
+++ b/vanillawell/state/allotment.py
@@ -1,8 +1,9 @@
-"""Divide a full pool's slots between teams by share, and between entries by demand.
+"""Divide a full pool's slots between organisations by share, and between entries by demand.
 
 All entries compute the same division from the same reports, so that together they serve every
-team near its share without asking anyone for each request. When reports differ, the executors'
-own refusal when full is the backstop: a refused request did not run and goes back to its queue.
+organisation near its share without asking anyone for each request. When reports differ, the
+executors' own refusal when full is the backstop: a refused request did not run and goes back to
+its queue.
 """
 
 from __future__ import annotations
@@ -13,39 +14,52 @@
 from dataclasses import dataclass
 
 Rates = Mapping[str, float]
-"""Slots by team, or demand by team."""
+"""Slots by organisation, or demand by organisation."""
 
 
 @dataclass(frozen=True, slots=True)
 class PoolDemand:
-    """Requests running or queued in one pool: by source (an entry or a zone), then by team."""
+    """Requests running or queued in one pool: by source (an entry or a zone), then by organisation.
+    Requests running or queued in one pool: by source (an entry or a zone), then by organisation."""
 
     by_source: Mapping[str, Mapping[str, int]]
 
-    def by_team(self) -> dict[str, int]:
-        """Sum the demand of each team over all sources."""
-        teams = sorted({team for row in self.by_source.values() for team in row})
-        return {team: sum(row.get(team, 0) for row in self.by_source.values()) for team in teams}
+    def by_organisation(self) -> dict[str, int]:
+        """Sum the demand of each organisation over all sources."""
+        organisations = sorted(
+            {organisation for row in self.by_source.values() for organisation in row}
+        )
+        return {
+            organisation: sum(row.get(organisation, 0) for row in self.by_source.values())
+            for organisation in organisations
+        }
 
 
 def fair_slots(slots: float, demand: Rates, shares: Rates) -> dict[str, float]:
     """Divide `slots` by weighted max-min fairness.
 
-    A team that wants less than its part gets what it wants; what it leaves goes to the others
-    in proportion to their shares, so that no slot stays idle while anyone waits.
+    An organisation that wants less than its part gets what it wants; what it leaves goes to the
+    others in proportion to their shares, so that no slot stays idle while anyone waits.
     """
     result = dict.fromkeys(demand, 0.0)
-    open_teams = {team for team, wanted in demand.items() if wanted > 0}
+    open_organisations = {organisation for organisation, wanted in demand.items() if wanted > 0}
     left = slots
-    while open_teams and left > 0:
-        weight = sum(shares[team] for team in open_teams)
-        sated = {team for team in open_teams if demand[team] <= left * shares[team] / weight}
+    while open_organisations and left > 0:
+        weight = sum(shares[organisation] for organisation in open_organisations)
+        sated = {
+            organisation
+            for organisation in open_organisations
+            if demand[organisation] <= left * shares[organisation] / weight
+        }
         if not sated:
-            parts = {team: left * shares[team] / weight for team in open_teams}
+            parts = {
+                organisation: left * shares[organisation] / weight
+                for organisation in open_organisations
+            }
             return result | parts
-        result |= {team: float(demand[team]) for team in sated}
-        left -= sum(demand[team] for team in sated)
-        open_teams -= sated
+        result |= {organisation: float(demand[organisation]) for organisation in sated}
+        left -= sum(demand[organisation] for organisation in sated)
+        open_organisations -= sated
     return result
 
 
@@ -59,12 +73,14 @@
 
 
 def source_targets(slots: int, demand: PoolDemand, shares: Rates) -> dict[str, dict[str, float]]:
-    """Return, for each source, the slots each of its teams should occupy."""
-    totals = demand.by_team()
+    """Return, for each source, the slots each of its organisations should occupy."""
+    totals = demand.by_organisation()
     entitled = fair_slots(slots, totals, shares)
     return {
         source: {
-            team: entitled[team] * count / totals[team] for team, count in row.items() if count
+            organisation: entitled[organisation] * count / totals[organisation]
+            for organisation, count in row.items()
+            if count
         }
         for source, row in demand.by_source.items()
     }
--- a/vanillawell/state/board.py
+++ b/vanillawell/state/board.py
@@ -33,10 +33,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Row:
-    """What one source needs and has used of one pool for one team."""
+    """What one source needs and has used of one pool for one organisation."""
 
     pool: str
-    team: str
+    organisation: str
     demand: int
     """Requests running or queued."""
 
@@ -76,7 +76,7 @@
         old = self._reports.get(source)
         if old and old.sequence >= sequence and now - old.received < REPORT_LIFETIME:
             return False
-        table = {(row.pool, row.team): row for row in rows}
+        table = {(row.pool, row.organisation): row for row in rows}
         self._reports[source] = Report(entries, sequence, now, table)
         return True
 
@@ -95,25 +95,26 @@
     def pool_demand(self, pool: str, source: str, own: Mapping[str, int]) -> PoolDemand:
         """Return the demand on a pool of all sources, with this entry's own as `source`."""
         others = {
-            name: {row.team: row.demand for row in report.rows.values() if row.pool == pool}
+            name: {row.organisation: row.demand for row in report.rows.values() if row.pool == pool}
             for name, report in self._reports.items()
         }
         return PoolDemand({**others, source: own})
 
     def slots_used(self, pool: str) -> Counter[str]:
-        """Return the decayed slot-seconds of each team in a pool, over all other sources."""
+        """Return the decayed slot-seconds of each organisation in a pool, over all other sources.
+        Return the decayed slot-seconds of each organisation in a pool, over all other sources."""
         used: Counter[str] = Counter()
         for report in self._reports.values():
             for row in report.rows.values():
                 if row.pool == pool:
-                    used[row.team] += row.used  # type: ignore[assignment]
+                    used[row.organisation] += row.used  # type: ignore[assignment]
         return used
 
-    def units_needed(self, team: str, floor: int) -> int:
-        """Return the units of a team's limit that all other entries need."""
+    def units_needed(self, organisation: str, floor: int) -> int:
+        """Return the units of an organisation's limit that all other entries need."""
         return sum(
             max(
-                sum(row.demand for row in report.rows.values() if row.team == team),
+                sum(row.demand for row in report.rows.values() if row.organisation == organisation),
                 floor * report.entries,
             )
             for report in self._reports.values()
--- a/vanillawell/state/burn.py
+++ b/vanillawell/state/burn.py
@@ -1,4 +1,4 @@
-"""Keep how fast each service and team uses up its error budget.
+"""Keep how fast each service and organisation uses up its error budget.
 
 A request is good if a backend server's answer below 500 came in time, bad if it was refused for
 want of room or failed, and does not count if the caller was at fault. Burn is the bad part over
@@ -59,7 +59,7 @@
 
 @dataclass(slots=True)
 class BurnLine:
-    """The buckets of one service and team."""
+    """The buckets of one service and organisation."""
 
     buckets: deque[Bucket] = field(default_factory=deque)
 
@@ -85,18 +85,18 @@
 
 
 class BurnBook:
-    """Hold the counts of all services and teams of one entry."""
+    """Hold the counts of all services and organisations of one entry."""
 
     def __init__(self) -> None:
         self._lines: dict[tuple[str, str], BurnLine] = {}
 
-    def note(self, service: str, team: str, status: int, in_time: bool, now: float) -> None:
+    def note(self, service: str, organisation: str, status: int, in_time: bool, now: float) -> None:
         """Count a request unless its caller was at fault."""
         if status in CALLER_FAULTS:
             return
-        line = self._lines.setdefault((service, team), BurnLine())
+        line = self._lines.setdefault((service, organisation), BurnLine())
         line.add(status < 400 and in_time, now)
 
     def counts(self, now: float) -> dict[tuple[str, str], WindowCounts]:
-        """Return the counts by service and team."""
+        """Return the counts by service and organisation."""
         return {key: line.counts(now) for key, line in self._lines.items()}
--- a/vanillawell/state/jobs.py
+++ b/vanillawell/state/jobs.py
@@ -48,7 +48,7 @@
     """One piece of work that may wait."""
 
     job_id: str
-    team: str
+    organisation: str
     kind: str
     core_seconds: float
     """Declared amount of work."""
--- a/vanillawell/state/lending.py
+++ b/vanillawell/state/lending.py
@@ -32,7 +32,7 @@
     """
 
     NEARNESS = "nearness"
-    """Lend early and keep long, so that pools are seldom full and teams seldom short."""
+    """Lend early and keep long, so that pools are seldom full and organisations seldom short."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/vanillawell/state/limits.py
+++ b/vanillawell/state/limits.py
@@ -1,7 +1,8 @@
-"""Divide each team's upper limit between entries so that the sum never exceeds it.
+"""Divide each organisation's upper limit between entries so that the sum never exceeds it.
 
-A team has one ledger in the store: how many units each holder may use. It is changed only by
-compare-and-swap, so that the sum of units stays at or below the limit. An entry starts a request
+An organisation has one ledger in the store: how many units each holder may use. It is changed only
+by compare-and-swap, so that the sum of units stays at or below the limit. An entry starts a
+request
 only within its own units and asks nobody.
 
 The failures this guards against: an answer lost after a write took effect, a write that is
@@ -23,7 +24,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Ledger:
-    """Units of one team's limit by holder, as stored."""
+    """Units of one organisation's limit by holder, as stored."""
 
     limit: int = 0
     """The upper limit that these units were granted under."""
@@ -62,7 +63,7 @@
 
 @dataclass(frozen=True, slots=True)
 class LimitChange:
-    """One change of a team's limit and the configuration version that made it."""
+    """One change of an organisation's limit and the configuration version that made it."""
 
     version: int
     limit: int
@@ -70,7 +71,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Demand:
-    """What an entry needs of one team's limit now."""
+    """What an entry needs of one organisation's limit now."""
 
     wanted: int
     """Requests running, still charged or queued here."""
@@ -86,8 +87,8 @@
 
 
 @dataclass(frozen=True, slots=True)
-class TeamLimit:
-    """The limit in force for a team, from the configuration this entry has applied."""
+class OrganisationLimit:
+    """The limit in force for an organisation, from the configuration this entry has applied."""
 
     changes: tuple[LimitChange, ...]
     """Recent changes, oldest first; the last one is in force."""
@@ -129,23 +130,23 @@
 
 
 def plan_ledger(
-    ledger: Ledger, holder: str, team: TeamLimit, demand: Demand, ended: Set[str]
+    ledger: Ledger, holder: str, organisation: OrganisationLimit, demand: Demand, ended: Set[str]
 ) -> Ledger | None:
     """Return the ledger this entry wants to write, or None if it is content.
 
     `ended` names holders that have provably ended together with all they may have started.
     """
-    planned = _drop_ended(_apply_limit(ledger, team), ended)
+    planned = _drop_ended(_apply_limit(ledger, organisation), ended)
     held = planned.holders.get(holder, 0)
-    planned = planned.with_units(holder, _target(planned, held, team, demand))
+    planned = planned.with_units(holder, _target(planned, held, organisation, demand))
     return None if planned == ledger else planned
 
 
-def _apply_limit(ledger: Ledger, team: TeamLimit) -> Ledger:
+def _apply_limit(ledger: Ledger, organisation: OrganisationLimit) -> Ledger:
     """Take over a newer limit; an entry with an older configuration changes nothing."""
-    if team.current.version <= ledger.version:
+    if organisation.current.version <= ledger.version:
         return ledger
-    return replace(ledger, limit=team.current.limit, version=team.current.version)
+    return replace(ledger, limit=organisation.current.limit, version=organisation.current.version)
 
 
 def _drop_ended(ledger: Ledger, ended: Set[str]) -> Ledger:
@@ -153,7 +154,7 @@
     return replace(ledger, holders=alive)
 
 
-def goal_units(team: TeamLimit, demand: Demand) -> int:
+def goal_units(organisation: OrganisationLimit, demand: Demand) -> int:
     """Return the units this entry should hold in the end.
 
     While the fleet wants more than the limit, each entry's part follows its demand, so that no
@@ -161,13 +162,13 @@
     """
     wanted = demand.wanted
     total = wanted + demand.elsewhere
-    limit = team.current.limit
+    limit = organisation.current.limit
     if total > limit and wanted:
         wanted = math.ceil(limit * wanted / total)
-    return max(wanted, min(team.floor, limit))
+    return max(wanted, min(organisation.floor, limit))
 
 
-def least_units(team: TeamLimit, demand: Demand) -> int:
+def least_units(organisation: OrganisationLimit, demand: Demand) -> int:
     """Return the units below which this entry gives nothing to entries that lack some.
 
     Rounded down, where `goal_units` rounds up: with both rounded up, four entries could keep all
@@ -175,21 +176,21 @@
     """
     wanted = demand.wanted
     total = wanted + demand.elsewhere
-    limit = team.current.limit
+    limit = organisation.current.limit
     if total > limit and wanted:
         wanted = max(1, limit * wanted // total)
-    return max(wanted, min(team.floor, limit))
+    return max(wanted, min(organisation.floor, limit))
 
 
-def _target(ledger: Ledger, held: int, team: TeamLimit, demand: Demand) -> int:
+def _target(ledger: Ledger, held: int, organisation: OrganisationLimit, demand: Demand) -> int:
     if ledger.free < 0:
         return max(held - _fair_cut(ledger, held), min(held, demand.charged))
-    goal = goal_units(team, demand)
+    goal = goal_units(organisation, demand)
     if goal > held:
         return held + min(goal - held, ledger.free)
-    if _lacking(held, team, demand) > 0:
-        return _after_giving(held, team, demand)
-    return _spread(ledger, held, goal, team, demand)
+    if _lacking(held, organisation, demand) > 0:
+        return _after_giving(held, organisation, demand)
+    return _spread(ledger, held, goal, organisation, demand)
 
 
 def _fair_cut(ledger: Ledger, held: int) -> int:
@@ -197,25 +198,27 @@
     return math.ceil(held * -ledger.free / ledger.granted)
 
 
-def _lacking(held: int, team: TeamLimit, demand: Demand) -> int:
+def _lacking(held: int, organisation: OrganisationLimit, demand: Demand) -> int:
     """Return the units that others need and cannot have while `held` stay here."""
-    return demand.elsewhere - (team.current.limit - held)
+    return demand.elsewhere - (organisation.current.limit - held)
 
 
-def _after_giving(held: int, team: TeamLimit, demand: Demand) -> int:
+def _after_giving(held: int, organisation: OrganisationLimit, demand: Demand) -> int:
     """Give at once what others lack, as far as it is not in use here."""
-    idle = held - max(least_units(team, demand), demand.charged)
-    return held - max(0, min(idle, _lacking(held, team, demand)))
+    idle = held - max(least_units(organisation, demand), demand.charged)
+    return held - max(0, min(idle, _lacking(held, organisation, demand)))
 
 
-def _spread(ledger: Ledger, held: int, goal: int, team: TeamLimit, demand: Demand) -> int:
+def _spread(
+    ledger: Ledger, held: int, goal: int, organisation: OrganisationLimit, demand: Demand
+) -> int:
     """Hold an even part while nobody lacks it, and return what is beyond after some seconds.
 
     Units that nobody holds are of no use to anyone while the store is down or a zone is cut off.
     """
-    wanted = max(goal, demand.recent_peak, team.even_part)
+    wanted = max(goal, demand.recent_peak, organisation.even_part)
     if held > wanted:
         return wanted
-    affordable = team.current.limit - demand.elsewhere
+    affordable = organisation.current.limit - demand.elsewhere
     more = min(wanted, affordable) - held
     return held + max(0, min(more, ledger.free))
--- a/vanillawell/state/policy.py
+++ b/vanillawell/state/policy.py
@@ -20,8 +20,8 @@
 
 
 @dataclass(frozen=True, slots=True)
-class TeamPolicy:
-    """What is in force for one team."""
+class OrganisationPolicy:
+    """What is in force for one organisation."""
 
     name: str
     share: float
@@ -66,9 +66,9 @@
 
 @dataclass(frozen=True, slots=True)
 class KeyOwner:
-    """The team that a key in force belongs to."""
+    """The organisation that a key in force belongs to."""
 
-    team: str
+    organisation: str
     key_id: str
     sha256: str
 
@@ -78,7 +78,7 @@
     """One version of the configuration."""
 
     version: int
-    teams: dict[str, TeamPolicy]
+    organisations: dict[str, OrganisationPolicy]
     pools: dict[str, PoolPolicy]
     keys: dict[str, KeyOwner]
     """Keys in force by their hash."""
@@ -89,7 +89,7 @@
         return {pool.service: pool for pool in self.pools.values() if pool.service}
 
     def owner(self, key: str) -> KeyOwner | None:
-        """Find the team of a key, or None if the key is unknown or withdrawn."""
+        """Find the organisation of a key, or None if the key is unknown or withdrawn."""
         digest = hashlib.sha256(key.encode()).hexdigest()
         found = self.keys.get(digest)
         if found is None or not hmac.compare_digest(found.sha256, digest):
@@ -115,22 +115,27 @@
     tree: OperatorTree, version: int, limit_changes: Mapping[str, tuple[LimitChange, ...]]
 ) -> Policy:
     """Resolve inheritance once, so that no request pays for it."""
-    teams = {name: _team(tree, name, limit_changes[name]) for name in tree.of_kind("team")}
+    organisations = {
+        name: _organisation(tree, name, limit_changes[name])
+        for name in tree.of_kind("organisation")
+    }
     pools = {name: _pool(tree, name) for name in tree.of_kind("pool")}
     keys = {
-        key.sha256: KeyOwner(team, key_id, key.sha256)
-        for team, node in tree.of_kind("team").items()
+        key.sha256: KeyOwner(organisation, key_id, key.sha256)
+        for organisation, node in tree.of_kind("organisation").items()
         for key_id, key in node.keys.items()
         if not key.withdrawn
     }
-    return Policy(version, teams, pools, keys)
+    return Policy(version, organisations, pools, keys)
 
 
-def _team(tree: OperatorTree, name: str, changes: tuple[LimitChange, ...]) -> TeamPolicy:
+def _organisation(
+    tree: OperatorTree, name: str, changes: tuple[LimitChange, ...]
+) -> OrganisationPolicy:
     values = {key: item.value for key, item in effective_settings(tree, name).items()}
-    fields = TeamPolicy.__dataclass_fields__
+    fields = OrganisationPolicy.__dataclass_fields__
     chosen = {key: values[key] for key in fields if key in values}
-    return TeamPolicy(name=name, limit_changes=changes, **chosen)
+    return OrganisationPolicy(name=name, limit_changes=changes, **chosen)
 
 
 def _pool(tree: OperatorTree, name: str) -> PoolPolicy:
--- a/vanillawell/state/queueing.py
+++ b/vanillawell/state/queueing.py
@@ -1,4 +1,4 @@
-"""Queue requests by team and pick the next one fairly, urgent work first."""
+"""Queue requests by organisation and pick the next one fairly, urgent work first."""
 
 from __future__ import annotations
 
@@ -18,7 +18,7 @@
 class Waiting:
     """One request that waits for a slot."""
 
-    team: str
+    organisation: str
     urgent: bool
     arrived: float
     deadline: float
@@ -27,7 +27,7 @@
 
 
 class SlotUse:
-    """Measure one team's use of slots in slot-seconds, past use decaying.
+    """Measure one organisation's use of slots in slot-seconds, past use decaying.
 
     It counts what was really occupied, since declared sizes and run times are far off.
     """
@@ -55,8 +55,8 @@
         return self._used * decay + self._running * DECAY_SECONDS * (1 - decay)
 
 
-class TeamQueue:
-    """Requests of one team that wait for one pool, urgent ones apart."""
+class OrganisationQueue:
+    """Requests of one organisation that wait for one pool, urgent ones apart."""
 
     def __init__(self) -> None:
         self._urgent: deque[Waiting] = deque()
@@ -94,30 +94,34 @@
     """All requests that wait for one pool in this entry."""
 
     def __init__(self) -> None:
-        self._teams: dict[str, TeamQueue] = {}
+        self._organisations: dict[str, OrganisationQueue] = {}
 
     def __len__(self) -> int:
-        return sum(len(queue) for queue in self._teams.values())
+        return sum(len(queue) for queue in self._organisations.values())
 
     def __iter__(self) -> Iterator[Waiting]:
-        for queue in self._teams.values():
+        for queue in self._organisations.values():
             yield from queue
 
-    def length(self, team: str) -> int:
-        """Return how many requests of a team wait."""
-        return len(self._teams.get(team, ()))
+    def length(self, organisation: str) -> int:
+        """Return how many requests of an organisation wait."""
+        return len(self._organisations.get(organisation, ()))
 
     def lengths(self) -> dict[str, int]:
-        """Return how many requests wait by team, without empty ones."""
-        return {team: len(queue) for team, queue in self._teams.items() if len(queue)}
+        """Return how many requests wait by organisation, without empty ones."""
+        return {
+            organisation: len(queue)
+            for organisation, queue in self._organisations.items()
+            if len(queue)
+        }
 
     def add(self, item: Waiting, front: bool = False) -> None:
         """Let a request wait."""
-        self._teams.setdefault(item.team, TeamQueue()).add(item, front)
+        self._organisations.setdefault(item.organisation, OrganisationQueue()).add(item, front)
 
     def remove(self, item: Waiting) -> bool:
         """Take a cancelled request out; False if it no longer waits."""
-        queue = self._teams.get(item.team)
+        queue = self._organisations.get(item.organisation)
         return queue is not None and queue.remove(item)
 
     def pick(
@@ -125,16 +129,16 @@
     ) -> Waiting | None:
         """Take out the next request to start, or None if none may.
 
-        Urgent lines go first. Within a line the team whose first request has the least `debt`,
-        normally the team's slot use over its share, is next.
+        Urgent lines go first. Within a line the organisation whose first request has the least
+        `debt`, normally the organisation's slot use over its share, is next.
         """
         for urgent in (True, False):
             heads = [
                 queue.line(urgent)[0]
-                for team, queue in self._teams.items()
-                if queue.line(urgent) and may_start(team)
+                for organisation, queue in self._organisations.items()
+                if queue.line(urgent) and may_start(organisation)
             ]
             if heads:
-                first = min(heads, key=lambda item: (debt(item), item.team))
-                return self._teams[first.team].line(urgent).popleft()
+                first = min(heads, key=lambda item: (debt(item), item.organisation))
+                return self._organisations[first.organisation].line(urgent).popleft()
         return None
--- a/vanillawell/telemetry.py
+++ b/vanillawell/telemetry.py
@@ -25,11 +25,11 @@
         self.registry = Registry()
         self.requests = self._counter(
             "vanillawell_requests_total",
-            "Requests by service, team and final outcome (status or refusal type).",
+            "Requests by service, organisation and final outcome (status or refusal type).",
         )
         self.latency = Histogram(
             "vanillawell_request_seconds",
-            "Seconds from the request's head to its final outcome, by service and team.",
+            "Seconds from the request's head to its final outcome, by service and organisation.",
             buckets=LATENCY_BUCKETS,
             registry=self.registry,
         )
@@ -63,7 +63,8 @@
             "Seconds since the configuration was last confirmed as the newest one.",
         )
         self.held = self._gauge(
-            "vanillawell_units_held", "Units of a team's limit held by this entry, by team."
+            "vanillawell_units_held",
+            "Units of an organisation's limit held by this entry, by organisation.",
         )
         self._states: dict[str, str] = {}
 
--- a/vanillawell/tests/builders.py
+++ b/vanillawell/tests/builders.py
@@ -10,7 +10,7 @@
 from vanillawell.protocol.documents import Presence
 from vanillawell.standins.deployment import Deployment
 from vanillawell.standins.load import new_key
-from vanillawell.state.limits import LimitChange, TeamLimit
+from vanillawell.state.limits import LimitChange, OrganisationLimit
 
 QUICK_TIMING: dict[str, Any] = {
     "stop_notice": 0.2,
@@ -21,14 +21,14 @@
 
 
 def deployment(**changes: Any) -> Deployment:
-    """Build a small deployment: one zone, one entry, one service, one team."""
+    """Build a small deployment: one zone, one entry, one service, one organisation."""
     document: dict[str, Any] = {
         "name": "test",
         "zones": 1,
         "entries_per_zone": 1,
         "executors_per_service": 2,
         "services": {"check": {"mean_seconds": 0.01, "budget": 1}},
-        "teams": {"guild": {"limit": 8}},
+        "organisations": {"guild": {"limit": 8}},
         "timing": QUICK_TIMING,
         "store": {"poll_interval": 0.5, "lease_ttl": 2.0, "timeout": 0.7},
     }
@@ -36,10 +36,14 @@
 
 
 def tree(**nodes: Any) -> OperatorTree:
-    """Build a valid tree with one team and one pool; `nodes` adds or replaces nodes."""
+    """Build a valid tree with one organisation and one pool; `nodes` adds or replaces nodes."""
     document: dict[str, Any] = {
         "fleet": {"kind": "fleet", "settings": {"limit": 10}},
-        "guild": {"kind": "team", "parent": "fleet", "keys": {"first": {"sha256": "a" * 64}}},
+        "guild": {
+            "kind": "organisation",
+            "parent": "fleet",
+            "keys": {"first": {"sha256": "a" * 64}},
+        },
         "pool-check": {
             "kind": "pool",
             "parent": "fleet",
@@ -55,11 +59,11 @@
     return {"address": {"host": "127.0.0.1", "port": port}, "zone": zone, "rack": rack}
 
 
-def team_limit(
+def organisation_limit(
     limit: int, *, version: int = 1, reserve: float = 0.0, entries: int = 1
-) -> TeamLimit:
-    """Build a team's limit with a single change."""
-    return TeamLimit((LimitChange(version, limit),), reserve, entries)
+) -> OrganisationLimit:
+    """Build an organisation's limit with a single change."""
+    return OrganisationLimit((LimitChange(version, limit),), reserve, entries)
 
 
 def presence(instance: str, incarnation: str = "one", zone: str = "zone-1") -> Presence:
--- a/vanillawell/tests/caller.py
+++ b/vanillawell/tests/caller.py
@@ -9,7 +9,7 @@
 import httpcore
 import orjson
 
-from vanillawell.standins.deployment import team_key
+from vanillawell.standins.deployment import organisation_key
 
 if TYPE_CHECKING:
     from types import TracebackType
@@ -24,7 +24,7 @@
     """One request to send."""
 
     service: str = "check"
-    team: str = "guild"
+    organisation: str = "guild"
     method: str = "GET"
     mark: str = ""
     run_seconds: float | None = None
@@ -35,7 +35,7 @@
     priority: str | None = None
 
     def headers(self) -> list[tuple[str, str]]:
-        key = team_key(self.team) if self.key is None else self.key
+        key = organisation_key(self.organisation) if self.key is None else self.key
         headers = [("request-timeout", str(self.timeout))]
         if key:
             headers.append(("authorization", f"Bearer {key}"))
--- a/vanillawell/tests/config_tests.py
+++ b/vanillawell/tests/config_tests.py
@@ -102,7 +102,7 @@
             "pool-check",
         ),
         (
-            {"x": {"kind": "team", "parent": "fleet", "settings": {"guaranteed": 11}}},
+            {"x": {"kind": "organisation", "parent": "fleet", "settings": {"guaranteed": 11}}},
             "nodes.x.settings.limit",
             "below the guaranteed share of 11",
         ),
@@ -123,7 +123,7 @@
 def test_the_nearest_level_that_sets_a_value_wins_and_is_named() -> None:
     nodes = {
         "banks": {"kind": "group", "parent": "fleet", "settings": {"limit": 30}},
-        "bank-a": {"kind": "team", "parent": "banks"},
+        "bank-a": {"kind": "organisation", "parent": "banks"},
     }
     found = effective_value(tree(**nodes), "bank-a", "limit")
     assert (found.value, found.level) == (30, "banks")
@@ -155,13 +155,13 @@
 def test_a_configuration_of_the_largest_size_fits_a_value_of_the_store() -> None:
     document = slopes.configuration_of(430, 4000).to_bytes()
     assert len(document) < 100_000
-    assert len(Configuration.from_bytes(document).tree.of_kind("team")) == 430
+    assert len(Configuration.from_bytes(document).tree.of_kind("organisation")) == 430
 
 
 def test_reports_by_another_version_of_the_names_are_left_out() -> None:
-    """Two entries have different configurations for a moment and number teams differently.
+    """Two entries have different configurations for a moment and number organisations differently.
 
-    Rows read by the wrong numbers would count one team's demand as another's.
+    Rows read by the wrong numbers would count one organisation's demand as another's.
     """
     rows = (Row("pool-check", "guild", 3, 1.25),)
     beat = Beat(presence("entry-1"), Versions(7, 3), 0.5, (SourceReport("zone-2", 3, 99, rows),))
@@ -180,7 +180,7 @@
 def test_a_missing_holder_is_over_only_with_proof_or_after_its_term() -> None:
     """An entry loses the store and goes on with the units it holds.
 
-    If others took its missing presence for its end, a team would exceed its limit.
+    If others took its missing presence for its end, an organisation would exceed its limit.
     """
     ends = HolderEnds(timing(holding_term=100, longest_request=10, clock_drift=0))
     old = presence("entry-1", "old")
--- a/vanillawell/tests/jobs_tests.py
+++ b/vanillawell/tests/jobs_tests.py
@@ -126,7 +126,7 @@
     with running_fleet(
         tmp_path,
         zones=2,
-        teams={"guild": {"limit": 100}},
+        organisations={"guild": {"limit": 100}},
         executors_per_service=2,
         timing=QUICK_TIMING,
     ) as fleet:
--- a/vanillawell/tests/lending_proof_tests.py
+++ b/vanillawell/tests/lending_proof_tests.py
@@ -23,7 +23,7 @@
     "executors_per_service": OWN,
     "spares": SPARES,
     "services": {"check": {"budget": 0}, "stamp": {"budget": 0}},
-    "teams": {"guild": {"limit": 200}},
+    "organisations": {"guild": {"limit": 200}},
     "timing": QUICK_TIMING | {"longest_request": 2.0},
     "fleet_settings": {"lending": "buffer-cost"},
 }
--- a/vanillawell/tests/limit_keeper_tests.py
+++ b/vanillawell/tests/limit_keeper_tests.py
@@ -18,7 +18,7 @@
 from vanillawell.protocol.documents import StoreKeys
 from vanillawell.state.board import DemandBoard, Row
 from vanillawell.state.limits import LimitChange
-from vanillawell.state.policy import Policy, TeamPolicy
+from vanillawell.state.policy import OrganisationPolicy, Policy
 from vanillawell.telemetry import Telemetry
 from vanillawell.tests.builders import presence, timing
 from vanillawell.tests.fakes import RacyStore
@@ -28,7 +28,7 @@
 
     from vanillawell.protocol.documents import Presence
 
-TEAM = "guild"
+ORGANISATION = "guild"
 
 HOLDERS = 3
 
@@ -73,7 +73,7 @@
 
     @property
     def usable(self) -> int:
-        return self.keeper.usable(TEAM, 0.0) if self.version else 0
+        return self.keeper.usable(ORGANISATION, 0.0) if self.version else 0
 
     def settle(self) -> None:
         try:
@@ -83,8 +83,10 @@
 
 
 def policy(changes: tuple[LimitChange, ...], version: int) -> Policy:
-    team = TeamPolicy(TEAM, 1.0, changes[-1].limit, changes, 0.25, 100, 10.0, 600.0, 5.0)
-    return Policy(version, {TEAM: team}, {}, {})
+    organisation = OrganisationPolicy(
+        ORGANISATION, 1.0, changes[-1].limit, changes, 0.25, 100, 10.0, 600.0, 5.0
+    )
+    return Policy(version, {ORGANISATION: organisation}, {}, {})
 
 
 class LimitRaces(RuleBasedStateMachine):
@@ -165,7 +167,7 @@
     @rule()
     def exchange_demand(self) -> None:
         for holder, other in itertools.permutations(self.holders, 2):
-            rows = (Row("pool", TEAM, other.demand, 0.0),)
+            rows = (Row("pool", ORGANISATION, other.demand, 0.0),)
             holder.board.receive(other.me.instance, 1, self.next_run(), rows, self.time)
 
     @rule(number=st.integers(0, HOLDERS - 1))
@@ -274,8 +276,8 @@
     first.demand = 6
     first.settle()
     first.members.valid_until = 50.0
-    assert first.keeper.usable(TEAM, 49.9) > 0
-    assert first.keeper.usable(TEAM, 50.0) == 0
+    assert first.keeper.usable(ORGANISATION, 49.9) > 0
+    assert first.keeper.usable(ORGANISATION, 50.0) == 0
 
 
 def test_replacing_a_presence_gives_a_new_holder() -> None:
--- a/vanillawell/tests/limit_proof_tests.py
+++ b/vanillawell/tests/limit_proof_tests.py
@@ -1,6 +1,7 @@
-"""Prove that no team has more running than its upper limit, through every kind of fault.
+"""Prove that no organisation has more running than its upper limit, through every kind of fault.
 
-The backend stand-ins count at every moment how many requests of the team run in the whole fleet.
+The backend stand-ins count at every moment how many requests of the organisation run in the whole
+fleet.
 """
 
 from __future__ import annotations
@@ -33,7 +34,7 @@
     "zones": 3,
     "entries_per_zone": 2,
     "executors_per_service": 6,
-    "teams": {"guild": {"limit": LIMIT}},
+    "organisations": {"guild": {"limit": LIMIT}},
     "timing": QUICK_TIMING | {"holding_term": HOLDING_TERM, "longest_request": 2.0},
 }
 
@@ -46,7 +47,7 @@
 
 
 def units_held(entry: EntryHandle) -> int:
-    return int(entry.status()["teams"]["guild"]["units_held"])
+    return int(entry.status()["organisations"]["guild"]["units_held"])
 
 
 def long_call(number: int) -> Call:
@@ -98,7 +99,7 @@
     """The store goes down, answers late, or applies writes whose answers never arrive.
 
     An entry that believed such a write to have failed would use units that it gave away, and
-    the team would have more running than operators allow.
+    the organisation would have more running than operators allow.
     """
     with running_fleet(tmp_path, **LONG_TERM) as fleet:
 
@@ -112,8 +113,8 @@
 def test_a_cut_off_zone_goes_on_within_what_it_holds(tmp_path: Path) -> None:
     """A zone loses the store and all other zones, and callers go on in every zone.
 
-    If others took its units while it uses them, the team would exceed its limit; if it stopped
-    at once, its callers would be refused for as long as the cut lasts.
+    If others took its units while it uses them, the organisation would exceed its limit; if it
+    stopped at once, its callers would be refused for as long as the cut lasts.
     """
     with running_fleet(tmp_path, **LONG_TERM, fleet_settings={"reserve": 1.0}) as fleet:
 
@@ -160,7 +161,7 @@
     """An entry's instance fails and is replaced under another name, so it never registers again.
 
     Its units must come back long before its term of a minute ends, but not while what it sent
-    may still run; else its team lacks a part of its limit, or exceeds it.
+    may still run; else its organisation lacks a part of its limit, or exceeds it.
     """
     with running_fleet(tmp_path, **LONG_TERM) as fleet:
 
@@ -185,7 +186,7 @@
     """An entry is paused beyond its term, others take over its units, and it wakes.
 
     It wakes with requests in its queue and does not know that time has passed. If it used its
-    units before it asked again, the team would exceed its limit.
+    units before it asked again, the organisation would exceed its limit.
     """
     with running_fleet(tmp_path, **THREE_ZONES) as fleet:
 
--- a/vanillawell/tests/maintenance_proof_tests.py
+++ b/vanillawell/tests/maintenance_proof_tests.py
@@ -26,7 +26,7 @@
     "executors_per_service": 6,
     "spares": 3,
     "services": {"check": {"mean_seconds": 0.02, "budget": 2}},
-    "teams": {"guild": {"limit": 40}},
+    "organisations": {"guild": {"limit": 40}},
     "timing": QUICK_TIMING | {"longest_request": 2.0},
 }
 
--- a/vanillawell/tests/outcome_proof_tests.py
+++ b/vanillawell/tests/outcome_proof_tests.py
@@ -34,7 +34,7 @@
     "zones": 2,
     "entries_per_zone": 1,
     "executors_per_service": 6,
-    "teams": {"guild": {"limit": 100}},
+    "organisations": {"guild": {"limit": 100}},
 }
 
 
@@ -98,15 +98,15 @@
         assert counts["struck half-answer"] == 15
 
 
-def test_a_flooded_team_with_short_deadlines_still_gets_answers(tmp_path: Path) -> None:
-    """Callers ask for several times what their team's limit can run, and wait only so long.
+def test_a_flooded_organisation_with_short_deadlines_still_gets_answers(tmp_path: Path) -> None:
+    """Callers ask for several times what their organisation's limit can run, and wait only so long.
 
     A queue that lets each request start shortly before its deadline has every slot busy with
     work whose caller is about to leave: all slots are used and nobody gets an answer.
     """
-    teams = {"guild": {"limit": 1}}
+    organisations = {"guild": {"limit": 1}}
     timing = QUICK_TIMING | {"longest_request": 1.5}
-    with running_fleet(tmp_path, teams=teams, timing=timing) as fleet:
+    with running_fleet(tmp_path, organisations=organisations, timing=timing) as fleet:
 
         def make(number: int) -> Call:
             return Call(mark=f"m{number}", run_seconds=1.0, timeout=3.5)
--- a/vanillawell/tests/rollout_proof_tests.py
+++ b/vanillawell/tests/rollout_proof_tests.py
@@ -33,7 +33,7 @@
 
 
 def units_held(entry: EntryHandle) -> int:
-    return int(entry.status()["teams"]["guild"]["units_held"])
+    return int(entry.status()["organisations"]["guild"]["units_held"])
 
 
 def versions_applied(entry: EntryHandle) -> list[str]:
@@ -131,7 +131,9 @@
         results: dict[int, Any] = {}
 
         def change(number: int) -> None:
-            results[number] = fleet.try_cli("node", "create", f"team-{number}", "--kind", "team")
+            results[number] = fleet.try_cli(
+                "node", "create", f"organisation-{number}", "--kind", "organisation"
+            )
 
         threads = [threading.Thread(target=change, args=(number,)) for number in range(6)]
         for thread in threads:
@@ -143,7 +145,7 @@
         assert won | lost == set(range(6))
         assert won
         nodes = fleet.cli("config", "show")["nodes"]
-        assert {number for number in range(6) if f"team-{number}" in nodes} == won
+        assert {number for number in range(6) if f"organisation-{number}" in nodes} == won
         assert all("the configuration changed meanwhile" in results[n].stderr for n in lost)
 
 
--- a/vanillawell/tests/session_tests.py
+++ b/vanillawell/tests/session_tests.py
@@ -52,8 +52,8 @@
 
 
 def queue_over_the_limit(fleet: Fleet, entry: EntryHandle) -> Reply:
-    """Fill the team's single unit and its queue of one, then send one more."""
-    slow = Call(team="small", run_seconds=1.0)
+    """Fill the organisation's single unit and its queue of one, then send one more."""
+    slow = Call(organisation="small", run_seconds=1.0)
 
     def running() -> bool:
         return bool(fleet.backend_counts()["running"].get("small", 0) == 1)
@@ -117,7 +117,7 @@
         tmp_path,
         executors_per_service=1,
         services={"check": {"mean_seconds": 0.01, "budget": 1}, "down": {"budget": 1}},
-        teams={"guild": {"limit": 8}, "small": {"limit": 1}},
+        organisations={"guild": {"limit": 8}, "small": {"limit": 1}},
         fleet_settings={"body_bound": 1000, "attempts": 2},
     ) as fleet:
         document = fleet.tree_document()
--- a/vanillawell/tests/silence_proof_tests.py
+++ b/vanillawell/tests/silence_proof_tests.py
@@ -6,7 +6,7 @@
 import time
 from typing import TYPE_CHECKING, Any
 
-from vanillawell.standins.deployment import team_key
+from vanillawell.standins.deployment import organisation_key
 from vanillawell.standins.processes import wait_until
 from vanillawell.tests.builders import QUICK_TIMING
 from vanillawell.tests.caller import Call
@@ -32,7 +32,7 @@
 def open_request(entry: EntryHandle, head: str) -> socket.socket:
     """Send the head of a request over a connection of its own."""
     connection = socket.create_connection((entry.host, entry.ports.caller), 5)
-    key = team_key("guild")
+    key = organisation_key("guild")
     connection.sendall(f"{head}\r\nHost: x\r\nAuthorization: Bearer {key}\r\n".encode())
     return connection
 
@@ -101,12 +101,14 @@
 
     Its unit of the limit and its executor's slot must come free all the same.
     """
-    with running_fleet(tmp_path, teams={"guild": {"limit": 1}}) as fleet:
+    with running_fleet(tmp_path, organisations={"guild": {"limit": 1}}) as fleet:
         fleet.behave([], answer_bytes=60_000_000)
         entry = fleet.entries["entry-1-1"]
         with open_request(entry, "GET /check/item HTTP/1.1") as connection:
             connection.sendall(b"\r\n")
-            wait_until(lambda: entry.status()["teams"]["guild"]["running"] == 1, "it runs")
-            wait_until(lambda: entry.status()["teams"]["guild"]["running"] == 0, "it is given up")
+            wait_until(lambda: entry.status()["organisations"]["guild"]["running"] == 1, "it runs")
+            wait_until(
+                lambda: entry.status()["organisations"]["guild"]["running"] == 0, "it is given up"
+            )
         fleet.behave([], answer_bytes=0)
         wait_until(lambda: send_one(entry, Call()).status == 200, "the next request runs")
--- a/vanillawell/tests/state_tests.py
+++ b/vanillawell/tests/state_tests.py
@@ -25,11 +25,11 @@
 from vanillawell.state.retries import FailedAttempt, Failure, RetryBudget, RetryDecision, decide
 from vanillawell.state.routing import connection_bound, subset
 from vanillawell.state.silence import LEAST_OVERDUE, ServiceTime
-from vanillawell.tests.builders import team_limit
+from vanillawell.tests.builders import organisation_limit
 
-TEAMS = st.sampled_from(["a", "b", "c", "d"])
+ORGANISATIONS = st.sampled_from(["a", "b", "c", "d"])
 
-DEMANDS = st.dictionaries(TEAMS, st.integers(0, 60), min_size=1)
+DEMANDS = st.dictionaries(ORGANISATIONS, st.integers(0, 60), min_size=1)
 
 SHARES = {"a": 4.0, "b": 2.0, "c": 1.0, "d": 0.5}
 
@@ -40,12 +40,12 @@
 ) -> None:
     parts = fair_slots(slots, demand, SHARES)
     assert abs(sum(parts.values()) - min(slots, sum(demand.values()))) < 1e-6
-    assert all(parts[team] <= demand[team] + 1e-6 for team in demand)
+    assert all(parts[organisation] <= demand[organisation] + 1e-6 for organisation in demand)
 
 
 def test_fair_slots_follow_shares_when_all_is_full() -> None:
     parts = fair_slots(48, dict.fromkeys(SHARES, 100), SHARES)
-    assert [round(parts[team], 3) for team in SHARES] == [25.6, 12.8, 6.4, 3.2]
+    assert [round(parts[organisation], 3) for organisation in SHARES] == [25.6, 12.8, 6.4, 3.2]
 
 
 @given(rows=st.dictionaries(st.sampled_from(["e1", "e2", "e3", "e4"]), DEMANDS, min_size=1))
@@ -80,13 +80,13 @@
 
 def test_an_older_configuration_never_raises_a_ledger() -> None:
     ledger = Ledger(limit=5, version=7, holders={"a": 5})
-    plan = plan_ledger(ledger, "b", team_limit(50, version=3), Demand(9, 0, 9), set())
+    plan = plan_ledger(ledger, "b", organisation_limit(50, version=3), Demand(9, 0, 9), set())
     assert plan is None
 
 
 def test_units_of_an_ended_holder_are_taken_over() -> None:
     ledger = Ledger(limit=10, version=1, holders={"old/1": 10})
-    plan = plan_ledger(ledger, "new/2", team_limit(10), Demand(4, 0, 4), {"old/1"})
+    plan = plan_ledger(ledger, "new/2", organisation_limit(10), Demand(4, 0, 4), {"old/1"})
     assert plan is not None
     assert plan.holders == {"new/2": 4}
 
@@ -98,8 +98,8 @@
     callers at the other two would wait until their deadlines.
     """
     ledger = Ledger(limit=8, version=1, holders=dict.fromkeys("abcd", 2))
-    team = team_limit(8, entries=6)
-    plan = plan_ledger(ledger, "a", team, Demand(2, 1, 2, elsewhere=10), set())
+    organisation = organisation_limit(8, entries=6)
+    plan = plan_ledger(ledger, "a", organisation, Demand(2, 1, 2, elsewhere=10), set())
     assert plan is not None
     assert plan.holders["a"] == 1
 
@@ -107,11 +107,11 @@
 def test_an_idle_entry_holds_an_even_part_until_others_lack_it() -> None:
     """Units that lie in the ledger are lost to everyone when the store goes down."""
     ledger = Ledger(limit=12, version=1, holders={"b": 4, "c": 4})
-    team = team_limit(12, entries=3)
-    idle = plan_ledger(ledger, "a", team, Demand(0, 0, 0), set())
+    organisation = organisation_limit(12, entries=3)
+    idle = plan_ledger(ledger, "a", organisation, Demand(0, 0, 0), set())
     assert idle is not None
     assert idle.holders["a"] == 4
-    asked = plan_ledger(idle, "a", team, Demand(0, 0, 0, elsewhere=11), set())
+    asked = plan_ledger(idle, "a", organisation, Demand(0, 0, 0, elsewhere=11), set())
     assert asked is not None
     assert asked.holders["a"] == 1
 
@@ -121,16 +121,18 @@
     queue.add(Waiting("a", urgent=False, arrived=0.0, deadline=9.0))
     urgent = Waiting("b", urgent=True, arrived=1.0, deadline=9.0)
     queue.add(urgent)
-    assert queue.pick(lambda _: True, lambda item: {"a": 0.0, "b": 50.0}[item.team]) is urgent
+    assert (
+        queue.pick(lambda _: True, lambda item: {"a": 0.0, "b": 50.0}[item.organisation]) is urgent
+    )
 
 
-def test_the_team_that_used_least_of_its_share_is_next() -> None:
+def test_the_organisation_that_used_least_of_its_share_is_next() -> None:
     queue = FairQueue()
-    for team in ("a", "b"):
-        queue.add(Waiting(team, urgent=True, arrived=0.0, deadline=9.0))
-    picked = queue.pick(lambda _: True, lambda item: {"a": 3.0, "b": 1.0}[item.team])
+    for organisation in ("a", "b"):
+        queue.add(Waiting(organisation, urgent=True, arrived=0.0, deadline=9.0))
+    picked = queue.pick(lambda _: True, lambda item: {"a": 3.0, "b": 1.0}[item.organisation])
     assert picked is not None
-    assert picked.team == "b"
+    assert picked.organisation == "b"
 
 
 def test_slot_use_counts_occupied_time_and_forgets_it() -> None:
@@ -155,7 +157,7 @@
     assert admit(state, 4.0, random.Random(1)).admitted
 
 
-def test_a_request_starts_late_only_if_nobody_of_its_team_waits() -> None:
+def test_a_request_starts_late_only_if_nobody_of_its_organisation_waits() -> None:
     assert not worth_starting(0.5, usual_least=1.0, others_wait=True)
     assert worth_starting(0.5, usual_least=1.0, others_wait=False)
     assert worth_starting(0.5, usual_least=0.0, others_wait=True)
--- a/vanillawell/transport/admin.py
+++ b/vanillawell/transport/admin.py
@@ -32,8 +32,8 @@
 
 
 @dataclass(frozen=True, slots=True)
-class TeamStatus:
-    """One team as this entry sees it."""
+class OrganisationStatus:
+    """One organisation as this entry sees it."""
 
     limit: int
     units_held: int
@@ -70,7 +70,7 @@
     lingering: int
     unfinished: int
     store_calls: int
-    teams: dict[str, TeamStatus]
+    organisations: dict[str, OrganisationStatus]
     pools: dict[str, PoolStatus]
 
 
@@ -139,8 +139,8 @@
     def _burn_lines(self) -> list[dict[str, object]]:
         counts = self._burn.counts(clock.read())
         return [
-            {"service": service, "team": team, **asdict(item)}
-            for (service, team), item in counts.items()
+            {"service": service, "organisation": organisation, **asdict(item)}
+            for (service, organisation), item in counts.items()
         ]
 
     def _executor(self, name: str) -> dict[str, int]:
@@ -160,7 +160,7 @@
         now = clock.read()
         me = self._membership.me
         policy = self._configuration.policy
-        teams = policy.teams if policy else {}
+        organisations = policy.organisations if policy else {}
         return EntryStatus(
             instance=me.instance,
             incarnation=me.incarnation,
@@ -173,12 +173,15 @@
             lingering=self._dispatcher.charges.lingering,
             unfinished=self._dispatcher.unfinished,
             store_calls=self._store_calls(),
-            teams={name: self._team(name, team.limit, now) for name, team in teams.items()},
+            organisations={
+                name: self._organisation(name, organisation.limit, now)
+                for name, organisation in organisations.items()
+            },
             pools=self._pools(now),
         )
 
-    def _team(self, name: str, limit: int, now: float) -> TeamStatus:
-        return TeamStatus(
+    def _organisation(self, name: str, limit: int, now: float) -> OrganisationStatus:
+        return OrganisationStatus(
             limit=limit,
             units_held=self._limits.held(name),
             units_usable=self._limits.usable(name, now),
--- a/vanillawell/transport/caller.py
+++ b/vanillawell/transport/caller.py
@@ -29,7 +29,7 @@
     from vanillawell.coordination.configuration import ConfigurationFollower
     from vanillawell.coordination.dispatch import Dispatcher
     from vanillawell.state.burn import BurnBook
-    from vanillawell.state.policy import Policy, PoolPolicy, TeamPolicy
+    from vanillawell.state.policy import OrganisationPolicy, Policy, PoolPolicy
     from vanillawell.telemetry import Telemetry
     from vanillawell.transport.asgi import Receive, Scope, Send
 
@@ -49,7 +49,8 @@
 """Headers that end at this hop (RFC 9110 section 7.6.1)."""
 
 NOT_FORWARDED = HOP_BY_HOP | {b"authorization", b"content-length", b"host", b"expect"}
-"""Headers of a request that are not passed on; a team's key never reaches a backend server."""
+"""Headers of a request that are not passed on; an organisation's key never reaches a backend
+server."""
 
 LONGEST_STALL = 10.0
 """Seconds a caller may take no data of its answer before its connection is dropped."""
@@ -114,7 +115,7 @@
             return
         self._open += 1
         started = clock.read()
-        labels = {"service": "-", "team": "-"}
+        labels = {"service": "-", "organisation": "-"}
         try:
             outcome = await self._handle(scope, receive, send, labels)
         except RequestRefusedError as error:
@@ -129,10 +130,10 @@
         self._telemetry.requests.inc({**labels, "outcome": outcome.name})
         self._telemetry.latency.observe(labels, now - started)
         policy = self._configuration.policy
-        team = policy.teams.get(labels["team"]) if policy else None
-        if team and labels["service"] != "-" and outcome.status:
-            in_time = now - started <= team.objective_seconds
-            self._burn.note(labels["service"], team.name, outcome.status, in_time, now)
+        organisation = policy.organisations.get(labels["organisation"]) if policy else None
+        if organisation and labels["service"] != "-" and outcome.status:
+            in_time = now - started <= organisation.objective_seconds
+            self._burn.note(labels["service"], organisation.name, outcome.status, in_time, now)
 
     async def _handle(
         self, scope: Scope, receive: Receive, send: Send, labels: dict[str, str]
@@ -140,13 +141,13 @@
         head = read_head(scope)
         now = clock.read()
         policy = self._ready_policy()
-        team = self._authenticate(policy, head, now)
-        labels["team"] = team.name
+        organisation = self._authenticate(policy, head, now)
+        labels["organisation"] = organisation.name
         pool = policy.services.get(head.service)
         if pool is None:
             raise refused(Reason.NO_SUCH_SERVICE, f"no service is named {head.service!r}")
         labels["service"] = head.service
-        deadline = now + head.timeout(team.longest_timeout)
+        deadline = now + head.timeout(organisation.longest_timeout)
         try:
             with anyio.fail_after(deadline - now):
                 body = await read_body(receive, pool.body_bound)
@@ -154,7 +155,7 @@
             raise refused(Reason.BODY_LATE) from None
         except BodyTooLargeError:
             raise refused(Reason.TOO_LARGE, f"at most {pool.body_bound} bytes") from None
-        order = self._order(head, team, pool, body, deadline)
+        order = self._order(head, organisation, pool, body, deadline)
         key = head.headers.get(b"idempotency-key")
         if head.idempotent or key is None:
             return await self._run(order, receive, send, None)
@@ -167,34 +168,39 @@
             raise refused(Reason.STARTING, retry_after=STOPPING_RETRY_AFTER)
         return self._configuration.policy
 
-    def _authenticate(self, policy: Policy, head: Head, now: float) -> TeamPolicy:
-        """Find the team of the key, on a configuration that is fresh enough to trust.
+    def _authenticate(self, policy: Policy, head: Head, now: float) -> OrganisationPolicy:
+        """Find the organisation of the key, on a configuration that is fresh enough to trust.
 
         An entry that is cut off from the store and from all peers cannot hear that a key was
-        withdrawn. After the team's bound it refuses, rather than accept a withdrawn key.
+        withdrawn. After the organisation's bound it refuses, rather than accept a withdrawn key.
         """
         owner = policy.owner(head.bearer_key())
         if owner is None:
             raise refused(Reason.UNAUTHENTICATED)
-        team = policy.teams[owner.team]
-        if self._configuration.fresh_age(now) > team.key_freshness:
+        organisation = policy.organisations[owner.organisation]
+        if self._configuration.fresh_age(now) > organisation.key_freshness:
             raise refused(Reason.CONFIGURATION_STALE, retry_after=STOPPING_RETRY_AFTER)
-        return team
+        return organisation
 
     def _order(
-        self, head: Head, team: TeamPolicy, pool: PoolPolicy, body: bytes, deadline: float
+        self,
+        head: Head,
+        organisation: OrganisationPolicy,
+        pool: PoolPolicy,
+        body: bytes,
+        deadline: float,
     ) -> Order:
         request_id = next(self._ids)
         headers = [(name, value) for name, value in head.raw_headers if name not in NOT_FORWARDED]
         headers += [
             (b"host", pool.service.encode() if pool.service else b"-"),
             (b"content-length", str(len(body)).encode()),
-            (b"vanillawell-team", team.name.encode()),
+            (b"vanillawell-organisation", organisation.name.encode()),
             (b"vanillawell-request", request_id.encode()),
         ]
         return Order(
             request_id=request_id,
-            team=team.name,
+            organisation=organisation.name,
             pool=pool.name,
             urgent=head.urgent(),
             idempotent=head.idempotent,
@@ -208,7 +214,7 @@
             raise RequestRefusedError(refusal)
         forward = order.forward
         print_of_request = fingerprint(forward.method, forward.target, forward.body)
-        claimed = await self._claims.claim(order.team, key, print_of_request)
+        claimed = await self._claims.claim(order.organisation, key, print_of_request)
         match claimed:
             case Refusal():
                 raise RequestRefusedError(claimed)
@@ -315,7 +321,7 @@
     """Send a part of a large answer to a caller that keeps reading.
 
     A caller whose connection went silent stops taking data and closes nothing. Without a bound
-    its answer would hold an executor's slot and a unit of the team's limit for ever.
+    its answer would hold an executor's slot and a unit of the organisation's limit for ever.
     """
     try:
         with anyio.fail_after(LONGEST_STALL):
--- a/vanillawell/transport/request_head.py
+++ b/vanillawell/transport/request_head.py
@@ -50,7 +50,7 @@
         return self.method in IDEMPOTENT_METHODS
 
     def bearer_key(self) -> str:
-        """Return the team's key (RFC 6750); empty if there is none."""
+        """Return the organisation's key (RFC 6750); empty if there is none."""
         scheme, _, key = self.headers.get(b"authorization", b"").decode("latin-1").partition(" ")
         return key.strip() if scheme.lower() == "bearer" else ""
 
