Let an owner's writes follow one another

Cause: the turn and the upkeep of machines write in the name of one term. Ruled out: the format of the state, the time at which it is told, the configuration change at 26.2 s. Change: a lock around the write. Test: five writes at the same moment (failed first: values missing).

--- a/vanillawell/coordination/term.py
+++ b/vanillawell/coordination/term.py
@@ -63,7 +63,8 @@
         self._lease = lease
         self._ttl = LEASE
         self._renewed = renewed
-        self.began = renewed
+        self._writing = anyio.Lock()
+        """Two writes at once would carry the same number, and each take the other's for its own."""
 
     @property
     def token(self) -> int:
@@ -104,6 +105,10 @@
         Raises:
             TermLostError: Another entry has taken the shard over; nothing was written.
         """
+        async with self._writing:
+            return await self._write(puts, deletes)
+
+    async def _write(self, puts: Sequence[Put], deletes: Sequence[str]) -> float:
         last = self._document.to_bytes()
         document = replace(self._document, sequence=self._document.sequence + 1)
         data = document.to_bytes()
--- /dev/null
+++ b/vanillawell/tests/term_tests.py
@@ -0,0 +1,66 @@
+"""Prove that writes in the name of a term are never lost, and end with it."""
+
+from __future__ import annotations
+
+import anyio
+import pytest
+
+from vanillawell.coordination.term import Candidate, Term, TermLostError
+from vanillawell.platform.http import HttpClient
+from vanillawell.platform.store import PlatformStore
+from vanillawell.protocol.store import Put
+from vanillawell.protocol.work_documents import WorkKeys
+from vanillawell.standins.scheduler.store import StandInStore
+from vanillawell.tests.scheduler_cluster import listen
+
+KEYS = WorkKeys()
+
+
+async def _take(store: PlatformStore, name: str) -> Term:
+    candidate = Candidate(store, KEYS, "all", name)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(candidate.follow)
+        term = await candidate.win()
+        tasks.cancel_scope.cancel()
+    return term
+
+
+def test_writes_at_the_same_moment_are_all_stored() -> None:
+    """Two parts of the owner write at once. Each must find its own value in the store afterwards;
+    operators would otherwise miss the state of a wave that was said to be written."""
+
+    async def run() -> None:
+        async with anyio.create_task_group() as tasks:
+            stand_in = StandInStore()
+            store = PlatformStore(HttpClient(), listen(tasks, stand_in))
+            term = await _take(store, "entry-0")
+            async with anyio.create_task_group() as writers:
+                for number in range(5):
+                    writers.start_soon(term.write, [Put(f"value/{number}", b"x")])
+            assert all(f"value/{number}" in stand_in.items for number in range(5))
+            tasks.cancel_scope.cancel()
+
+    anyio.run(run)
+
+
+def test_a_former_owner_can_write_nothing() -> None:
+    """An owner is suspended until another one has taken over, and wakes up in the middle of a
+    write. Its write must change nothing."""
+
+    async def run() -> None:
+        async with anyio.create_task_group() as tasks:
+            stand_in = StandInStore()
+            tasks.start_soon(stand_in.tick)
+            store = PlatformStore(HttpClient(), listen(tasks, stand_in))
+            former = await _take(store, "entry-0")
+            await former.give_up()
+            present = await _take(store, "entry-1")
+            assert present.token > former.token
+            with pytest.raises(TermLostError):
+                await former.write([Put("value/0", b"x")])
+            assert "value/0" not in stand_in.items
+            await present.write([Put("value/1", b"x")])
+            assert "value/1" in stand_in.items
+            tasks.cancel_scope.cancel()
+
+    anyio.run(run)
