Forget an executor only while it has not come back

Ruled out: leases given up too early, late orders. Change: only the very entry is dropped; reports for an entry that is gone are left out.

--- a/vanillawell/coordination/executor_driver.py
+++ b/vanillawell/coordination/executor_driver.py
@@ -218,6 +218,8 @@
         saved = self._ends_to_confirm()
         lease_end = self._renew(sent)
         report = await self._calls.hold(self.target(), self._term.token, saved, lease_end, wait)
+        if not self._is_needed():
+            return
         now = clock.read()
         self._clock.note(report.clock, now)
         self._confirmed_end = max(self._confirmed_end, saved)
--- a/vanillawell/state/ledger.py
+++ b/vanillawell/state/ledger.py
@@ -102,8 +102,10 @@
         return ended
 
     def _forget_if_empty(self, executor: Executor) -> None:
-        if not executor.registered and not executor.runs:
-            self.executors.pop(executor.name, None)
+        """Drop an executor that has left and runs nothing, unless it has come back meanwhile."""
+        present = self.executors.get(executor.name) is executor
+        if present and not executor.registered and not executor.runs:
+            del self.executors[executor.name]
 
     def charge(self, executor: Executor, run: Run) -> None:
         """Charge a run to its executor and its organisation."""
