Let machines follow demand, out of the standby pool and back

Weighed: a forecast of the turns; a move takes 1.5 s and objectives leave about as much slack, so reacting at the first sign is enough and can't be wrong about the next peak. Change: pool sizing as plain decisions with hysteresis on the way back, and a runner for the orders.

--- /dev/null
+++ b/vanillawell/coordination/pool_runner.py
@@ -0,0 +1,197 @@
+"""Let machines follow demand: look at all pools, order moves, and give nothing away in use."""
+
+from __future__ import annotations
+
+import logging
+import time
+from collections import defaultdict
+from dataclasses import replace
+from typing import TYPE_CHECKING
+
+import anyio
+
+from vanillawell import clock
+from vanillawell.protocol.calls import NoAnswerError, NotSentError
+from vanillawell.protocol.machine_calls import MachineDuty, MachineState, UpkeepRefusedError
+from vanillawell.state.pool_sizing import (
+    MachineMove,
+    PoolDemand,
+    PoolSizer,
+    demanded_cores,
+    lasting_floor,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from vanillawell.config.node_settings import NodeSettings
+    from vanillawell.coordination.ports import Ports
+    from vanillawell.coordination.term import Term
+    from vanillawell.protocol.machine_calls import Machine
+    from vanillawell.state.executors import Executor
+    from vanillawell.state.shard import Shard
+    from vanillawell.state.work import StepProgress
+    from vanillawell.state.work_policy import WorkPolicy
+
+log = logging.getLogger(__name__)
+
+PAUSE = 0.1
+"""Seconds between two looks: a peak lasts about four seconds, so it must be seen at once."""
+
+LIST_PAUSE = 5.0
+"""Seconds between two readings of the list of machines, which are priced; the registry tells of
+machines that arrive."""
+
+ARRIVAL_BOUND = 4.0
+"""Seconds after which a moved machine that has not come is no longer counted on."""
+
+STANDBY_BOUND = 1.7
+"""Seconds after which a machine that was sent to the standby pool may be taken out again."""
+
+CORES_PER_UNIT = 1000
+"""Thousandths of a core in a core."""
+
+
+class PoolRunner:
+    """Own the moves of one term."""
+
+    def __init__(
+        self,
+        shard: Shard,
+        term: Term,
+        ports: Ports,
+        settings: NodeSettings,
+        wake: Callable[[], None],
+    ) -> None:
+        self._shard = shard
+        self._term = term
+        self._ports = ports
+        self._settings = settings
+        self._wake = wake
+        self._sizer = PoolSizer()
+        self._machines: dict[str, Machine] = {}
+        self._listed = float("-inf")
+        self._arriving: dict[str, tuple[str, float]] = {}
+        """Machines on their way: the pool, and when the move was ordered."""
+        self._duty = MachineDuty(settings.instance, term.token)
+
+    async def run(self) -> None:
+        """Order moves until cancelled; a new owner waits until a former one's turn is over."""
+        await anyio.sleep(self._settings.bounds.duty_lease_ms / 1000 if self._term.token > 1 else 0)
+        while True:
+            policy = self._shard.policy
+            standby = _standby(policy) if policy else None
+            if policy and standby and self._term.is_held(clock.read()):
+                try:
+                    await self._look(policy, standby)
+                except (NotSentError, NoAnswerError) as error:
+                    log.warning("moves wait", extra={"why": str(error)})
+            await anyio.sleep(PAUSE)
+
+    async def _look(self, policy: WorkPolicy, standby: str) -> None:
+        now = clock.read()
+        if now > self._listed + LIST_PAUSE:
+            machines = await self._ports.machines.list_machines()
+            self._machines = {item.name: item for item in machines}
+            self._listed = now
+        lives = self._lives()
+        self._note_arrivals(standby, lives, now)
+        pools = self._demands(policy, standby, lives)
+        spare = [
+            item.name
+            for item in self._machines.values()
+            if item.pool == standby
+            and item.state is MachineState.UP
+            and item.name not in lives
+            and item.name not in self._arriving
+        ]
+        idle = self._idle(lives, now)
+        for move in self._sizer.plan(pools, standby, spare, idle, now):
+            await self._move(move, lives.get(move.machine))
+
+    def _note_arrivals(self, standby: str, lives: dict[str, Executor], now: float) -> None:
+        """Count a machine where it is once it has come, or has not come in time."""
+        for name, (pool, since) in list(self._arriving.items()):
+            executor = lives.get(name)
+            bound = STANDBY_BOUND if pool == standby else ARRIVAL_BOUND
+            if executor is not None and executor.facts.service == pool:
+                del self._arriving[name]
+            elif now > since + bound:
+                del self._arriving[name]
+                if executor is not None:
+                    executor.cordoned = False
+
+    def _lives(self) -> dict[str, Executor]:
+        """Return the live executors by machine."""
+        executors = self._shard.ledger.executors.values()
+        return {item.facts.machine: item for item in executors if item.registered}
+
+    def _demands(
+        self, policy: WorkPolicy, standby: str, lives: dict[str, Executor]
+    ) -> list[PoolDemand]:
+        steps: defaultdict[str, list[StepProgress]] = defaultdict(list)
+        for step in self._shard.board.open_steps:
+            queue = self._shard.queue_of(step.record.job)
+            if queue is not None:
+                steps[queue.service].append(step)
+        members: defaultdict[str, list[Executor]] = defaultdict(list)
+        for executor in lives.values():
+            members[executor.facts.service].append(executor)
+        pools: list[PoolDemand] = []
+        for service in policy.services:
+            if service == standby:
+                continue
+            own = members[service]
+            usable = [item for item in own if not item.facts.draining]
+            arriving = sum(pool == service for pool, _ in self._arriving.values())
+            cores = max((item.facts.capacity.cpu / CORES_PER_UNIT for item in own), default=0.0)
+            wanted = demanded_cores(own, steps[service])
+            pools.append(
+                PoolDemand(
+                    service, len(usable) + arriving, cores, wanted, lasting_floor(steps[service])
+                )
+            )
+        return pools
+
+    def _idle(self, lives: dict[str, Executor], now: float) -> dict[str, list[str]]:
+        """Return by pool the machines that could leave it now."""
+        idle: defaultdict[str, list[str]] = defaultdict(list)
+        for name, executor in lives.items():
+            if not executor.runs and not executor.unsaved_ends and executor.takes_work(now):
+                idle[executor.facts.service].append(name)
+        return idle
+
+    async def _move(self, move: MachineMove, executor: Executor | None) -> None:
+        """Order one move; nothing may start on the machine once that is decided."""
+        if executor is not None:
+            if executor.runs or executor.cordoned:
+                return
+            executor.cordoned = True
+        fields = {"machine": move.machine, "pool": move.pool, "reason": move.reason}
+        self._arriving[move.machine] = (move.pool, clock.read())
+        try:
+            await self._ports.machines.move(move.machine, move.pool, self._duty)
+        except UpkeepRefusedError as error:
+            log.warning("move refused", extra={**fields, "why": error.reason.value})
+            self._arriving.pop(move.machine, None)
+            self._listed = float("-inf")
+            if executor is not None:
+                executor.cordoned = False
+            return
+        except (NotSentError, NoAnswerError) as error:
+            log.warning("move unanswered", extra={**fields, "why": str(error)})
+            self._listed = float("-inf")
+            return
+        log.info("machine moved", extra={**fields, "token": self._term.token})
+        known = self._machines.get(move.machine)
+        if known is not None:
+            self._machines[move.machine] = replace(known, pool=move.pool, executor=None)
+        if executor is not None:
+            facts = executor.facts
+            self._shard.dead(facts.executor, facts.incarnation, clock.read(), time.time())
+        self._wake()
+
+
+def _standby(policy: WorkPolicy) -> str | None:
+    """Return the service whose machines wait switched off, if there is one."""
+    return next((item.name for item in policy.services.values() if item.standby), None)
--- a/vanillawell/coordination/shard_owner.py
+++ b/vanillawell/coordination/shard_owner.py
@@ -17,6 +17,7 @@
     ExecutorDriver,
 )
 from vanillawell.coordination.follow import Backoff, PrefixFollower
+from vanillawell.coordination.pool_runner import PoolRunner
 from vanillawell.coordination.turn_batch import TurnBatch
 from vanillawell.coordination.upkeep_runner import UpkeepRunner
 from vanillawell.exceptions import StoreError
@@ -123,6 +124,8 @@
         tasks.start_soon(inbox.run)
         tasks.start_soon(registry.run)
         tasks.start_soon(upkeep.run)
+        pools = PoolRunner(self._shard, self._term, self._ports, self._settings, self.wake)
+        tasks.start_soon(pools.run)
         if self._ports.advice is not None:
             desk = AdviceDesk(self._shard, self._ports.advice, self.wake)
             tasks.start_soon(desk.run)
--- /dev/null
+++ b/vanillawell/state/pool_sizing.py
@@ -0,0 +1,146 @@
+"""Decide which machines change their pool, so that room follows demand.
+
+Each queue's demand peaks by turns: for some seconds it asks for more than its own machines hold,
+while the others need a twentieth. Machines in a standby pool cost nothing; one that is moved is at
+work after less than two seconds, and the objectives leave about as much slack. So no forecast is
+needed as long as a move is ordered with the first sign of a peak.
+"""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Mapping
+
+    from vanillawell.state.executors import Executor
+    from vanillawell.state.work import StepProgress
+
+FULL = 0.8
+"""Part of a pool's processors that demand may take before it gets another machine: tasks are of
+uneven size, so the last fifth is hard to fill."""
+
+IDLE_BEFORE_LEAVING = 3.0
+"""Seconds for which a pool must have had machines to spare before one leaves.
+
+A move costs about as much as one and a half seconds of a machine, each way; the gap between two
+peaks of one queue is some ten seconds."""
+
+SMALLEST_POOL = 2
+"""Machines that a pool keeps in any case, so that the loss of one does not stop its queues."""
+
+
+@dataclass(slots=True)
+class PoolDemand:
+    """What one pool has and needs."""
+
+    service: str
+    machines: int = 0
+    """Machines in the pool, those on their way included."""
+
+    cores: float = 0.0
+    """Cores of one of its machines."""
+
+    wanted_cores: float = 0.0
+    """Cores of what runs and of what could start now."""
+
+    floor: int = SMALLEST_POOL
+    """Machines that it keeps for tasks that last, however little else there is to do."""
+
+    @property
+    def wanted(self) -> int:
+        """Return the number of machines that the pool should have now."""
+        if not self.cores:
+            return self.machines
+        return max(self.floor, math.ceil(self.wanted_cores / (self.cores * FULL)))
+
+
+@dataclass(frozen=True, slots=True)
+class MachineMove:
+    """Give a machine to another pool."""
+
+    machine: str
+    pool: str
+    reason: str
+
+
+@dataclass(slots=True)
+class PoolSizer:
+    """Turn demand into moves, with hysteresis on the way back."""
+
+    _needed_until: dict[str, list[tuple[float, int]]] = field(default_factory=dict)
+
+    def lately_wanted(self, pool: PoolDemand, now: float) -> int:
+        """Return the most machines that a pool has needed lately."""
+        recent = [
+            (moment, wanted)
+            for moment, wanted in self._needed_until.get(pool.service, [])
+            if moment > now - IDLE_BEFORE_LEAVING
+        ]
+        recent.append((now, pool.wanted))
+        self._needed_until[pool.service] = recent
+        return max(wanted for _, wanted in recent)
+
+    def plan(
+        self,
+        pools: Iterable[PoolDemand],
+        standby: str,
+        spare: list[str],
+        idle: Mapping[str, list[str]],
+        now: float,
+    ) -> list[MachineMove]:
+        """Return the moves to order now.
+
+        `spare` are machines of the standby pool, `idle` those of each other pool on which nothing
+        runs. A pool in need takes from standby first, then what another one has to spare now; what
+        nobody has needed lately goes back to standby.
+        """
+        pools = list(pools)
+        lately = {pool.service: self.lately_wanted(pool, now) for pool in pools}
+        free = list(spare)
+        idle_left = {service: list(names) for service, names in idle.items()}
+        moves: list[MachineMove] = []
+        for pool in sorted(pools, key=lambda item: item.machines - item.wanted):
+            for _ in range(max(0, pool.wanted - pool.machines)):
+                name = free.pop() if free else self._take_idle(pools, pool, idle_left)
+                if name is None:
+                    break
+                moves.append(MachineMove(name, pool.service, "demand"))
+        for pool in pools:
+            surplus = pool.machines - lately[pool.service]
+            for name in idle_left.get(pool.service, [])[: max(0, surplus)]:
+                moves.append(MachineMove(name, standby, "no longer needed"))
+        return moves
+
+    @staticmethod
+    def _take_idle(
+        pools: list[PoolDemand], needy: PoolDemand, idle: dict[str, list[str]]
+    ) -> str | None:
+        for donor in pools:
+            names = idle.get(donor.service)
+            if donor is not needy and names and donor.machines > donor.wanted:
+                donor.machines -= 1
+                return names.pop()
+        return None
+
+
+def lasting_floor(steps: Iterable[StepProgress]) -> int:
+    """Return the machines that a pool needs so that all of its lasting tasks find places.
+
+    One more than the widest step needs: while a machine is away its task has to go somewhere.
+    """
+    widest = 0
+    for step in steps:
+        spec = step.spec
+        if spec.long_running:
+            widest = max(widest, math.ceil(spec.count / (spec.most_per_executor or spec.count)))
+    return max(SMALLEST_POOL, widest + 1) if widest else SMALLEST_POOL
+
+
+def demanded_cores(executors: Iterable[Executor], steps: Iterable[StepProgress]) -> float:
+    """Return the cores of what is charged and of the tasks that could start now."""
+    charged = sum(executor.used.cpu for executor in executors)
+    waiting = sum(len(step.waiting) * step.spec.reserved.cpu for step in steps)
+    return (charged + waiting) / 1000
