Let coordination know ports only, and no transport

Cause: 18 imports ran from coordination into transport, so nothing else could be plugged in. Change: the types that both sides share and the Protocols of links, peers, platform and admin calls stand in protocol/; entry.py puts them together. Tests hold the layers, the adapter's size (under a tenth) and its names apart. Also: a test of stamps in an outage failed once beside load: its answer says that the entry held no units yet when the store went away; it now waits for them, as its neighbour did.

--- a/vanillawell/commands/report.py
+++ b/vanillawell/commands/report.py
@@ -11,8 +11,8 @@
 from vanillawell.commands.rollout import ASK_TIMEOUT, list_entries
 from vanillawell.config.effective import effective_value
 from vanillawell.exceptions import SettingsError
+from vanillawell.protocol.calls import NoAnswerError, NotSentError
 from vanillawell.state.burn import WindowCounts, burn_rate
-from vanillawell.transport.http_client import NoAnswerError, NotSentError
 
 if TYPE_CHECKING:
     from pathlib import Path
--- a/vanillawell/commands/rollout.py
+++ b/vanillawell/commands/rollout.py
@@ -9,8 +9,8 @@
 import anyio
 
 from vanillawell.commands.printing import print_line
+from vanillawell.protocol.calls import NoAnswerError, NotSentError
 from vanillawell.protocol.documents import Presence
-from vanillawell.transport.http_client import NoAnswerError, NotSentError
 
 if TYPE_CHECKING:
     from vanillawell.protocol.documents import StoreKeys
--- a/vanillawell/coordination/admission_check.py
+++ b/vanillawell/coordination/admission_check.py
@@ -14,9 +14,9 @@
 
     from vanillawell.coordination.pool_runtime import PoolRuntime
     from vanillawell.coordination.tickets import LimitSource, Order, Ticket
+    from vanillawell.protocol.backend_calls import Answer
     from vanillawell.state.policy import OrganisationPolicy
     from vanillawell.state.queueing import Waiting
-    from vanillawell.transport.backend import Answer
 
 NO_BACKEND_RETRY_AFTER = 1.0
 """Seconds to stay away from a service whose backend servers cannot be reached."""
--- a/vanillawell/coordination/dispatch.py
+++ b/vanillawell/coordination/dispatch.py
@@ -13,6 +13,7 @@
 from vanillawell.coordination.link_watch import LinkWatch
 from vanillawell.coordination.pool_runtime import PoolRuntime
 from vanillawell.coordination.tickets import LimitSource, Order, Ticket, delivered_to, failure_of
+from vanillawell.protocol.backend_calls import Answer, Attempt, AttemptError
 from vanillawell.protocol.refusals import Reason, Refusal
 from vanillawell.protocol.verdict import Verdict
 from vanillawell.state.charges import ChargeBook
@@ -25,7 +26,6 @@
     decide,
 )
 from vanillawell.state.routing import LeastLoadedRouting, QuotaRouting, RoutingPolicy
-from vanillawell.transport.backend import Answer, Attempt, AttemptError
 
 if TYPE_CHECKING:
     import random
@@ -33,11 +33,10 @@
     from anyio.abc import TaskGroup
 
     from vanillawell.config.settings import ExperimentSettings
+    from vanillawell.protocol.backend_calls import BackendLink, LinkOpener
     from vanillawell.state.board import DemandBoard
     from vanillawell.state.policy import Policy
     from vanillawell.telemetry import Telemetry
-    from vanillawell.transport.backend import ExecutorLink
-    from vanillawell.transport.dialer import Dialer
 
 log = logging.getLogger(__name__)
 
@@ -63,7 +62,7 @@
         rng: random.Random,
         source: str,
         zone: str,
-        dialer: Dialer,
+        open_link: LinkOpener,
         longest: float,
         experiment: ExperimentSettings,
     ) -> None:
@@ -74,7 +73,7 @@
         self._admission = AdmissionCheck(limits, rng)
         self._source = source
         self._zone = zone
-        self._dialer = dialer
+        self._open_link = open_link
         self._longest = longest
         quota = experiment.routing == "quota"
         self._routing: RoutingPolicy = QuotaRouting() if quota else LeastLoadedRouting()
@@ -112,7 +111,7 @@
         }
         for name, pool in policy.pools.items():
             if name not in self._pools:
-                self._pools[name] = PoolRuntime(pool, self._zone, self._source, self._dialer)
+                self._pools[name] = PoolRuntime(pool, self._zone, self._source, self._open_link)
             self._pools[name].configure(pool, entries)
         gone = [name for name in self._pools if name not in policy.pools]
         for name in gone:
@@ -277,7 +276,7 @@
         return not expired and self._limits.usable(ticket.order.organisation, now) > 0
 
     async def _attempt(
-        self, pool: PoolRuntime, ticket: Ticket, link: ExecutorLink, attempt: Attempt
+        self, pool: PoolRuntime, ticket: Ticket, link: BackendLink, attempt: Attempt
     ) -> None:
         """Run one attempt and settle its charge by what is known at its end."""
         error: AttemptError | None = None
--- a/vanillawell/coordination/instance_list.py
+++ b/vanillawell/coordination/instance_list.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from vanillawell.transport.platform import InstanceList, PlatformClient
+    from vanillawell.protocol.platform_calls import InstanceList, PlatformCalls
 
 BYTES_PER_SECOND = 2000.0
 """What reading the list may cost; 4,000 instances make some 80 KB, read every 40 s then."""
@@ -19,7 +19,7 @@
     the bound beyond which no step is begun holds for both together.
     """
 
-    def __init__(self, platform: PlatformClient) -> None:
+    def __init__(self, platform: PlatformCalls) -> None:
         self._platform = platform
         self._copy: InstanceList | None = None
         self._read_at = 0.0
--- a/vanillawell/coordination/job_runner.py
+++ b/vanillawell/coordination/job_runner.py
@@ -29,9 +29,9 @@
 
     from vanillawell.coordination.membership import Membership
     from vanillawell.protocol.documents import StoreKeys
+    from vanillawell.protocol.platform_calls import PlatformCalls
     from vanillawell.protocol.store import Store
     from vanillawell.telemetry import Telemetry
-    from vanillawell.transport.platform import PlatformClient
 
 TASK_TTL = 15.0
 """Seconds that a task outlives its last renewal; longer than another entry takes to take over."""
@@ -44,7 +44,7 @@
         self,
         store: Store,
         keys: StoreKeys,
-        platform: PlatformClient,
+        platform: PlatformCalls,
         membership: Membership,
         pressure: Callable[[], float],
         telemetry: Telemetry,
--- a/vanillawell/coordination/link_watch.py
+++ b/vanillawell/coordination/link_watch.py
@@ -11,8 +11,8 @@
     from anyio.abc import TaskGroup
 
     from vanillawell.coordination.pool_runtime import PoolRuntime
+    from vanillawell.protocol.backend_calls import Attempt, BackendLink
     from vanillawell.telemetry import Telemetry
-    from vanillawell.transport.backend import Attempt, ExecutorLink
 
 
 class LinkWatch:
@@ -38,11 +38,11 @@
                 self._probing.add(name)
                 self._tasks.start_soon(self._probe, pool, link)
 
-    def _overdue(self, pool: PoolRuntime, link: ExecutorLink, now: float) -> bool:
+    def _overdue(self, pool: PoolRuntime, link: BackendLink, now: float) -> bool:
         bound = pool.service_time.overdue_after()
         return any(_is_overdue(item, bound, now) for item in link.attempts)
 
-    async def _probe(self, pool: PoolRuntime, link: ExecutorLink) -> None:
+    async def _probe(self, pool: PoolRuntime, link: BackendLink) -> None:
         """Tell silence from slowness, and move to new connections if those work.
 
         An overdue answer may be slow or its connection silent; nothing reports a silent one.
--- a/vanillawell/coordination/membership.py
+++ b/vanillawell/coordination/membership.py
@@ -19,17 +19,17 @@
 from vanillawell import clock
 from vanillawell.exceptions import StoreError
 from vanillawell.protocol.documents import Presence
+from vanillawell.protocol.platform_calls import PlatformUnavailableError
 from vanillawell.protocol.store import Put, Transaction
-from vanillawell.transport.platform import PlatformUnavailableError
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
     from vanillawell.config.settings import StoreSettings, TimingSettings
     from vanillawell.protocol.documents import StoreKeys
+    from vanillawell.protocol.platform_calls import PlatformCalls
     from vanillawell.protocol.store import Store
     from vanillawell.telemetry import Telemetry
-    from vanillawell.transport.platform import PlatformClient
 
 RETRY_PAUSE = 0.6
 """Seconds between two tries to reach a store that is down."""
@@ -119,7 +119,7 @@
         settings: StoreSettings,
         timing: TimingSettings,
         telemetry: Telemetry,
-        platform: PlatformClient | None = None,
+        platform: PlatformCalls | None = None,
     ) -> None:
         self._platform = platform
         self._store = store
@@ -259,7 +259,7 @@
                 pause = RETRY_PAUSE
             await anyio.sleep(pause)
 
-    async def _look_for_proof(self, platform: PlatformClient) -> None:
+    async def _look_for_proof(self, platform: PlatformCalls) -> None:
         """Ask the platform about missing holders, so that their units come back early.
 
         An instance that is replaced under another name never registers again, and its units
--- a/vanillawell/coordination/peers.py
+++ b/vanillawell/coordination/peers.py
@@ -28,7 +28,6 @@
     Versions,
 )
 from vanillawell.state.board import Row
-from vanillawell.transport.peer_stream import PeerStream, connect
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable, Mapping
@@ -39,6 +38,7 @@
     from vanillawell.coordination.follower import DocumentFollower
     from vanillawell.coordination.membership import Membership
     from vanillawell.protocol.documents import Presence
+    from vanillawell.protocol.peer_calls import PeerLink, PeerTransport
     from vanillawell.protocol.peer_messages import Message, NameTable
     from vanillawell.state.board import DemandBoard
     from vanillawell.telemetry import Telemetry
@@ -84,6 +84,7 @@
         board: DemandBoard,
         timing: TimingSettings,
         telemetry: Telemetry,
+        transport: PeerTransport,
         local_host: str,
         names: Callable[[], NameTable],
         own_rows: Callable[[float], Iterable[Row]],
@@ -96,6 +97,7 @@
         self._board = board
         self._timing = timing
         self._telemetry = telemetry
+        self._transport = transport
         self._local_host = local_host
         self._names = names
         self._own_rows = own_rows
@@ -151,8 +153,8 @@
                 try:
                     timeout = self._timing.peer_timeout
                     local = self._local_host
-                    raw = await connect(address.host, address.port, local, timeout)
-                    stream = PeerStream(raw, self._names, self._count)
+                    raw = await self._transport.dial(address.host, address.port, local, timeout)
+                    stream = self._transport.wrap(raw, self._names, self._count)
                     async with raw:
                         await self._beat_over(stream, address)
                 except BROKEN:
@@ -160,7 +162,7 @@
                     self._telemetry.state(name, "unreachable", logging.WARNING)
                 await anyio.sleep(RECONNECT_PAUSE)
 
-    async def _beat_over(self, stream: PeerStream, address: PeerAddress) -> None:
+    async def _beat_over(self, stream: PeerLink, address: PeerAddress) -> None:
         """Send heartbeats and await each answer; silence ends the connection.
 
         A connection that something in between has lost track of reports nothing. The missing
@@ -183,7 +185,7 @@
         within_budget = len(self._links) * self._last_size / BYTES_PER_SECOND
         return max(self._timing.beat_interval, within_budget)
 
-    async def _until_acknowledged(self, stream: PeerStream) -> None:
+    async def _until_acknowledged(self, stream: PeerLink) -> None:
         awaited = 1
         while awaited:
             message = await stream.receive()
@@ -196,7 +198,7 @@
 
     async def serve(self, raw: ByteStream) -> None:
         """Answer one peer that has dialled this entry."""
-        stream = PeerStream(raw, self._names, self._count)
+        stream = self._transport.wrap(raw, self._names, self._count)
         try:
             async with raw:
                 while True:
@@ -206,7 +208,7 @@
         except BROKEN:
             return
 
-    async def _answer(self, stream: PeerStream, message: Message) -> None:
+    async def _answer(self, stream: PeerLink, message: Message) -> None:
         if not isinstance(message, Beat):
             await self._handle_document(stream, message)
             return
@@ -219,7 +221,7 @@
         assignment = self._documents[DocumentKind.ASSIGNMENT]
         return Versions(self._configuration.version, assignment.version)
 
-    async def _compare(self, stream: PeerStream, theirs: Versions, fresh_age: float) -> int:
+    async def _compare(self, stream: PeerLink, theirs: Versions, fresh_age: float) -> int:
         """Ask for each document that the peer has newer; return how many."""
         newer = [
             (kind, mine.version)
@@ -231,7 +233,7 @@
         self._configuration.confirm(theirs.configuration, fresh_age, clock.read())
         return len(newer)
 
-    async def _handle_document(self, stream: PeerStream, message: Message) -> None:
+    async def _handle_document(self, stream: PeerLink, message: Message) -> None:
         if isinstance(message, DocumentRequest):
             mine = self._documents[message.kind]
             await stream.send(DocumentReply(message.kind, mine.version, mine.document))
--- a/vanillawell/coordination/planner.py
+++ b/vanillawell/coordination/planner.py
@@ -18,6 +18,7 @@
 from vanillawell import clock
 from vanillawell.coordination.instance_list import InstanceListCopy
 from vanillawell.coordination.role import NotHolderError, Role, act_while_held
+from vanillawell.protocol.calls import NoAnswerError, NotSentError
 from vanillawell.protocol.store import Compare, Put, Transaction
 from vanillawell.state.lending import Lending, LendingDesk
 from vanillawell.state.limits import Ledger
@@ -32,8 +33,6 @@
     Step,
     WaveState,
 )
-from vanillawell.transport.http_client import NoAnswerError, NotSentError
-from vanillawell.transport.platform import PlatformClient
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
@@ -44,11 +43,11 @@
     from vanillawell.coordination.configuration import ConfigurationFollower
     from vanillawell.coordination.membership import Membership
     from vanillawell.protocol.documents import Presence, StoreKeys
+    from vanillawell.protocol.peer_calls import AdminCalls
+    from vanillawell.protocol.platform_calls import InstanceList, PlatformCalls
     from vanillawell.protocol.store import Store
     from vanillawell.state.policy import Policy
     from vanillawell.telemetry import Telemetry
-    from vanillawell.transport.admin_client import AdminAccess
-    from vanillawell.transport.platform import InstanceList
 
 log = logging.getLogger(__name__)
 
@@ -78,12 +77,12 @@
         self,
         store: Store,
         keys: StoreKeys,
-        platform: PlatformClient,
+        platform: PlatformCalls,
         membership: Membership,
         configuration: ConfigurationFollower,
         assignment: AssignmentFollower,
         demand: Callable[[], Mapping[str, int]],
-        access: AdminAccess,
+        access: AdminCalls,
         timing: TimingSettings,
         telemetry: Telemetry,
     ) -> None:
--- a/vanillawell/coordination/pool_runtime.py
+++ b/vanillawell/coordination/pool_runtime.py
@@ -16,14 +16,13 @@
 from vanillawell.state.retries import RetryBudget
 from vanillawell.state.routing import Candidate, RoutingView, connection_bound, subset
 from vanillawell.state.silence import ServiceTime
-from vanillawell.transport.backend import ExecutorLink
 
 if TYPE_CHECKING:
     from collections.abc import Mapping, Set
 
+    from vanillawell.protocol.backend_calls import BackendLink, LinkOpener
     from vanillawell.state.board import DemandBoard
     from vanillawell.state.policy import PoolPolicy
-    from vanillawell.transport.dialer import Dialer
 
 EXCEED_INTERVAL = 0.05
 """Seconds between two attempts beyond an entry's own slots of a full pool."""
@@ -35,17 +34,17 @@
 class PoolRuntime:
     """Queue, executors and measurements of one pool in this entry."""
 
-    def __init__(self, policy: PoolPolicy, zone: str, source: str, dialer: Dialer) -> None:
+    def __init__(self, policy: PoolPolicy, zone: str, source: str, open_link: LinkOpener) -> None:
         self.policy = policy
         self.queue = FairQueue()
         self.health = PoolHealth(policy.eject_ratio, policy.eject_cap)
         self.budget = RetryBudget(policy.retry_ratio)
         self.service_time = ServiceTime()
-        self.links: dict[str, ExecutorLink] = {}
-        self.retired: list[ExecutorLink] = []
+        self.links: dict[str, BackendLink] = {}
+        self.retired: list[BackendLink] = []
         self.refreshed = 0.0
         self._zone = zone
-        self._dialer = dialer
+        self._open_link = open_link
         self._source = source
         self._uses: dict[str, SlotUse] = {}
         self._quotas: Mapping[str, int] = {}
@@ -83,7 +82,7 @@
         self.retired.extend(self.links.pop(name) for name in gone)
         for name, executor in wanted.items():
             if name not in self.links:
-                self.links[name] = ExecutorLink(executor, self._most_running, self._dialer)
+                self.links[name] = self._open_link(executor, self._most_running)
         self.health.keep(set(wanted))
 
     def running(self) -> int:
--- a/vanillawell/coordination/role.py
+++ b/vanillawell/coordination/role.py
@@ -9,8 +9,8 @@
 
 from vanillawell.coordination.membership import ENTRIES_PER_SECOND
 from vanillawell.exceptions import StoreError
+from vanillawell.protocol.platform_calls import PlatformUnavailableError
 from vanillawell.protocol.store import Compare, Put, Transaction
-from vanillawell.transport.platform import PlatformUnavailableError
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
--- a/vanillawell/coordination/tickets.py
+++ b/vanillawell/coordination/tickets.py
@@ -14,9 +14,9 @@
 
 if TYPE_CHECKING:
     from vanillawell.coordination.pool_runtime import PoolRuntime
+    from vanillawell.protocol.backend_calls import Answer, Attempt, AttemptError, Forward
     from vanillawell.protocol.refusals import Refusal
     from vanillawell.state.queueing import Waiting
-    from vanillawell.transport.backend import Answer, Attempt, AttemptError, Forward
 
 
 class LimitSource(Protocol):
--- a/vanillawell/entry.py
+++ b/vanillawell/entry.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import functools
 import logging
 import random
 import signal
@@ -31,8 +32,10 @@
 from vanillawell.telemetry import Telemetry
 from vanillawell.transport.admin import AdminApp
 from vanillawell.transport.asgi import bind, server
+from vanillawell.transport.backend import ExecutorLink
 from vanillawell.transport.caller import CallerApp
 from vanillawell.transport.dialer import Dialer
+from vanillawell.transport.peer_stream import TcpPeers
 from vanillawell.transport.platform import PlatformClient
 from vanillawell.transport.sockets import apply_silence_options
 from vanillawell.transport.store_etcd import EtcdStore
@@ -117,7 +120,7 @@
             rng,
             me.instance,
             me.zone,
-            Dialer(settings.caller.host, identity.backend),
+            functools.partial(ExecutorLink, dialer=Dialer(settings.caller.host, identity.backend)),
             timing.longest_request,
             settings.experiment,
         )
@@ -132,6 +135,7 @@
             self._board,
             timing,
             self._telemetry,
+            TcpPeers(),
             settings.peer.host,
             lambda: self._names,
             self._own_rows,
--- a/vanillawell/standins/measure/slopes.py
+++ b/vanillawell/standins/measure/slopes.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import functools
 import random
 import time
 import tracemalloc
@@ -32,6 +33,7 @@
     Wave,
     WaveState,
 )
+from vanillawell.transport.backend import ExecutorLink
 from vanillawell.transport.dialer import Dialer
 
 if TYPE_CHECKING:
@@ -202,7 +204,8 @@
             for number in range(min(count, 430))
         )
         board.receive("zone-2", 3, 1, rows, 0.0)
-        pool = PoolRuntime(policy.pools["pool-s1"], "zone-1", "entry-1-1", Dialer("127.0.0.1"))
+        opener = functools.partial(ExecutorLink, dialer=Dialer("127.0.0.1"))
+        pool = PoolRuntime(policy.pools["pool-s1"], "zone-1", "entry-1-1", opener)
         pool.configure(policy.pools["pool-s1"], ("entry-1-1",))
         return seconds_of(lambda: pool.refresh(board, shares, 0.0))
 
--- a/vanillawell/tests/fleet_base.py
+++ b/vanillawell/tests/fleet_base.py
@@ -122,3 +122,8 @@
     """Count how often each marked request was run by a backend server."""
     marks = sorted(run["mark"] for run in fleet.backend_runs())
     return {mark: len(list(group)) for mark, group in itertools.groupby(marks)}
+
+
+def units_held(entry: EntryHandle) -> int:
+    """Return the units of the guild's limit that an entry holds, as it says itself."""
+    return int(entry.status()["organisations"]["guild"]["units_held"])
--- a/vanillawell/tests/instance_list_tests.py
+++ b/vanillawell/tests/instance_list_tests.py
@@ -7,7 +7,7 @@
 import anyio
 
 from vanillawell.coordination.instance_list import InstanceListCopy
-from vanillawell.transport.platform import InstanceList
+from vanillawell.protocol.platform_calls import InstanceList
 
 
 class CountingPlatform:
--- /dev/null
+++ b/vanillawell/tests/layers_tests.py
@@ -0,0 +1,60 @@
+"""Hold the layers apart: which part of the package may know which."""
+
+from __future__ import annotations
+
+import re
+from pathlib import Path
+
+PACKAGE = Path(__file__).parent.parent
+
+WIRE_NAMES = (
+    "run-start run-stop lastSeen kv-txn kv-range kv-watch kv-keep kv-lease kv-key apiKeys "
+    "allowAnon rejectsOverload savesProgress lastCheckpoint machine-upkeep machine-move "
+    "storeRevision memMb estimateMs requiredLabel maxPerServer longRunning maxUnavailable "
+    "targetMs deadlineMs waitMs clockMs slackFactor targetLatencyMs hasMore pageToken "
+    "nextToken tombstone ttlMs healthPath coldRemainingMs startTimeMs intervalMs "
+    "X-Fence-Token X-Duty-Holder X-Expect-Instance X-Key decideMs eachMs validityMs "
+    "sameRack durationS holdMaxMs killGraceMs revokeMs status_s "
+)
+"""Names of the users' platform that mean nothing outside its adapter."""
+
+LARGEST_PART = 0.1
+"""Part of the package's lines that the adapter may have."""
+
+
+def _sources(*left_out: str) -> list[Path]:
+    return [
+        path for path in PACKAGE.rglob("*.py") if path.relative_to(PACKAGE).parts[0] not in left_out
+    ]
+
+
+def test_only_the_adapter_and_its_stand_ins_know_wire_names() -> None:
+    names = "|".join(WIRE_NAMES.split())
+    pattern = re.compile(rf"(?<![\w-])({names})(?![\w-])")
+    found = [
+        f"{path.relative_to(PACKAGE)}: {match[0]}"
+        for path in _sources("platform", "standins", "tests")
+        for match in [pattern.search(path.read_text())]
+        if match
+    ]
+    assert found == []
+
+
+def test_the_adapter_stays_small() -> None:
+    everything = sum(len(path.read_text().splitlines()) for path in _sources("tests"))
+    adapter = sum(
+        len(path.read_text().splitlines()) for path in (PACKAGE / "platform").glob("*.py")
+    )
+    assert adapter < LARGEST_PART * everything
+
+
+def test_decisions_and_coordination_know_no_transport() -> None:
+    layers = {"state": ("transport", "coordination", "platform"), "coordination": ("transport",)}
+    found = [
+        f"{path.name}: {line}"
+        for layer, forbidden in layers.items()
+        for path in (PACKAGE / layer).glob("*.py")
+        for line in path.read_text().splitlines()
+        if re.match(rf"\s*(from|import) vanillawell\.({'|'.join(forbidden)})\b", line)
+    ]
+    assert found == []
--- a/vanillawell/tests/limit_proof_tests.py
+++ b/vanillawell/tests/limit_proof_tests.py
@@ -17,6 +17,7 @@
     during_load,
     running_fleet,
     send_one,
+    units_held,
     wait_for_answers,
 )
 
@@ -46,10 +47,6 @@
     return Call(mark=f"m{number}", run_seconds=0.05 + number % 4 * 0.05, timeout=3.0)
 
 
-def units_held(entry: EntryHandle) -> int:
-    return int(entry.status()["organisations"]["guild"]["units_held"])
-
-
 def long_call(number: int) -> Call:
     """Return a request that runs nearly as long as the fleet allows."""
     return Call(mark=f"m{number}", run_seconds=1.6, timeout=6.0)
--- a/vanillawell/tests/outcome_proof_tests.py
+++ b/vanillawell/tests/outcome_proof_tests.py
@@ -21,6 +21,7 @@
     runs_by_mark,
     send_all,
     send_one,
+    units_held,
     wait_for_answers,
 )
 
@@ -247,6 +248,7 @@
     """The store is down, so nothing guards a stamp with a key against a second run."""
     with running_fleet(tmp_path, **TWO_ZONES) as fleet:
         entry = fleet.entries["entry-1-1"]
+        wait_until(lambda: units_held(entry) >= 1, "the entry holds units of the limit")
         fleet.store_faults(down=True)
         calls = [Call(method="POST", mark=f"m{n}", idempotency_key=new_key()) for n in range(5)]
         replies = send_all([(entry, call) for call in calls])
--- a/vanillawell/transport/backend.py
+++ b/vanillawell/transport/backend.py
@@ -8,19 +8,19 @@
 from __future__ import annotations
 
 from collections.abc import AsyncIterator
-from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 import anyio
 import httpcore
 
+from vanillawell.protocol.backend_calls import Answer, Attempt, AttemptError, Forward
 from vanillawell.state.retries import Failure
 from vanillawell.transport.http_client import SendWatcher, TooLateToSendError, timeouts
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from anyio.streams.memory import MemoryObjectReceiveStream, MemoryObjectSendStream
+    from anyio.streams.memory import MemoryObjectSendStream
 
     from vanillawell.state.policy import Executor
     from vanillawell.transport.dialer import Dialer
@@ -46,55 +46,6 @@
 VERDICT_HEADER = b"vanillawell-verdict"
 """Header by which a backend server proves that it refused a request without running it."""
 
-Headers = list[tuple[bytes, bytes]]
-
-
-@dataclass(frozen=True, slots=True)
-class Forward:
-    """One request as it goes to a backend server."""
-
-    method: str
-    target: bytes
-    headers: Headers
-    body: bytes
-
-
-@dataclass(slots=True)
-class Answer:
-    """One backend answer, whole in `body` or, if large, continued in `rest`."""
-
-    status: int
-    headers: Headers
-    body: bytes
-    rest: MemoryObjectReceiveStream[bytes] | None = None
-    """Further chunks; ends with an error instead of normally if the answer breaks off."""
-
-    broken: bool = False
-    """The rest broke off, so that the caller must not take the answer for whole."""
-
-    executor: str = ""
-
-
-class AttemptError(Exception):
-    """An attempt gave no usable answer."""
-
-    def __init__(self, failure: Failure, detail: str) -> None:
-        super().__init__(detail)
-        self.failure = failure
-
-
-@dataclass(slots=True, eq=False)
-class Attempt:
-    """One attempt under way, for the search for silent connections."""
-
-    started: float
-    may_send: Callable[[], bool]
-    """Asked right before the first byte."""
-
-    head_arrived: bool = False
-    looked_into: bool = False
-    """A probe has already been made on its account."""
-
 
 class ExecutorLink:
     """Own all connections of this entry to one executor."""
--- a/vanillawell/transport/caller.py
+++ b/vanillawell/transport/caller.py
@@ -12,6 +12,7 @@
 from vanillawell import clock
 from vanillawell.coordination.claims import HeldClaim, KeptAnswer
 from vanillawell.coordination.tickets import Order, Ticket
+from vanillawell.protocol.backend_calls import Answer, Forward
 from vanillawell.protocol.claim_documents import fingerprint
 from vanillawell.protocol.refusals import Reason, Refusal
 from vanillawell.protocol.verdict import Verdict
@@ -21,7 +22,6 @@
     read_body,
     send_bytes,
 )
-from vanillawell.transport.backend import Answer, Forward
 from vanillawell.transport.request_head import Head, RequestRefusedError, read_head, refused
 
 if TYPE_CHECKING:
--- a/vanillawell/transport/http_client.py
+++ b/vanillawell/transport/http_client.py
@@ -7,6 +7,7 @@
 import httpcore
 import orjson
 
+from vanillawell.protocol.calls import NoAnswerError, NotSentError, UnauthorizedError
 from vanillawell.transport.sockets import SILENCE_OPTIONS
 
 if TYPE_CHECKING:
@@ -21,18 +22,6 @@
 """Headers of a call, as httpcore takes them."""
 
 
-class NotSentError(Exception):
-    """The call had no effect: no byte of it was written."""
-
-
-class NoAnswerError(Exception):
-    """The call went out, at least in part, and no whole answer came back."""
-
-
-class UnauthorizedError(NotSentError):
-    """The other end refused who calls (401), so the call had no effect."""
-
-
 class TooLateToSendError(Exception):
     """The request may not be sent any more; nothing of it was."""
 
--- a/vanillawell/transport/peer_stream.py
+++ b/vanillawell/transport/peer_stream.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import struct
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 import anyio
@@ -61,3 +62,11 @@
     raw = stream.extra(anyio.abc.SocketAttribute.raw_socket)
     apply_silence_options(raw)
     return stream
+
+
+@dataclass(frozen=True, slots=True)
+class TcpPeers:
+    """Reach peers over TCP."""
+
+    dial = staticmethod(connect)
+    wrap = PeerStream
--- a/vanillawell/transport/platform.py
+++ b/vanillawell/transport/platform.py
@@ -6,11 +6,12 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 
+from vanillawell.protocol.calls import NoAnswerError, NotSentError
+from vanillawell.protocol.platform_calls import InstanceList, PlatformUnavailableError
 from vanillawell.state.jobs import TaskReport, TaskState, Worker
-from vanillawell.transport.http_client import JsonClient, NoAnswerError, NotSentError
+from vanillawell.transport.http_client import JsonClient
 
 if TYPE_CHECKING:
     from vanillawell.config.settings import Address
@@ -24,22 +25,6 @@
 """Quotes, colon and comma around a name and its state."""
 
 
-class PlatformUnavailableError(Exception):
-    """The platform gave no answer; a reboot that was asked for may have begun."""
-
-
-@dataclass(frozen=True, slots=True)
-class InstanceList:
-    """Which instances are live, as of a moment in the past."""
-
-    live: frozenset[str]
-    age: float
-    """Seconds by which the list lags."""
-
-    size: int
-    """Bytes of its entries, to tell what reading it costs."""
-
-
 class PlatformClient:
     """Talk to the platform."""
 
--- a/vanillawell/transport/store_etcd.py
+++ b/vanillawell/transport/store_etcd.py
@@ -19,15 +19,9 @@
     StoreOutcomeUnknownError,
     StoreUnavailableError,
 )
+from vanillawell.protocol.calls import NoAnswerError, NotSentError, UnauthorizedError
 from vanillawell.protocol.store import KeyValue, Listing, Transaction, TransactionResult
-from vanillawell.transport.http_client import (
-    Headers,
-    JsonClient,
-    NoAnswerError,
-    NotSentError,
-    UnauthorizedError,
-    timeouts,
-)
+from vanillawell.transport.http_client import Headers, JsonClient, timeouts
 from vanillawell.transport.tls import ClientTrust
 
 if TYPE_CHECKING:
