Call a wave complete only once each upkeep is confirmed, and doubt less long after a take-over

Change: decided and confirmed apart, unanswered orders repeated; another executor on a machine proves its former one over (no longer the answer to an order, which may repeat an earlier one); an owner renews for 3 s beyond its lease, so a successor doubts for 8.6 s.

--- a/vanillawell/coordination/executor_driver.py
+++ b/vanillawell/coordination/executor_driver.py
@@ -64,10 +64,21 @@
 ORDERS_AT_ONCE = 4
 """Orders under way to one executor; each occupies a connection."""
 
-HOLDING_AFTER_LAPSE = 8.0
+HOLDING_AFTER_LAPSE = 3.0
 """Seconds for which an owner that lost touch with the store still renews what runs.
 
-Nobody can take over while the store is away for all, and work should live through that."""
+Nobody can take over while the store is away for all, and work should live through that: with the
+leases on both sides it does for nine seconds. But a successor has to wait this much longer before
+it gives up what an unreachable executor runs."""
+
+
+def longest_doubt(longest_lease: float, kill_grace: float) -> float:
+    """Return the seconds after a take-over for which unreachable executors may still run tasks.
+
+    The former owner's last renewal, the lease it gave on a slow clock, and the kill.
+    """
+    lease = min(LEASE, longest_lease)
+    return HOLDING_AFTER_LAPSE + lease * (1 + CLOCK_DRIFT) + kill_grace + LEASE_MARGIN
 
 
 @dataclass(slots=True)
--- a/vanillawell/coordination/pool_runner.py
+++ b/vanillawell/coordination/pool_runner.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import logging
-import time
 from collections import defaultdict
 from dataclasses import replace
 from typing import TYPE_CHECKING
@@ -94,7 +93,7 @@
             machines = await self._ports.machines.list_machines()
             self._machines = {item.name: item for item in machines}
             self._listed = now
-        lives = self._lives()
+        lives = self._shard.ledger.by_machine()
         self._note_arrivals(standby, lives, now)
         pools = self._demands(policy, standby, lives)
         spare = [
@@ -121,11 +120,6 @@
                 if executor is not None:
                     executor.cordoned = False
 
-    def _lives(self) -> dict[str, Executor]:
-        """Return the live executors by machine."""
-        executors = self._shard.ledger.executors.values()
-        return {item.facts.machine: item for item in executors if item.registered}
-
     def _demands(
         self, policy: WorkPolicy, standby: str, lives: dict[str, Executor]
     ) -> list[PoolDemand]:
@@ -142,7 +136,11 @@
             if service == standby:
                 continue
             own = members[service]
-            usable = [item for item in own if not item.facts.draining]
+            usable = [
+                item
+                for item in own
+                if not item.facts.draining and item.facts.machine not in self._arriving
+            ]
             arriving = sum(pool == service for pool, _ in self._arriving.values())
             cores = max((item.facts.capacity.cpu / CORES_PER_UNIT for item in own), default=0.0)
             wanted = demanded_cores(own, steps[service])
@@ -186,9 +184,6 @@
         known = self._machines.get(move.machine)
         if known is not None:
             self._machines[move.machine] = replace(known, pool=move.pool, executor=None)
-        if executor is not None:
-            facts = executor.facts
-            self._shard.dead(facts.executor, facts.incarnation, clock.read(), time.time())
         self._wake()
 
 
--- a/vanillawell/coordination/shard_owner.py
+++ b/vanillawell/coordination/shard_owner.py
@@ -11,11 +11,7 @@
 
 from vanillawell import clock
 from vanillawell.coordination.advice_desk import AdviceDesk
-from vanillawell.coordination.executor_driver import (
-    CLOCK_DRIFT,
-    HOLDING_AFTER_LAPSE,
-    ExecutorDriver,
-)
+from vanillawell.coordination.executor_driver import ExecutorDriver, longest_doubt
 from vanillawell.coordination.follow import Backoff, PrefixFollower
 from vanillawell.coordination.pool_runner import PoolRunner
 from vanillawell.coordination.turn_batch import TurnBatch
@@ -145,8 +141,9 @@
 
     def _restore(self, orders: Listing, records: Listing) -> None:
         now = clock.read()
-        bound = self._bounds.lease_most_ms / 1000 * (1 + CLOCK_DRIFT) + HOLDING_AFTER_LAPSE
-        lease_over = now + bound + self._bounds.kill_grace_ms / 1000
+        lease_over = now + longest_doubt(
+            self._bounds.lease_most_ms / 1000, self._bounds.kill_grace_ms / 1000
+        )
         known = {item.key: item.value for item in records.items}
         recalled = 0
         for item in orders.items:
@@ -251,7 +248,7 @@
                     "draining": facts.draining,
                 },
             )
-        self._shard.register(facts, clock.read())
+        self._shard.register(facts, clock.read(), time.time())
 
     def _unregister(self, name: str) -> None:
         log.info("executor unregistered", extra={"executor": name})
--- a/vanillawell/coordination/upkeep_runner.py
+++ b/vanillawell/coordination/upkeep_runner.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import logging
-import time
 from typing import TYPE_CHECKING
 
 import anyio
@@ -51,6 +50,9 @@
 LIST_PAUSE = 1.0
 """Seconds between two readings of the list of machines during a wave; readings are priced."""
 
+REPEAT_PAUSE = 0.5
+"""Seconds before an order without an answer is repeated; if it was done, that changes nothing."""
+
 UNKNOWN_LIFE = "unknown"
 """Stands for the life of an executor on a machine where none was seen before its upkeep."""
 
@@ -116,20 +118,26 @@
             await self._save(progress)
             return progress
         document = orjson.loads(found.value)
-        progress.begun = set(document["begun"])
+        progress.decided = set(document["decided"])
+        progress.confirmed = set(document["confirmed"])
         progress.completed = document["completed"]
         self._listed = 0.0
         await self._list()
         progress.away = {
             name: UNKNOWN_LIFE
-            for name in progress.begun
-            if name in self._machines and self._machines[name].state is MachineState.UPKEEP
+            for name in progress.decided
+            if name in progress.doubtful
+            or (name in self._machines and self._machines[name].state is MachineState.UPKEEP)
         }
         return progress
 
     async def _save(self, progress: WaveProgress) -> None:
         number = progress.wave.number
-        document = {"begun": sorted(progress.begun), "completed": progress.completed}
+        document = {
+            "decided": sorted(progress.decided),
+            "confirmed": sorted(progress.confirmed),
+            "completed": progress.completed,
+        }
         state = self._ports.documents.write_wave_state(number, progress.completed)
         status_key = f"{self._settings.keys.wave_states}{number}"
         await self._term.write(
@@ -144,14 +152,9 @@
         self._machines = {item.name: item for item in machines}
         self._listed = now  # when the list was asked for: it may be older than its answer
 
-    def _executors(self) -> dict[str, Executor]:
-        """Return the live executors by machine."""
-        executors = self._shard.ledger.executors.values()
-        return {item.facts.machine: item for item in executors if item.registered}
-
     async def _advance(self, progress: WaveProgress) -> None:
         now = clock.read()
-        executors = self._executors()
+        executors = self._shard.ledger.by_machine()
         progress.returned({name: life_of(item) for name, item in executors.items()})
         self._note_returned_by_list(progress)
         for name in to_close(progress, executors):
@@ -167,6 +170,7 @@
             executor.cordoned = True
             await self._empty(progress, name, executor, since, now)
         await self._order_unregistered(progress, executors)
+        await self._settle_doubtful(progress, executors, now)
         await self._finish(progress)
 
     def _note_returned_by_list(self, progress: WaveProgress) -> None:
@@ -195,10 +199,14 @@
             await self._order(progress, name, executor)
 
     async def _order(self, progress: WaveProgress, name: str, executor: Executor | None) -> None:
-        if name not in progress.begun:
-            progress.begun.add(name)
-            await self._save(progress)
+        """Decide on the upkeep of a machine, store that, and order it."""
+        progress.decided.add(name)
         progress.away[name] = life_of(executor) if executor else UNKNOWN_LIFE
+        progress.closed.pop(name, None)
+        await self._save(progress)
+        await self._send(progress, name, executor)
+
+    async def _send(self, progress: WaveProgress, name: str, executor: Executor | None) -> None:
         progress.ordered[name] = clock.read()
         fields = {"wave": progress.wave.number, "machine": name, "token": self._term.token}
         try:
@@ -210,11 +218,8 @@
         except (NotSentError, NoAnswerError) as error:
             log.warning("upkeep unanswered", extra={**fields, "why": str(error)})
             return
-        progress.closed.pop(name, None)
+        progress.confirmed.add(name)
         log.info("upkeep begun", extra={**fields, "away": len(progress.away)})
-        if executor is not None:
-            facts = executor.facts
-            self._shard.dead(facts.executor, facts.incarnation, clock.read(), time.time())
         self._wake()
 
     def _refused(
@@ -224,13 +229,25 @@
         executor: Executor | None,
         reason: UpkeepRefusal,
     ) -> None:
-        """Let a machine go whose upkeep was refused; it is tried again later if that can help."""
+        """Let a machine go whose upkeep was refused; it is decided anew if that can help.
+
+        A machine that is not up may be away for this very order, sent by a former owner.
+        """
+        if reason in (UpkeepRefusal.NOT_OF_WAVE, UpkeepRefusal.NO_SUCH_MACHINE):
+            progress.confirmed.add(name)
+        else:
+            progress.decided.discard(name)
         progress.away.pop(name, None)
-        progress.closed.pop(name, None)
         if executor is not None:
             executor.cordoned = False
-        if reason is UpkeepRefusal.BUSY:
-            progress.begun.discard(name)
+
+    async def _settle_doubtful(
+        self, progress: WaveProgress, executors: dict[str, Executor], now: float
+    ) -> None:
+        """Repeat orders without an answer: a wave must not be called complete before they begin."""
+        for name in progress.doubtful:
+            if now > progress.ordered.get(name, 0.0) + REPEAT_PAUSE:
+                await self._send(progress, name, executors.get(name))
 
     async def _order_unregistered(
         self, progress: WaveProgress, executors: dict[str, Executor]
@@ -238,7 +255,7 @@
         """Order the upkeep of machines that are up and on which no executor lives."""
         for name in progress.wave.machines:
             machine = self._machines.get(name)
-            if name in progress.begun or name in executors or machine is None:
+            if name in progress.decided or name in executors or machine is None:
                 continue
             if machine.state is MachineState.UP and len(progress.away) < progress.wave.most_away:
                 await self._order(progress, name, None)
@@ -248,7 +265,7 @@
         left = [
             name
             for name in progress.wave.machines
-            if name not in progress.begun and name in self._machines
+            if name not in progress.confirmed and name in self._machines
         ]
         if left or progress.closed or progress.away:
             return
--- a/vanillawell/state/ledger.py
+++ b/vanillawell/state/ledger.py
@@ -64,12 +64,34 @@
             list(executor.runs.values()) for executor in self.executors.values()
         )
 
-    def register(self, facts: ExecutorFacts, now: float) -> None:
-        """Take in what an executor says of itself in the registry."""
+    def by_machine(self) -> dict[str, Executor]:
+        """Return the registered executors by their machine, the latest life of each."""
+        registered = (item for item in self.executors.values() if item.registered)
+        ordered = sorted(registered, key=lambda item: item.facts.incarnation)
+        return {item.facts.machine: item for item in ordered}
+
+    def register(self, facts: ExecutorFacts, now: float) -> list[Ended]:
+        """Take in what an executor says of itself in the registry.
+
+        A machine carries one executor at a time. So the runs of an earlier one on the same machine
+        are over; they are returned.
+        """
         known = self.executors.get(facts.executor)
-        if known is None:
-            self.executors[facts.executor] = Executor(facts)
-            return
+        if known is not None:
+            self._renew(known, facts, now)
+            return []
+        self.executors[facts.executor] = Executor(facts)
+        if not facts.machine:
+            return []
+        former = [
+            item
+            for item in self.executors.values()
+            if item.facts.machine == facts.machine and item.facts.incarnation < facts.incarnation
+        ]
+        return [ended for item in former for ended in self.dead(item.name, item.facts.incarnation)]
+
+    @staticmethod
+    def _renew(known: Executor, facts: ExecutorFacts, now: float) -> None:
         if facts.incarnation < known.facts.incarnation:
             return
         if facts.incarnation > known.facts.incarnation:
--- a/vanillawell/state/shard.py
+++ b/vanillawell/state/shard.py
@@ -153,9 +153,9 @@
         if run.phase is not RunPhase.PLANNED:
             self.outbox.stops.append(run)
 
-    def register(self, facts: ExecutorFacts, now: float) -> None:
+    def register(self, facts: ExecutorFacts, now: float, wall: float) -> None:
         """Take in a change in the registry of executors."""
-        self.ledger.register(facts, now)
+        self._settle(self.ledger.register(facts, now), now, wall)
 
     def dead(self, name: str, incarnation: int, now: float, wall: float) -> None:
         """Take in the proof that a life of an executor is over."""
--- a/vanillawell/state/upkeep.py
+++ b/vanillawell/state/upkeep.py
@@ -48,9 +48,12 @@
     seen: float
     """Clock of decisions when it was first seen."""
 
-    begun: set[str] = field(default_factory=set)
+    decided: set[str] = field(default_factory=set)
     """Machines whose upkeep was decided; stored before the order goes out."""
 
+    confirmed: set[str] = field(default_factory=set)
+    """Machines whose upkeep has begun for certain, or that will never have one."""
+
     away: dict[str, str] = field(default_factory=dict)
     """Machines that are away, each with the life of the executor that it had before."""
 
@@ -66,6 +69,11 @@
         """Tell whether so much time has passed that nothing is waited for any more."""
         return now > self.seen + HASTE * self.wave.duration
 
+    @property
+    def doubtful(self) -> set[str]:
+        """Return the machines whose order went out, or may have, and got no answer."""
+        return self.decided - self.confirmed
+
     def returned(self, lives: Mapping[str, str]) -> None:
         """Forget machines that are back; `lives` tells which life each machine has now."""
         for machine, before in list(self.away.items()):
@@ -110,7 +118,7 @@
     waiting = [
         name
         for name in wave.machines
-        if name not in progress.begun and name not in progress.closed and name in executors
+        if name not in progress.decided and name not in progress.closed and name in executors
     ]
     waiting.sort(key=lambda name: (len(executors[name].runs), executors[name].used.cpu, name))
     busy = {executors[name].facts.service for name in progress.closed if name in executors}
--- a/vanillawell/tests/scheduling_builders.py
+++ b/vanillawell/tests/scheduling_builders.py
@@ -81,7 +81,7 @@
 
     def register(self, item: ExecutorFacts) -> Executor:
         """Register an executor and let it report."""
-        self.shard.register(item, self.now)
+        self.shard.register(item, self.now, self.now)
         executor = self.shard.ledger.executors[item.executor]
         executor.contacted = True
         return executor
