See peaks as they begin, hand machines on directly, and answer in doubt at once

Cause: moves trickled in over three seconds of a four-second peak, since demand was read from what already ran or waited; machines went to standby just before the next queue's peak and were not to be had for 3.2 s; after a change of owner none was moved for 3 s. An entry cut off from the store kept callers for 3 s in doubt while others could serve them. Change: arriving work over 0.8 s counts as demand; idle machines of other pools go first, and stay 6 s; orders are announced in the store, so a new owner waits only for lately ordered machines; after two tries in doubt a caller hears 504; callers are sent elsewhere once the store is silent for 2.5 s.

--- a/vanillawell/coordination/pool_runner.py
+++ b/vanillawell/coordination/pool_runner.py
@@ -11,7 +11,7 @@
 
 from vanillawell import clock
 from vanillawell.protocol.calls import NoAnswerError, NotSentError
-from vanillawell.protocol.machine_calls import MachineDuty, MachineState, UpkeepRefusedError
+from vanillawell.protocol.machine_calls import MachineState, UpkeepRefusedError
 from vanillawell.state.pool_sizing import (
     MachineMove,
     PoolDemand,
@@ -23,7 +23,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from vanillawell.config.node_settings import NodeSettings
+    from vanillawell.coordination.machine_orders import MachineOrders
     from vanillawell.coordination.ports import Ports
     from vanillawell.coordination.term import Term
     from vanillawell.protocol.machine_calls import Machine
@@ -59,28 +59,26 @@
         shard: Shard,
         term: Term,
         ports: Ports,
-        settings: NodeSettings,
+        orders: MachineOrders,
         wake: Callable[[], None],
     ) -> None:
         self._shard = shard
         self._term = term
         self._ports = ports
-        self._settings = settings
+        self._orders = orders
         self._wake = wake
         self._sizer = PoolSizer()
         self._machines: dict[str, Machine] = {}
         self._listed = float("-inf")
         self._arriving: dict[str, tuple[str, float]] = {}
         """Machines on their way: the pool, and when the move was ordered."""
-        self._duty = MachineDuty(settings.instance, term.token)
 
     async def run(self) -> None:
-        """Order moves until cancelled; a new owner waits until a former one's turn is over."""
-        await anyio.sleep(self._settings.bounds.duty_lease_ms / 1000 if self._term.token > 1 else 0)
+        """Order moves until cancelled."""
         while True:
             policy = self._shard.policy
             standby = _standby(policy) if policy else None
-            if policy and standby and self._term.is_held(clock.read()):
+            if policy and standby and await self._orders.load():
                 try:
                     await self._look(policy, standby)
                 except (NotSentError, NoAnswerError) as error:
@@ -95,7 +93,7 @@
             self._listed = now
         lives = self._shard.ledger.by_machine()
         self._note_arrivals(standby, lives, now)
-        pools = self._demands(policy, standby, lives)
+        pools = self._demands(policy, standby, lives, now)
         spare = [
             item.name
             for item in self._machines.values()
@@ -103,11 +101,24 @@
             and item.state is MachineState.UP
             and item.name not in lives
             and item.name not in self._arriving
+            and self._orders.may_order(item.name, now)
         ]
         idle = self._idle(lives, now)
-        for move in self._sizer.plan(pools, standby, spare, idle, now):
+        moves = self._sizer.plan(pools, standby, spare, idle, now)
+        if not moves:
+            return
+        for move in moves:
+            self._close(move, lives.get(move.machine))
+        await self._orders.announce(move.machine for move in moves)
+        for move in moves:
             await self._move(move, lives.get(move.machine))
 
+    def _close(self, move: MachineMove, executor: Executor | None) -> None:
+        """Let nothing start on a machine from the moment its move is decided."""
+        self._arriving[move.machine] = (move.pool, clock.read())
+        if executor is not None:
+            executor.cordoned = True
+
     def _note_arrivals(self, standby: str, lives: dict[str, Executor], now: float) -> None:
         """Count a machine where it is once it has come, or has not come in time."""
         for name, (pool, since) in list(self._arriving.items()):
@@ -121,7 +132,7 @@
                     executor.cordoned = False
 
     def _demands(
-        self, policy: WorkPolicy, standby: str, lives: dict[str, Executor]
+        self, policy: WorkPolicy, standby: str, lives: dict[str, Executor], now: float
     ) -> list[PoolDemand]:
         steps: defaultdict[str, list[StepProgress]] = defaultdict(list)
         for step in self._shard.board.open_steps:
@@ -143,7 +154,9 @@
             ]
             arriving = sum(pool == service for pool, _ in self._arriving.values())
             cores = max((item.facts.capacity.cpu / CORES_PER_UNIT for item in own), default=0.0)
-            wanted = demanded_cores(own, steps[service])
+            wanted = max(
+                demanded_cores(own, steps[service]), self._shard.arrivals.cores(service, now)
+            )
             pools.append(
                 PoolDemand(
                     service, len(usable) + arriving, cores, wanted, lasting_floor(steps[service])
@@ -155,20 +168,16 @@
         """Return by pool the machines that could leave it now."""
         idle: defaultdict[str, list[str]] = defaultdict(list)
         for name, executor in lives.items():
-            if not executor.runs and not executor.unsaved_ends and executor.takes_work(now):
+            if executor.runs or executor.unsaved_ends or not executor.takes_work(now):
+                continue
+            if self._orders.may_order(name, now):
                 idle[executor.facts.service].append(name)
         return idle
 
     async def _move(self, move: MachineMove, executor: Executor | None) -> None:
-        """Order one move; nothing may start on the machine once that is decided."""
-        if executor is not None:
-            if executor.runs or executor.cordoned:
-                return
-            executor.cordoned = True
         fields = {"machine": move.machine, "pool": move.pool, "reason": move.reason}
-        self._arriving[move.machine] = (move.pool, clock.read())
         try:
-            await self._ports.machines.move(move.machine, move.pool, self._duty)
+            await self._ports.machines.move(move.machine, move.pool, self._orders.duty)
         except UpkeepRefusedError as error:
             log.warning("move refused", extra={**fields, "why": error.reason.value})
             self._arriving.pop(move.machine, None)
--- a/vanillawell/coordination/shard_owner.py
+++ b/vanillawell/coordination/shard_owner.py
@@ -13,6 +13,7 @@
 from vanillawell.coordination.advice_desk import AdviceDesk
 from vanillawell.coordination.executor_driver import ExecutorDriver, longest_doubt
 from vanillawell.coordination.follow import Backoff, PrefixFollower
+from vanillawell.coordination.machine_orders import MachineOrders
 from vanillawell.coordination.pool_runner import PoolRunner
 from vanillawell.coordination.turn_batch import TurnBatch
 from vanillawell.coordination.upkeep_runner import UpkeepRunner
@@ -108,6 +109,14 @@
         registry = PrefixFollower(
             store, keys.executors, FOLLOW_WAIT, self._take_registry_listing, self._take_registry
         )
+        orders = MachineOrders(
+            self._term,
+            self._ports,
+            self._keys,
+            self._name,
+            self._settings.instance,
+            self._bounds.duty_lease_ms / 1000,
+        )
         upkeep = UpkeepRunner(
             self._shard,
             self._term,
@@ -115,12 +124,13 @@
             self._keys,
             self._settings,
             self._policies,
+            orders,
             self.wake,
         )
         tasks.start_soon(inbox.run)
         tasks.start_soon(registry.run)
         tasks.start_soon(upkeep.run)
-        pools = PoolRunner(self._shard, self._term, self._ports, self._settings, self.wake)
+        pools = PoolRunner(self._shard, self._term, self._ports, orders, self.wake)
         tasks.start_soon(pools.run)
         if self._ports.advice is not None:
             desk = AdviceDesk(self._shard, self._ports.advice, self.wake)
--- a/vanillawell/coordination/upkeep_runner.py
+++ b/vanillawell/coordination/upkeep_runner.py
@@ -12,7 +12,6 @@
 from vanillawell.exceptions import StoreError
 from vanillawell.protocol.calls import NoAnswerError, NotSentError
 from vanillawell.protocol.machine_calls import (
-    MachineDuty,
     MachineState,
     UpkeepRefusal,
     UpkeepRefusedError,
@@ -31,6 +30,7 @@
     from collections.abc import Callable
 
     from vanillawell.config.node_settings import NodeSettings
+    from vanillawell.coordination.machine_orders import MachineOrders
     from vanillawell.coordination.policy_follower import PolicyFollower
     from vanillawell.coordination.ports import Ports
     from vanillawell.coordination.term import Term
@@ -68,6 +68,7 @@
         keys: WorkKeys,
         settings: NodeSettings,
         policies: PolicyFollower,
+        orders: MachineOrders,
         wake: Callable[[], None],
     ) -> None:
         self._shard = shard
@@ -76,22 +77,17 @@
         self._keys = keys
         self._settings = settings
         self._policies = policies
+        self._orders = orders
         self._wake = wake
         self._waves: dict[int, WaveProgress] = {}
         self._machines: dict[str, Machine] = {}
         self._listed = 0.0
-        self._duty = MachineDuty(settings.instance, term.token)
 
     async def run(self) -> None:
-        """Carry waves out until cancelled.
-
-        A new owner waits before its first order: a former one may have given an order just now,
-        and orders for one machine must not come from two holders in short turns.
-        """
-        await anyio.sleep(self._settings.bounds.duty_lease_ms / 1000 if self._term.token > 1 else 0)
+        """Carry waves out until cancelled."""
         while True:
             try:
-                busy = await self._look()
+                busy = await self._orders.load() and await self._look()
             except (StoreError, NotSentError, NoAnswerError) as error:
                 log.warning("upkeep waits", extra={"why": str(error)})
                 busy = False
@@ -195,6 +191,8 @@
         self._wake()
         if len(progress.away) >= progress.wave.most_away:
             return
+        if not self._orders.may_order(name, now):
+            return
         if is_empty_enough(executor, since, hurried, now):
             await self._order(progress, name, executor)
 
@@ -204,13 +202,14 @@
         progress.away[name] = life_of(executor) if executor else UNKNOWN_LIFE
         progress.closed.pop(name, None)
         await self._save(progress)
+        await self._orders.announce([name])
         await self._send(progress, name, executor)
 
     async def _send(self, progress: WaveProgress, name: str, executor: Executor | None) -> None:
         progress.ordered[name] = clock.read()
         fields = {"wave": progress.wave.number, "machine": name, "token": self._term.token}
         try:
-            await self._ports.machines.begin_upkeep(name, progress.wave.number, self._duty)
+            await self._ports.machines.begin_upkeep(name, progress.wave.number, self._orders.duty)
         except UpkeepRefusedError as error:
             log.warning("upkeep refused", extra={**fields, "reason": error.reason.value})
             self._refused(progress, name, executor, error.reason)
@@ -246,7 +245,8 @@
     ) -> None:
         """Repeat orders without an answer: a wave must not be called complete before they begin."""
         for name in progress.doubtful:
-            if now > progress.ordered.get(name, 0.0) + REPEAT_PAUSE:
+            due = now > progress.ordered.get(name, 0.0) + REPEAT_PAUSE
+            if due and self._orders.may_order(name, now):
                 await self._send(progress, name, executors.get(name))
 
     async def _order_unregistered(
@@ -257,6 +257,8 @@
             machine = self._machines.get(name)
             if name in progress.decided or name in executors or machine is None:
                 continue
+            if not self._orders.may_order(name, clock.read()):
+                continue
             if machine.state is MachineState.UP and len(progress.away) < progress.wave.most_away:
                 await self._order(progress, name, None)
 
--- a/vanillawell/coordination/work_desk.py
+++ b/vanillawell/coordination/work_desk.py
@@ -35,8 +35,17 @@
 LONGEST_CALL = 2.5
 """Seconds for which an entry tries to answer a caller that named no time itself."""
 
+TRIES_IN_DOUBT = 2
+"""Tries without a clear answer of the store after which a caller is told that nothing is known."""
+
+READY_BOUND = 3.5
+"""Age of the configuration, in seconds, from which on callers are sent elsewhere.
+
+While the store answers, the age stays below 2.7 s: two waiting calls and the time for which the
+store may be deaf."""
+
 ANSWER_MARGIN = 0.15
-"""Seconds of a caller's time that are kept for the way of the answer."""
+"""Seconds of a caller's time that are kept for the way of the answer, but a quarter at most."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -73,7 +82,8 @@
 
     def is_ready(self, now: float) -> bool:
         """Tell whether callers should be sent here."""
-        return self._is_fresh(now)
+        age = self._policies.age(now)
+        return age is not None and age < READY_BOUND
 
     def _is_fresh(self, now: float) -> bool:
         age = self._policies.age(now)
@@ -103,21 +113,23 @@
 
         A write without an answer may be carried out seconds later. So after one the job is either
         found to be stored, or the caller is told that nothing is known; never that it was refused.
+        It is told soon: its next try goes to another entry, which may well reach the store.
         """
         put = Put(self._keys.order(job.job_id), write_job(job))
         create = Transaction(compares=[Compare(put.key, 0)], puts=[put])
-        unknown = False
+        unknown = 0
         backoff = Backoff()
-        with anyio.move_on_after(max(0.0, time_left - ANSWER_MARGIN)):
-            while True:
+        with anyio.move_on_after(_budget(time_left)):
+            while unknown < TRIES_IN_DOUBT:
                 try:
                     result = await self._store.transact(create)
                 except StoreUnavailableError as error:
                     if not unknown:
                         log.warning("job refused", extra={"job": job.job_id, "why": str(error)})
                         return _refuse(Reason.STORE_DOWN, retry_after=STORE_RETRY_AFTER)
+                    unknown += 1
                 except StoreOutcomeUnknownError as error:
-                    unknown = True
+                    unknown += 1
                     log.warning("job not confirmed", extra={"job": job.job_id, "why": str(error)})
                 else:
                     self._log_submitted(job, result.succeeded)
@@ -147,7 +159,7 @@
         """Ask for a job to be cancelled; None once that is stored."""
         put = Put(self._keys.cancel(job_id), b"")
         backoff = Backoff()
-        with anyio.move_on_after(max(0.0, time_left - ANSWER_MARGIN)):
+        with anyio.move_on_after(_budget(time_left)):
             while True:
                 try:
                     if await self._store.get(self._keys.order(job_id)) is None:
@@ -174,3 +186,8 @@
 
 def _refuse(reason: Reason, retry_after: float | None = None) -> Refusal:
     return Refusal(reason, Verdict.NOT_RUN, retry_after=retry_after)
+
+
+def _budget(time_left: float) -> float:
+    """Return the seconds in which the store has to answer, of those that a caller waits."""
+    return max(0.75 * time_left, time_left - ANSWER_MARGIN)
--- a/vanillawell/protocol/work_documents.py
+++ b/vanillawell/protocol/work_documents.py
@@ -80,6 +80,10 @@
         """Return the key that says which machines of a wave have had their upkeep."""
         return f"{self.prefix}wave/{number}"
 
+    def orders(self, shard: str) -> str:
+        """Return the key that says which machines an owner has lately given orders for."""
+        return f"{self.prefix}orders/{shard}"
+
     def is_order(self, key: str) -> str:
         """Return the job id if the key is an order's, else an empty string."""
         head = f"{self.inbox}job/"
--- a/vanillawell/state/pool_sizing.py
+++ b/vanillawell/state/pool_sizing.py
@@ -9,24 +9,30 @@
 from __future__ import annotations
 
 import math
+from collections import deque
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Mapping
 
+    from vanillawell.state.durations import DurationBook
     from vanillawell.state.executors import Executor
-    from vanillawell.state.work import StepProgress
+    from vanillawell.state.work import Job, StepProgress
 
 FULL = 0.8
 """Part of a pool's processors that demand may take before it gets another machine: tasks are of
 uneven size, so the last fifth is hard to fill."""
 
-IDLE_BEFORE_LEAVING = 3.0
-"""Seconds for which a pool must have had machines to spare before one leaves.
+IDLE_BEFORE_LEAVING = 6.0
+"""Seconds for which a pool must have had machines to spare before one leaves for standby.
 
-A move costs about as much as one and a half seconds of a machine, each way; the gap between two
-peaks of one queue is some ten seconds."""
+The next queue's peak usually follows within this time and takes them over directly: that saves the
+detour, which costs about three seconds of a machine and as much time in the peak."""
+
+ARRIVAL_WINDOW = 0.8
+"""Seconds over which arriving work is averaged: about the length of a task, so that a peak is seen
+before its tasks have piled up, and a single large job does not look like one."""
 
 SMALLEST_POOL = 2
 """Machines that a pool keeps in any case, so that the loss of one does not stop its queues."""
@@ -66,6 +72,31 @@
     reason: str
 
 
+@dataclass(slots=True)
+class ArrivalMeter:
+    """Measure by service how much work arrives."""
+
+    _arrivals: dict[str, deque[tuple[float, float]]] = field(default_factory=dict)
+
+    def note(self, service: str, job: Job, durations: DurationBook, now: float) -> None:
+        """Take in an accepted job."""
+        work = sum(
+            step.count * step.reserved.cpu / 1000 * durations.expected(job.queue, step)
+            for step in job.steps
+            if not step.long_running
+        )
+        widest = max(step.count * step.reserved.cpu / 1000 for step in job.steps)
+        cores = min(work / ARRIVAL_WINDOW, widest)
+        self._arrivals.setdefault(service, deque()).append((now, cores))
+
+    def cores(self, service: str, now: float) -> float:
+        """Return the cores that would just keep up with what arrives lately."""
+        arrivals = self._arrivals.get(service, deque())
+        while arrivals and arrivals[0][0] < now - ARRIVAL_WINDOW:
+            arrivals.popleft()
+        return sum(cores for _, cores in arrivals)
+
+
 @dataclass(slots=True)
 class PoolSizer:
     """Turn demand into moves, with hysteresis on the way back."""
@@ -94,8 +125,8 @@
         """Return the moves to order now.
 
         `spare` are machines of the standby pool, `idle` those of each other pool on which nothing
-        runs. A pool in need takes from standby first, then what another one has to spare now; what
-        nobody has needed lately goes back to standby.
+        runs. A pool in need takes what another one has to spare now, then from standby; what nobody
+        has needed lately goes back there.
         """
         pools = list(pools)
         lately = {pool.service: self.lately_wanted(pool, now) for pool in pools}
@@ -104,7 +135,7 @@
         moves: list[MachineMove] = []
         for pool in sorted(pools, key=lambda item: item.machines - item.wanted):
             for _ in range(max(0, pool.wanted - pool.machines)):
-                name = free.pop() if free else self._take_idle(pools, pool, idle_left)
+                name = self._take_idle(pools, pool, idle_left) or (free.pop() if free else None)
                 if name is None:
                     break
                 moves.append(MachineMove(name, pool.service, "demand"))
--- a/vanillawell/state/shard.py
+++ b/vanillawell/state/shard.py
@@ -16,6 +16,7 @@
 from vanillawell.state.job_board import JobBoard
 from vanillawell.state.ledger import Ended, Ledger
 from vanillawell.state.placement import FullMemo, StepPlacer
+from vanillawell.state.pool_sizing import ArrivalMeter
 from vanillawell.state.work import (
     Ending,
     Job,
@@ -79,6 +80,7 @@
         self.ledger = Ledger()
         self.board = JobBoard(self._attempts, kept)
         self.durations = DurationBook()
+        self.arrivals = ArrivalMeter()
         self.outbox = Outbox()
         self.tickets: dict[tuple[str, int, int], Mapping[str, str]] = {}
         """Tickets by executor for steps of queues that need advice."""
@@ -110,6 +112,9 @@
         record = JobRecord(job, now)
         self._set_objective(record)
         self.board.add(record)
+        queue = self.queue_of(job)
+        if queue is not None:
+            self.arrivals.note(queue.service, job, self.durations, now)
         return record
 
     def _set_objective(self, record: JobRecord) -> None:
