Read the inbox itself while the store is deaf, and keep machines at the start of a term

A new owner, and every one at the start, sent all machines that it saw idle to standby at once. Change: the accepting entry also writes the job into the inbox, which its owner empties with the record that replaces it; after 0.25 s without news the owner reads what is there. Weighed: a hint over a link between entries, a second path with faults of its own. The first look counts all machines as needed.

--- a/vanillawell/coordination/machine_orders.py
+++ b/vanillawell/coordination/machine_orders.py
@@ -36,7 +36,7 @@
     ) -> None:
         self._term = term
         self._store = ports.store
-        self._key = keys.orders(shard)
+        self._key = keys.machine_orders(shard)
         self._pause = pause
         self._began = clock.read()
         self._former: frozenset[str] | None = None
--- a/vanillawell/coordination/shard_owner.py
+++ b/vanillawell/coordination/shard_owner.py
@@ -40,6 +40,9 @@
 FOLLOW_WAIT = 2.0
 """Seconds one call waits for new jobs or changes of executors."""
 
+INBOX_SILENCE = 0.25
+"""Seconds without news of the inbox after which it is read; some four reads a second in a lull."""
+
 QUIET_TURN = 0.25
 """Seconds after which the owner looks again without any news: for leases and due times."""
 
@@ -70,6 +73,7 @@
         self._news = anyio.Event()
         self._stopping = False
         self._published: dict[str, int] | None = None
+        self._inbox_heard = 0.0
         self.loaded = False
         """Whether all jobs of former terms have been read."""
 
@@ -128,6 +132,7 @@
             self.wake,
         )
         tasks.start_soon(inbox.run)
+        tasks.start_soon(self._look_into_inbox)
         tasks.start_soon(registry.run)
         tasks.start_soon(upkeep.run)
         pools = PoolRunner(self._shard, self._term, self._ports, orders, self.wake)
@@ -141,7 +146,7 @@
         backoff = Backoff()
         while True:
             try:
-                orders = await self._ports.store.list(self._keys.inbox)
+                orders = await self._ports.store.list(self._keys.orders_of_callers)
                 records = await self._ports.store.list(self._keys.records)
                 break
             except StoreError as error:
@@ -157,21 +162,17 @@
         known = {item.key: item.value for item in records.items}
         recalled = 0
         for item in orders.items:
-            job_id = self._keys.is_order(item.key)
-            if not job_id:
-                continue
+            job_id = item.key.removeprefix(self._keys.orders_of_callers)
+            data = known.get(self._keys.record(job_id))
+            if data is None:
+                continue  # it is still in the inbox, which is read next
             try:
-                job = read_job(item.value)
-                record, runs = read_record(job, known.get(self._keys.record(job_id)), now)
+                record, runs = read_record(read_job(item.value), data, now)
             except ValueError as error:
                 log.error("unreadable job", extra={"job": job_id, "reason": str(error)})
                 continue
             recalled += len(runs)
             self._shard.restore(record, runs, lease_over)
-        for item in orders.items:
-            cancelled = self._keys.is_cancel(item.key)
-            if cancelled:
-                self._cancel(cancelled)
         jobs = len(self._shard.board.jobs)
         fields = {"shard": self._name, "token": self._term.token}
         log.info("shard loaded", extra={**fields, "jobs": jobs, "runs": recalled})
@@ -182,11 +183,33 @@
         self.wake()
 
     def _take_inbox_listing(self, listing: Listing) -> None:
-        for item in listing.items:
+        """Take in all that is in the inbox, jobs before the wish to cancel one of them."""
+        jobs_first = sorted(listing.items, key=lambda item: bool(self._keys.is_cancel(item.key)))
+        for item in jobs_first:
             self._take_order(item.key, item.value)
         self.wake()
 
+    async def _look_into_inbox(self) -> None:
+        """Read the inbox itself while nothing is heard of it.
+
+        The store may keep changes from those who wait for them for a second, in the middle of a
+        peak; jobs would wait that long for their first start. The inbox holds only what was not
+        taken in yet, so reading it is cheap.
+        """
+        while True:
+            await anyio.sleep(INBOX_SILENCE)
+            if clock.read() - self._inbox_heard < INBOX_SILENCE:
+                continue
+            try:
+                listing = await self._ports.store.list(self._keys.inbox)
+            except StoreError as error:
+                log.debug("inbox not read", extra={"why": str(error)})
+                continue
+            if listing.items:
+                self._take_inbox_listing(listing)
+
     def _take_inbox(self, changes: Changes) -> None:
+        self._inbox_heard = clock.read()
         for change in changes.changes:
             if change.value is not None:
                 self._take_order(change.key, change.value)
@@ -195,10 +218,15 @@
     def _take_order(self, key: str, value: bytes) -> None:
         cancelled = self._keys.is_cancel(key)
         if cancelled:
-            self._cancel(cancelled)
+            if cancelled in self._shard.board.jobs:
+                self._cancel(cancelled)
+                self._note_taken(cancelled, key)
             return
-        job_id = self._keys.is_order(key)
-        if not job_id or job_id in self._shard.board.jobs:
+        job_id = self._keys.is_new_job(key)
+        if not job_id:
+            return
+        self._note_taken(job_id, key)
+        if job_id in self._shard.board.jobs:
             return
         try:
             job = read_job(value)
@@ -219,6 +247,10 @@
                 },
             )
 
+    def _note_taken(self, job_id: str, key: str) -> None:
+        """Let a key of the inbox go together with the record that replaces it."""
+        self._shard.outbox.taken.setdefault(job_id, set()).add(key)
+
     def _cancel(self, job_id: str) -> None:
         if self._shard.cancel(job_id, time.time()):
             log.info("job cancelled", extra={"job": job_id})
--- a/vanillawell/coordination/turn_batch.py
+++ b/vanillawell/coordination/turn_batch.py
@@ -19,8 +19,8 @@
 LARGEST_TRANSACTION = 32
 """Entries of all kinds that the store takes in one transaction, as published."""
 
-RECORDS_AT_ONCE = LARGEST_TRANSACTION - 3
-"""Records in one transaction, beside the term's comparison and write and the published counts."""
+ENTRIES_AT_ONCE = LARGEST_TRANSACTION - 3
+"""Entries in one transaction, beside the term's comparison and write and the published counts."""
 
 
 @dataclass(slots=True)
@@ -40,6 +40,9 @@
     records: dict[str, bytes]
     """Record by job id."""
 
+    taken: dict[str, set[str]]
+    """Keys of the inbox by the job that they concern: what the record now holds."""
+
     deletes: list[str]
     planned: list[Run]
     ends: list[SavedEnd]
@@ -57,9 +60,13 @@
             job_id = record.job.job_id
             shard.board.forget(job_id)
             changed.pop(job_id, None)
-            deletes.extend((keys.order(job_id), keys.cancel(job_id), keys.record(job_id)))
+            deletes.extend((keys.order(job_id), keys.record(job_id)))
+        taken, outbox.taken = outbox.taken, {}
+        deletes.extend(
+            key for job_id, found in taken.items() if job_id not in changed for key in found
+        )
         records = {job_id: write_record(record) for job_id, record in changed.items()}
-        return cls(records, deletes, planned, ends, keys)
+        return cls(records, taken, deletes, planned, ends, keys)
 
     @property
     def is_empty(self) -> bool:
@@ -72,8 +79,8 @@
         Ends become confirmable with the last one: which job an end belongs to does not matter
         then, and all of them are stored.
         """
-        parts = [self._records_part(chunk) for chunk in _chunks(self.records, RECORDS_AT_ONCE)]
-        parts.extend(TurnPart(deletes=chunk) for chunk in _chunks(self.deletes, RECORDS_AT_ONCE))
+        parts = [self._records_part(chunk) for chunk in self._record_chunks()]
+        parts.extend(TurnPart(deletes=chunk) for chunk in _chunks(self.deletes, ENTRIES_AT_ONCE))
         if not parts:
             parts.append(TurnPart())
         if extra is not None:
@@ -81,11 +88,26 @@
         parts[-1].ends = self.ends
         yield from parts
 
+    def _record_chunks(self) -> Iterator[list[str]]:
+        """Yield job ids, as many at once as one transaction holds with what goes with them."""
+        chunk: list[str] = []
+        size = 0
+        for job_id in self.records:
+            entries = 1 + len(self.taken.get(job_id, ()))
+            if size + entries > ENTRIES_AT_ONCE:
+                yield chunk
+                chunk, size = [], 0
+            chunk.append(job_id)
+            size += entries
+        if chunk:
+            yield chunk
+
     def _records_part(self, job_ids: list[str]) -> TurnPart:
+        deletes = [key for job_id in job_ids for key in self.taken.get(job_id, ())]
         puts = [Put(self.keys.record(job_id), self.records[job_id]) for job_id in job_ids]
         chosen = set(job_ids)
         planned = [run for run in self.planned if run.task.task_id.job_id in chosen]
-        return TurnPart(puts=puts, planned=planned)
+        return TurnPart(puts=puts, deletes=deletes, planned=planned)
 
 
 def _chunks(items: Iterable[str], size: int) -> Iterator[list[str]]:
--- a/vanillawell/coordination/work_desk.py
+++ b/vanillawell/coordination/work_desk.py
@@ -115,8 +115,10 @@
         found to be stored, or the caller is told that nothing is known; never that it was refused.
         It is told soon: its next try goes to another entry, which may well reach the store.
         """
-        put = Put(self._keys.order(job.job_id), write_job(job))
-        create = Transaction(compares=[Compare(put.key, 0)], puts=[put])
+        data = write_job(job)
+        order = Put(self._keys.order(job.job_id), data)
+        news = Put(self._keys.new_job(job.job_id), data)
+        create = Transaction(compares=[Compare(order.key, 0)], puts=[order, news])
         unknown = 0
         backoff = Backoff()
         with anyio.move_on_after(_budget(time_left)):
--- a/vanillawell/protocol/work_documents.py
+++ b/vanillawell/protocol/work_documents.py
@@ -39,17 +39,26 @@
 
     @property
     def inbox(self) -> str:
-        """Return the prefix of everything that callers ask for."""
+        """Return the prefix of everything that callers ask for and the owner has not taken in."""
         return f"{self.prefix}inbox/"
 
-    def order(self, job_id: str) -> str:
-        """Return the key of a job as handed in."""
+    def new_job(self, job_id: str) -> str:
+        """Return the key that tells the owner of a job; it is gone once the job has a record."""
         return f"{self.inbox}job/{job_id}"
 
     def cancel(self, job_id: str) -> str:
-        """Return the key that asks for a job to be cancelled."""
+        """Return the key that asks for a job to be cancelled; gone once that is recorded."""
         return f"{self.inbox}cancel/{job_id}"
 
+    @property
+    def orders_of_callers(self) -> str:
+        """Return the prefix of all jobs as handed in."""
+        return f"{self.prefix}order/"
+
+    def order(self, job_id: str) -> str:
+        """Return the key of a job as handed in."""
+        return self.orders_of_callers + job_id
+
     @property
     def records(self) -> str:
         """Return the prefix of all records."""
@@ -80,12 +89,12 @@
         """Return the key that says which machines of a wave have had their upkeep."""
         return f"{self.prefix}wave/{number}"
 
-    def orders(self, shard: str) -> str:
+    def machine_orders(self, shard: str) -> str:
         """Return the key that says which machines an owner has lately given orders for."""
-        return f"{self.prefix}orders/{shard}"
+        return f"{self.prefix}machines/{shard}"
 
-    def is_order(self, key: str) -> str:
-        """Return the job id if the key is an order's, else an empty string."""
+    def is_new_job(self, key: str) -> str:
+        """Return the job id if the key tells of a new job, else an empty string."""
         head = f"{self.inbox}job/"
         return key[len(head) :] if key.startswith(head) else ""
 
--- a/vanillawell/standins/scheduler/store.py
+++ b/vanillawell/standins/scheduler/store.py
@@ -49,6 +49,9 @@
     refuse: bool = False
     """Every call is answered 503 and has no effect."""
 
+    deaf: bool = False
+    """Waiting calls hear of no change."""
+
     lose_answers: int = 0
     """So many of the next writes take effect and get no answer."""
 
@@ -117,7 +120,7 @@
                     for event in self._history
                     if event["revision"] > after and event["key"].startswith(prefix)
                 ]
-                if events:
+                if events and not self.faults.deaf:
                     return 200, {"events": events, "storeRevision": self._revision}
                 await self._changed.wait()
         return 200, {"events": [], "storeRevision": self._revision}
--- a/vanillawell/state/pool_sizing.py
+++ b/vanillawell/state/pool_sizing.py
@@ -104,11 +104,10 @@
     _needed_until: dict[str, list[tuple[float, int]]] = field(default_factory=dict)
 
     def lately_wanted(self, pool: PoolDemand, now: float) -> int:
-        """Return the most machines that a pool has needed lately."""
+        """Return the most machines that a pool has needed lately; at first, all that it has."""
+        before = self._needed_until.get(pool.service, [(now, pool.machines)])
         recent = [
-            (moment, wanted)
-            for moment, wanted in self._needed_until.get(pool.service, [])
-            if moment > now - IDLE_BEFORE_LEAVING
+            (moment, wanted) for moment, wanted in before if moment > now - IDLE_BEFORE_LEAVING
         ]
         recent.append((now, pool.wanted))
         self._needed_until[pool.service] = recent
--- a/vanillawell/state/shard.py
+++ b/vanillawell/state/shard.py
@@ -71,6 +71,8 @@
     ends: list[SavedEnd] = field(default_factory=list)
     stops: list[Run] = field(default_factory=list)
     stray_stops: list[StrayStop] = field(default_factory=list)
+    taken: dict[str, set[str]] = field(default_factory=dict)
+    """What callers asked for and is taken in now: keys by the job that they concern."""
 
 
 class Shard:
@@ -112,6 +114,7 @@
         record = JobRecord(job, now)
         self._set_objective(record)
         self.board.add(record)
+        self.board.changed[job.job_id] = record
         queue = self.queue_of(job)
         if queue is not None:
             self.arrivals.note(queue.service, job, self.durations, now)
--- a/vanillawell/tests/pool_sizing_tests.py
+++ b/vanillawell/tests/pool_sizing_tests.py
@@ -45,6 +45,13 @@
     assert {move.pool for move in left} == {"standby"}
 
 
+def test_a_new_owner_sends_no_machine_away_before_it_knows_the_demand() -> None:
+    """After a change of owner nothing is known of the last seconds; machines that a peak has just
+    brought must not leave in the middle of it."""
+    calm = _demand("a", 10.0, machines=10)
+    assert PoolSizer().plan([calm], "standby", [], {"a": ["k", "l"]}, 0.0) == []
+
+
 def test_nothing_that_runs_is_moved() -> None:
     assert PoolSizer().plan([_demand("a", 1.0, machines=10)], "standby", [], {}, 9.0) == []
 
--- a/vanillawell/tests/scheduler_failure_tests.py
+++ b/vanillawell/tests/scheduler_failure_tests.py
@@ -76,7 +76,7 @@
     """The store takes a job in and its answer is lost. The caller must not hear that the job was
     refused: it would hand the work in elsewhere while it runs here."""
     member, job_id = built.members[0], built.new_id()
-    built.store.faults.only = lambda body: "aW5ib3gv" in body or "inbox/job" in body
+    built.store.faults.only = lambda body: "inbox/job" in body
     built.store.faults.lose_answers = 1
     reply = await member.call("POST", PREFIX + job_id, job(), wait_ms=4000)
     assert reply.status == 200
@@ -215,6 +215,22 @@
         await until_state(member, job_id, "completed")
 
 
+@with_cluster()
+async def test_a_store_that_is_deaf_for_a_while_delays_no_job(built: Cluster) -> None:
+    """The store tells of no change for some seconds. Jobs start all the same, well before it
+    tells again, and a job that is cancelled meanwhile is stopped."""
+    member, first, second = built.members[0], built.new_id(), built.new_id()
+    built.store.faults.deaf = True
+    await anyio.sleep(0.3)
+    await member.call("POST", PREFIX + first, job())
+    await until(lambda: bool(built.audit.started), 1.0)
+    await member.call("POST", PREFIX + second, job(spec={"seconds": 30}))
+    await member.call("DELETE", PREFIX + second)
+    await until_state(member, second, "cancelled")
+    await until(lambda: running(built) == 0)
+    built.store.faults.deaf = False
+
+
 @with_cluster(members=2)
 async def test_everything_restarts_with_all_accepted_jobs(built: Cluster) -> None:
     """All entries lose power right after a job was accepted. It is completed by those that start
