--- a/vanillawell/cli.py
+++ b/vanillawell/cli.py
@@ -108,6 +108,27 @@
     print_reference()
 
 
+@app.command("explain")
+def explain(
+    context: typer.Context,
+    files: Annotated[list[Path], typer.Argument(help="Logs of all processes.", exists=True)],
+    request: Annotated[
+        str, typer.Option("--id", help="Id of a job or request, or name of a task.")
+    ] = "",
+    day: Annotated[bool, typer.Option("--day", help="Count all jobs by cause instead.")] = False,
+) -> None:
+    """Tell from logs why a job was refused, late or lost time."""
+    from vanillawell.commands.explain import explain as explain_one
+    from vanillawell.commands.explain import explain_all
+
+    if day == bool(request):
+        raise typer.BadParameter("give either --id or --day")
+    if day:
+        explain_all(files, context.obj.output)
+    else:
+        explain_one(request, files, context.obj.output)
+
+
 @report_app.command("burn")
 def report_burn(
     context: typer.Context,
--- a/vanillawell/coordination/work_desk.py
+++ b/vanillawell/coordination/work_desk.py
@@ -9,6 +9,7 @@
 import anyio
 import orjson
 
+from vanillawell import clock
 from vanillawell.coordination.follow import Backoff
 from vanillawell.exceptions import StoreError, StoreOutcomeUnknownError, StoreUnavailableError
 from vanillawell.protocol.refusals import Reason, Refusal
@@ -80,6 +81,14 @@
         policy = self._policies.policy
         return policy.body_bound if policy else 0
 
+    def basis(self, now: float) -> dict[str, object]:
+        """Return the version and age of the configuration that decides now, for log lines."""
+        policy, age = self._policies.policy, self._policies.age(now)
+        return {
+            "configuration": policy.version if policy else None,
+            "age": round(age, 3) if age is not None else None,
+        }
+
     def is_ready(self, now: float) -> bool:
         """Tell whether callers should be sent here."""
         age = self._policies.age(now)
@@ -140,17 +149,22 @@
         log.warning("job unknown", extra={"job": job.job_id})
         return Refusal(Reason.ACCEPTANCE_UNKNOWN, Verdict.MAY_HAVE_RUN)
 
-    @staticmethod
-    def _log_submitted(job: Job, created: bool) -> None:
+    def _log_submitted(self, job: Job, created: bool) -> None:
         fields = {"job": job.job_id, "queue": job.queue, "organisation": job.organisation}
-        log.info("job accepted" if created else "job known already", extra=fields)
+        message = "job accepted" if created else "job known already"
+        log.info(message, extra={**fields, **self.basis(clock.read())})
 
     async def show(self, job_id: str) -> JobState | Refusal:
         """Return the state of a job."""
         try:
             record = await self._store.get(self._keys.record(job_id))
             if record is not None:
-                return read_state(record.value)
+                state = read_state(record.value)
+                log.info(
+                    "state told",
+                    extra={"job": job_id, "state": state, "revision": record.mod_revision},
+                )
+                return state
             order = await self._store.get(self._keys.order(job_id))
         except StoreError as error:
             log.warning("state not read", extra={"job": job_id, "why": str(error)})
--- a/vanillawell/exceptions.py
+++ b/vanillawell/exceptions.py
@@ -62,5 +62,11 @@
     exit_status = 6
 
 
+class NotInLogsError(VanillawellError):
+    """No line of the logs names the job or request that was asked for."""
+
+    exit_status = 8
+
+
 class PeerProtocolError(VanillawellError):
     """A peer sent bytes that are no message of ours."""
--- a/vanillawell/logs.py
+++ b/vanillawell/logs.py
@@ -130,6 +130,15 @@
 _handler: NonBlockingHandler | None = None
 
 
+def lines_dropped() -> int:
+    """Return the lines dropped so far, for want of a reader or beyond their budget."""
+    if _handler is None:
+        return 0
+    return _handler.dropped + sum(
+        item.dropped for item in _handler.filters if isinstance(item, BudgetFilter)
+    )
+
+
 async def flush_regularly() -> None:
     """Write queued lines until cancelled."""
     while True:
--- a/vanillawell/node.py
+++ b/vanillawell/node.py
@@ -8,7 +8,7 @@
 
 import anyio
 
-from vanillawell import clock
+from vanillawell import clock, logs
 from vanillawell.coordination.executor_driver import DeposedError
 from vanillawell.coordination.policy_follower import PolicyFollower
 from vanillawell.coordination.shard_owner import ShardOwner
@@ -55,6 +55,12 @@
         self._term: Term | None = None
         self._stopping = anyio.Event()
 
+    def refresh_telemetry(self) -> None:
+        """Bring figures up to date that are kept elsewhere."""
+        policy = self._policies.policy
+        self.telemetry.policy_version.set({}, policy.version if policy else 0)
+        self.telemetry.log_lines_dropped.set({}, logs.lines_dropped())
+
     @property
     def owns(self) -> bool:
         """Tell whether this entry owns the shard, as far as it knows."""
--- a/vanillawell/platform/__main__.py
+++ b/vanillawell/platform/__main__.py
@@ -84,7 +84,7 @@
     apps = {
         "caller": (CallerApp(node.desk, node.telemetry), settings.caller),
         "ready": (ready, settings.ready),
-        "metrics": (MetricsApp(node.telemetry.registry), settings.metrics),
+        "metrics": (MetricsApp(node.telemetry.registry, node.refresh_telemetry), settings.metrics),
     }
     listening = [listen(app, address, key) for key, (app, address) in apps.items()]
     async with anyio.create_task_group() as tasks:
--- a/vanillawell/platform/callers.py
+++ b/vanillawell/platform/callers.py
@@ -113,6 +113,7 @@
                     "operation": method,
                     "reason": answer.reason.slug,
                     "retry_after": answer.retry_after,
+                    **self._desk.basis(began),
                 },
             )
             await send_bytes(send, status, answer.body(), answer.headers())
--- /dev/null
+++ b/vanillawell/tests/logs_tests.py
@@ -0,0 +1,47 @@
+"""Prove that logs are bounded and never hold the process up."""
+
+from __future__ import annotations
+
+import logging
+import os
+import time
+
+from vanillawell.logs import DROPPED_FIELD, LONGEST_QUEUE, BudgetFilter, JsonFormatter
+from vanillawell.logs import NonBlockingHandler as Handler
+
+
+def _record(message: str) -> logging.LogRecord:
+    return logging.LogRecord("x", logging.INFO, "", 0, message, None, None)
+
+
+def test_a_reader_that_stops_reading_holds_nothing_up() -> None:
+    """Whoever collects the logs hangs. Requests must go on, so lines are dropped and counted."""
+    reader, writer = os.pipe()
+    handler = Handler(writer)
+    handler.setFormatter(JsonFormatter("entry-0"))
+    began = time.monotonic()
+    lines = 2 * LONGEST_QUEUE // 1_000
+    for _ in range(lines):
+        handler.emit(_record("x" * 1_000))
+        handler.flush()
+    assert time.monotonic() - began < 5.0
+    assert handler.dropped > 0
+    os.close(reader)
+    handler.flush()
+    os.close(writer)
+
+
+def test_a_kind_beyond_its_budget_is_left_out_and_counted() -> None:
+    budget = BudgetFilter(3)
+    records = [_record("often") for _ in range(5)]
+    for record in records:
+        record.created = 100.5
+    assert [budget.filter(record) for record in records] == [True, True, True, False, False]
+    other = _record("rare")
+    other.created = 100.6
+    assert budget.filter(other)
+    later = _record("often")
+    later.created = 101.5
+    assert budget.filter(later)
+    assert getattr(later, DROPPED_FIELD) == 2
+    assert budget.dropped == 2
--- a/vanillawell/transport/metrics.py
+++ b/vanillawell/transport/metrics.py
@@ -9,6 +9,8 @@
 from vanillawell.transport.asgi import send_bytes
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from aioprometheus import Registry
 
     from vanillawell.transport.asgi import Receive, Scope, Send
@@ -17,11 +19,14 @@
 class MetricsApp:
     """The ASGI application that collectors of metrics reach."""
 
-    def __init__(self, registry: Registry) -> None:
+    def __init__(self, registry: Registry, refresh: Callable[[], None]) -> None:
         self._registry = registry
+        self._refresh = refresh
+        """Called before each answer, for figures that are kept elsewhere."""
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Answer with all metrics, in the format that the collector accepts."""
+        self._refresh()
         accepts = [value.decode("latin-1") for name, value in scope["headers"] if name == b"accept"]
         content, headers = render(self._registry, accepts)
         lines = [(name.encode(), value.encode()) for name, value in headers.items()]
