Drive the shard through random lives against what must hold

Change: a hypothesis state machine over jobs, gangs, bounds, maxima, crashes, silence, restarts and orders without answers; it keeps its own account of what may still begin.

--- /dev/null
+++ b/vanillawell/tests/shard_machine_tests.py
@@ -0,0 +1,226 @@
+"""Drive a shard through random lives and check what must hold at every moment.
+
+Jobs come and are cancelled; runs end in every way; executors crash, restart under their id, fall
+silent until their lease is over, and come back; orders stay without an answer.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import replace
+
+from hypothesis import HealthCheck, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
+
+from vanillawell.protocol.executor_calls import HoldReport, RunningRow
+from vanillawell.state.work import NOTHING, Ending, JobState, Resources, Run, RunPhase, Step
+from vanillawell.state.work_policy import OrganisationLimits
+from vanillawell.tests.scheduling_builders import Bench, facts, job
+
+CPU = 4_000
+MAXIMUM = 6_000
+ATTEMPTS = 3
+
+STEPS = st.lists(
+    st.builds(
+        Step,
+        count=st.integers(1, 4),
+        need=st.builds(Resources, st.integers(200, 2_000), st.just(10)),
+        estimate=st.just(1.0),
+        gang=st.booleans(),
+        most_per_executor=st.integers(0, 2),
+        long_running=st.sampled_from((False, False, False, True)),
+        fills=st.sampled_from((False, False, True)),
+    ),
+    min_size=1,
+    max_size=3,
+)
+
+
+class ShardMachine(RuleBasedStateMachine):
+    """Random events on one shard of three executors."""
+
+    @initialize()
+    def begin(self) -> None:
+        limits = {
+            "north": OrganisationLimits("north", 1, Resources(MAXIMUM)),
+            "south": OrganisationLimits("south", 1, NOTHING),
+        }
+        names = ("i-0", "i-1", "i-2")
+        self.bench = Bench(*(facts(name, CPU) for name in names), organisations=limits)
+        self.shard = self.bench.shard
+        self.lives = Counter(dict.fromkeys(names, 1))
+        self.starts: list[Run] = []
+        self.done: set[object] = set()
+        self.doubtful: set[Run] = set()
+        """Runs whose order may still be carried out, whatever is believed of them."""
+
+    def _runs(self, *phases: RunPhase) -> list[Run]:
+        return [run for run in self.shard.ledger.runs() if run.phase in phases]
+
+    @rule(steps=STEPS, chained=st.booleans(), organisation=st.sampled_from(("north", "south")))
+    def admit(self, steps: list[Step], chained: bool, organisation: str) -> None:
+        linked = [
+            replace(item, after=(number - 1,) if chained and number else ())
+            for number, item in enumerate(steps)
+        ]
+        self.bench.admit(job(*linked, organisation=organisation))
+
+    @rule(seconds=st.floats(0.01, 3.0))
+    def place(self, seconds: float) -> None:
+        self.bench.now += seconds
+        before = set(self.shard.ledger.runs())
+        for run in self.bench.place():
+            assert run not in before
+            self._check_start(run)
+            self.starts.append(run)
+        assert not self._runs(RunPhase.PLANNED)
+
+    def _check_start(self, run: Run) -> None:
+        task, step = run.task, run.task.step
+        record = step.record
+        assert not record.state.final
+        assert task.task_id not in self.done
+        assert all(other.task is not task for other in self.doubtful)
+        steps = record.occurrences[step.occurrence]
+        assert all(not steps[number].left for number in step.spec.after)
+        if not step.spec.long_running:
+            assert task.failures < ATTEMPTS
+        executor = self.shard.ledger.executors[run.executor]
+        assert executor.registered and not executor.facts.draining
+        if step.spec.gang:
+            assert all(other.run and other.run.number == run.number for other in step.tasks)
+
+    @precondition(lambda self: self._runs(RunPhase.RUNNING))
+    @rule(data=st.data(), ending=st.sampled_from((Ending.DONE, Ending.FAILED, Ending.STOPPED)))
+    def end(self, data: st.DataObject, ending: Ending) -> None:
+        run = data.draw(st.sampled_from(self._runs(RunPhase.RUNNING)))
+        if ending is Ending.DONE and not run.task.step.spec.long_running:
+            self.done.add(run.task.task_id)
+        self.bench.end(run, ending)
+
+    @precondition(lambda self: self._runs(RunPhase.RUNNING))
+    @rule(data=st.data())
+    def lose_the_answer(self, data: st.DataObject) -> None:
+        run = data.draw(st.sampled_from(self._runs(RunPhase.RUNNING)))
+        run.enter(RunPhase.UNCERTAIN, self.bench.now)
+        self.doubtful.add(run)
+
+    @precondition(lambda self: self._runs(RunPhase.UNCERTAIN))
+    @rule(data=st.data())
+    def report_without(self, data: st.DataObject) -> None:
+        """Let an executor report before a stop has ruled a doubtful order out."""
+        run = data.draw(st.sampled_from(self._runs(RunPhase.UNCERTAIN)))
+        executor = self.shard.ledger.executors[run.executor]
+        present = [
+            RunningRow(other.task.task_id, other.number, "", 100, 0.0)
+            for other in executor.runs.values()
+            if other is not run
+        ]
+        now = self.bench.now = self.bench.now + 0.1
+        report = HoldReport(0.0, executor.facts.incarnation, present, [])
+        self.shard.take_report(executor, report, now, now, now)
+
+    @precondition(lambda self: self._runs(RunPhase.UNCERTAIN))
+    @rule(data=st.data())
+    def settle(self, data: st.DataObject) -> None:
+        """Confirm a stop, then let the executor report without the run."""
+        run = data.draw(st.sampled_from(self._runs(RunPhase.UNCERTAIN)))
+        run.stop_confirmed = self.bench.now
+        self.doubtful.discard(run)
+        executor = self.shard.ledger.executors[run.executor]
+        now = self.bench.now = self.bench.now + 0.1
+        self.shard.take_report(
+            executor, HoldReport(0.0, executor.facts.incarnation, [], []), now, now, now
+        )
+
+    @rule(name=st.sampled_from(("i-0", "i-1", "i-2")))
+    def restart(self, name: str) -> None:
+        """Crash an executor; its next life reports that it runs nothing."""
+        self.lives[name] += 1
+        self._forget_doubts(name)
+        executor = self.bench.register(facts(name, CPU, incarnation=self.lives[name]))
+        now = self.bench.now = self.bench.now + 0.1
+        self.shard.take_report(
+            executor, HoldReport(0.0, self.lives[name], [], []), now + 0.01, now + 0.02, now
+        )
+
+    @rule(name=st.sampled_from(("i-0", "i-1", "i-2")), over=st.booleans())
+    def fall_silent(self, name: str, over: bool) -> None:
+        executor = self.shard.ledger.executors.get(name)
+        if executor is None:
+            return
+        self.shard.ledger.unregister(name)
+        executor.lease_over = self.bench.now + (0.0 if over else 5.0)
+        if over:
+            self._forget_doubts(name)
+        self.shard.expire(self.bench.now, self.bench.now)
+
+    def _forget_doubts(self, name: str) -> None:
+        """Note that nothing that was ordered of an executor before can begin any more."""
+        self.doubtful = {run for run in self.doubtful if run.executor != name}
+
+    @rule(name=st.sampled_from(("i-0", "i-1", "i-2")))
+    def come_back(self, name: str) -> None:
+        self.bench.register(facts(name, CPU, incarnation=self.lives[name]))
+
+    @precondition(lambda self: self.shard.board.jobs)
+    @rule(data=st.data())
+    def cancel(self, data: st.DataObject) -> None:
+        job_id = data.draw(st.sampled_from(sorted(self.shard.board.jobs)))
+        self.shard.cancel(job_id, self.bench.now)
+
+    @invariant()
+    def charges_add_up(self) -> None:
+        if not hasattr(self, "shard"):
+            return
+        total = NOTHING
+        for executor in self.shard.ledger.executors.values():
+            used = NOTHING
+            for run in executor.runs.values():
+                used += run.reserved
+                total += run.task.step.spec.need
+            assert used == executor.used
+            assert executor.used.cpu <= CPU
+        both = self.shard.ledger.usage("north") + self.shard.ledger.usage("south")
+        assert both == total
+        assert self.shard.ledger.usage("north").cpu <= MAXIMUM
+
+    @invariant()
+    def no_task_has_two_open_runs(self) -> None:
+        if not hasattr(self, "shard"):
+            return
+        counts = Counter(run.task.task_id for run in self.shard.ledger.runs())
+        assert all(count == 1 for count in counts.values())
+        assert all(run.task.run is run for run in self.shard.ledger.runs())
+
+    @invariant()
+    def bounds_on_one_executor_hold(self) -> None:
+        if not hasattr(self, "shard"):
+            return
+        counts = Counter((run.task.step, run.executor) for run in self.shard.ledger.runs())
+        for (step, _), count in counts.items():
+            assert not step.spec.most_per_executor or count <= step.spec.most_per_executor
+
+    @invariant()
+    def states_tell_the_truth(self) -> None:
+        if not hasattr(self, "shard"):
+            return
+        for record in self.shard.board.jobs.values():
+            steps = [step for steps in record.occurrences.values() for step in steps]
+            if record.state is JobState.COMPLETED:
+                assert all(task.done for step in steps for task in step.tasks)
+            assert record.open_runs == sum(
+                task.run is not None for step in steps for task in step.tasks
+            )
+
+
+TestShard = ShardMachine.TestCase
+TestShard.settings = settings(
+    max_examples=60,
+    stateful_step_count=40,
+    deadline=None,
+    derandomize=True,
+    suppress_health_check=list(HealthCheck),
+)
