Count a machine as back from upkeep only by a list younger than the order

Change: its place is free once a list asked for after the order shows it up, and its life has changed. Tests: upkeep on plain data (new).

--- a/vanillawell/coordination/upkeep_runner.py
+++ b/vanillawell/coordination/upkeep_runner.py
@@ -18,6 +18,7 @@
 )
 from vanillawell.protocol.store import Put
 from vanillawell.state.upkeep import (
+    UNKNOWN_LIFE,
     Wave,
     WaveProgress,
     is_empty_enough,
@@ -47,15 +48,12 @@
 IDLE_PAUSE = 0.5
 """Seconds between two looks for new waves."""
 
-LIST_PAUSE = 1.0
+LIST_PAUSE = 0.5
 """Seconds between two readings of the list of machines during a wave; readings are priced."""
 
 REPEAT_PAUSE = 0.5
 """Seconds before an order without an answer is repeated; if it was done, that changes nothing."""
 
-UNKNOWN_LIFE = "unknown"
-"""Stands for the life of an executor on a machine where none was seen before its upkeep."""
-
 
 class UpkeepRunner:
     """Own all waves of one term."""
@@ -151,8 +149,9 @@
     async def _advance(self, progress: WaveProgress) -> None:
         now = clock.read()
         executors = self._shard.ledger.by_machine()
-        progress.returned({name: life_of(item) for name, item in executors.items()})
-        self._note_returned_by_list(progress)
+        up = {item.name for item in self._machines.values() if item.state is MachineState.UP}
+        lives = {name: life_of(item) for name, item in executors.items()}
+        progress.returned(lives, up | (progress.away.keys() - self._machines.keys()), self._listed)
         for name in to_close(progress, executors):
             progress.closed[name] = now
             executors[name].cordoned = True
@@ -169,18 +168,6 @@
         await self._settle_doubtful(progress, executors, now)
         await self._finish(progress)
 
-    def _note_returned_by_list(self, progress: WaveProgress) -> None:
-        """Free the places of machines without a known executor, once the list shows them up.
-
-        The list must be newer than the order: an older one shows each machine as up.
-        """
-        for name, life in list(progress.away.items()):
-            machine = self._machines.get(name)
-            newer = self._listed > progress.ordered.get(name, 0.0)
-            gone = machine is None or machine.state is MachineState.UP
-            if life == UNKNOWN_LIFE and newer and gone:
-                del progress.away[name]
-
     async def _empty(
         self, progress: WaveProgress, name: str, executor: Executor, since: float, now: float
     ) -> None:
--- a/vanillawell/state/upkeep.py
+++ b/vanillawell/state/upkeep.py
@@ -12,7 +12,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Mapping
+    from collections.abc import Collection, Iterable, Mapping
 
     from vanillawell.state.executors import Executor
     from vanillawell.state.work import Run, StepProgress
@@ -23,6 +23,12 @@
 PATIENCE = 4.0
 """Seconds for which tasks that end by themselves are waited for; longer ones are stopped."""
 
+LIST_LAG = 0.3
+"""Seconds by which a list must be younger than an order to show its effect; a first guess."""
+
+UNKNOWN_LIFE = "unknown"
+"""Stands for the life of an executor on a machine where none was seen before its upkeep."""
+
 HASTE = 0.75
 """Part of a wave's time after which nothing is waited for any more."""
 
@@ -74,10 +80,17 @@
         """Return the machines whose order went out, or may have, and got no answer."""
         return self.decided - self.confirmed
 
-    def returned(self, lives: Mapping[str, str]) -> None:
-        """Forget machines that are back; `lives` tells which life each machine has now."""
+    def returned(self, lives: Mapping[str, str], up: Collection[str], listed: float) -> None:
+        """Free the places of machines that are back.
+
+        `lives` tells which life each machine has now, `up` which ones the list of machines showed
+        as up when it was asked for at `listed`. A new life alone proves nothing: it may have been
+        on its way before the order. Nor does an older list, which shows each machine as up.
+        """
         for machine, before in list(self.away.items()):
-            if lives.get(machine, before) != before:
+            newer = listed > self.ordered.get(machine, 0.0) + LIST_LAG
+            changed = before == UNKNOWN_LIFE or lives.get(machine, before) != before
+            if newer and changed and machine in up:
                 del self.away[machine]
 
 
--- a/vanillawell/tests/shard_machine_tests.py
+++ b/vanillawell/tests/shard_machine_tests.py
@@ -218,7 +218,7 @@
 
 TestShard = ShardMachine.TestCase
 TestShard.settings = settings(
-    max_examples=60,
+    max_examples=80,
     stateful_step_count=40,
     deadline=None,
     derandomize=True,
--- /dev/null
+++ b/vanillawell/tests/upkeep_tests.py
@@ -0,0 +1,55 @@
+"""Test the planning of upkeep on plain data."""
+
+from __future__ import annotations
+
+from vanillawell.state.upkeep import UNKNOWN_LIFE, Wave, WaveProgress, life_of, to_close, to_stop
+from vanillawell.tests.scheduling_builders import Bench, facts, job, step
+
+
+def _progress(*machines: str, most_away: int = 1) -> WaveProgress:
+    return WaveProgress(Wave(1, machines, 20.0, most_away), seen=0.0)
+
+
+def test_a_machine_that_was_on_its_way_before_the_order_is_not_back() -> None:
+    """A machine is being moved when its upkeep is ordered; its new executor shows up a moment
+    later. If that counted as the end of the upkeep, one machine too many would be taken down."""
+    progress = _progress("m-1")
+    progress.away["m-1"], progress.ordered["m-1"] = UNKNOWN_LIFE, 10.0
+    progress.returned({"m-1": "i-1@5"}, {"m-1"}, listed=9.8)
+    assert progress.away
+    progress.returned({"m-1": "i-1@5"}, set(), listed=10.5)
+    assert progress.away
+    progress.returned({"m-1": "i-2@9"}, {"m-1"}, listed=12.5)
+    assert not progress.away
+
+
+def test_a_machine_whose_old_executor_is_still_listed_is_not_back() -> None:
+    progress = _progress("m-1")
+    progress.away["m-1"], progress.ordered["m-1"] = "i-1@5", 10.0
+    progress.returned({"m-1": "i-1@5"}, {"m-1"}, listed=12.0)
+    assert progress.away
+    progress.returned({"m-1": "i-2@9"}, {"m-1"}, listed=12.5)
+    assert not progress.away
+
+
+def test_idle_machines_come_first_and_one_of_each_service_at_a_time() -> None:
+    bench = Bench(facts("i-0"), facts("i-1"), facts("i-2", service="other"))
+    bench.admit(job(step(1)))
+    bench.place()
+    machines = bench.shard.ledger.by_machine()
+    chosen = to_close(_progress(*machines, most_away=3), machines)
+    assert len(chosen) == 2
+    idle = next(name for name in ("m-i-0", "m-i-1") if not machines[name].runs)
+    assert set(chosen) == {idle, "m-i-2"}
+
+
+def test_no_more_lasting_tasks_are_taken_away_than_their_step_allows() -> None:
+    bench = Bench(facts("i-0"), facts("i-1"))
+    bench.admit(job(step(2, long_running=True, most_away=1, most_per_executor=1)))
+    first, second = bench.place()
+    first.at_work = True
+    executor = bench.shard.ledger.executors[first.executor]
+    assert to_stop(executor) == []
+    second.at_work = True
+    assert to_stop(executor) == [first]
+    assert life_of(executor).startswith(executor.name)
