Let no stopping entry take the shard, and prefer entries that started lately

Change: a stopping entry ends its candidacy; among candidates those that started lately go first, as a restart has them behind it. The former owner that loses only the store is now also seen owning again.

--- a/vanillawell/coordination/term.py
+++ b/vanillawell/coordination/term.py
@@ -39,6 +39,13 @@
 STAGGER = 0.06
 """Seconds over which the candidates spread their tries after an owner was lost."""
 
+SETTLED = 1.0
+"""Seconds after its start from which an entry is preferred; one that fails at once is not."""
+
+LATELY = 60.0
+"""Seconds after its start for which an entry is preferred as an owner; a restart of all entries of
+a fleet of dozens takes about that long."""
+
 
 class TermLostError(Exception):
     """Another entry has taken the shard over."""
@@ -150,6 +157,7 @@
         self._shard = shard
         self._holder_key = keys.holder(shard)
         self._term_key = keys.term(shard)
+        self._began = clock.read()
         self._me = f"{instance}/{uuid.uuid4().hex[:8]}"
         self._changed = anyio.Event()
         self._holder: str | None = None
@@ -186,6 +194,15 @@
         self._changed.set()
         self._changed = anyio.Event()
 
+    def _delay(self, now: float) -> float:
+        """Return how long to leave a free shard to others.
+
+        Entries that started lately go first: when all are restarted one after the other, those have
+        their restart behind them, and the shard changes its owner less often.
+        """
+        lately = SETTLED <= now - self._began < LATELY
+        return random.uniform(0, STAGGER) + (0 if lately else STAGGER)
+
     def _is_free(self) -> bool:
         return self._known and self._holder is None
 
@@ -196,7 +213,7 @@
             if not self._is_free():
                 await changed.wait()
                 continue
-            await anyio.sleep(random.uniform(0, STAGGER))
+            await anyio.sleep(self._delay(clock.read()))
             if not self._is_free():
                 continue
             try:
--- a/vanillawell/node.py
+++ b/vanillawell/node.py
@@ -54,6 +54,7 @@
         self._owner: ShardOwner | None = None
         self._term: Term | None = None
         self._stopping = anyio.Event()
+        self._candidacy = anyio.CancelScope()
 
     def refresh_telemetry(self) -> None:
         """Bring figures up to date that are kept elsewhere."""
@@ -75,7 +76,11 @@
 
     async def _own(self) -> None:
         while not self._stopping.is_set():
-            self._term = await self._candidate.win()
+            self._candidacy = anyio.CancelScope()
+            with self._candidacy:
+                self._term = await self._candidate.win()
+            if self._term is None:
+                return
             await self._own_one_term(self._term)
             self._term = self._owner = None
 
@@ -96,8 +101,13 @@
             log.exception("shard dropped", extra={"shard": SHARD, "token": term.token})
 
     async def hand_over(self) -> None:
-        """Stop owning, so that another entry takes over at once."""
+        """Stop owning, so that another entry takes over at once, and take nothing over any more.
+
+        In a restart of all entries the owner hands over while others are stopping, too. One of
+        those would take the shard for a second or two and leave it to its lease.
+        """
         self._stopping.set()
+        self._candidacy.cancel()
         term, owner = self._term, self._owner
         if term is None or owner is None:
             return
--- a/vanillawell/tests/scheduler_failure_tests.py
+++ b/vanillawell/tests/scheduler_failure_tests.py
@@ -57,6 +57,8 @@
     owner.store.cut = False
     await until_state(other, job_id, "completed")
     await until(lambda: [member.owns for member in built.members].count(True) == 1)
+    await built.kill(other)
+    await until(lambda: owner.owns, 4)
 
 
 @with_cluster(members=2)
@@ -71,6 +73,18 @@
     await until_state(other, job_id, "completed")
 
 
+@with_cluster(members=3)
+async def test_an_entry_that_is_stopping_takes_nothing_over(built: Cluster) -> None:
+    """All entries are restarted one after the other. The owner is lost while another entry is
+    already stopping; if that one took the shard, it would be without an owner again in a moment."""
+    owner = await built.owner()
+    stopping, other = (member for member in built.members if member is not owner)
+    await stopping.node.hand_over()
+    await built.kill(owner)
+    await until(lambda: other.owns, 4)
+    assert not stopping.owns
+
+
 @with_cluster()
 async def test_a_lost_answer_never_makes_a_refusal_of_a_stored_job(built: Cluster) -> None:
     """The store takes a job in and its answer is lost. The caller must not hear that the job was
