--- a/vanillawell/commands/reference.py
+++ b/vanillawell/commands/reference.py
@@ -7,7 +7,7 @@
 
 from pydantic_core import PydanticUndefined
 
-from vanillawell.config import settings
+from vanillawell.config import node_settings, settings
 from vanillawell.config.tree import DEFAULTS, Instance, Key, Node, OperatorTree, ScopedSettings
 
 if TYPE_CHECKING:
@@ -24,6 +24,12 @@
     settings.ExperimentSettings,
 )
 
+NODE_CLASSES: tuple[type[BaseModel], ...] = (
+    node_settings.NodeSettings,
+    node_settings.NodeBounds,
+    node_settings.PlatformKeys,
+)
+
 TREE_CLASSES: tuple[type[BaseModel], ...] = (OperatorTree, Node, ScopedSettings, Key, Instance)
 
 
@@ -34,6 +40,8 @@
         "Made by `vanillawell settings reference`; a test keeps it in step with the classes.",
         "# Settings of a daemon",
         *(_section(model) for model in DAEMON_CLASSES),
+        "# Settings of a scheduler process",
+        *(_section(model) for model in NODE_CLASSES),
         "# The operators' tree",
         *(_section(model) for model in TREE_CLASSES),
     ]
--- a/vanillawell/coordination/executor_driver.py
+++ b/vanillawell/coordination/executor_driver.py
@@ -3,12 +3,17 @@
 from __future__ import annotations
 
 import logging
-from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 import anyio
 
 from vanillawell import clock
+from vanillawell.coordination.leases import (
+    HOLDING_AFTER_LAPSE,
+    LEASE,
+    LEASE_MARGIN,
+    ExecutorClock,
+)
 from vanillawell.protocol.calls import NoAnswerError, NotSentError
 from vanillawell.protocol.executor_calls import (
     OrderRefusedError,
@@ -34,18 +39,6 @@
 
 log = logging.getLogger(__name__)
 
-LEASE = 5.0
-"""Seconds for which running tasks outlive their owner's last word.
-
-Longer than noticing a lost owner and taking over (2.5 s) with room for a short outage of the store;
-and short, because tasks of an executor that fell silent start elsewhere only after it."""
-
-CLOCK_DRIFT = 0.02
-"""Largest relative slowness of an executor's clock, as published."""
-
-LEASE_MARGIN = 0.1
-"""Seconds added to the time after which a lease is taken as expired, for rounding."""
-
 LONG_HOLD = 2.0
 """Seconds a hold waits for an end; the longest that executors allow. Each hold has a price."""
 
@@ -64,43 +57,6 @@
 ORDERS_AT_ONCE = 4
 """Orders under way to one executor; each occupies a connection."""
 
-HOLDING_AFTER_LAPSE = 3.0
-"""Seconds for which an owner that lost touch with the store still renews what runs.
-
-Nobody can take over while the store is away for all, and work should live through that: with the
-leases on both sides it does for nine seconds. But a successor has to wait this much longer before
-it gives up what an unreachable executor runs."""
-
-
-def longest_doubt(longest_lease: float, kill_grace: float) -> float:
-    """Return the seconds after a take-over for which unreachable executors may still run tasks.
-
-    The former owner's last renewal, the lease it gave on a slow clock, and the kill.
-    """
-    lease = min(LEASE, longest_lease)
-    return HOLDING_AFTER_LAPSE + lease * (1 + CLOCK_DRIFT) + kill_grace + LEASE_MARGIN
-
-
-@dataclass(slots=True)
-class ExecutorClock:
-    """Estimate an executor's steady clock from its latest answer."""
-
-    value: float | None = None
-    read_at: float = 0.0
-
-    def note(self, value: float, now: float) -> None:
-        """Take in a reading."""
-        self.value, self.read_at = value, now
-
-    def lease_end(self, now: float, lease: float) -> float:
-        """Return the executor's time at which a lease that begins now should end."""
-        assert self.value is not None
-        return self.value + now - self.read_at + lease
-
-    def surely_over(self, now: float, lease: float) -> float:
-        """Return when such a lease has surely ended, on this process's clock."""
-        return now + (lease + now - self.read_at) * (1 + CLOCK_DRIFT) - (now - self.read_at)
-
 
 class DeposedError(Exception):
     """An executor has seen a higher fencing token: another entry owns the shard."""
--- /dev/null
+++ b/vanillawell/coordination/leases.py
@@ -0,0 +1,54 @@
+"""Reckon with the leases of running tasks, on executors' clocks and on one's own."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+LEASE = 5.0
+"""Seconds for which running tasks outlive their owner's last word.
+
+Longer than noticing a lost owner and taking over (2.5 s) with room for a short outage of the store;
+and short, because tasks of an executor that fell silent start elsewhere only after it."""
+
+CLOCK_DRIFT = 0.02
+"""Largest relative slowness of an executor's clock, as published."""
+
+LEASE_MARGIN = 0.1
+"""Seconds added to the time after which a lease is taken as expired, for rounding."""
+
+HOLDING_AFTER_LAPSE = 3.0
+"""Seconds for which an owner that lost touch with the store still renews what runs.
+
+Nobody can take over while the store is away for all, and work should live through that: with the
+leases on both sides it does for nine seconds. But a successor has to wait this much longer before
+it gives up what an unreachable executor runs."""
+
+
+def longest_doubt(longest_lease: float, kill_grace: float) -> float:
+    """Return the seconds after a take-over for which unreachable executors may still run tasks.
+
+    The former owner's last renewal, the lease it gave on a slow clock, and the kill.
+    """
+    lease = min(LEASE, longest_lease)
+    return HOLDING_AFTER_LAPSE + lease * (1 + CLOCK_DRIFT) + kill_grace + LEASE_MARGIN
+
+
+@dataclass(slots=True)
+class ExecutorClock:
+    """Estimate an executor's steady clock from its latest answer."""
+
+    value: float | None = None
+    read_at: float = 0.0
+
+    def note(self, value: float, now: float) -> None:
+        """Take in a reading."""
+        self.value, self.read_at = value, now
+
+    def lease_end(self, now: float, lease: float) -> float:
+        """Return the executor's time at which a lease that begins now should end."""
+        assert self.value is not None
+        return self.value + now - self.read_at + lease
+
+    def surely_over(self, now: float, lease: float) -> float:
+        """Return when such a lease has surely ended, on this process's clock."""
+        return now + (lease + now - self.read_at) * (1 + CLOCK_DRIFT) - (now - self.read_at)
--- /dev/null
+++ b/vanillawell/coordination/registry.py
@@ -0,0 +1,80 @@
+"""Follow the registry in which executors say who and where they are."""
+
+from __future__ import annotations
+
+import logging
+import time
+from typing import TYPE_CHECKING
+
+from vanillawell import clock
+from vanillawell.coordination.follow import PrefixFollower
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from vanillawell.coordination.ports import Ports
+    from vanillawell.protocol.store import Changes, Listing
+    from vanillawell.state.shard import Shard
+
+log = logging.getLogger(__name__)
+
+FOLLOW_WAIT = 2.0
+"""Seconds one call waits for changes of executors."""
+
+
+class RegistryFollower:
+    """Tell a shard what executors say of themselves."""
+
+    def __init__(self, ports: Ports, prefix: str, shard: Shard, wake: Callable[[], None]) -> None:
+        self._read = ports.documents.executor
+        self._prefix = prefix
+        self._shard = shard
+        self._wake = wake
+        self._follower = PrefixFollower(
+            ports.store, prefix, FOLLOW_WAIT, self._take_listing, self._take_changes
+        )
+
+    async def run(self) -> None:
+        """Follow until cancelled."""
+        await self._follower.run()
+
+    def _take_listing(self, listing: Listing) -> None:
+        present = {item.key.removeprefix(self._prefix) for item in listing.items}
+        for name, executor in list(self._shard.ledger.executors.items()):
+            if executor.registered and name not in present:
+                self._unregister(name)
+        for item in listing.items:
+            self._register(item.key, item.value)
+        self._wake()
+
+    def _take_changes(self, changes: Changes) -> None:
+        for change in changes.changes:
+            if change.value is None:
+                self._unregister(change.key.removeprefix(self._prefix))
+            else:
+                self._register(change.key, change.value)
+        self._wake()
+
+    def _register(self, key: str, value: bytes) -> None:
+        try:
+            facts = self._read(key, value)
+        except ValueError as error:
+            log.error("unreadable executor", extra={"key": key, "reason": str(error)})
+            return
+        before = self._shard.ledger.executors.get(facts.executor)
+        known = before is not None and before.registered
+        if not known or (before is not None and before.facts.draining != facts.draining):
+            log.info(
+                "executor registered",
+                extra={
+                    "executor": facts.executor,
+                    "service": facts.service,
+                    "machine": facts.machine,
+                    "draining": facts.draining,
+                },
+            )
+        self._shard.register(facts, clock.read(), time.time())
+
+    def _unregister(self, name: str) -> None:
+        log.info("executor unregistered", extra={"executor": name})
+        self._shard.ledger.unregister(name)
--- a/vanillawell/coordination/shard_owner.py
+++ b/vanillawell/coordination/shard_owner.py
@@ -11,10 +11,13 @@
 
 from vanillawell import clock
 from vanillawell.coordination.advice_desk import AdviceDesk
-from vanillawell.coordination.executor_driver import ExecutorDriver, longest_doubt
-from vanillawell.coordination.follow import Backoff, PrefixFollower
+from vanillawell.coordination.executor_driver import ExecutorDriver
+from vanillawell.coordination.follow import Backoff
+from vanillawell.coordination.inbox import Inbox
+from vanillawell.coordination.leases import longest_doubt
 from vanillawell.coordination.machine_orders import MachineOrders
 from vanillawell.coordination.pool_runner import PoolRunner
+from vanillawell.coordination.registry import RegistryFollower
 from vanillawell.coordination.turn_batch import TurnBatch
 from vanillawell.coordination.upkeep_runner import UpkeepRunner
 from vanillawell.exceptions import StoreError
@@ -29,7 +32,7 @@
     from vanillawell.coordination.policy_follower import PolicyFollower
     from vanillawell.coordination.ports import Ports
     from vanillawell.coordination.term import Term
-    from vanillawell.protocol.store import Changes, Listing
+    from vanillawell.protocol.store import Listing
     from vanillawell.protocol.work_documents import WorkKeys
     from vanillawell.state.executors import Executor
     from vanillawell.state.work import Run
@@ -37,12 +40,6 @@
 
 log = logging.getLogger(__name__)
 
-FOLLOW_WAIT = 2.0
-"""Seconds one call waits for new jobs or changes of executors."""
-
-INBOX_SILENCE = 0.25
-"""Seconds without news of the inbox after which it is read; some four reads a second in a lull."""
-
 QUIET_TURN = 0.25
 """Seconds after which the owner looks again without any news: for leases and due times."""
 
@@ -73,7 +70,6 @@
         self._news = anyio.Event()
         self._stopping = False
         self._published: dict[str, int] | None = None
-        self._inbox_heard = 0.0
         self.loaded = False
         """Whether all jobs of former terms have been read."""
 
@@ -107,12 +103,8 @@
     def _start_tasks(self, tasks: TaskGroup) -> None:
         store, keys = self._ports.store, self._settings.keys
         tasks.start_soon(self._term.keep)
-        inbox = PrefixFollower(
-            store, self._keys.inbox, FOLLOW_WAIT, self._take_inbox_listing, self._take_inbox
-        )
-        registry = PrefixFollower(
-            store, keys.executors, FOLLOW_WAIT, self._take_registry_listing, self._take_registry
-        )
+        inbox = Inbox(store, self._keys, self._shard, self.wake)
+        registry = RegistryFollower(self._ports, keys.executors, self._shard, self.wake)
         orders = MachineOrders(
             self._term,
             self._ports,
@@ -132,7 +124,6 @@
             self.wake,
         )
         tasks.start_soon(inbox.run)
-        tasks.start_soon(self._look_into_inbox)
         tasks.start_soon(registry.run)
         tasks.start_soon(upkeep.run)
         pools = PoolRunner(self._shard, self._term, self._ports, orders, self.wake)
@@ -182,120 +173,6 @@
             self._shard.apply_policy(self._policies.policy)
         self.wake()
 
-    def _take_inbox_listing(self, listing: Listing) -> None:
-        """Take in all that is in the inbox, jobs before the wish to cancel one of them."""
-        jobs_first = sorted(listing.items, key=lambda item: bool(self._keys.is_cancel(item.key)))
-        for item in jobs_first:
-            self._take_order(item.key, item.value)
-        self.wake()
-
-    async def _look_into_inbox(self) -> None:
-        """Read the inbox itself while nothing is heard of it.
-
-        The store may keep changes from those who wait for them for a second, in the middle of a
-        peak; jobs would wait that long for their first start. The inbox holds only what was not
-        taken in yet, so reading it is cheap.
-        """
-        while True:
-            await anyio.sleep(INBOX_SILENCE)
-            if clock.read() - self._inbox_heard < INBOX_SILENCE:
-                continue
-            try:
-                listing = await self._ports.store.list(self._keys.inbox)
-            except StoreError as error:
-                log.debug("inbox not read", extra={"why": str(error)})
-                continue
-            if listing.items:
-                self._take_inbox_listing(listing)
-
-    def _take_inbox(self, changes: Changes) -> None:
-        self._inbox_heard = clock.read()
-        for change in changes.changes:
-            if change.value is not None:
-                self._take_order(change.key, change.value)
-        self.wake()
-
-    def _take_order(self, key: str, value: bytes) -> None:
-        cancelled = self._keys.is_cancel(key)
-        if cancelled:
-            if cancelled in self._shard.board.jobs:
-                self._cancel(cancelled)
-                self._note_taken(cancelled, key)
-            return
-        job_id = self._keys.is_new_job(key)
-        if not job_id:
-            return
-        self._note_taken(job_id, key)
-        if job_id in self._shard.board.jobs:
-            return
-        try:
-            job = read_job(value)
-        except ValueError as error:
-            log.error("unreadable job", extra={"job": job_id, "reason": str(error)})
-            return
-        record = self._shard.admit(job, clock.read())
-        if record is not None:
-            log.info(
-                "job admitted",
-                extra={
-                    "job": job_id,
-                    "queue": job.queue,
-                    "organisation": job.organisation,
-                    "tasks": sum(step.count for step in job.steps),
-                    "objective": round(record.late_by - record.seen, 3),
-                    "waited": round(time.time() - job.accepted_at, 3),
-                },
-            )
-
-    def _note_taken(self, job_id: str, key: str) -> None:
-        """Let a key of the inbox go together with the record that replaces it."""
-        self._shard.outbox.taken.setdefault(job_id, set()).add(key)
-
-    def _cancel(self, job_id: str) -> None:
-        if self._shard.cancel(job_id, time.time()):
-            log.info("job cancelled", extra={"job": job_id})
-
-    def _take_registry_listing(self, listing: Listing) -> None:
-        present = {item.key.removeprefix(self._settings.keys.executors) for item in listing.items}
-        for name, executor in list(self._shard.ledger.executors.items()):
-            if executor.registered and name not in present:
-                self._unregister(name)
-        for item in listing.items:
-            self._register(item.key, item.value)
-        self.wake()
-
-    def _take_registry(self, changes: Changes) -> None:
-        for change in changes.changes:
-            if change.value is None:
-                self._unregister(change.key.removeprefix(self._settings.keys.executors))
-            else:
-                self._register(change.key, change.value)
-        self.wake()
-
-    def _register(self, key: str, value: bytes) -> None:
-        try:
-            facts = self._ports.documents.executor(key, value)
-        except ValueError as error:
-            log.error("unreadable executor", extra={"key": key, "reason": str(error)})
-            return
-        before = self._shard.ledger.executors.get(facts.executor)
-        known = before is not None and before.registered
-        if not known or (before is not None and before.facts.draining != facts.draining):
-            log.info(
-                "executor registered",
-                extra={
-                    "executor": facts.executor,
-                    "service": facts.service,
-                    "machine": facts.machine,
-                    "draining": facts.draining,
-                },
-            )
-        self._shard.register(facts, clock.read(), time.time())
-
-    def _unregister(self, name: str) -> None:
-        log.info("executor unregistered", extra={"executor": name})
-        self._shard.ledger.unregister(name)
-
     async def _take_turns(self, tasks: TaskGroup) -> None:
         """Decide, store and act, again and again.
 
--- a/vanillawell/transport/admin.py
+++ b/vanillawell/transport/admin.py
@@ -6,10 +6,9 @@
 from dataclasses import asdict, dataclass
 from typing import TYPE_CHECKING
 
-from aioprometheus.renderer import render
-
 from vanillawell import clock
-from vanillawell.transport.asgi import send_bytes, send_json
+from vanillawell.transport.asgi import send_json
+from vanillawell.transport.metrics import send_metrics
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -150,10 +149,7 @@
 
     async def _send_metrics(self, scope: Scope, send: Send) -> None:
         self._telemetry.freshness.set({}, min(self._configuration.fresh_age(clock.read()), 1e9))
-        accepts = [value.decode("latin-1") for name, value in scope["headers"] if name == b"accept"]
-        content, headers = render(self._telemetry.registry, accepts)
-        pairs = [(name.lower().encode(), value.encode()) for name, value in headers.items()]
-        await send_bytes(send, 200, content, pairs)
+        await send_metrics(self._telemetry.registry, scope, send)
 
     def status(self) -> EntryStatus:
         """Return what this entry knows now."""
--- a/vanillawell/transport/metrics.py
+++ b/vanillawell/transport/metrics.py
@@ -16,6 +16,14 @@
     from vanillawell.transport.asgi import Receive, Scope, Send
 
 
+async def send_metrics(registry: Registry, scope: Scope, send: Send) -> None:
+    """Answer with all metrics, in the format that the collector accepts."""
+    accepts = [value.decode("latin-1") for name, value in scope["headers"] if name == b"accept"]
+    content, headers = render(registry, accepts)
+    pairs = [(name.lower().encode(), value.encode()) for name, value in headers.items()]
+    await send_bytes(send, 200, content, pairs)
+
+
 class MetricsApp:
     """The ASGI application that collectors of metrics reach."""
 
@@ -25,9 +33,6 @@
         """Called before each answer, for figures that are kept elsewhere."""
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
-        """Answer with all metrics, in the format that the collector accepts."""
+        """Answer with all metrics."""
         self._refresh()
-        accepts = [value.decode("latin-1") for name, value in scope["headers"] if name == b"accept"]
-        content, headers = render(self._registry, accepts)
-        lines = [(name.encode(), value.encode()) for name, value in headers.items()]
-        await send_bytes(send, 200, content, lines)
+        await send_metrics(self._registry, scope, send)
