Let a pool that has lost all its machines ask for new ones

Ruled out: keys, configuration (both fresh), the take-over (89 starts in its first second). Change: the size last seen counts, or another pool's; services that no queue uses are left alone. Test: all machines of a pool gone (failed first).

--- a/vanillawell/coordination/pool_runner.py
+++ b/vanillawell/coordination/pool_runner.py
@@ -68,6 +68,8 @@
         self._orders = orders
         self._wake = wake
         self._sizer = PoolSizer()
+        self._cores: dict[str, float] = {}
+        """Cores of a machine by pool, as last seen."""
         self._machines: dict[str, Machine] = {}
         self._listed = float("-inf")
         self._arriving: dict[str, tuple[str, float]] = {}
@@ -142,9 +144,11 @@
         members: defaultdict[str, list[Executor]] = defaultdict(list)
         for executor in lives.values():
             members[executor.facts.service].append(executor)
+        self._note_sizes(lives)
         pools: list[PoolDemand] = []
+        used = {queue.service for queue in policy.queues.values()}
         for service in policy.services:
-            if service == standby:
+            if service == standby or service not in used:
                 continue
             own = members[service]
             usable = [
@@ -153,7 +157,7 @@
                 if not item.facts.draining and item.facts.machine not in self._arriving
             ]
             arriving = sum(pool == service for pool, _ in self._arriving.values())
-            cores = max((item.facts.capacity.cpu / CORES_PER_UNIT for item in own), default=0.0)
+            cores = self._cores.get(service) or max(self._cores.values(), default=0.0)
             wanted = max(
                 demanded_cores(own, steps[service]), self._shard.arrivals.cores(service, now)
             )
@@ -164,6 +168,17 @@
             )
         return pools
 
+    def _note_sizes(self, lives: dict[str, Executor]) -> None:
+        """Remember the size of each pool's machines, for when it has lost all of them.
+
+        A pool without machines must be able to ask for some; if its need counted as nothing, its
+        queues would never be served again.
+        """
+        for executor in lives.values():
+            cores = executor.facts.capacity.cpu / CORES_PER_UNIT
+            if cores:
+                self._cores[executor.facts.service] = cores
+
     def _idle(self, lives: dict[str, Executor], now: float) -> dict[str, list[str]]:
         """Return by pool the machines that could leave it now."""
         idle: defaultdict[str, list[str]] = defaultdict(list)
--- a/vanillawell/standins/scheduler/machines.py
+++ b/vanillawell/standins/scheduler/machines.py
@@ -45,6 +45,9 @@
     """Executors that advice names; None for all."""
 
     advice_calls: int = 0
+    on_move: Callable[[StandInMachine], Awaitable[None]] | None = None
+    """Called once a machine has changed its pool."""
+
     on_upkeep: Callable[[StandInMachine], Awaitable[None]] | None = None
     """Called when an upkeep begins and when it is over."""
 
@@ -75,6 +78,14 @@
             ]
             await send_json(send, {"good": good})
             return
+        if scope["path"] == "/machine-move":
+            machine = self.machines[document["machine"]]
+            if machine.pool != document["pool"]:
+                machine.pool = document["pool"]
+                if self.on_move:
+                    self._tasks.start_soon(self.on_move, machine)
+            await send_json(send, {})
+            return
         await self._upkeep(scope, document, send)
 
     async def _upkeep(self, scope: Scope, document: dict[str, Any], send: Send) -> None:
--- /dev/null
+++ b/vanillawell/tests/pool_runner_tests.py
@@ -0,0 +1,59 @@
+"""Prove with a stand-in for machines that pools get what their queues need."""
+
+from __future__ import annotations
+
+from vanillawell.standins.scheduler.machines import StandInMachine
+from vanillawell.tests.scheduler_cluster import (
+    POOL,
+    PREFIX,
+    Cluster,
+    config,
+    job,
+    step,
+    until,
+    until_state,
+    with_cluster,
+)
+
+STANDBY = "pool-standby"
+OTHER = "pool-other"
+
+
+def _configure(built: Cluster) -> None:
+    services = [{"name": POOL}, {"name": OTHER}, {"name": STANDBY, "standby": True}]
+    built.store.put_document("op/config", config(2, services=services))
+
+
+def _obey_moves(built: Cluster) -> None:
+    """Let a moved machine come back with a new executor in its pool."""
+    names = iter(range(1_000))
+
+    async def moved(machine: StandInMachine) -> None:
+        if machine.executor in built.hosts:
+            built.store.delete(f"servers/{machine.executor}")
+        if machine.pool == STANDBY:
+            return
+        host = await built.add_executor(f"moved-{next(names)}", machine=machine.name)
+        machine.executor = host.life.name
+        built.register(host.life.name, service=machine.pool)
+
+    built.machines.on_move = moved
+
+
+@with_cluster(executors=2)
+async def test_a_pool_that_has_lost_all_its_machines_gets_new_ones(built: Cluster) -> None:
+    """All machines of a pool are gone for good. Its callers must be served by machines from
+    standby; a pool without machines that counted as one without need would stay empty for ever."""
+    member, first, second = built.members[0], built.new_id(), built.new_id()
+    _obey_moves(built)
+    built.machines.machines["spare-1"] = StandInMachine("spare-1", STANDBY, "")
+    _configure(built)
+    await member.call("POST", PREFIX + first, job())
+    await until_state(member, first, "completed")
+    for host in list(built.hosts.values()):
+        host.life.faults.silent = True
+        built.store.delete(f"servers/{host.life.name}")
+        del built.machines.machines[host.machine]
+    await until(lambda: built.machines.machines["spare-1"].pool == POOL, 8)
+    await member.call("POST", PREFIX + second, job(step(2)))
+    await until_state(member, second, "completed", 8)
--- a/vanillawell/tests/scheduler_cluster.py
+++ b/vanillawell/tests/scheduler_cluster.py
@@ -210,16 +210,18 @@
         """Return a job id that was not used before."""
         return f"{next(self._ids):016x}"
 
-    async def add_executor(self, name: str, cpu: int = 8_000, rack: str = "r1") -> Host:
-        """Start an executor and register it."""
+    async def add_executor(
+        self, name: str, cpu: int = 8_000, rack: str = "r1", machine: str = ""
+    ) -> Host:
+        """Start an executor, on a machine of its own unless one is named, and register it."""
         life = StandInExecutor(name, self.audit, self.lives, cpu)
         self.lives.append(life)
-        host = Host(life, "", f"machine-of-{name}", rack)
+        host = Host(life, "", machine or f"machine-of-{name}", rack)
         host.address = listen(self.tasks, host)
         self.hosts[name] = host
         self.tasks.start_soon(life.tick)
         self.register(name)
-        self.machines.machines[host.machine] = StandInMachine(host.machine, POOL, name)
+        self.machines.machines.setdefault(host.machine, StandInMachine(host.machine, POOL, name))
         return host
 
     def register(self, name: str, **changes: Any) -> None:
