Let a damaged record stop nothing but its own job

Cause: a record that can't be read raised an error that nobody expected, so each new owner dropped the shard while loading it. Change: such a record is a ValueError; the owner logs it and goes on, a caller hears 503. Test: a damaged record and a lost owner (failed first).

--- a/vanillawell/coordination/work_desk.py
+++ b/vanillawell/coordination/work_desk.py
@@ -166,7 +166,7 @@
                 )
                 return state
             order = await self._store.get(self._keys.order(job_id))
-        except StoreError as error:
+        except (StoreError, ValueError) as error:
             log.warning("state not read", extra={"job": job_id, "why": str(error)})
             return _refuse(Reason.STORE_DOWN, retry_after=STORE_RETRY_AFTER)
         return _refuse(Reason.NO_SUCH_JOB) if order is None else JobState.QUEUED
--- a/vanillawell/protocol/work_documents.py
+++ b/vanillawell/protocol/work_documents.py
@@ -192,8 +192,11 @@
 
 
 def read_state(data: bytes) -> JobState:
-    """Read only the state from a record."""
-    return JobState(orjson.loads(data)["state"])
+    """Read only the state from a record; raises ValueError if it is none."""
+    try:
+        return JobState(orjson.loads(data)["state"])
+    except (TypeError, KeyError) as error:
+        raise ValueError(f"not a record: {error!r}") from error
 
 
 def read_record(job: Job, data: bytes, now: float, wall: float) -> tuple[JobRecord, list[Run]]:
@@ -201,7 +204,17 @@
 
     The job counts as seen when it was accepted, not when this process read of it: a change of owner
     must not make a job that is nearly late look like a new one.
+
+    Raises:
+        ValueError: The bytes are no record of this job.
     """
+    try:
+        return _read_record(job, data, now, wall)
+    except (TypeError, KeyError, IndexError, AttributeError) as error:
+        raise ValueError(f"not a record: {error!r}") from error
+
+
+def _read_record(job: Job, data: bytes, now: float, wall: float) -> tuple[JobRecord, list[Run]]:
     record = JobRecord(job, now - max(0.0, wall - job.accepted_at))
     document = orjson.loads(data)
     record.state = JobState(document["state"])
--- a/vanillawell/tests/scheduler_path_tests.py
+++ b/vanillawell/tests/scheduler_path_tests.py
@@ -88,6 +88,23 @@
     await until_state(member, job_id, "completed")
 
 
+@with_cluster(members=2)
+async def test_an_unreadable_record_stops_nothing_but_its_own_job(built: Cluster) -> None:
+    """The record of one job is damaged, and then the owner is lost. All other jobs must go on, and
+    whoever asks about the damaged one gets a clear answer."""
+    owner = await built.owner()
+    damaged, other = built.new_id(), built.new_id()
+    await owner.call("POST", PREFIX + damaged, job())
+    await until_state(owner, damaged, "completed")
+    built.store.put(f"vanillawell/record/{damaged}", "e30=")
+    await built.kill(owner)
+    survivor = built.members[0]
+    await until(lambda: survivor.owns, 4)
+    assert (await survivor.call("POST", PREFIX + other, job())).status == 200
+    await until_state(survivor, other, "completed")
+    assert (await survivor.call("GET", PREFIX + damaged)).status == 503
+
+
 @with_cluster()
 async def test_a_cancelled_job_is_stopped_and_starts_nothing_more(built: Cluster) -> None:
     job_id, member = built.new_id(), built.members[0]
