--- a/vanillawell/tests/rollout_proof_tests.py
+++ b/vanillawell/tests/rollout_proof_tests.py
@@ -199,8 +199,13 @@
 
 
 def test_a_slow_rollout_names_who_lags_and_ends_with_its_own_status(tmp_path: Path) -> None:
-    """One entry is paused while operators wait for a change to be in force."""
-    with running_fleet(tmp_path, entries_per_zone=2) as fleet:
+    """One entry is paused while operators wait for a change to be in force.
+
+    Its presence must outlast the start of the command, however slow that is: an entry whose
+    presence has lapsed is not waited for.
+    """
+    lasting = {"poll_interval": 0.5, "lease_ttl": 30.0, "timeout": 0.7}
+    with running_fleet(tmp_path, entries_per_zone=2, store=lasting) as fleet:
         document = fleet.tree_document()
         document["nodes"]["guild"]["settings"]["limit"] = 5
         path = tmp_path / "changed.jsonc"
