--- a/vanillawell/coordination/shard_owner.py
+++ b/vanillawell/coordination/shard_owner.py
@@ -71,8 +71,9 @@
         self._drivers: dict[str, ExecutorDriver] = {}
         self._news = anyio.Event()
         self._stopping = False
-        self._idle = anyio.Event()
         self._published: dict[str, int] | None = None
+        self.loaded = False
+        """Whether all jobs of former terms have been read."""
 
     @property
     def shard(self) -> Shard:
@@ -94,6 +95,7 @@
         self._policies.on_change(self._apply_policy)
         try:
             await self._load()
+            self.loaded = True
             async with anyio.create_task_group() as tasks:
                 self._start_tasks(tasks)
                 await self._take_turns(tasks)
--- a/vanillawell/node.py
+++ b/vanillawell/node.py
@@ -55,6 +55,11 @@
         self._term: Term | None = None
         self._stopping = anyio.Event()
 
+    @property
+    def owns(self) -> bool:
+        """Tell whether this entry owns the shard, as far as it knows."""
+        return self._owner is not None and self._owner.loaded
+
     async def run(self) -> None:
         """Follow the configuration and own the shard whenever it falls to this entry."""
         async with anyio.create_task_group() as tasks:
--- /dev/null
+++ b/vanillawell/tests/scheduler_cluster.py
@@ -0,0 +1,370 @@
+"""Build a small cluster for tests: stand-ins on loopback ports, schedulers in this process."""
+
+from __future__ import annotations
+
+import functools
+import itertools
+import socket
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Any
+
+import anyio
+import orjson
+
+from vanillawell.config.node_settings import NodeSettings
+from vanillawell.exceptions import StoreOutcomeUnknownError, StoreUnavailableError
+from vanillawell.node import Node
+from vanillawell.platform.__main__ import build_ports
+from vanillawell.platform.callers import CallerApp
+from vanillawell.platform.http import HttpClient
+from vanillawell.standins.scheduler.executor import Audit, StandInExecutor
+from vanillawell.standins.scheduler.machines import StandInMachine, StandInMachines
+from vanillawell.standins.scheduler.store import StandInStore
+from vanillawell.transport.asgi import bind, server
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator, Callable
+
+    from anyio.abc import TaskGroup
+
+    from vanillawell.protocol.store import (
+        Changes,
+        KeyValue,
+        Listing,
+        Transaction,
+        TransactionResult,
+    )
+
+HOST = "jobs.example"
+PREFIX = "/work/"
+HINTED_PREFIX = "/hinted/"
+KEY = "key-of-north"
+POOL = "pool-a"
+
+
+def config(version: int = 1, **changes: Any) -> dict[str, Any]:
+    """Return an operators' configuration in the platform's format."""
+    route = {
+        "name": "plain",
+        "host": HOST,
+        "prefix": PREFIX,
+        "service": POOL,
+        "attempts": 2,
+        "priority": 1,
+        "slackFactor": 1.6,
+        "targetLatencyMs": 600,
+    }
+    hint = {"decideMs": 5, "eachMs": 1, "validityMs": 3000}
+    hinted = {**route, "name": "hinted", "prefix": HINTED_PREFIX, "hint": hint}
+    document = {
+        "version": version,
+        "routes": [route, hinted],
+        "services": [{"name": POOL, "rejectsOverload": False}],
+        "tenants": [{"name": "north", "apiKeys": [KEY], "weight": 10}],
+        "limits": {"maxBodyBytes": 100_000},
+    }
+    return {**document, **changes}
+
+
+def step(count: int = 1, **fields: Any) -> dict[str, Any]:
+    """Return a step of a job in the platform's format."""
+    return {"count": count, "cpu": 1_000, "memMb": 10, "estimateMs": 200, **fields}
+
+
+def job(*steps: dict[str, Any], spec: dict[str, Any] | None = None, **fields: Any) -> bytes:
+    """Return a job's body; `spec` tells the stand-in executors what its tasks do."""
+    document = {"spec": orjson.dumps(spec or {}).decode(), "steps": steps or (step(),), **fields}
+    return orjson.dumps(document)
+
+
+@dataclass(slots=True)
+class CutStore:
+    """Stand between one scheduler and the store, so that just its path can be cut."""
+
+    inner: Any
+    cut: bool = False
+
+    def _check(self) -> None:
+        if self.cut:
+            raise StoreUnavailableError("cut by the test")
+
+    async def get(self, key: str) -> KeyValue | None:
+        self._check()
+        return await self.inner.get(key)
+
+    async def list(self, prefix: str) -> Listing:
+        self._check()
+        return await self.inner.list(prefix)
+
+    async def transact(self, transaction: Transaction) -> TransactionResult:
+        self._check()
+        return await self.inner.transact(transaction)
+
+    async def grant_lease(self, ttl: float) -> int:
+        self._check()
+        return await self.inner.grant_lease(ttl)
+
+    async def keep_alive(self, lease: int) -> bool:
+        self._check()
+        return await self.inner.keep_alive(lease)
+
+    async def revoke(self, lease: int) -> None:
+        self._check()
+        await self.inner.revoke(lease)
+
+    async def changes(self, prefix: str, after: int, wait: float) -> Changes:
+        self._check()
+        result = await self.inner.changes(prefix, after, wait)
+        if self.cut:
+            raise StoreOutcomeUnknownError("cut by the test")
+        return result
+
+
+@dataclass(slots=True)
+class Host:
+    """Where an executor lives; its present life can be replaced."""
+
+    life: StandInExecutor
+    address: str
+    machine: str
+    rack: str
+
+    async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
+        await self.life(scope, receive, send)
+
+
+@dataclass(slots=True)
+class Reply:
+    """Answer to a caller."""
+
+    status: int
+    document: Any
+    headers: dict[str, str]
+
+
+@dataclass(slots=True)
+class Member:
+    """One scheduler of the cluster."""
+
+    node: Node
+    app: CallerApp
+    store: CutStore
+    scope: anyio.CancelScope
+    ended: anyio.Event
+
+    @property
+    def owns(self) -> bool:
+        """Tell whether it owns the shard now."""
+        return self.node.owns
+
+    async def call(
+        self,
+        method: str,
+        path: str,
+        body: bytes = b"",
+        key: str | None = KEY,
+        wait_ms: int = 2000,
+    ) -> Reply:
+        """Make one call as a caller would."""
+        headers = [(b"host", HOST.encode()), (b"x-deadline-ms", str(wait_ms).encode())]
+        if key is not None:
+            headers.append((b"x-key", key.encode()))
+        sent: list[dict[str, Any]] = []
+
+        async def receive() -> dict[str, Any]:
+            return {"type": "http.request", "body": body, "more_body": False}
+
+        async def send(message: Any) -> None:
+            sent.append(message)
+
+        scope = {"type": "http", "method": method, "path": path, "headers": headers}
+        await self.app(scope, receive, send)
+        start, content = sent[0], sent[1]["body"]
+        pairs = {name.decode(): value.decode() for name, value in start["headers"]}
+        return Reply(start["status"], orjson.loads(content) if content else None, pairs)
+
+    async def state(self, job_id: str, prefix: str = PREFIX) -> str:
+        """Return a job's state; `gone` if it is not known."""
+        reply = await self.call("GET", prefix + job_id)
+        return reply.document["state"] if reply.status == 200 else f"status {reply.status}"
+
+
+@dataclass(slots=True)
+class Cluster:
+    """Stand-ins and schedulers."""
+
+    tasks: TaskGroup
+    store: StandInStore
+    store_address: str
+    machines: StandInMachines
+    machines_address: str
+    audit: Audit = field(default_factory=Audit)
+    hosts: dict[str, Host] = field(default_factory=dict)
+    lives: list[StandInExecutor] = field(default_factory=list)
+    members: list[Member] = field(default_factory=list)
+    _ids: Any = field(default_factory=lambda: itertools.count(1))
+
+    def new_id(self) -> str:
+        """Return a job id that was not used before."""
+        return f"{next(self._ids):016x}"
+
+    async def add_executor(self, name: str, cpu: int = 8_000, rack: str = "r1") -> Host:
+        """Start an executor and register it."""
+        life = StandInExecutor(name, self.audit, self.lives, cpu)
+        self.lives.append(life)
+        host = Host(life, "", f"machine-of-{name}", rack)
+        host.address = listen(self.tasks, host)
+        self.hosts[name] = host
+        self.tasks.start_soon(life.tick)
+        self.register(name)
+        self.machines.machines[host.machine] = StandInMachine(host.machine, POOL, name)
+        return host
+
+    def register(self, name: str, **changes: Any) -> None:
+        """Write an executor's entry in the registry."""
+        host = self.hosts[name]
+        document = {
+            "service": POOL,
+            "address": host.address,
+            "zone": "a",
+            "version": "v1",
+            "slots": 8,
+            "state": "ready",
+            "machine": host.machine,
+            "born": host.life.born,
+            "capacity": {"cpu": host.life.cpu, "memMb": 64_000, "gpu": 0},
+            "labels": ["kind", host.rack],
+            "seq": 1,
+        }
+        self.store.put_document(f"servers/{name}", {**document, **changes})
+
+    def restart(self, name: str) -> None:
+        """Crash an executor and start it again under its id."""
+        host = self.hosts[name]
+        host.life = host.life.crash()
+        self.tasks.start_soon(host.life.tick)
+
+    def add_member(self, instance: str) -> Member:
+        """Start a scheduler."""
+        settings = NodeSettings.model_validate(
+            {
+                "instance": instance,
+                "zone": "a",
+                "caller": "127.0.0.1:0",
+                "ready": "127.0.0.1:0",
+                "metrics": "127.0.0.1:0",
+                "store": self.store_address,
+                "machines": self.machines_address,
+                "advice": self.machines_address,
+                "shortest_lease_ms": 1000,
+                "bounds": {
+                    "lease_most_ms": 6000,
+                    "kill_grace_ms": 100,
+                    "revoke_ms": 5000,
+                    "state_kept_s": 120,
+                    "duty_lease_ms": 500,
+                    "grace_s": 6,
+                    "drain_ms": 2000,
+                },
+            }
+        )
+        ports = build_ports(settings, HttpClient())
+        cut = CutStore(ports.store)
+        node = Node(settings, type(ports)(cut, *list(_others(ports))))
+        scope, ended = anyio.CancelScope(), anyio.Event()
+        member = Member(node, CallerApp(node.desk, node.telemetry), cut, scope, ended)
+        self.members.append(member)
+        self.tasks.start_soon(_run_member, member)
+        return member
+
+    async def kill(self, member: Member) -> None:
+        """End a scheduler without any notice."""
+        member.scope.cancel()
+        await member.ended.wait()
+        self.members.remove(member)
+
+    async def owner(self) -> Member:
+        """Return the scheduler that owns the shard, waiting for one."""
+        await until(lambda: any(member.owns for member in self.members), 8)
+        return next(member for member in self.members if member.owns)
+
+
+def _others(ports: Any) -> list[Any]:
+    return [ports.executors, ports.machines, ports.advice, ports.documents]
+
+
+async def _run_member(member: Member) -> None:
+    with member.scope:
+        await member.node.run()
+    member.ended.set()
+
+
+def listen(tasks: TaskGroup, app: Any) -> str:
+    """Serve an application on a free loopback port; returns its address."""
+    listener = bind("127.0.0.1", 0, "test")
+    tasks.start_soon(_serve, app, listener)
+    host, port = listener.getsockname()[:2]
+    return f"{host}:{port}"
+
+
+async def _serve(app: Any, listener: socket.socket) -> None:
+    await server(app, stop_timeout=0).serve([listener])
+
+
+async def until(holds: Callable[[], bool], seconds: float = 5.0) -> None:
+    """Wait until something holds; fails after `seconds`."""
+    with anyio.fail_after(seconds):
+        while not holds():
+            await anyio.sleep(0.01)
+
+
+async def until_state(member: Member, job_id: str, state: str, seconds: float = 5.0) -> None:
+    """Wait until a job is shown in a state; fails after `seconds`."""
+    with anyio.fail_after(seconds):
+        while await member.state(job_id) != state:
+            await anyio.sleep(0.02)
+
+
+@asynccontextmanager
+async def cluster(members: int = 1, executors: int = 2) -> AsyncIterator[Cluster]:
+    """Run a cluster whose schedulers have a configuration and know all executors."""
+    async with anyio.create_task_group() as tasks:
+        store, machines = StandInStore(), StandInMachines()
+        machines.serve_with(tasks)
+        store.put_document("op/config", config())
+        built = Cluster(tasks, store, listen(tasks, store), machines, listen(tasks, machines))
+        tasks.start_soon(store.tick)
+        for number in range(executors):
+            await built.add_executor(f"i-{number}", rack=f"r{number % 2}")
+        for number in range(members):
+            built.add_member(f"entry-{number}")
+        await built.owner()
+        await until(lambda: all(m.node.desk.is_ready(_now()) for m in built.members))
+        yield built
+        tasks.cancel_scope.cancel()
+
+
+def _now() -> float:
+    from vanillawell import clock
+
+    return clock.read()
+
+
+def with_cluster(members: int = 1, executors: int = 2) -> Callable[..., Callable[[], None]]:
+    """Run an async test on a cluster of its own."""
+
+    def decorate(test: Callable[[Cluster], Any]) -> Callable[[], None]:
+        async def run() -> None:
+            async with cluster(members, executors) as built:
+                await test(built)
+            assert built.audit.broken == []
+
+        @functools.wraps(test)
+        def plain() -> None:
+            anyio.run(run)
+
+        del plain.__wrapped__  # pytest would ask for a fixture named like the test's argument
+        return plain
+
+    return decorate
--- /dev/null
+++ b/vanillawell/tests/scheduler_failure_tests.py
@@ -0,0 +1,229 @@
+"""Prove that jobs survive the loss of whatever carries them, and that nothing runs twice.
+
+The stand-in executors note every second run of a task, every start after a confirmed end, and every
+overload; each test fails if they noted any.
+"""
+
+from __future__ import annotations
+
+import anyio
+
+from vanillawell.tests.scheduler_cluster import (
+    PREFIX,
+    Cluster,
+    job,
+    step,
+    until,
+    until_state,
+    with_cluster,
+)
+
+
+def running(built: Cluster) -> int:
+    """Return the number of runs on all executors."""
+    return sum(len(life.running) for life in built.lives)
+
+
+@with_cluster(members=3)
+async def test_running_work_outlives_its_owner(built: Cluster) -> None:
+    """The owner of the shard is killed while tasks run. Callers notice nothing: what ran goes on,
+    what was waiting is started by another entry within 2.5 seconds."""
+    owner = await built.owner()
+    job_id, waiting = built.new_id(), built.new_id()
+    await owner.call("POST", PREFIX + job_id, job(step(4), spec={"seconds": 2.5}))
+    await until(lambda: running(built) == 4)
+    await built.kill(owner)
+    survivor = built.members[0]
+    assert (await survivor.call("POST", PREFIX + waiting, job())).status == 200
+    await until(lambda: f"{waiting}.0.0.0" in built.audit.started, 2.5)
+    await until_state(survivor, job_id, "completed")
+    assert [built.audit.started[f"{job_id}.0.0.{index}"] for index in range(4)] == [1] * 4
+
+
+@with_cluster(members=2)
+async def test_an_owner_that_loses_only_the_store_is_replaced(built: Cluster) -> None:
+    """The store turns just the owner away. Another entry takes over; the former owner finds out at
+    an executor or at the store, and gives nothing a second start."""
+    owner = await built.owner()
+    job_id = built.new_id()
+    other = next(member for member in built.members if member is not owner)
+    await other.call("POST", PREFIX + job_id, job(step(2), spec={"seconds": 3}))
+    await until(lambda: running(built) == 2)
+    owner.store.cut = True
+    await until(lambda: other.owns, 4)
+    second = built.new_id()
+    assert (await other.call("POST", PREFIX + second, job())).status == 200
+    await until_state(other, second, "completed")
+    owner.store.cut = False
+    await until_state(other, job_id, "completed")
+    await until(lambda: [member.owns for member in built.members].count(True) == 1)
+
+
+@with_cluster(members=2)
+async def test_a_planned_stop_hands_the_shard_over_at_once(built: Cluster) -> None:
+    """The owner is asked to stop. Another entry owns the shard well before the lease would end."""
+    owner = await built.owner()
+    other = next(member for member in built.members if member is not owner)
+    await owner.node.hand_over()
+    await until(lambda: other.owns, 0.8)
+    job_id = built.new_id()
+    await owner.call("POST", PREFIX + job_id, job())
+    await until_state(other, job_id, "completed")
+
+
+@with_cluster()
+async def test_a_lost_answer_never_makes_a_refusal_of_a_stored_job(built: Cluster) -> None:
+    """The store takes a job in and its answer is lost. The caller must not hear that the job was
+    refused: it would hand the work in elsewhere while it runs here."""
+    member, job_id = built.members[0], built.new_id()
+    built.store.faults.only = lambda body: "aW5ib3gv" in body or "inbox/job" in body
+    built.store.faults.lose_answers = 1
+    reply = await member.call("POST", PREFIX + job_id, job(), wait_ms=4000)
+    assert reply.status == 200
+    await until_state(member, job_id, "completed")
+
+
+@with_cluster()
+async def test_an_unknown_acceptance_is_told_as_unknown(built: Cluster) -> None:
+    """The write of a job gets no answer until the caller's time is over, and takes effect later.
+    The caller is told that nothing is known, and its next try finds the one job."""
+    member, job_id = built.members[0], built.new_id()
+    built.store.faults.only = lambda body: "inbox/job" in body
+    built.store.faults.lose_late = 1
+    reply = await member.call("POST", PREFIX + job_id, job(), wait_ms=900)
+    assert reply.status == 504
+    await anyio.sleep(0.8)
+    assert (await member.call("POST", PREFIX + job_id, job())).status == 200
+    await until_state(member, job_id, "completed")
+    assert sum(built.audit.started.values()) == 1
+
+
+@with_cluster()
+async def test_lost_answers_of_the_owners_writes_lose_and_repeat_nothing(built: Cluster) -> None:
+    """Answers of the owner's own writes are lost, some of which take effect only later, after
+    newer ones were tried. Callers only wait longer."""
+    member = built.members[0]
+    ids = [built.new_id() for _ in range(6)]
+    built.store.faults.only = lambda body: "vanillawell/record" in body
+    for number, job_id in enumerate(ids):
+        built.store.faults.lose_answers = number % 2
+        built.store.faults.lose_late = (number + 1) % 2
+        await member.call("POST", PREFIX + job_id, job(step(2), step(1, after=[0])))
+        await anyio.sleep(0.1)
+    for job_id in ids:
+        await until_state(member, job_id, "completed", 20)
+    assert set(built.audit.started.values()) == {1}
+
+
+@with_cluster()
+async def test_jobs_are_refused_as_not_run_while_the_store_is_away(built: Cluster) -> None:
+    """The store refuses all calls. Callers hear at once that their job was not taken and when to
+    come back; work that runs goes on and is shown as completed afterwards."""
+    member, job_id, refused = built.members[0], built.new_id(), built.new_id()
+    await member.call("POST", PREFIX + job_id, job(step(2), spec={"seconds": 1.0}))
+    await until(lambda: running(built) == 2)
+    built.store.faults.refuse = True
+    reply = await member.call("POST", PREFIX + refused, job())
+    assert reply.status == 503
+    assert int(reply.headers["retry-after"]) >= 1
+    await anyio.sleep(1.5)
+    built.store.faults.refuse = False
+    await until_state(member, job_id, "completed")
+    assert await member.state(refused) == "status 410"
+    assert set(built.audit.started.values()) == {1}
+
+
+@with_cluster()
+async def test_ends_are_confirmed_only_once_they_are_stored(built: Cluster) -> None:
+    """A task ends while the store is away, and the owner is killed before it can store that. Its
+    successor must hear of the end from the executor, or the work would be done again."""
+    owner = await built.owner()
+    job_id = built.new_id()
+    await owner.call("POST", PREFIX + job_id, job(spec={"seconds": 0.4}))
+    await until(lambda: running(built) == 1)
+    built.store.faults.refuse = True
+    await until(lambda: running(built) == 0)
+    await anyio.sleep(0.3)
+    assert not built.audit.done
+    await built.kill(owner)
+    built.store.faults.refuse = False
+    successor = built.add_member("entry-9")
+    await built.owner()
+    await until_state(successor, job_id, "completed")
+    assert set(built.audit.started.values()) == {1}
+
+
+@with_cluster()
+async def test_a_start_without_an_answer_is_settled_and_not_repeated(built: Cluster) -> None:
+    """An executor starts a task and its answer is lost. The task is found running there."""
+    member, job_id = built.members[0], built.new_id()
+    for life in built.lives:
+        life.faults.lose_answers = 1
+    await member.call("POST", PREFIX + job_id, job(step(2), spec={"seconds": 2.0}))
+    await until_state(member, job_id, "completed", 8)
+    assert set(built.audit.started.values()) == {1}
+
+
+@with_cluster()
+async def test_an_order_that_is_carried_out_late_starts_nothing_twice(built: Cluster) -> None:
+    """An order gets no answer and is carried out two seconds later, after the same task might have
+    been started elsewhere. It is ruled out at its executor first."""
+    member, job_id = built.members[0], built.new_id()
+    for life in built.lives:
+        life.faults.apply_late = 2.0
+    await member.call("POST", PREFIX + job_id, job(step(2), spec={"seconds": 1.5}))
+    await until_state(member, job_id, "completed", 10)
+    await anyio.sleep(1.0)
+
+
+@with_cluster()
+async def test_work_of_a_crashed_executor_starts_again(built: Cluster) -> None:
+    """An executor crashes and starts again under its id. It knows nothing of before; what it ran
+    is started again, once."""
+    member, job_id = built.members[0], built.new_id()
+    await member.call("POST", PREFIX + job_id, job(step(4), spec={"seconds": 1.0}))
+    await until(lambda: running(built) == 4)
+    built.restart("i-0")
+    built.register("i-0")
+    await until_state(member, job_id, "completed", 8)
+    assert sum(built.audit.started.values()) <= 8
+
+
+@with_cluster()
+async def test_work_of_a_silent_executor_waits_for_its_lease(built: Cluster) -> None:
+    """An executor falls silent and runs on. Its tasks start elsewhere only when its lease has
+    surely ended, or they would run twice."""
+    member, job_id = built.members[0], built.new_id()
+    await member.call("POST", PREFIX + job_id, job(step(2), spec={"seconds": 20}))
+    await until(lambda: running(built) == 2)
+    silent = next(host for host in built.hosts.values() if host.life.running)
+    task = next(iter(silent.life.running))
+    silent.life.faults.silent = True
+    built.store.delete(f"servers/{silent.life.name}")
+    await until(lambda: built.audit.started[task] == 2, 12)
+
+
+@with_cluster(members=2)
+async def test_a_forgotten_history_loses_no_news(built: Cluster) -> None:
+    """The store drops its history while entries follow it. They list anew and miss nothing."""
+    member = built.members[0]
+    ids = [built.new_id() for _ in range(4)]
+    for job_id in ids:
+        built.store.forget_history()
+        await member.call("POST", PREFIX + job_id, job())
+    for job_id in ids:
+        await until_state(member, job_id, "completed")
+
+
+@with_cluster(members=2)
+async def test_everything_restarts_with_all_accepted_jobs(built: Cluster) -> None:
+    """All entries lose power right after a job was accepted. It is completed by those that start
+    after them."""
+    job_id = built.new_id()
+    await built.members[0].call("POST", PREFIX + job_id, job(step(2)))
+    for member in list(built.members):
+        await built.kill(member)
+    again = built.add_member("entry-0")
+    await built.owner()
+    await until_state(again, job_id, "completed")
+    assert set(built.audit.started.values()) == {1}
