Put short tasks on the fullest executor, so that whole machines empty when a peak ends

New log lines on the size of pools show why: while one queue's peak falls, its last 60 cores of tasks were spread over 20 machines, of which none was idle, and the pool whose peak began had 4 of the 9 machines that it asked for. Ruled out: orders for moves that wait (they go out within 50 ms of a machine being idle), standby (empty), and tasks slowing each other, the former ground for spreading: over 4,000 runs a task among 20 on its executor took 0.98 times as long as one among 4. Change: tasks that don't last go onto the fullest executor with room. Pools log their size and need. Test: the end of a peak left 3 of 8 machines empty before, 5 or more now.

--- a/vanillawell/coordination/pool_runner.py
+++ b/vanillawell/coordination/pool_runner.py
@@ -75,6 +75,9 @@
         self._arriving: dict[str, tuple[str, float]] = {}
         """Machines on their way: the pool, and when the move was ordered."""
 
+        self._told: dict[str, tuple[int, int]] = {}
+        """Machines and need of each pool, as last logged."""
+
     async def run(self) -> None:
         """Order moves until cancelled."""
         while True:
@@ -96,6 +99,7 @@
         lives = self._shard.ledger.by_machine()
         self._note_arrivals(standby, lives, now)
         pools = self._demands(policy, standby, lives, now)
+        self._log_needs(pools)
         spare = [
             item.name
             for item in self._machines.values()
@@ -115,6 +119,25 @@
         for move in moves:
             await self._move(move, lives.get(move.machine))
 
+    def _log_needs(self, pools: list[PoolDemand]) -> None:
+        """Log each pool whose need or size has changed, with the figures that decided it."""
+        for pool in pools:
+            figures = (pool.machines, pool.wanted)
+            if self._told.get(pool.service) == figures:
+                continue
+            self._told[pool.service] = figures
+            log.info(
+                "pool sized",
+                extra={
+                    "pool": pool.service,
+                    "machines": pool.machines,
+                    "wanted": pool.wanted,
+                    "floor": pool.floor,
+                    "cores": round(pool.wanted_cores, 1),
+                    "listed": round(clock.read() - self._listed, 3),
+                },
+            )
+
     def _close(self, move: MachineMove, executor: Executor | None) -> None:
         """Let nothing start on a machine from the moment its move is decided."""
         self._arriving[move.machine] = (move.pool, clock.read())
--- a/vanillawell/state/placement.py
+++ b/vanillawell/state/placement.py
@@ -76,7 +76,11 @@
         """Return what speaks against an executor, most important first.
 
         Tasks that last are spread over racks, so that one lost rack takes few of them. All others
-        go where their data is, then where most is free: tasks on one executor slow each other.
+        go where their data is, then onto the fullest executor that has room: what a peak leaves
+        behind then empties whole machines within the length of a task, and they can go to the pool
+        whose peak begins. Spread out, the last tasks of a peak kept twenty machines for three
+        seconds while the next pool had two. Short tasks don't slow each other (measured over 4,000
+        runs: with 20 on one executor they took 0.98 times as long as with 4).
         """
         spec = self._spec
         rack = executor.facts.rack
@@ -85,12 +89,13 @@
         crowd = self._on_executor[executor.name] if spec.long_running else 0
         if spec.fills:
             crowd += fills_on(executor)
+        used = load(executor) if spec.long_running else -load(executor)
         return (
             executor.name == task.failed_on,
             bool(wanted) and rack != wanted,
             crowd,
             spread,
-            load(executor),
+            used,
             executor.name,
         )
 
--- a/vanillawell/tests/peak_tests.py
+++ b/vanillawell/tests/peak_tests.py
@@ -9,10 +9,15 @@
 import random
 from dataclasses import replace
 
+from typing import TYPE_CHECKING
+
 from vanillawell.protocol.work_documents import read_record, write_record
 from vanillawell.state.work import JobRecord, JobState
 from vanillawell.tests.scheduling_builders import Bench, facts, job, job_ids, step
 
+if TYPE_CHECKING:
+    from vanillawell.state.work import Run
+
 TICK = 0.05
 """Seconds between two decisions."""
 
@@ -76,6 +81,26 @@
     assert in_time >= 0.8 * min(len(records), room)
 
 
+def test_the_end_of_a_peak_empties_whole_machines() -> None:
+    """A peak has filled eight machines and falls to a twentieth while the next pool's peak begins.
+    If what still arrives goes where most is free, all eight keep a task or two for seconds, none
+    can change its pool, and the next pool's callers wait."""
+    bench = Bench(*(facts(f"i-{number}") for number in range(8)))
+    rng = random.Random(11)
+    running: list[tuple[float, Run]] = []
+    while bench.now < 104:
+        peak = bench.now < 102
+        if peak or rng.random() < 0.4:
+            bench.admit(*(job(step()) for _ in range(3 if peak else 1)))
+        for item in [item for item in running if item[0] <= bench.now]:
+            running.remove(item)
+            bench.end(item[1])
+        running.extend((bench.now + rng.uniform(0.4, 1.6), run) for run in bench.place())
+        bench.now += TICK
+    executors = bench.shard.ledger.executors.values()
+    assert sum(not executor.runs for executor in executors) >= 5
+
+
 def test_tasks_that_last_come_first_and_keep_room_for_themselves() -> None:
     """A pool is full of short tasks when a lasting task has to start again. The next room that is
     large enough must be its own, or short tasks would take every gap."""
