--- a/vanillawell/tests/peak_tests.py
+++ b/vanillawell/tests/peak_tests.py
@@ -8,7 +8,6 @@
 
 import random
 from dataclasses import replace
-
 from typing import TYPE_CHECKING
 
 from vanillawell.protocol.work_documents import read_record, write_record
