Take nothing that lasts away on what is not known yet

Four holes were found, each able to end one task of a step too many: a run that was not seen at work counted as free to take, which after a change of owner is every run; two tasks of a step on one machine were judged one by one; a machine whose executor's entry had not been read yet, or had lapsed, looked unused; a stop that a former owner ordered was not known. Ruled out: moves of idle machines (cordoned in the same step as they are chosen). At the start of a whole system machines that are up count for their pools before their executors have registered. Tests: three, each failing before.

--- a/vanillawell/coordination/pool_runner.py
+++ b/vanillawell/coordination/pool_runner.py
@@ -47,6 +47,11 @@
 STANDBY_BOUND = 1.7
 """Seconds after which a machine that was sent to the standby pool may be taken out again."""
 
+REGISTRATION = 3.0
+"""Seconds after a change of owner in which a machine that is up counts for its pool although no
+executor of it is registered yet: two of the intervals at which executors write there. Otherwise the
+start of a whole system looks like the loss of all pools, and ten needless moves begin."""
+
 CORES_PER_UNIT = 1000
 """Thousandths of a core in a core."""
 
@@ -68,6 +73,7 @@
         self._orders = orders
         self._wake = wake
         self._sizer = PoolSizer()
+        self._began = clock.read()
         self._cores: dict[str, float] = {}
         """Cores of a machine by pool, as last seen."""
         self._machines: dict[str, Machine] = {}
@@ -180,17 +186,32 @@
                 if not item.facts.draining and item.facts.machine not in self._arriving
             ]
             arriving = sum(pool == service for pool, _ in self._arriving.values())
+            expected = self._unregistered(service, lives) if now < self._began + REGISTRATION else 0
             cores = self._cores.get(service) or max(self._cores.values(), default=0.0)
             wanted = max(
                 demanded_cores(own, steps[service]), self._shard.arrivals.cores(service, now)
             )
             pools.append(
                 PoolDemand(
-                    service, len(usable) + arriving, cores, wanted, lasting_floor(steps[service])
+                    service,
+                    len(usable) + arriving + expected,
+                    cores,
+                    wanted,
+                    lasting_floor(steps[service]),
                 )
             )
         return pools
 
+    def _unregistered(self, service: str, lives: dict[str, Executor]) -> int:
+        """Return the machines that are up in a pool and of which no executor is registered."""
+        return sum(
+            item.pool == service
+            and item.state is MachineState.UP
+            and item.name not in lives
+            and item.name not in self._arriving
+            for item in self._machines.values()
+        )
+
     def _note_sizes(self, lives: dict[str, Executor]) -> None:
         """Remember the size of each pool's machines, for when it has lost all of them.
 
--- a/vanillawell/coordination/registry.py
+++ b/vanillawell/coordination/registry.py
@@ -6,6 +6,8 @@
 import time
 from typing import TYPE_CHECKING
 
+import anyio
+
 from vanillawell import clock
 from vanillawell.coordination.follow import PrefixFollower
 
@@ -33,6 +35,14 @@
         self._follower = PrefixFollower(
             ports.store, prefix, FOLLOW_WAIT, self._take_listing, self._take_changes
         )
+        self._listed = anyio.Event()
+
+    async def known(self) -> None:
+        """Wait until all executors were read once.
+
+        Before that a machine in use looks as if nothing lived on it.
+        """
+        await self._listed.wait()
 
     async def run(self) -> None:
         """Follow until cancelled."""
@@ -45,6 +55,7 @@
                 self._unregister(name)
         for item in listing.items:
             self._register(item.key, item.value)
+        self._listed.set()
         self._wake()
 
     def _take_changes(self, changes: Changes) -> None:
--- a/vanillawell/coordination/shard_owner.py
+++ b/vanillawell/coordination/shard_owner.py
@@ -26,6 +26,8 @@
 from vanillawell.state.shard import Shard
 
 if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
     from anyio.abc import TaskGroup
 
     from vanillawell.config.node_settings import NodeSettings
@@ -123,11 +125,11 @@
             orders,
             self.wake,
         )
+        pools = PoolRunner(self._shard, self._term, self._ports, orders, self.wake)
         tasks.start_soon(inbox.run)
         tasks.start_soon(registry.run)
-        tasks.start_soon(upkeep.run)
-        pools = PoolRunner(self._shard, self._term, self._ports, orders, self.wake)
-        tasks.start_soon(pools.run)
+        tasks.start_soon(_run_after, registry.known, upkeep.run)
+        tasks.start_soon(_run_after, registry.known, pools.run)
         if self._ports.advice is not None:
             desk = AdviceDesk(self._shard, self._ports.advice, self.wake)
             tasks.start_soon(desk.run)
@@ -272,3 +274,10 @@
     def _notify_drivers(self) -> None:
         for driver in self._drivers.values():
             driver.notify()
+
+
+async def _run_after(
+    ready: Callable[[], Awaitable[None]], run: Callable[[], Awaitable[None]]
+) -> None:
+    await ready()
+    await run()
--- a/vanillawell/coordination/upkeep_runner.py
+++ b/vanillawell/coordination/upkeep_runner.py
@@ -21,6 +21,7 @@
     UNKNOWN_LIFE,
     Wave,
     WaveProgress,
+    has_lasting,
     is_empty_enough,
     life_of,
     to_close,
@@ -55,6 +56,12 @@
 """Seconds before an order without an answer is repeated; if it was done, that changes nothing."""
 
 
+SETTLING = 1.0
+"""Seconds beyond the time that stops take, after a change of owner, in which nothing that lasts is
+taken away: a stop that the former owner ordered may still be under way, and its task looks at work
+until it is gone."""
+
+
 class UpkeepRunner:
     """Own all waves of one term."""
 
@@ -80,6 +87,7 @@
         self._waves: dict[int, WaveProgress] = {}
         self._machines: dict[str, Machine] = {}
         self._listed = 0.0
+        self._settled_at = clock.read() + settings.bounds.kill_grace_ms / 1000 + SETTLING
 
     async def run(self) -> None:
         """Carry waves out until cancelled."""
@@ -172,6 +180,8 @@
         self, progress: WaveProgress, name: str, executor: Executor, since: float, now: float
     ) -> None:
         """Move tasks away from a closed machine, and order its upkeep once it is empty."""
+        if now < self._settled_at and has_lasting(executor):
+            return
         hurried = progress.hurried(now)
         for run in to_stop(executor):
             self._shard.want_stop(run)
@@ -244,11 +254,19 @@
             machine = self._machines.get(name)
             if name in progress.decided or name in executors or machine is None:
                 continue
-            if not self._orders.may_order(name, clock.read()):
+            if not self._orders.may_order(name, clock.read()) or self._in_use(machine):
                 continue
             if machine.state is MachineState.UP and len(progress.away) < progress.wave.most_away:
                 await self._order(progress, name, None)
 
+    def _in_use(self, machine: Machine) -> bool:
+        """Tell whether an executor whose entry in the registry has lapsed may run something there.
+
+        Entries lapse while executors live on: when the store has been away, or their path to it.
+        """
+        executor = self._shard.ledger.executors.get(machine.executor or "")
+        return executor is not None and bool(executor.runs)
+
     async def _finish(self, progress: WaveProgress) -> None:
         """Tell operators that the wave is completed once each machine has had its upkeep."""
         left = [
--- a/vanillawell/state/upkeep.py
+++ b/vanillawell/state/upkeep.py
@@ -12,7 +12,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from collections.abc import Collection, Iterable, Mapping
+    from collections.abc import Collection, Mapping
 
     from vanillawell.state.executors import Executor
     from vanillawell.state.work import Run, StepProgress
@@ -102,22 +102,43 @@
 def others_away(step: StepProgress, run: Run) -> int:
     """Return how many other tasks of a step are not at work."""
     return sum(
-        task.run is None or not task.run.at_work or task.run.stop_wanted
-        for task in step.tasks
-        if task.run is not run
+        task.run is None or not is_working(task.run) for task in step.tasks if task.run is not run
     )
 
 
+def is_working(run: Run) -> bool:
+    """Tell whether a long-running task is at work, as last reported, and may go on."""
+    return run.at_work and not run.stop_wanted
+
+
 def may_take_away(run: Run) -> bool:
     """Tell whether planned work may end this run now.
 
     A step says how many of its tasks may be away at once. Tasks that are away for any other cause
-    count too: they would be missing all the same.
+    count too: they would be missing all the same. That the run itself was not at work when its
+    executor last reported allows nothing: after a change of owner nothing has been reported yet,
+    and between two reports a task may have got to work. A new owner that took it for granted
+    stopped two tasks of a step of which one might be away.
     """
     bound = run.task.step.spec.most_away
-    if not bound or not run.at_work:
-        return True
-    return others_away(run.task.step, run) < bound
+    return not bound or others_away(run.task.step, run) < bound
+
+
+def has_lasting(executor: Executor) -> bool:
+    """Tell whether a long-running task is charged to an executor."""
+    return any(run.task.step.spec.long_running for run in executor.runs.values())
+
+
+def may_lose_all(executor: Executor) -> bool:
+    """Tell whether planned work may end everything on an executor at once."""
+    lasting = [run for run in executor.runs.values() if run.task.step.spec.long_running]
+    for step in {run.task.step for run in lasting}:
+        here = [run for run in lasting if run.task.step is step]
+        bound = step.spec.most_away
+        elsewhere = others_away(step, here[0]) - sum(not is_working(run) for run in here[1:])
+        if bound and elsewhere + len(here) > bound:
+            return False
+    return True
 
 
 def to_close(progress: WaveProgress, executors: Mapping[str, Executor]) -> list[str]:
@@ -157,7 +178,6 @@
 
 def is_empty_enough(executor: Executor, since: float, hurried: bool, now: float) -> bool:
     """Tell whether the upkeep of a closed machine may begin."""
-    runs: Iterable[Run] = executor.runs.values()
-    if any(run.task.step.spec.long_running for run in runs):
-        return hurried and all(may_take_away(run) for run in runs if run.at_work)
+    if has_lasting(executor):
+        return hurried and may_lose_all(executor)
     return not executor.runs or hurried or now > since + PATIENCE
--- a/vanillawell/tests/scheduler_failure_tests.py
+++ b/vanillawell/tests/scheduler_failure_tests.py
@@ -280,3 +280,24 @@
     await until(lambda: survivor.owns, 4)
     assert (await survivor.call("POST", PREFIX + other_id, job())).status == 200
     await until_state(survivor, other_id, "completed")
+
+
+@with_cluster(executors=3)
+async def test_a_machine_whose_entry_has_lapsed_is_not_taken_down_in_use(built: Cluster) -> None:
+    """The entries of executors lapse while the executors live and work on, as after an outage of
+    the store. Their machines look unused; taken down for upkeep together, they would end all tasks
+    of a step of which one may be away."""
+    job_id, member = built.new_id(), built.members[0]
+    lasting = step(2, longRunning=True, maxUnavailable=1, maxPerServer=1)
+    await member.call("POST", PREFIX + job_id, job(lasting, spec={"seconds": 60}))
+    await until(lambda: sum(len(life.running) for life in built.lives) == 2)
+    for name in built.hosts:
+        built.store.delete(f"servers/{name}")
+    machines = built.machines.machines
+    wave = {"wave": 1, "machines": list(machines), "durationS": 20, "maximum": 3}
+    built.store.put_document("op/wave/1", wave)
+    await until(lambda: any(machine.upkeeps for machine in machines.values()), 3)
+    await anyio.sleep(0.7)
+    used = {host.machine for host in built.hosts.values() if host.life.running}
+    assert len(used) == 2
+    assert not any(machines[name].upkeeps for name in used)
--- a/vanillawell/tests/upkeep_tests.py
+++ b/vanillawell/tests/upkeep_tests.py
@@ -2,7 +2,15 @@
 
 from __future__ import annotations
 
-from vanillawell.state.upkeep import UNKNOWN_LIFE, Wave, WaveProgress, life_of, to_close, to_stop
+from vanillawell.state.upkeep import (
+    UNKNOWN_LIFE,
+    Wave,
+    WaveProgress,
+    is_empty_enough,
+    life_of,
+    to_close,
+    to_stop,
+)
 from vanillawell.tests.scheduling_builders import Bench, facts, job, step
 
 
@@ -53,3 +61,26 @@
     second.at_work = True
     assert to_stop(executor) == [first]
     assert life_of(executor).startswith(executor.name)
+
+
+def test_lasting_tasks_that_were_not_reported_yet_are_not_taken_away_together() -> None:
+    """A new owner has read from the store which tasks last, and no executor has reported yet. Both
+    machines of a step that allows one absence are to be emptied. If a task that was not seen at
+    work could be taken away freely, both would stop at once, and its users find nobody."""
+    bench = Bench(facts("i-0"), facts("i-1"))
+    bench.admit(job(step(2, long_running=True, most_away=1, most_per_executor=1)))
+    first, second = bench.place()
+    executors = bench.shard.ledger.executors
+    assert to_stop(executors[first.executor]) == []
+    assert to_stop(executors[second.executor]) == []
+
+
+def test_a_machine_with_two_tasks_of_a_step_is_not_taken_down_if_one_may_be_away() -> None:
+    """Near the end of a wave's time nothing is waited for any more. Two tasks of a step share a
+    machine; each alone could go, and its upkeep would end both."""
+    bench = Bench(facts("i-0"))
+    bench.admit(job(step(2, long_running=True, most_away=1)))
+    for run in bench.place():
+        run.at_work = True
+    (executor,) = bench.shard.ledger.executors.values()
+    assert not is_empty_enough(executor, since=0.0, hurried=True, now=bench.now)
