--- a/vanillawell/tests/limit_keeper_tests.py
+++ b/vanillawell/tests/limit_keeper_tests.py
@@ -283,3 +283,13 @@
 def test_replacing_a_presence_gives_a_new_holder() -> None:
     one = presence("entry-1", "one")
     assert replace(one, incarnation="two").holder != one.holder
+
+
+def test_an_entry_that_has_just_started_lets_its_first_callers_wait_for_units() -> None:
+    """The first request comes before the first answer of the store, as it does on a busy machine.
+    Refused with the word that the store is away, its caller would leave for nothing: the units are
+    there within milliseconds."""
+    machine = LimitRaces()
+    holder = Holder(machine, "entry-1")
+    assert holder.keeper.may_grow()
+    machine.teardown()
