--- a/vanillawell/state/pool_sizing.py
+++ b/vanillawell/state/pool_sizing.py
@@ -47,8 +47,8 @@
 ALONE = 3
 """Multiple of the cores that a single job can use at once for which it alone makes room.
 
-With 2 the worst half of a day's peaks fell to 85% in time; without a bound the days cost 7% more and
-were no better."""
+With 2 the worst half of a day's peaks fell to 85% in time; without a bound the days cost 7%
+more and were no better."""
 
 BACKLOG_TIME = 2.0
 """Seconds within which waiting work is to be done, beside what arrives meanwhile. Room for all of
