Count the time without an owner for the machines of its last orders

Ruled out: wall clocks (entries may differ by seconds, and clocks may jump). Change: the age of each order and readings of executors' steady clocks are stored with the announcement; a new owner reads the same clocks and knows how long it was. An order is sent within half a second of its announcement or not at all, and a repeated order of an upkeep is announced like the first. Test: one (free, too early, restarted executor).

--- a/vanillawell/coordination/executor_driver.py
+++ b/vanillawell/coordination/executor_driver.py
@@ -45,8 +45,8 @@
 SHORT_HOLD = 0.5
 """Seconds a hold waits where short tasks may end, or start-ups and tails have to be watched.
 
-Where tasks end, holds are answered sooner anyway; but a lost answer is noticed only after the wait,
-and until then the executor's ends are not seen and its room is not used. With two seconds of waiting
+Where tasks end, holds are answered sooner anyway; but a lost answer is noticed only after the
+wait, and until then the ends of tasks are not seen and their room is not used. With two seconds
 and one answer in fifteen lost, an executor with ten ends a second was blind two thirds of the time.
 """
 
@@ -109,6 +109,11 @@
         """Return the executor."""
         return self._executor
 
+    @property
+    def clock(self) -> ExecutorClock:
+        """Return the estimate of the executor's clock."""
+        return self._clock
+
     def target(self) -> Target:
         """Return whom orders are meant for."""
         facts = self._executor.facts
--- a/vanillawell/coordination/leases.py
+++ b/vanillawell/coordination/leases.py
@@ -44,10 +44,14 @@
         """Take in a reading."""
         self.value, self.read_at = value, now
 
+    def at(self, now: float) -> float:
+        """Return what the clock shows now; it must have been read before."""
+        assert self.value is not None
+        return self.value + now - self.read_at
+
     def lease_end(self, now: float, lease: float) -> float:
         """Return the executor's time at which a lease that begins now should end."""
-        assert self.value is not None
-        return self.value + now - self.read_at + lease
+        return self.at(now) + lease
 
     def surely_over(self, now: float, lease: float) -> float:
         """Return when such a lease has surely ended, on this process's clock."""
--- a/vanillawell/coordination/machine_orders.py
+++ b/vanillawell/coordination/machine_orders.py
@@ -4,10 +4,15 @@
 behind it must not see two holders take turns within a bound. So the machines of the latest orders
 are stored before the orders go out, and a new owner leaves just those alone for that long. Waiting
 with all machines would leave a pool without help in the seconds after each change of owner.
+
+How long ago the orders were given is told by the steady clocks of executors, whose readings are
+stored with them: wall clocks of two entries may differ by seconds, and counting from the change of
+owner, the seconds in which nobody owned the shard would be waited for once more.
 """
 
 from __future__ import annotations
 
+import itertools
 import logging
 from typing import TYPE_CHECKING
 
@@ -19,7 +24,7 @@
 from vanillawell.protocol.store import Put
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Callable, Iterable, Mapping
 
     from vanillawell.coordination.ports import Ports
     from vanillawell.coordination.term import Term
@@ -27,19 +32,38 @@
 
 log = logging.getLogger(__name__)
 
+ORDER_FRESHNESS = 0.5
+"""Seconds after its announcement within which an order has to be sent."""
+
+CLOCKS_KEPT = 3
+"""Executors whose clocks are stored with an announcement; one of them should live on."""
+
 
 class MachineOrders:
     """Own the right to give orders for machines during one term."""
 
     def __init__(
-        self, term: Term, ports: Ports, keys: WorkKeys, shard: str, holder: str, pause: float
+        self,
+        term: Term,
+        ports: Ports,
+        keys: WorkKeys,
+        shard: str,
+        holder: str,
+        pause: float,
+        read_clocks: Callable[[float], Mapping[str, float]],
     ) -> None:
+        """Take the seconds to leave a machine alone, and what reads clocks by executors' lives."""
         self._term = term
         self._store = ports.store
         self._key = keys.machine_orders(shard)
         self._pause = pause
+        self._read_clocks = read_clocks
         self._began = clock.read()
-        self._former: frozenset[str] | None = None
+        self._former: dict[str, float] | None = None
+        """Machines of a former owner's latest orders, with the age of each when it was stored."""
+
+        self._former_clocks: dict[str, float] = {}
+        self._announced = float("-inf")
         self._lately: dict[str, float] = {}
         self.duty = MachineDuty(holder, term.token)
 
@@ -52,24 +76,51 @@
         except StoreError as error:
             log.warning("former orders not read", extra={"why": str(error)})
             return False
-        self._former = frozenset(orjson.loads(found.value)) if found else frozenset()
+        document = orjson.loads(found.value) if found else {"machines": {}, "clocks": {}}
+        self._former, self._former_clocks = document["machines"], document["clocks"]
         return True
 
     def may_order(self, machine: str, now: float) -> bool:
         """Tell whether no former owner can have given an order for the machine just now."""
         if self._former is None or not self._term.is_held(now):
             return False
-        return machine not in self._former or now > self._began + self._pause
+        age = self._former.get(machine)
+        if age is None:
+            return True
+        return age + self._since_former(now) > self._pause + ORDER_FRESHNESS
+
+    def _since_former(self, now: float) -> float:
+        """Return the seconds that have surely passed since the former owner's last announcement.
+
+        Executors' clocks may be slow but not fast, so the least that any of them shows has passed.
+        """
+        present = self._read_clocks(now)
+        shown = [
+            present[life] - before
+            for life, before in self._former_clocks.items()
+            if life in present
+        ]
+        return max(now - self._began, min(shown, default=0.0))
+
+    def is_fresh(self, now: float) -> bool:
+        """Tell whether an order that was just announced may still be sent."""
+        return now <= self._announced + ORDER_FRESHNESS
 
     async def announce(self, machines: Iterable[str]) -> None:
         """Store that orders for these machines are about to go out; raises TermLostError."""
         now = clock.read()
-        self._lately = {
+        recent = {
             name: moment for name, moment in self._lately.items() if moment > now - self._pause
         }
-        self._lately.update(dict.fromkeys(machines, now))
-        if self._former and now <= self._began + self._pause:
-            names = sorted({*self._lately, *self._former})
-        else:
-            names = sorted(self._lately)
-        await self._term.write([Put(self._key, orjson.dumps(names))])
+        self._lately = {**recent, **dict.fromkeys(machines, now)}
+        ages = {name: now - moment for name, moment in self._lately.items()}
+        clocks = dict(itertools.islice(self._read_clocks(now).items(), CLOCKS_KEPT))
+        document = {"machines": {**self._ages_of_former(now), **ages}, "clocks": clocks}
+        await self._term.write([Put(self._key, orjson.dumps(document))])
+        self._announced = now
+
+    def _ages_of_former(self, now: float) -> dict[str, float]:
+        """Return the former owner's machines that have to be left alone still, with their ages."""
+        passed = self._since_former(now)
+        ages = {name: age + passed for name, age in (self._former or {}).items()}
+        return {name: age for name, age in ages.items() if age <= self._pause + ORDER_FRESHNESS}
--- a/vanillawell/coordination/pool_runner.py
+++ b/vanillawell/coordination/pool_runner.py
@@ -134,7 +134,11 @@
             self._close(move, lives.get(move.machine))
         await self._orders.announce(move.machine for move in moves)
         for move in moves:
-            await self._move(move, lives.get(move.machine))
+            executor = lives.get(move.machine)
+            if self._orders.is_fresh(clock.read()):
+                await self._move(move, executor)
+            else:
+                self._reopen(move.machine, executor)
 
     def _log_needs(self, pools: list[PoolDemand]) -> None:
         """Log each pool whose need or size has changed, with the figures that decided it."""
@@ -161,6 +165,12 @@
         if executor is not None:
             executor.cordoned = True
 
+    def _reopen(self, machine: str, executor: Executor | None) -> None:
+        """Let a machine that was not moved take work again."""
+        self._arriving.pop(machine, None)
+        if executor is not None:
+            executor.cordoned = False
+
     def _note_arrivals(self, standby: str, lives: dict[str, Executor], now: float) -> None:
         """Count a machine where it is once it has come, or has not come in time."""
         for name, (pool, since) in list(self._arriving.items()):
@@ -273,10 +283,8 @@
             await self._ports.machines.move(move.machine, move.pool, self._orders.duty)
         except UpkeepRefusedError as error:
             log.warning("move refused", extra={**fields, "why": error.reason.value})
-            self._arriving.pop(move.machine, None)
             self._listed = float("-inf")
-            if executor is not None:
-                executor.cordoned = False
+            self._reopen(move.machine, executor)
             return
         except (NotSentError, NoAnswerError) as error:
             log.warning("move unanswered", extra={**fields, "why": str(error)})
--- a/vanillawell/coordination/shard_owner.py
+++ b/vanillawell/coordination/shard_owner.py
@@ -24,6 +24,7 @@
 from vanillawell.protocol.store import Put
 from vanillawell.protocol.work_documents import read_job, read_record
 from vanillawell.state.shard import Shard
+from vanillawell.state.upkeep import life_of
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -114,6 +115,7 @@
             self._name,
             self._settings.instance,
             self._bounds.duty_lease_ms / 1000,
+            self._read_clocks,
         )
         upkeep = UpkeepRunner(
             self._shard,
@@ -215,6 +217,12 @@
         for name in [name for name in self._drivers if name not in executors]:
             self._drivers.pop(name).notify()
 
+    def _read_clocks(self, now: float) -> dict[str, float]:
+        """Return what the clocks of executors show now, by their lives; latest readings first."""
+        read = [item for item in self._drivers.values() if item.clock.value is not None]
+        read.sort(key=lambda item: -item.clock.read_at)
+        return {life_of(item.executor): item.clock.at(now) for item in read}
+
     def _new_driver(self, executor: Executor, tasks: TaskGroup) -> ExecutorDriver:
         driver = ExecutorDriver(
             executor,
--- a/vanillawell/coordination/upkeep_runner.py
+++ b/vanillawell/coordination/upkeep_runner.py
@@ -259,6 +259,7 @@
         for name in progress.doubtful:
             due = now > progress.ordered.get(name, 0.0) + REPEAT_PAUSE
             if due and self._orders.may_order(name, now):
+                await self._orders.announce([name])
                 await self._send(progress, name, executors.get(name))
 
     async def _order_unregistered(
--- a/vanillawell/tests/term_tests.py
+++ b/vanillawell/tests/term_tests.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import functools
+
 import anyio
 import pytest
 
 from vanillawell import clock
-from vanillawell.coordination.machine_orders import MachineOrders
+from vanillawell.coordination.machine_orders import ORDER_FRESHNESS, MachineOrders
 from vanillawell.coordination.ports import Ports
 from vanillawell.coordination.term import Candidate, Term, TermLostError
 from vanillawell.platform.http import HttpClient
@@ -19,6 +21,10 @@
 KEYS = WorkKeys()
 
 
+def _shown(clocks: dict[str, float], _: float) -> dict[str, float]:
+    return clocks
+
+
 async def _take(store: PlatformStore, name: str) -> Term:
     candidate = Candidate(store, KEYS, "all", name)
     async with anyio.create_task_group() as tasks:
@@ -80,20 +86,56 @@
             store = PlatformStore(HttpClient(), listen(tasks, stand_in))
             ports = Ports(store, *([None] * 4))  # type: ignore[arg-type]
             former_term = await _take(store, "entry-0")
-            former = MachineOrders(former_term, ports, KEYS, "all", "entry-0", 0.5)
+            former = MachineOrders(former_term, ports, KEYS, "all", "entry-0", 0.5, lambda _: {})
             assert await former.load()
             await former.announce(["m-1"])
             await former_term.give_up()
             term = await _take(store, "entry-1")
-            present = MachineOrders(term, ports, KEYS, "all", "entry-1", 0.5)
+            present = MachineOrders(term, ports, KEYS, "all", "entry-1", 0.5, lambda _: {})
             now = clock.read()
             assert not present.may_order("m-2", now)
             assert await present.load()
             assert present.may_order("m-2", now)
             assert not present.may_order("m-1", now)
             assert not former.may_order("m-2", now + 10)
-            await anyio.sleep(0.6)
+            await anyio.sleep(0.4 + ORDER_FRESHNESS)
+            assert not present.may_order("m-1", clock.read())
+            await anyio.sleep(0.2)
             assert present.may_order("m-1", clock.read())
             tasks.cancel_scope.cancel()
 
     anyio.run(run)
+
+
+def test_time_without_an_owner_counts_for_the_machines_of_its_last_orders() -> None:
+    """All entries lose power in a peak and come back three seconds later. The machines that their
+    last owner ordered are needed next; counted from the change of owner, they would be left alone
+    for three seconds more. An executor that has lived on tells how long it was; one that was
+    restarted tells nothing."""
+
+    async def run() -> None:
+        async with anyio.create_task_group() as tasks:
+            stand_in = StandInStore()
+            tasks.start_soon(stand_in.tick)
+            store = PlatformStore(HttpClient(), listen(tasks, stand_in))
+            ports = Ports(store, *([None] * 4))  # type: ignore[arg-type]
+            former_term = await _take(store, "entry-0")
+            former = MachineOrders(
+                former_term, ports, KEYS, "all", "entry-0", 3.0, lambda _: {"i-0@1": 50.0}
+            )
+            assert await former.load()
+            await former.announce(["m-1"])
+            await former_term.give_up()
+            term = await _take(store, "entry-1")
+            for clocks, free in (
+                ({"i-0@1": 50.0 + 3.1 + ORDER_FRESHNESS}, True),
+                ({"i-0@1": 50.0 + 2.9 + ORDER_FRESHNESS}, False),
+                ({"i-0@2": 99.0}, False),
+            ):
+                read_clocks = functools.partial(_shown, clocks)
+                present = MachineOrders(term, ports, KEYS, "all", "entry-1", 3.0, read_clocks)
+                assert await present.load()
+                assert present.may_order("m-1", clock.read()) is free
+            tasks.cancel_scope.cancel()
+
+    anyio.run(run)
