Keep no spare place for lasting tasks, and start tasks elsewhere where all stand still

Cause 1: pools between peaks are as large as their lasting tasks make them, and one machine more each was kept in case one is lost; machines in pools are what running costs most. From standby one comes in 1.7 s. Change: no spare place; a machine that is closed for upkeep no longer counts for its pool, which calls another; a lasting task is stopped for upkeep only once another executor has a place, or after 4 s. The test that a place more is kept is replaced by one for just the places and one for a task that stays at work until there is a place: the old one asserted the policy that is given up here. Change: all reports tell how far tasks have come; if none of an executor's short tasks moves for 0.8 s and two at least have stood still so long, they are stopped and started elsewhere, and it gets no work for 4 s. Ruled out: one task alone (its own fault), gangs, paced and lasting tasks, tasks of minutes. Tests: stalls_tests.py, upkeep_tests.py.

--- a/vanillawell/coordination/pool_runner.py
+++ b/vanillawell/coordination/pool_runner.py
@@ -223,11 +223,7 @@
             if service == standby or service not in used:
                 continue
             own = members[service]
-            usable = [
-                item
-                for item in own
-                if not item.facts.draining and item.facts.machine not in self._arriving
-            ]
+            usable = [item for item in own if not item.facts.draining and not item.cordoned]
             arriving = sum(pool == service for pool, _ in self._arriving.values())
             expected = self._unregistered(service, lives) if now < self._began + REGISTRATION else 0
             cores = self._cores.get(service) or max(self._cores.values(), default=0.0)
--- a/vanillawell/coordination/upkeep_runner.py
+++ b/vanillawell/coordination/upkeep_runner.py
@@ -19,6 +19,7 @@
 )
 from vanillawell.protocol.store import Put
 from vanillawell.state.upkeep import (
+    PATIENCE,
     UNKNOWN_LIFE,
     Wave,
     WaveProgress,
@@ -195,7 +196,8 @@
         if now < self._settled_at and has_lasting(executor):
             return
         hurried = progress.hurried(now)
-        for run in to_stop(executor):
+        impatient = hurried or now > since + PATIENCE
+        for run in to_stop(executor, lambda run: impatient or self._shard.has_place(run, now)):
             self._shard.want_stop(run)
         self._wake()
         if len(progress.away) >= progress.wave.most_away:
--- a/vanillawell/state/ledger.py
+++ b/vanillawell/state/ledger.py
@@ -256,6 +256,10 @@
         if run.started is None:
             run.started = now
         run.at_work = row.percent >= 100
+        if run.reported is None:
+            run.reported = now
+        if run.progressed is None or row.percent > run.percent:
+            run.percent, run.progressed = row.percent, now
         if row.checkpoint:
             run.task.checkpoint = row.checkpoint
         if run.task.step.spec.tail_target:
--- a/vanillawell/state/pool_sizing.py
+++ b/vanillawell/state/pool_sizing.py
@@ -204,14 +204,15 @@
 def lasting_floor(steps: Iterable[StepProgress]) -> int:
     """Return the machines that a pool needs so that all of its lasting tasks find places.
 
-    One more than the widest step needs: while a machine is away its task has to go somewhere.
+    None is kept for the loss of one: from standby another comes within two seconds, and a machine
+    kept for a minute costs more than a task is worth that is away for those.
     """
     widest = 0
     for step in steps:
         spec = step.spec
         if spec.long_running:
             widest = max(widest, math.ceil(spec.count / (spec.most_per_executor or spec.count)))
-    return max(SMALLEST_POOL, widest + 1) if widest else SMALLEST_POOL
+    return max(SMALLEST_POOL, widest)
 
 
 def demanded_cores(
--- a/vanillawell/state/shard.py
+++ b/vanillawell/state/shard.py
@@ -12,11 +12,13 @@
 from typing import TYPE_CHECKING
 
 from vanillawell.state.durations import DurationBook
-from vanillawell.state.executors import Executor
+from vanillawell.state.executors import QUARANTINE, Executor, by_service
 from vanillawell.state.job_board import JobBoard
 from vanillawell.state.ledger import Ended, Ledger
+from vanillawell.state.placement import StepPlacer
 from vanillawell.state.placement_pass import PlacementPass
 from vanillawell.state.pool_sizing import ArrivalMeter
+from vanillawell.state.stalls import stalled_runs
 from vanillawell.state.work import (
     Ending,
     Job,
@@ -195,6 +197,19 @@
         for row in outcome.strays:
             if row.task_id is not None:
                 self.outbox.stray_stops.append(StrayStop(executor.name, row.task_id, row.run))
+        self._leave_stalled(executor, now)
+
+    def _leave_stalled(self, executor: Executor, now: float) -> None:
+        """Start the tasks of an executor elsewhere if all of them stand still there."""
+        stalled = stalled_runs(executor, now)
+        if not stalled:
+            return
+        executor.suspect(now + QUARANTINE)
+        oldest = max(now - run.progressed for run in stalled if run.progressed is not None)
+        fields = {"executor": executor.name, "runs": len(stalled), "still": round(oldest, 3)}
+        log.warning("executor stalled", extra=fields)
+        for run in stalled:
+            self.want_stop(run)
 
     def _take_late_end(self, end: EndRow, now: float, wall: float) -> None:
         """Take in the end of a run that had been given up."""
@@ -275,6 +290,18 @@
         lateness = _lateness(step, now)
         return (not step.spec.long_running, priority, lateness, not _begun(step), record.late_by)
 
+    def has_place(self, run: Run, now: float) -> bool:
+        """Tell whether another executor of its pool has a place for the task of a run."""
+        executor = self.ledger.executors[run.executor]
+        step = run.task.step
+        others = [
+            item
+            for item in by_service(self.ledger.executors.values(), executor.facts.service)
+            if item is not executor and item.takes_work(now)
+        ]
+        key = (step.record.job.job_id, step.occurrence, step.position)
+        return StepPlacer(step, others, self.tickets.get(key)).choose(run.task) is not None
+
     def plan(self, task: Task, executor: Executor, number: int, ticket: str, now: float) -> Run:
         """Decide on a run; it is charged from this moment."""
         task.number = number
--- a/vanillawell/state/upkeep.py
+++ b/vanillawell/state/upkeep.py
@@ -12,7 +12,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from collections.abc import Collection, Mapping
+    from collections.abc import Callable, Collection, Mapping
 
     from vanillawell.state.executors import Executor
     from vanillawell.state.work import Run, StepProgress
@@ -165,13 +165,17 @@
     return chosen
 
 
-def to_stop(executor: Executor) -> list[Run]:
-    """Return long-running tasks of a closed machine that may be moved now, one of a step."""
+def to_stop(executor: Executor, has_place: Callable[[Run], bool]) -> list[Run]:
+    """Return long-running tasks of a closed machine that may be moved now, one of a step.
+
+    A task for which no other executor has a place stays at work: stopped now, it would be away
+    until a machine has come.
+    """
     chosen: dict[StepProgress, Run] = {}
     for run in executor.runs.values():
         step = run.task.step
         movable = step.spec.long_running and not run.stop_wanted and step not in chosen
-        if movable and may_take_away(run):
+        if movable and may_take_away(run) and has_place(run):
             chosen[step] = run
     return list(chosen.values())
 
--- a/vanillawell/state/work.py
+++ b/vanillawell/state/work.py
@@ -202,6 +202,15 @@
     started: float | None = None
     """When the executor confirmed the start."""
 
+    percent: int = 0
+    """How far it has come, as last reported."""
+
+    reported: float | None = None
+    """When a report first showed it."""
+
+    progressed: float | None = None
+    """When a report first showed it, or last showed it further than before."""
+
     at_work: bool = False
     """Whether a long-running task is past its start-up and works at full pace."""
 
