Count executors that answer nothing for no pool

A third of the pool's machines was out of reach and counted as present. Change: machines whose executor answers nothing count neither as room nor as demand; standby machines of a zone in which no executor can be reached are taken last.

--- a/vanillawell/coordination/pool_runner.py
+++ b/vanillawell/coordination/pool_runner.py
@@ -117,15 +117,7 @@
         self._note_arrivals(standby, lives, now)
         pools = self._demands(policy, standby, lives, now)
         self._log_needs(pools)
-        spare = [
-            item.name
-            for item in self._machines.values()
-            if item.pool == standby
-            and item.state is MachineState.UP
-            and item.name not in lives
-            and item.name not in self._arriving
-            and self._orders.may_order(item.name, now)
-        ]
+        spare = self._spare(standby, lives, now)
         idle = self._idle(lives, now)
         moves = self._sizer.plan(pools, standby, spare, idle, now)
         if not moves:
@@ -140,6 +132,25 @@
             else:
                 self._reopen(move.machine, executor)
 
+    def _spare(self, standby: str, lives: dict[str, Executor], now: float) -> list[str]:
+        """Return the machines of the standby pool that may be moved, the best ones last.
+
+        Machines of a zone in which no executor can be reached would come and be of no use.
+        """
+        zones = {executor.facts.zone for executor in lives.values()}
+        reached = {item.facts.zone for item in lives.values() if item.takes_work(now)}
+        spare = [
+            item
+            for item in self._machines.values()
+            if item.pool == standby
+            and item.state is MachineState.UP
+            and item.name not in lives
+            and item.name not in self._arriving
+            and self._orders.may_order(item.name, now)
+        ]
+        spare.sort(key=lambda item: item.zone not in zones - reached)
+        return [item.name for item in spare]
+
     def _log_needs(self, pools: list[PoolDemand]) -> None:
         """Log each pool whose need or size has changed, with the figures that decided it."""
         for pool in pools:
@@ -208,6 +219,11 @@
     def _demands(
         self, policy: WorkPolicy, standby: str, lives: dict[str, Executor], now: float
     ) -> list[PoolDemand]:
+        """Return what each pool has and needs.
+
+        Executors that answer nothing count for neither: when a zone was cut off in a peak, a third
+        of a pool was of no use, and its callers waited for room that the pool seemed to have.
+        """
         steps: defaultdict[str, list[StepProgress]] = defaultdict(list)
         for step in self._shard.board.open_steps:
             queue = self._shard.queue_of(step.record.job)
@@ -222,7 +238,7 @@
         for service in policy.services:
             if service == standby or service not in used:
                 continue
-            own = members[service]
+            own = [item for item in members[service] if now >= item.suspected_until]
             usable = [item for item in own if not item.facts.draining and not item.cordoned]
             arriving = sum(pool == service for pool, _ in self._arriving.values())
             expected = self._unregistered(service, lives) if now < self._began + REGISTRATION else 0
--- a/vanillawell/platform/machines.py
+++ b/vanillawell/platform/machines.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 from vanillawell.protocol.calls import NoAnswerError, NotSentError
 from vanillawell.protocol.machine_calls import (
@@ -50,10 +50,7 @@
             if answer.status != 200:
                 raise NotSentError(f"/machines: status {answer.status}")
             content = answer.document()
-            found.extend(
-                Machine(item["machine"], item["pool"], MachineState(item["state"]), item.get("id"))
-                for item in content["machines"]
-            )
+            found.extend(_machine(item) for item in content["machines"])
             token = content.get("nextToken") or ""
             if not token:
                 return found
@@ -102,3 +99,14 @@
         if answer.status != 200:
             raise NoAnswerError(f"/advise: status {answer.status}")
         return {row[0]: row[1] for row in answer.document()["good"]}
+
+
+def _machine(item: Any) -> Machine:
+    """Read one entry of the list; `id` is that of the machine's executor."""
+    return Machine(
+        item["machine"],
+        item["pool"],
+        MachineState(item["state"]),
+        item.get("id"),
+        item.get("zone") or "",
+    )
--- a/vanillawell/protocol/machine_calls.py
+++ b/vanillawell/protocol/machine_calls.py
@@ -31,6 +31,9 @@
     executor: str | None
     """Id of the executor that lives on it now."""
 
+    zone: str = ""
+    """Its availability zone; empty if that is not told."""
+
 
 @dataclass(frozen=True, slots=True)
 class MachineDuty:
--- a/vanillawell/tests/pool_runner_tests.py
+++ b/vanillawell/tests/pool_runner_tests.py
@@ -99,3 +99,17 @@
     (host,) = [host for name, host in built.hosts.items() if name.startswith("moved")]
     await until(lambda: bool(host.life.running), 1.8)
     built.store.faults.deaf = False
+
+
+@with_cluster(executors=2)
+async def test_machines_that_cannot_be_reached_are_replaced(built: Cluster) -> None:
+    """The path to one of a pool's two machines is cut while tasks run there. Its entry stands, and
+    counted as present it would leave the pool's callers with half of the room for seconds."""
+    member, job_id = built.members[0], built.new_id()
+    _obey_moves(built)
+    built.machines.machines["spare-1"] = StandInMachine("spare-1", STANDBY, "")
+    _configure(built)
+    await member.call("POST", PREFIX + job_id, job(step(10), spec={"seconds": 3}))
+    await until(lambda: all(host.life.running for host in built.hosts.values()))
+    built.lives[0].faults.silent = True
+    await until(lambda: built.machines.machines["spare-1"].pool == POOL, 2.5)
