--- a/vanillawell/platform/store.py
+++ b/vanillawell/platform/store.py
@@ -31,8 +31,8 @@
 WATCH_BOUND = 0.7
 """Seconds to wait for the answer to a waiting call beyond its wait.
 
-Asking again costs little, and a call that was sent while the store was silent keeps news away for as
-long after its return."""
+Asking again costs little, and a call that was sent while the store was silent keeps news away for
+as long after its return."""
 
 NOT_DONE = (429, 503)
 """Statuses by which the store says that it did nothing."""
