--- a/vanillawell/coordination/machine_orders.py
+++ b/vanillawell/coordination/machine_orders.py
@@ -63,6 +63,7 @@
         """Machines of a former owner's latest orders, with the age of each when it was stored."""
 
         self._former_clocks: dict[str, float] = {}
+        self._all_free_at = float("-inf")
         self._announced = float("-inf")
         self._lately: dict[str, float] = {}
         self.duty = MachineDuty(holder, term.token)
@@ -76,13 +77,24 @@
         except StoreError as error:
             log.warning("former orders not read", extra={"why": str(error)})
             return False
-        document = orjson.loads(found.value) if found else {"machines": {}, "clocks": {}}
-        self._former, self._former_clocks = document["machines"], document["clocks"]
+        try:
+            self._take_former(found.value if found else b'{"machines": {}, "clocks": {}}')
+        except (ValueError, TypeError, KeyError, AttributeError) as error:
+            # Damaged, or of an earlier version: any machine may have been ordered just now.
+            log.error("former orders unreadable", extra={"why": repr(error)})
+            self._former, self._all_free_at = {}, self._began + self._pause + ORDER_FRESHNESS
         return True
 
+    def _take_former(self, value: bytes) -> None:
+        """Read a former owner's announcement; raises what its parts being of other types does."""
+        document = orjson.loads(value)
+        self._former = {str(name): float(age) for name, age in document["machines"].items()}
+        clocks = document["clocks"].items()
+        self._former_clocks = {str(life): float(reading) for life, reading in clocks}
+
     def may_order(self, machine: str, now: float) -> bool:
         """Tell whether no former owner can have given an order for the machine just now."""
-        if self._former is None or not self._term.is_held(now):
+        if self._former is None or not self._term.is_held(now) or now < self._all_free_at:
             return False
         age = self._former.get(machine)
         if age is None:
--- a/vanillawell/coordination/upkeep_runner.py
+++ b/vanillawell/coordination/upkeep_runner.py
@@ -132,15 +132,21 @@
         if found is None:
             await self._save(progress)
             return progress
-        document = orjson.loads(found.value)
-        progress.decided = set(document["decided"])
-        progress.confirmed = set(document["confirmed"])
-        progress.completed = document["completed"]
+        try:
+            document = orjson.loads(found.value)
+            progress.decided = set(document["decided"])
+            progress.confirmed = set(document["confirmed"])
+            progress.completed = bool(document["completed"])
+        except (ValueError, TypeError, KeyError) as error:
+            # Begun anew: an upkeep that was done is not done again, and answered as if it were.
+            fields = {"wave": wave.number, "why": repr(error)}
+            log.error("wave's progress unreadable", extra=fields)
+            progress = WaveProgress(wave, clock.read())
         self._listed = 0.0
         await self._list()
         progress.away = {
             name: UNKNOWN_LIFE
-            for name in progress.decided
+            for name in wave.machines
             if name in progress.doubtful
             or (name in self._machines and self._machines[name].state is MachineState.UPKEEP)
         }
--- a/vanillawell/tests/scheduler_failure_tests.py
+++ b/vanillawell/tests/scheduler_failure_tests.py
@@ -330,3 +330,17 @@
     used = {host.machine for host in built.hosts.values() if host.life.running}
     assert len(used) == 2
     assert not any(machines[name].upkeeps for name in used)
+
+
+@with_cluster()
+async def test_damaged_progress_of_a_wave_stops_no_job(built: Cluster) -> None:
+    """What an owner stored of a wave is damaged. Whoever reads it next must go on with all jobs; an
+    owner that failed on it would hand the same failure to the next one."""
+    member, job_id = built.members[0], built.new_id()
+    built.store.put("vanillawell/wave/1", "e30=")
+    wave = {"wave": 1, "machines": list(built.machines.machines), "durationS": 20, "maximum": 1}
+    built.store.put_document("op/wave/1", wave)
+    await until(lambda: any(item.upkeeps for item in built.machines.machines.values()), 4)
+    await member.call("POST", PREFIX + job_id, job())
+    await until_state(member, job_id, "completed")
+    assert member.owns
--- a/vanillawell/tests/term_tests.py
+++ b/vanillawell/tests/term_tests.py
@@ -107,6 +107,30 @@
     anyio.run(run)
 
 
+def test_an_unreadable_announcement_stops_orders_for_a_moment_only() -> None:
+    """What a former owner stored is damaged, or of an earlier version. A new owner that failed on
+    it would lose the shard, and so would the one after it; nobody's jobs would go on."""
+
+    async def run() -> None:
+        async with anyio.create_task_group() as tasks:
+            stand_in = StandInStore()
+            tasks.start_soon(stand_in.tick)
+            store = PlatformStore(HttpClient(), listen(tasks, stand_in))
+            ports = Ports(store, *([None] * 4))  # type: ignore[arg-type]
+            for value in (b'["m-1"]', b"{", b'{"machines": [], "clocks": {}}'):
+                term = await _take(store, "entry-0")
+                await term.write([Put(KEYS.machine_orders("all"), value)])
+                present = MachineOrders(term, ports, KEYS, "all", "entry-0", 0.5, lambda _: {})
+                assert await present.load()
+                now = clock.read()
+                assert not present.may_order("m-2", now)
+                assert present.may_order("m-2", now + 0.5 + ORDER_FRESHNESS)
+                await term.give_up()
+            tasks.cancel_scope.cancel()
+
+    anyio.run(run)
+
+
 def test_time_without_an_owner_counts_for_the_machines_of_its_last_orders() -> None:
     """All entries lose power in a peak and come back three seconds later. The machines that their
     last owner ordered are needed next; counted from the change of owner, they would be left alone
