Let orders for machines go out while the store is slow

Change: how long after its announcement an order may come is stored with it and grows with the time that announcements take, up to 3 s; a successor waits for that much. An upkeep keeps to it as well.

--- a/vanillawell/coordination/machine_orders.py
+++ b/vanillawell/coordination/machine_orders.py
@@ -33,7 +33,13 @@
 log = logging.getLogger(__name__)
 
 ORDER_FRESHNESS = 0.5
-"""Seconds after its announcement within which an order has to be sent."""
+"""Seconds after its announcement within which an order has to be sent, while the store is quick."""
+
+LONGEST_FRESHNESS = 3.0
+"""Seconds to which that bound grows while the store is slow."""
+
+WRITES_ALLOWED = 2
+"""Multiple of the time that an announcement took by which the next one may be slower still."""
 
 CLOCKS_KEPT = 3
 """Executors whose clocks are stored with an announcement; one of them should live on."""
@@ -63,8 +69,10 @@
         """Machines of a former owner's latest orders, with the age of each when it was stored."""
 
         self._former_clocks: dict[str, float] = {}
+        self._freshness = ORDER_FRESHNESS
+        self._former_freshness = ORDER_FRESHNESS
         self._all_free_at = float("-inf")
-        self._announced = float("-inf")
+        self._fresh_until = float("-inf")
         self._lately: dict[str, float] = {}
         self.duty = MachineDuty(holder, term.token)
 
@@ -77,18 +85,22 @@
         except StoreError as error:
             log.warning("former orders not read", extra={"why": str(error)})
             return False
+        if found is None:
+            self._former = {}
+            return True
         try:
-            self._take_former(found.value if found else b'{"machines": {}, "clocks": {}}')
+            self._take_former(found.value)
         except (ValueError, TypeError, KeyError, AttributeError) as error:
             # Damaged, or of an earlier version: any machine may have been ordered just now.
             log.error("former orders unreadable", extra={"why": repr(error)})
-            self._former, self._all_free_at = {}, self._began + self._pause + ORDER_FRESHNESS
+            self._former, self._all_free_at = {}, self._began + self._pause + LONGEST_FRESHNESS
         return True
 
     def _take_former(self, value: bytes) -> None:
         """Read a former owner's announcement; raises what its parts being of other types does."""
         document = orjson.loads(value)
         self._former = {str(name): float(age) for name, age in document["machines"].items()}
+        self._former_freshness = float(document.get("freshness", LONGEST_FRESHNESS))
         clocks = document["clocks"].items()
         self._former_clocks = {str(life): float(reading) for life, reading in clocks}
 
@@ -99,7 +111,7 @@
         age = self._former.get(machine)
         if age is None:
             return True
-        return age + self._since_former(now) > self._pause + ORDER_FRESHNESS
+        return age + self._since_former(now) > self._pause + self._former_freshness
 
     def _since_former(self, now: float) -> float:
         """Return the seconds that have surely passed since the former owner's last announcement.
@@ -116,7 +128,7 @@
 
     def is_fresh(self, now: float) -> bool:
         """Tell whether an order that was just announced may still be sent."""
-        return now <= self._announced + ORDER_FRESHNESS
+        return now <= self._fresh_until
 
     async def announce(self, machines: Iterable[str]) -> None:
         """Store that orders for these machines are about to go out; raises TermLostError."""
@@ -127,12 +139,30 @@
         self._lately = {**recent, **dict.fromkeys(machines, now)}
         ages = {name: now - moment for name, moment in self._lately.items()}
         clocks = dict(itertools.islice(self._read_clocks(now).items(), CLOCKS_KEPT))
-        document = {"machines": {**self._ages_of_former(now), **ages}, "clocks": clocks}
+        former = self._ages_of_former(now)
+        document = {
+            "machines": {**former, **ages},
+            "clocks": clocks,
+            "freshness": max(self._freshness, self._former_freshness if former else 0.0),
+        }
         await self._term.write([Put(self._key, orjson.dumps(document))])
-        self._announced = now
+        self._fresh_until = now + self._freshness
+        self._allow_for(clock.read() - now)
+
+    def _allow_for(self, took: float) -> None:
+        """Give later orders more time if an announcement took long.
+
+        With half a second in any case, a slow store let no order go out for as long as it was slow,
+        and a peak's pool stayed at half of what it asked for.
+        """
+        wanted = min(LONGEST_FRESHNESS, WRITES_ALLOWED * took)
+        if wanted > self._freshness:
+            self._freshness = wanted
+            log.info("orders get more time", extra={"freshness": round(wanted, 3)})
 
     def _ages_of_former(self, now: float) -> dict[str, float]:
         """Return the former owner's machines that have to be left alone still, with their ages."""
         passed = self._since_former(now)
         ages = {name: age + passed for name, age in (self._former or {}).items()}
-        return {name: age for name, age in ages.items() if age <= self._pause + ORDER_FRESHNESS}
+        bound = self._pause + self._former_freshness
+        return {name: age for name, age in ages.items() if age <= bound}
--- a/vanillawell/coordination/upkeep_runner.py
+++ b/vanillawell/coordination/upkeep_runner.py
@@ -225,6 +225,9 @@
     async def _send(self, progress: WaveProgress, name: str, executor: Executor | None) -> None:
         progress.ordered[name] = clock.read()
         fields = {"wave": progress.wave.number, "machine": name, "token": self._term.token}
+        if not self._orders.is_fresh(clock.read()):
+            log.info("upkeep waits for a quicker announcement", extra=fields)
+            return
         try:
             await self._ports.machines.begin_upkeep(name, progress.wave.number, self._orders.duty)
         except UpkeepRefusedError as error:
--- a/vanillawell/standins/scheduler/store.py
+++ b/vanillawell/standins/scheduler/store.py
@@ -49,6 +49,9 @@
     refuse: bool = False
     """Every call is answered 503 and has no effect."""
 
+    delay: float = 0.0
+    """Seconds by which every answer is late."""
+
     deaf: bool = False
     """Waiting calls hear of no change."""
 
@@ -85,6 +88,7 @@
         if self.faults.refuse:
             await send_bytes(send, 503, b"{}")
             return
+        await anyio.sleep(self.faults.delay)
         self._expire()
         path = scope["path"]
         query = {key: values[0] for key, values in parse_qs(scope["query_string"].decode()).items()}
