Read the whole answer in the test of a caller that goes silent

The test took one reading of the socket for the whole answer; head and body are sent one after the other and may arrive so. The product's answer was right. Change: the test reads until the announced length is there, and fails on an answer that breaks off: stricter.

--- a/vanillawell/tests/silence_proof_tests.py
+++ b/vanillawell/tests/silence_proof_tests.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 import socket
 import time
 from typing import TYPE_CHECKING, Any
@@ -37,6 +38,19 @@
     return connection
 
 
+def read_answer(connection: socket.socket) -> str:
+    """Read a whole answer; its head and its body may arrive one after the other."""
+    answer = b""
+    while True:
+        head, end, body = answer.partition(b"\r\n\r\n")
+        length = re.search(rb"content-length: (\d+)", head)
+        if end and length and len(body) >= int(length[1]):
+            return answer.decode()
+        part = connection.recv(4096)
+        assert part, f"broken off after {answer!r}"
+        answer += part
+
+
 def test_silent_connections_to_the_store_and_to_peers_are_replaced(tmp_path: Path) -> None:
     """All open connections to the store and between entries go silent; new ones work.
 
@@ -91,7 +105,7 @@
         with open_request(entry, "POST /check/item HTTP/1.1") as connection:
             connection.sendall(b"Request-Timeout: 0.5\r\nContent-Length: 100\r\n\r\nhalf")
             connection.settimeout(10)
-            answer = connection.recv(4096).decode()
+            answer = read_answer(connection)
         assert answer.startswith("HTTP/1.1 408")
         assert "body-late" in answer
 
