--- a/vanillawell/state/pool_sizing.py
+++ b/vanillawell/state/pool_sizing.py
@@ -73,7 +73,7 @@
     """Cores of one of its machines."""
 
     wanted_cores: float = 0.0
-    """Cores of what runs and of what could start now."""
+    """Cores of what runs and waits, or of what keeps up with arrivals, whichever is more."""
 
     floor: int = SMALLEST_POOL
     """Machines that it keeps for tasks that last, however little else there is to do."""
