Log which executors are waited for, and for how long

A task whose executor answers nothing waits until its lease is surely over. No line said so: between the executor's loss and the task's next start the logs of all entries were silent about it, and a wait for a lease looked like a wait for room.

'dependency lost' now tells the runs that are charged there and the seconds until their leases are over, a new owner tells which executors with work of former terms have not reported after a second, and 'leases expired' tells when an executor is given up. One line for each executor and change; nothing decides differently.

--- a/vanillawell/coordination/executor_driver.py
+++ b/vanillawell/coordination/executor_driver.py
@@ -205,5 +205,11 @@
             return
         if self._silent_since is None:
             self._silent_since = clock.read()
-            fields = {"dependency": self._executor.name, "reason": str(error)}
+            left = self._executor.lease_over - self._silent_since
+            fields = {
+                "dependency": self._executor.name,
+                "reason": str(error),
+                "runs": len(self._executor.runs),
+                "lease_left": round(max(0.0, left), 3),
+            }
             log.warning("dependency lost", extra=fields)
--- a/vanillawell/coordination/shard_owner.py
+++ b/vanillawell/coordination/shard_owner.py
@@ -44,6 +44,9 @@
 
 log = logging.getLogger(__name__)
 
+CONTACT_BOUND = 1.0
+"""Seconds after loading a shard in which executors that live should have reported."""
+
 QUIET_TURN = 0.25
 """Seconds after which the owner looks again without any news: for leases and due times."""
 
@@ -107,6 +110,7 @@
     def _start_tasks(self, tasks: TaskGroup) -> None:
         store, keys = self._ports.store, self._settings.keys
         tasks.start_soon(self._term.keep)
+        tasks.start_soon(self._tell_unreached)
         inbox = Inbox(store, self._keys, self._shard, self.wake)
         registry = RegistryFollower(self._ports, keys.executors, self._shard, self.wake)
         orders = MachineOrders(
@@ -174,6 +178,27 @@
         fields = {"shard": self._name, "token": self._term.token}
         log.info("shard loaded", extra={**fields, "jobs": jobs, "runs": recalled})
 
+    async def _tell_unreached(self) -> None:
+        """Log which executors with work of former terms have not reported, and what is waited for.
+
+        Their tasks start elsewhere only after that time, and nothing else would tell why.
+        """
+        await anyio.sleep(CONTACT_BOUND)
+        now = clock.read()
+        for executor in self._shard.ledger.executors.values():
+            if executor.contacted or not executor.runs:
+                continue
+            log.warning(
+                "executor not reached",
+                extra={
+                    "executor": executor.name,
+                    "token": self._term.token,
+                    "runs": len(executor.runs),
+                    "registered": executor.registered,
+                    "lease_left": round(max(0.0, executor.lease_over - now), 3),
+                },
+            )
+
     def _apply_policy(self) -> None:
         if self._policies.policy is not None:
             self._shard.apply_policy(self._policies.policy)
--- a/vanillawell/state/shard.py
+++ b/vanillawell/state/shard.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import logging
+from collections import Counter
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
@@ -180,7 +181,10 @@
 
     def expire(self, now: float, wall: float) -> None:
         """Give up runs whose lease has surely expired."""
-        self._settle(self.ledger.expire(now), now, wall)
+        ended = self.ledger.expire(now)
+        for name, runs in Counter(item.run.executor for item in ended).items():
+            log.warning("leases expired", extra={"executor": name, "runs": runs})
+        self._settle(ended, now, wall)
 
     def take_report(
         self, executor: Executor, report: HoldReport, sent: float, now: float, wall: float
