Let the stand-in executor fall silent at once, and the owner notice it before it is killed

The test of owners killed in series claimed more than it brought about: it says that what the first owner knew is known to all, but the first owner was killed before it could notice anything. A stand-in that was told to be silent still answered calls under way, so that the owner learned of the silence, and extended the lease, up to two seconds later. Now no call is answered from that moment on, and the owner is killed after the longest time that noticing takes.

--- a/vanillawell/standins/scheduler/executor.py
+++ b/vanillawell/standins/scheduler/executor.py
@@ -46,7 +46,7 @@
     """What goes wrong with orders now."""
 
     silent: bool = False
-    """Every call stays without an answer and has no effect."""
+    """No call is answered, and new ones have no effect."""
 
     lose_answers: int = 0
     """So many of the next starts are carried out and get no answer."""
@@ -140,6 +140,8 @@
         await handler(document, send)
 
     async def _answer(self, send: Send, document: dict[str, Any], status: int = 200) -> None:
+        if self.faults.silent:
+            await anyio.sleep_forever()
         await send_json(send, {**document, "clockMs": self.clock, "born": self.born}, status)
 
     async def _start(self, document: dict[str, Any], send: Send) -> None:
--- a/vanillawell/tests/owner_series_tests.py
+++ b/vanillawell/tests/owner_series_tests.py
@@ -22,6 +22,10 @@
 """Seconds after its last run in which a lasting task has to run again, as published."""
 
 
+NOTICED = 2.6
+"""Seconds within which an owner notices that an executor of lasting tasks answers nothing."""
+
+
 async def silence_an_executor(built: Cluster) -> str:
     """Start a lasting task and let its executor fall silent for good; returns the task's name."""
     owner, job_id = await built.owner(), built.new_id()
@@ -70,9 +74,10 @@
     of the executor's lease is known to all of them."""
     task = await silence_an_executor(built)
     with anyio.fail_after(LONGEST_ABSENCE):
+        await anyio.sleep(NOTICED)
         for _ in range(2):
-            await anyio.sleep(1.2)
             await kill(built, await built.owner())
+            await anyio.sleep(0.2)
         await until(lambda: built.audit.started[task] == 2, LONGEST_ABSENCE)
 
 
