Show a new owner waiting for the leases of a machine that is down

The same symptom by another way: a machine goes down and the owner of the shard is killed before it notices. Its successor waits for the longest time that the former owner may have renewed leases there, some eleven seconds after the machine went down, although the list of machines says at once that nothing runs on it.

--- a/vanillawell/tests/owner_series_tests.py
+++ b/vanillawell/tests/owner_series_tests.py
@@ -99,3 +99,17 @@
     await anyio.sleep(5.5)
     assert built.audit.started[task] == 1
     assert any(task in life.running for life in built.lives)
+
+
+@with_cluster(members=3, executors=3)
+async def test_a_machine_that_is_down_is_not_waited_for_by_a_new_owner(built: Cluster) -> None:
+    """A machine goes down and the owner is killed before it notices. The list of machines tells its
+    successor that nothing runs there, so the lasting task runs again within the promised time."""
+    task = await silence_an_executor(built)
+    name = next(host.life.name for host in built.hosts.values() if host.life.faults.silent)
+    machine = built.machines.machines[built.hosts[name].machine]
+    machine.state, machine.executor = "down", ""
+    built.hosts[name].life.crash()
+    with anyio.fail_after(LONGEST_ABSENCE):
+        await kill(built, await built.owner())
+        await until(lambda: built.audit.started[task] == 2, LONGEST_ABSENCE)
