Take the list of machines as proof that a silent executor has ended

What callers saw: tasks of an executor that crashed or left came back after six seconds with one owner, and after eleven and more if the owner was lost at the same moment, though the platform listed the machine as down all the while.

Cause: whatever answered nothing was treated alike, as if it might run on behind a broken path. The list of machines, which comes by another path, was read for moves and waves only.

Change: while executors with work are out of touch, the owner reads the list every 0.7 s. One that lives on no machine that is up has ended; its tasks start again at once. A list may be behind, so it proves nothing of executors that came less than two seconds before it was asked for; and one that misses most of the executors that do answer is not believed.

--- a/vanillawell/coordination/lease_keeper.py
+++ b/vanillawell/coordination/lease_keeper.py
@@ -103,7 +103,7 @@
         Executors that run nothing any more stay in the document until a write is `due` anyway.
         """
         charged = [item for item in executors if item.runs]
-        named = {item.name: item for item in charged if self._closed or _is_out_of_touch(item)}
+        named = {item.name: item for item in charged if self._closed or item.is_out_of_touch}
         regained = any(item.name in self._stored - named.keys() for item in charged)
         if self._stored == named.keys() or not (regained or due or named.keys() - self._stored):
             return None
@@ -117,7 +117,3 @@
         fields = {"named": len(self._on_its_way), "before": len(self._stored)}
         log.info("lease bounds stored", extra=fields)
         self._stored, self._on_its_way = self._on_its_way, frozenset()
-
-
-def _is_out_of_touch(executor: Executor) -> bool:
-    return not executor.contacted or executor.silent_since is not None
--- a/vanillawell/coordination/shard_owner.py
+++ b/vanillawell/coordination/shard_owner.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import functools
 import logging
 import time
 from typing import TYPE_CHECKING
@@ -17,6 +18,7 @@
 from vanillawell.coordination.inbox import Inbox
 from vanillawell.coordination.lease_keeper import LeaseKeeper
 from vanillawell.coordination.leases import longest_doubt
+from vanillawell.coordination.loss_watch import LossWatch
 from vanillawell.coordination.machine_orders import MachineOrders
 from vanillawell.coordination.pool_runner import PoolRunner
 from vanillawell.coordination.registry import RegistryFollower
@@ -154,6 +156,8 @@
             self.wake,
         )
         pools = PoolRunner(self._shard, self._term, self._ports, orders, self.wake)
+        losses = LossWatch(self._shard, self._ports.machines, self.wake)
+        tasks.start_soon(losses.run)
         tasks.start_soon(inbox.run)
         tasks.start_soon(registry.run)
         tasks.start_soon(registry.look, lambda now: pools.expects(now) or upkeep.expects(now))
@@ -192,7 +196,8 @@
                 log.error("unreadable job", extra={"job": job_id, "reason": str(error)})
                 continue
             recalled += len(runs)
-            self._shard.restore(record, runs, lambda name: self._leases.first_bound(name, now))
+            bound = functools.partial(self._leases.first_bound, now=now)
+            self._shard.restore(record, runs, bound, now)
         jobs = len(self._shard.board.jobs)
         fields = {"shard": self._name, "token": self._term.token}
         log.info("shard loaded", extra={**fields, "jobs": jobs, "runs": recalled})
--- a/vanillawell/state/executors.py
+++ b/vanillawell/state/executors.py
@@ -51,6 +51,9 @@
     """One life of an executor, and what it is charged with."""
 
     facts: ExecutorFacts
+    known_since: float
+    """Clock of decisions at which this process first heard of its present life."""
+
     registered: bool = True
     contacted: bool = False
     """Whether it has reported since this process became its owner."""
@@ -84,6 +87,11 @@
         """Return its id."""
         return self.facts.executor
 
+    @property
+    def is_out_of_touch(self) -> bool:
+        """Tell whether nobody can say what runs on it now."""
+        return not self.contacted or self.silent_since is not None
+
     @property
     def free(self) -> Resources:
         """Return the capacity that nothing is charged for."""
@@ -105,6 +113,7 @@
         self.unsaved_ends.clear()
         self.failures.clear()
         self.began_at = now
+        self.known_since = now
 
     def takes_work(self, now: float) -> bool:
         """Tell whether new tasks may be placed here."""
--- a/vanillawell/state/ledger.py
+++ b/vanillawell/state/ledger.py
@@ -95,7 +95,7 @@
         if known is not None:
             self._renew(known, facts, now)
             return []
-        self.executors[facts.executor] = Executor(facts)
+        self.executors[facts.executor] = Executor(facts, now)
         if not facts.machine:
             return []
         former = [
@@ -171,14 +171,14 @@
         self._forget_if_empty(executor)
         return True
 
-    def recall(self, task: Task, run: Run, lease_over: float) -> None:
+    def recall(self, task: Task, run: Run, lease_over: float, now: float) -> None:
         """Charge a run that the store tells of, until its executor says what became of it."""
         executor = self.executors.get(run.executor)
         if executor is None:
             facts = ExecutorFacts(
                 run.executor, run.incarnation, "", "", "", "", "", frozenset(), NOTHING, True
             )
-            executor = Executor(facts, registered=False)
+            executor = Executor(facts, now, registered=False)
             self.executors[run.executor] = executor
         executor.lease_over = max(executor.lease_over, lease_over)
         self.charge(executor, run)
--- a/vanillawell/state/shard.py
+++ b/vanillawell/state/shard.py
@@ -140,7 +140,7 @@
         record.late_by = record.seen + queue.slack_factor * path + queue.objective
 
     def restore(
-        self, record: JobRecord, runs: Iterable[Run], lease_over: Callable[[str], float]
+        self, record: JobRecord, runs: Iterable[Run], lease_over: Callable[[str], float], now: float
     ) -> None:
         """Take over a job with the runs that the store tells of.
 
@@ -149,7 +149,7 @@
         self._set_objective(record)
         self.board.add(record)
         for run in runs:
-            self.ledger.recall(run.task, run, lease_over(run.executor))
+            self.ledger.recall(run.task, run, lease_over(run.executor), now)
             if record.state.final or run.task.done:
                 self.want_stop(run)
 
