Count a list of machines that can't be read as no answer

Found by reading: a state, or a page, of another form than expected raised an error that no reader of the list catches. It would have ended the owner of the shard, and each of its successors, and with them all starts. The reader in the adapter now says that there was no answer, as for a report of an executor, and everybody goes on without the list.

--- a/vanillawell/platform/machines.py
+++ b/vanillawell/platform/machines.py
@@ -49,9 +49,8 @@
             answer = await self._http.call(self._address, "GET", path, timeout=MACHINE_BOUND)
             if answer.status != 200:
                 raise NotSentError(f"/machines: status {answer.status}")
-            content = answer.document()
-            found.extend(_machine(item) for item in content["machines"])
-            token = content.get("nextToken") or ""
+            page, token = _page(answer.document())
+            found.extend(page)
             if not token:
                 return found
 
@@ -101,6 +100,14 @@
         return {row[0]: row[1] for row in answer.document()["good"]}
 
 
+def _page(content: Any) -> tuple[list[Machine], str]:
+    """Read a page of the list, and what to ask the next one with; empty for the last."""
+    try:
+        return [_machine(item) for item in content["machines"]], content.get("nextToken") or ""
+    except (KeyError, TypeError, ValueError, AttributeError) as error:
+        raise NoAnswerError(f"/machines: malformed list: {error!r}") from error
+
+
 def _machine(item: Any) -> Machine:
     """Read one entry of the list; `id` is that of the machine's executor."""
     return Machine(
