Ask an executor that fell silent until it answers, and start nothing on it before

What callers would have seen: an executor that answered nothing until its leases were over, and then answered again, got no work for good.

Cause: with its runs given up nothing was charged to it, so nobody asked it again. It stayed named in the stored bounds, and each start there was given up unsent, with a write a turn.

Change: a driver goes on asking an executor that is out of touch, and one that has answered nothing since takes no new work until it does.

--- a/vanillawell/coordination/executor_driver.py
+++ b/vanillawell/coordination/executor_driver.py
@@ -90,7 +90,7 @@
         if not executor.facts.address:
             return False
         return (
-            not executor.contacted
+            executor.is_out_of_touch
             or any(run.phase is not RunPhase.PLANNED for run in executor.runs.values())
             or self._ends_to_confirm() > self._confirmed_end
             or bool(executor.unsaved_ends)
@@ -104,7 +104,7 @@
         if self._executor.unsaved_ends:
             with anyio.move_on_after(self._save_patience()):
                 await self._wait_for_news()
-        if self._executor.contacted:
+        if not self._executor.is_out_of_touch:
             await self._await_permission()
         sent = clock.read()
         try:
--- a/vanillawell/state/executors.py
+++ b/vanillawell/state/executors.py
@@ -122,6 +122,7 @@
             and self.contacted
             and not self.facts.draining
             and not self.cordoned
+            and self.silent_since is None
             and now >= self.suspected_until
         )
 
