Go on renewing what runs while a stopping owner can't store its last word

What callers would have seen: the store refuses calls a moment before its owner is stopped, and all sound work is lost after five seconds instead of living through nine.

Cause: the owner stopped renewing before it had stored the bounds of leases, and went on trying to store them.

Change: it tries while its own lease holds; if the store did nothing for certain, it renews again until the next try. Only a try whose outcome is unknown ends renewals for good. What is named is decided once no other write is under way, so that neither a turn nor a hand-over can overwrite what the other promised. Why it holds: leases are extended only while no document that names their executor is stored or may be.

Left: a store that falls silent, instead of refusing, within 1.5 s before a planned stop still ends renewals at the stop, so sound work lives five seconds longer, not nine.

--- a/vanillawell/coordination/lease_keeper.py
+++ b/vanillawell/coordination/lease_keeper.py
@@ -49,7 +49,7 @@
         self._read_clocks = read_clocks
         self._former = LeaseBounds()
         self._stored: frozenset[str] = frozenset()
-        self._on_its_way: frozenset[str] = frozenset()
+        self._on_its_way: frozenset[str] | None = None
         self._closed = False
 
     async def load(self) -> None:
@@ -91,21 +91,34 @@
 
     def may_extend(self, executor: str) -> bool:
         """Tell whether leases of an executor may be extended."""
-        return not self._closed and executor not in self._stored | self._on_its_way
+        named = self._stored | (self._on_its_way or frozenset())
+        return not self._closed and executor not in named
 
     def close(self) -> None:
         """Extend no lease any more, since another entry will take over."""
         self._closed = True
 
-    def draft(self, executors: Iterable[Executor], now: float, due: bool) -> Put | None:
-        """Return the write that the next transaction has to contain; None if nothing changed.
+    def reopen(self) -> None:
+        """Extend leases again: the latest draft is not stored, and never will be."""
+        self._closed, self._on_its_way = False, None
 
-        Executors that run nothing any more stay in the document until a write is `due` anyway.
+    def wants_write(self, executors: Iterable[Executor]) -> bool:
+        """Tell whether the stored document has to change without waiting for another write.
+
+        Executors that run nothing any more may stay in it for a while.
         """
         charged = [item for item in executors if item.runs]
-        named = {item.name: item for item in charged if self._closed or item.is_out_of_touch}
-        regained = any(item.name in self._stored - named.keys() for item in charged)
-        if self._stored == named.keys() or not (regained or due or named.keys() - self._stored):
+        named = self._to_name(charged).keys()
+        regained = any(item.name in self._stored - named for item in charged)
+        return regained or not named <= self._stored
+
+    def draft(self, executors: Iterable[Executor], now: float) -> Put | None:
+        """Return what the next write has to contain; None if the stored document is right.
+
+        There must be one write at a time, and `confirm` or `reopen` after each.
+        """
+        named = self._to_name(executors)
+        if self._stored == named.keys():
             return None
         left = {name: max(0.0, item.lease_over - now) for name, item in named.items()}
         clocks = list(self._read_clocks(now).items())[:CLOCKS_KEPT]
@@ -113,7 +126,16 @@
         return Put(self._key, LeaseBounds(left, dict(clocks)).to_bytes())
 
     def confirm(self) -> None:
-        """Take in that the write of the latest draft is stored."""
+        """Take in that the latest draft is stored, if there was one."""
+        if self._on_its_way is None:
+            return
         fields = {"named": len(self._on_its_way), "before": len(self._stored)}
         log.info("lease bounds stored", extra=fields)
-        self._stored, self._on_its_way = self._on_its_way, frozenset()
+        self._stored, self._on_its_way = self._on_its_way, None
+
+    def _to_name(self, executors: Iterable[Executor]) -> dict[str, Executor]:
+        return {
+            item.name: item
+            for item in executors
+            if item.runs and (self._closed or item.is_out_of_touch)
+        }
--- a/vanillawell/coordination/shard_owner.py
+++ b/vanillawell/coordination/shard_owner.py
@@ -24,7 +24,11 @@
 from vanillawell.coordination.registry import RegistryFollower
 from vanillawell.coordination.turn_batch import TurnBatch
 from vanillawell.coordination.upkeep_runner import UpkeepRunner
-from vanillawell.exceptions import StoreError
+from vanillawell.exceptions import (
+    StoreError,
+    StoreOutcomeUnknownError,
+    StoreUnavailableError,
+)
 from vanillawell.protocol.store import Put
 from vanillawell.protocol.work_documents import read_job, read_record
 from vanillawell.state.shard import Shard
@@ -50,6 +54,9 @@
 CONTACT_BOUND = 1.0
 """Seconds after loading a shard in which executors that live should have reported."""
 
+HANDOVER_PAUSE = 0.1
+"""Seconds between two tries to store the bounds of leases at a hand-over."""
+
 QUIET_TURN = 0.25
 """Seconds after which the owner looks again without any news: for leases and due times."""
 
@@ -108,14 +115,27 @@
 
         While the store is away nobody can take over, and what runs is better renewed.
         """
-        now = clock.read()
-        if not self._term.is_held(now):
-            return
+        while self._term.is_held(clock.read()):
+            try:
+                await self._term.write_if_reachable(self._last_bounds)
+            except StoreUnavailableError as error:
+                log.warning("lease bounds not stored", extra={"why": str(error)})
+                self._leases.reopen()
+            except StoreOutcomeUnknownError as error:
+                log.warning("lease bounds not confirmed", extra={"why": str(error)})
+            else:
+                self._leases.confirm()
+                return
+            await anyio.sleep(HANDOVER_PAUSE)
+
+    def _last_bounds(self) -> list[Put]:
         self._leases.close()
-        put = self._leases.draft(self._shard.ledger.executors.values(), now, due=True)
-        if put is not None:
-            await self._term.write([put])
-            self._leases.confirm()
+        return self._draft_bounds()
+
+    def _draft_bounds(self) -> list[Put]:
+        """Return the write of the bounds of leases, if there is one."""
+        put = self._leases.draft(self._shard.ledger.executors.values(), clock.read())
+        return [] if put is None else [put]
 
     async def run(self) -> None:
         """Own the shard until cancelled; raises TermLostError or DeposedError when it is lost."""
@@ -318,15 +338,11 @@
         batch = TurnBatch.collect(self._shard, self._keys, time.time())
         pending = self._shard.board.pending()
         due = not batch.is_empty or pending != self._published
-        executors = self._shard.ledger.executors.values()
-        bounds = self._leases.draft(executors, clock.read(), due)
-        if not due and bounds is None:
+        if not due and not self._leases.wants_write(self._shard.ledger.executors.values()):
             return
-        extra = [put for put in (self._pending_put(pending), bounds) if put is not None]
-        for part in batch.parts(extra):
-            stored_at = await self._term.write(part.puts, part.deletes)
-            if bounds in part.puts:
-                self._leases.confirm()
+        for part in batch.parts(self._pending_put(pending)):
+            stored_at = await self._term.write(part.puts, part.deletes, self._draft_bounds)
+            self._leases.confirm()
             self._telemetry.store_writes.inc({"kind": "turn"})
             for end in part.ends:
                 end.executor.unsaved_ends.discard(end.sequence)
--- a/vanillawell/coordination/term.py
+++ b/vanillawell/coordination/term.py
@@ -17,7 +17,7 @@
 from vanillawell.protocol.work_documents import TermDocument
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
+    from collections.abc import Callable, Sequence
 
     from vanillawell.protocol.store import Changes, FollowedStore, Listing
     from vanillawell.protocol.work_documents import WorkKeys
@@ -113,46 +113,79 @@
                 self._renewed = sent
             await anyio.sleep(self._ttl / RENEWALS)
 
-    async def write(self, puts: Sequence[Put], deletes: Sequence[str] = ()) -> float:
+    async def write(
+        self,
+        puts: Sequence[Put],
+        deletes: Sequence[str] = (),
+        prepare: Callable[[], Sequence[Put]] = tuple,
+    ) -> float:
         """Write in the name of the term; returns the time at which it was surely still held.
 
         The write is repeated until its outcome is known. It cannot take effect twice, nor after a
-        later one: each replaces the term's document and requires the revision before.
+        later one: each replaces the term's document and requires the revision before. `prepare` is
+        called once no other write is under way, and adds to what is written.
 
         Raises:
             TermLostError: Another entry has taken the shard over; nothing was written.
         """
         async with self._writing:
-            return await self._write(puts, deletes)
+            return await self._write([*puts, *prepare()], deletes)
+
+    async def write_if_reachable(self, prepare: Callable[[], Sequence[Put]]) -> float:
+        """Write what `prepare` returns, without trying again after a failure.
+
+        Raises:
+            StoreUnavailableError: Nothing was written, nor will be.
+            StoreOutcomeUnknownError: It may have been written, or may be yet.
+            TermLostError: Another entry has taken the shard over; nothing was written.
+        """
+        async with self._writing:
+            document, puts = self._next_document(), prepare()
+            while True:
+                stored_at = await self._try(document, puts, ())
+                if stored_at is not None:
+                    return stored_at
 
     async def _write(self, puts: Sequence[Put], deletes: Sequence[str]) -> float:
-        self._sequence += 1
-        document = replace(self._document, sequence=self._sequence)
-        data = document.to_bytes()
+        document = self._next_document()
         backoff = Backoff()
         while True:
-            transaction = Transaction(
-                compares=[Compare(self._key, self._revision)],
-                puts=[Put(self._key, data), *puts],
-                deletes=deletes,
-            )
-            sent = clock.read()
             try:
-                result = await self._store.transact(transaction)
+                stored_at = await self._try(document, puts, deletes)
             except (StoreUnavailableError, StoreOutcomeUnknownError) as error:
                 log.warning("write not confirmed", extra={"why": str(error)})
                 await backoff.wait()
                 continue
-            if result.succeeded:
-                self._document, self._revision = document, result.revision
-                return sent
-            found = result.values.get(self._key)
-            if found is not None and found.value == data:
-                self._document, self._revision = document, found.mod_revision
-                return sent
-            if found is None or not self._is_own(found.value):
-                raise TermLostError("another entry has written")
-            self._revision = found.mod_revision
+            if stored_at is not None:
+                return stored_at
+
+    def _next_document(self) -> TermDocument:
+        self._sequence += 1
+        return replace(self._document, sequence=self._sequence)
+
+    async def _try(
+        self, document: TermDocument, puts: Sequence[Put], deletes: Sequence[str]
+    ) -> float | None:
+        """Make one try; returns when it was sent if it is stored, None to be sent again."""
+        data = document.to_bytes()
+        transaction = Transaction(
+            compares=[Compare(self._key, self._revision)],
+            puts=[Put(self._key, data), *puts],
+            deletes=deletes,
+        )
+        sent = clock.read()
+        result = await self._store.transact(transaction)
+        if result.succeeded:
+            self._document, self._revision = document, result.revision
+            return sent
+        found = result.values.get(self._key)
+        if found is None or not self._is_own(found.value):
+            raise TermLostError("another entry has written")
+        self._revision = found.mod_revision
+        if found.value != data:
+            return None
+        self._document = document
+        return sent
 
     def _is_own(self, data: bytes) -> bool:
         """Tell whether a term's document was written in the name of this term."""
--- a/vanillawell/coordination/turn_batch.py
+++ b/vanillawell/coordination/turn_batch.py
@@ -10,7 +10,7 @@
 from vanillawell.protocol.work_documents import write_record
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Iterator, Sequence
+    from collections.abc import Iterable, Iterator
 
     from vanillawell.protocol.work_documents import WorkKeys
     from vanillawell.state.shard import SavedEnd, Shard
@@ -74,8 +74,8 @@
         """Tell whether there is nothing to store."""
         return not (self.records or self.deletes or self.planned or self.ends)
 
-    def parts(self, extra: Sequence[Put]) -> Iterator[TurnPart]:
-        """Yield transactions; `extra` goes into the first, at most two writes.
+    def parts(self, extra: Put | None) -> Iterator[TurnPart]:
+        """Yield transactions; `extra` goes into the first.
 
         Ends become confirmable with the last one: which job an end belongs to does not matter
         then, and all of them are stored.
@@ -84,7 +84,8 @@
         parts.extend(TurnPart(deletes=chunk) for chunk in _chunks(self.deletes, ENTRIES_AT_ONCE))
         if not parts:
             parts.append(TurnPart())
-        parts[0].puts.extend(extra)
+        if extra is not None:
+            parts[0].puts.append(extra)
         parts[-1].ends = self.ends
         yield from parts
 
--- a/vanillawell/node.py
+++ b/vanillawell/node.py
@@ -112,13 +112,17 @@
         if term is None or owner is None:
             return
         owner.stop_placing()
+        fields = {"shard": SHARD, "token": term.token}
         try:
-            with anyio.move_on_after(HANDOVER_BOUND):
+            with anyio.fail_after(HANDOVER_BOUND):
                 await owner.leave_leases()
                 await term.give_up()
-        except StoreError as error:
-            log.warning("shard left to its lease", extra={"why": str(error)})
-        log.info("shard given up", extra={"shard": SHARD, "token": term.token})
+        except (StoreError, TimeoutError) as error:
+            log.warning("shard left to its lease", extra={**fields, "why": str(error)})
+            return
+        except TermLostError:
+            return  # another entry owns it already
+        log.info("shard given up", extra=fields)
 
 
 async def wait_for_stop() -> None:
--- a/vanillawell/tests/lease_keeper_tests.py
+++ b/vanillawell/tests/lease_keeper_tests.py
@@ -46,7 +46,9 @@
 
     def save(self, executors: list[Executor], now: float, due: bool = False) -> bool:
         """Store what the keeper wants stored; tells whether it wanted anything."""
-        put = self.keeper.draft(executors, now, due)
+        if not due and not self.keeper.wants_write(executors):
+            return False
+        put = self.keeper.draft(executors, now)
         if put is None:
             return False
         self.store.value = put.value
@@ -68,7 +70,7 @@
     executor = busy_executor(bench, "i-1")
     executor.silent_since, executor.lease_over = bench.now, bench.now + 5
     assert owner.keeper.may_extend("i-1")
-    assert owner.keeper.draft([executor], bench.now, due=False) is not None
+    assert owner.keeper.draft([executor], bench.now) is not None
     assert not owner.keeper.may_extend("i-1"), "the write may have taken effect"
     owner.keeper.confirm()
     executor.silent_since = None
