Reckon with answers that came late when clocks of executors are stored

What callers would have seen: a task that runs twice, on an executor behind a cut and elsewhere.

Cause: an owner that is frozen for a second reads answers that were made before the freeze, and took their clocks for those of now. Stored so, they are too low; a successor then counts the freeze as time that has passed a second time, and gives a silent executor's leases up too early. Orders for machines rested on the same readings.

Change: the clock of an executor is known from both sides, by when the call was sent and when its answer was read. What is stored is the most that it may show, what is compared the least. Why it holds: clocks may be slow but not fast, so each reading bounds the clock for good. The test with a freeze failed before and passes; a random test holds the bounds against a clock that is as slow as allowed, with any delay of the answers.

--- /dev/null
+++ b/vanillawell/coordination/driver_clocks.py
@@ -0,0 +1,37 @@
+"""Read the steady clocks of all executors that an owner is in touch with."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from vanillawell.state.upkeep import has_lasting, life_of
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from vanillawell.coordination.executor_driver import ExecutorDriver
+
+
+class DriverClocks:
+    """The clocks that the drivers of a term have read."""
+
+    def __init__(self, drivers: Mapping[str, ExecutorDriver]) -> None:
+        self._drivers = drivers
+
+    def at_least(self, now: float) -> dict[str, float]:
+        """Return what the clocks surely show now, by executors' lives."""
+        return {life_of(item.executor): item.clock.at_least(now) for item in self._read()}
+
+    def at_most(self, now: float) -> dict[str, float]:
+        """Return what the clocks show now at most, by executors' lives.
+
+        Executors with lasting tasks come first, since their machines are not moved, and then those
+        that were heard of last.
+        """
+        read = sorted(
+            self._read(), key=lambda item: (not has_lasting(item.executor), -item.clock.read_at)
+        )
+        return {life_of(item.executor): item.clock.at_most(now) for item in read}
+
+    def _read(self) -> list[ExecutorDriver]:
+        return [item for item in self._drivers.values() if item.clock.value is not None]
--- a/vanillawell/coordination/executor_driver.py
+++ b/vanillawell/coordination/executor_driver.py
@@ -166,7 +166,7 @@
         if not self._is_needed():
             return
         now = clock.read()
-        self._link.answered(report.clock, now)
+        self._link.answered(report.clock, sent, now)
         self._confirmed_end = max(self._confirmed_end, saved)
         self._note_contact()
         life = self._executor.facts.incarnation
--- a/vanillawell/coordination/executor_link.py
+++ b/vanillawell/coordination/executor_link.py
@@ -75,9 +75,9 @@
         self.executor.lease_over = max(self.executor.lease_over, over)
         return self.clock.lease_end(now, lease)
 
-    def answered(self, reading: float, now: float) -> None:
-        """Take in that the executor has answered, with a reading of its clock."""
-        self.clock.note(reading, now)
+    def answered(self, reading: float, sent: float, now: float) -> None:
+        """Take in the answer to a call that was sent at `sent`, with a reading of its clock."""
+        self.clock.note(reading, sent, now)
         self.answered_at = now
 
     def suspect(self) -> None:
--- a/vanillawell/coordination/lease_keeper.py
+++ b/vanillawell/coordination/lease_keeper.py
@@ -17,15 +17,16 @@
 from vanillawell.protocol.store import Put
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable, Mapping
+    from collections.abc import Iterable
 
+    from vanillawell.coordination.leases import ExecutorClocks
     from vanillawell.protocol.store import FollowedStore
     from vanillawell.state.executors import Executor
 
 log = logging.getLogger(__name__)
 
-READING_MARGIN = 0.3
-"""Seconds by which a stored reading of a clock may have been late on its way to its owner."""
+READING_MARGIN = 0.1
+"""Seconds added to a stored bound, for rounding."""
 
 CLOCKS_KEPT = 5
 """Executors whose clocks are stored with the bounds; one of them should live on."""
@@ -39,14 +40,13 @@
         store: FollowedStore,
         key: str,
         longest_doubt: float,
-        read_clocks: Callable[[float], Mapping[str, float]],
+        clocks: ExecutorClocks,
     ) -> None:
-        """Take the seconds for which an executor of which nothing is stored may hold leases, and
-        what reads the steady clocks of executors by their lives, those to keep first."""
+        """Take the seconds for which an executor of which nothing is stored may hold leases."""
         self._store = store
         self._key = key
         self._longest_doubt = longest_doubt
-        self._read_clocks = read_clocks
+        self._clocks = clocks
         self._former = LeaseBounds()
         self._stored: frozenset[str] = frozenset()
         self._on_its_way: frozenset[str] | None = None
@@ -84,7 +84,7 @@
         ]
         if not waited_for:
             return
-        passed = surely_passed(self._former.clocks, self._read_clocks(now))
+        passed = surely_passed(self._former.clocks, self._clocks.at_least(now))
         for executor in waited_for:
             left = max(0.0, self._former.left[executor.name] - passed)
             executor.lease_over = min(executor.lease_over, now + left + READING_MARGIN)
@@ -121,7 +121,7 @@
         if self._stored == named.keys():
             return None
         left = {name: max(0.0, item.lease_over - now) for name, item in named.items()}
-        clocks = list(self._read_clocks(now).items())[:CLOCKS_KEPT]
+        clocks = list(self._clocks.at_most(now).items())[:CLOCKS_KEPT]
         self._on_its_way = frozenset(left)
         return Put(self._key, LeaseBounds(left, dict(clocks)).to_bytes())
 
--- a/vanillawell/coordination/leases.py
+++ b/vanillawell/coordination/leases.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Protocol
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -38,10 +38,10 @@
 
 
 def surely_passed(before: Mapping[str, float], present: Mapping[str, float]) -> float:
-    """Return the seconds that have surely passed between two readings of executors' clocks.
+    """Return the seconds that have surely passed since executors' clocks showed `before` at most.
 
-    Readings are by executors' lives. The clocks may be slow but not fast, and a reading may be a
-    little older than it says, so the least that any of them shows counts; 0 if none is in both.
+    Readings are by executors' lives; `present` is what the clocks show now at least. They may be
+    slow but not fast, so the least that any of them shows counts; 0 if none is in both.
     """
     shown = [present[life] - reading for life, reading in before.items() if life in present]
     return max(0.0, min(shown, default=0.0))
@@ -49,20 +49,38 @@
 
 @dataclass(slots=True)
 class ExecutorClock:
-    """Estimate an executor's steady clock from its latest answer."""
+    """Estimate an executor's steady clock from its answers.
+
+    Each answer holds a reading that was made after the call was sent and before the answer was
+    read: much later than it was made if the answer was held up, or this process.
+    """
 
     value: float | None = None
+    """Latest reading, in seconds."""
+
     read_at: float = 0.0
+    _most_ahead: float = float("inf")
+    """Seconds by which the clock is ahead of this process's at most, by all answers so far."""
 
-    def note(self, value: float, now: float) -> None:
-        """Take in a reading."""
+    def note(self, value: float, sent: float, now: float) -> None:
+        """Take in a reading from the answer, read now, to a call that was sent at `sent`."""
         self.value, self.read_at = value, now
+        self._most_ahead = min(self._most_ahead, value - sent)
 
     def at(self, now: float) -> float:
-        """Return what the clock shows now; it must have been read before."""
+        """Return what the clock shows now, or a little less; it must have been read before."""
         assert self.value is not None
         return self.value + now - self.read_at
 
+    def at_least(self, now: float) -> float:
+        """Return what the clock surely shows now; it must have been read before."""
+        assert self.value is not None
+        return self.value + (now - self.read_at) * (1 - CLOCK_DRIFT)
+
+    def at_most(self, now: float) -> float:
+        """Return what the clock shows now at most; it must have been read before."""
+        return now + self._most_ahead
+
     def lease_end(self, now: float, lease: float) -> float:
         """Return the executor's time at which a lease that begins now should end."""
         return self.at(now) + lease
@@ -70,3 +88,13 @@
     def surely_over(self, now: float, lease: float) -> float:
         """Return when such a lease has surely ended, on this process's clock."""
         return now + (lease + now - self.read_at) * (1 + CLOCK_DRIFT) - (now - self.read_at)
+
+
+class ExecutorClocks(Protocol):
+    """Read the steady clocks of executors, in seconds by their lives."""
+
+    def at_least(self, now: float) -> Mapping[str, float]:
+        """Return what they surely show now."""
+
+    def at_most(self, now: float) -> Mapping[str, float]:
+        """Return what they show now at most, those that are likely to live on first."""
--- a/vanillawell/coordination/machine_orders.py
+++ b/vanillawell/coordination/machine_orders.py
@@ -25,8 +25,9 @@
 from vanillawell.protocol.store import Put
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable, Mapping
+    from collections.abc import Iterable
 
+    from vanillawell.coordination.leases import ExecutorClocks
     from vanillawell.coordination.ports import Ports
     from vanillawell.coordination.term import Term
     from vanillawell.protocol.work_documents import WorkKeys
@@ -57,14 +58,14 @@
         shard: str,
         holder: str,
         pause: float,
-        read_clocks: Callable[[float], Mapping[str, float]],
+        clocks: ExecutorClocks,
     ) -> None:
-        """Take the seconds to leave a machine alone, and what reads clocks by executors' lives."""
+        """Take the seconds to leave a machine alone."""
         self._term = term
         self._store = ports.store
         self._key = keys.machine_orders(shard)
         self._pause = pause
-        self._read_clocks = read_clocks
+        self._clocks = clocks
         self._began = clock.read()
         self._former: dict[str, float] | None = None
         """Machines of a former owner's latest orders, with the age of each when it was stored."""
@@ -116,7 +117,7 @@
 
     def _since_former(self, now: float) -> float:
         """Return the seconds that have surely passed since the former owner's announcement."""
-        passed = surely_passed(self._former_clocks, self._read_clocks(now))
+        passed = surely_passed(self._former_clocks, self._clocks.at_least(now))
         return max(now - self._began, passed)
 
     def is_fresh(self, now: float) -> bool:
@@ -131,7 +132,7 @@
         }
         self._lately = {**recent, **dict.fromkeys(machines, now)}
         ages = {name: now - moment for name, moment in self._lately.items()}
-        clocks = dict(itertools.islice(self._read_clocks(now).items(), CLOCKS_KEPT))
+        clocks = dict(itertools.islice(self._clocks.at_most(now).items(), CLOCKS_KEPT))
         former = self._ages_of_former(now)
         document = {
             "machines": {**former, **ages},
--- a/vanillawell/coordination/run_orders.py
+++ b/vanillawell/coordination/run_orders.py
@@ -108,11 +108,11 @@
         except OrderRefusedError as error:
             await self._start_refused(run, error)
         else:
-            self._started(run, value)
+            self._started(run, value, now)
 
-    def _started(self, run: Run, value: float) -> None:
+    def _started(self, run: Run, value: float, sent: float) -> None:
         now = clock.read()
-        self._link.answered(value, now)
+        self._link.answered(value, sent, now)
         if run.phase is RunPhase.ORDERED:
             run.enter(RunPhase.RUNNING, now)
         if run.started is None:
--- a/vanillawell/coordination/shard_owner.py
+++ b/vanillawell/coordination/shard_owner.py
@@ -12,6 +12,7 @@
 
 from vanillawell import clock
 from vanillawell.coordination.advice_desk import AdviceDesk
+from vanillawell.coordination.driver_clocks import DriverClocks
 from vanillawell.coordination.executor_driver import ExecutorDriver
 from vanillawell.coordination.executor_link import ExecutorLink
 from vanillawell.coordination.follow import Backoff
@@ -32,7 +33,6 @@
 from vanillawell.protocol.store import Put
 from vanillawell.protocol.work_documents import read_job, read_record
 from vanillawell.state.shard import Shard
-from vanillawell.state.upkeep import has_lasting, life_of
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -84,11 +84,12 @@
         self._bounds = settings.bounds
         self._shard = Shard(self._bounds.state_kept_s)
         self._drivers: dict[str, ExecutorDriver] = {}
+        self._clocks = DriverClocks(self._drivers)
         self._leases = LeaseKeeper(
             ports.store,
             keys.lease_bounds(name),
             longest_doubt(self._bounds.lease_most_ms / 1000, self._bounds.kill_grace_ms / 1000),
-            self._read_lasting_clocks,
+            self._clocks,
         )
         self._news = anyio.Event()
         self._stopping = False
@@ -163,7 +164,7 @@
             self._name,
             self._settings.instance,
             self._bounds.duty_lease_ms / 1000,
-            self._read_clocks,
+            self._clocks,
         )
         upkeep = UpkeepRunner(
             self._shard,
@@ -288,22 +289,6 @@
         for name in [name for name in self._drivers if name not in executors]:
             self._drivers.pop(name).notify()
 
-    def _read_clocks(self, now: float) -> dict[str, float]:
-        """Return what the clocks of executors show now, by their lives; latest readings first."""
-        read = [item for item in self._drivers.values() if item.clock.value is not None]
-        read.sort(key=lambda item: -item.clock.read_at)
-        return {life_of(item.executor): item.clock.at(now) for item in read}
-
-    def _read_lasting_clocks(self, now: float) -> dict[str, float]:
-        """Return the same, executors that are likely to live on first."""
-        lasting = {
-            life_of(item): None
-            for item in self._shard.ledger.executors.values()
-            if has_lasting(item)
-        }
-        clocks = self._read_clocks(now)
-        return dict(sorted(clocks.items(), key=lambda item: item[0] not in lasting))
-
     def _new_driver(self, executor: Executor, tasks: TaskGroup) -> ExecutorDriver:
         link = ExecutorLink(
             executor,
--- a/vanillawell/tests/handover_doubt_tests.py
+++ b/vanillawell/tests/handover_doubt_tests.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import anyio
+from hypothesis import given
+from hypothesis import strategies as st
 
 from vanillawell.coordination.lease_keeper import READING_MARGIN
-from vanillawell.coordination.leases import ExecutorClock
+from vanillawell.coordination.leases import CLOCK_DRIFT, ExecutorClock
 from vanillawell.platform.http import HttpClient
 from vanillawell.platform.store import PlatformStore
 from vanillawell.protocol.lease_bounds import LeaseBounds
@@ -83,9 +85,10 @@
     stores them as those of now; its successor must not count that second as passed once more."""
     frozen, left = 1.2, 4.0
     reading = ExecutorClock()
-    reading.note(100.0, now=10.0)
-    reading.note(100.0 + 0.5, now=10.0 + 0.5 + frozen)  # answered during the freeze, read after it
-    stored = reading.at(10.0 + 0.5 + frozen)
+    reading.note(100.0, sent=10.0, now=10.0)
+    # answered during the freeze, read after it
+    reading.note(100.0 + 0.5, sent=10.0, now=10.0 + 0.5 + frozen)
+    stored = reading.at_most(10.0 + 0.5 + frozen)
     bench = Bench()
     executor = busy_executor(bench, "i-1")
     executor.contacted = False
@@ -98,6 +101,26 @@
     assert frozen > READING_MARGIN, "the margin does not cover it"
 
 
+@given(st.lists(st.tuples(st.floats(0, 3), st.floats(0, 3), st.floats(0, 3)), min_size=1))
+def test_an_executors_clock_lies_between_the_bounds_of_its_readings(
+    calls: list[tuple[float, float, float]],
+) -> None:
+    """Answers are late by any time on the way there and back, and the clock is as slow as it may
+    be. Bounds that missed it would shorten or prolong the leases of work."""
+    estimate, now = ExecutorClock(), 1_000.0
+    for there, back, pause in calls:
+        sent, made = now, now + there
+        now = made + back
+        estimate.note(_slow_clock(made), sent, now)
+        now += pause
+        assert estimate.at_least(now) <= _slow_clock(now) + 1e-6
+        assert estimate.at_most(now) >= _slow_clock(now) - 1e-6
+
+
+def _slow_clock(now: float) -> float:
+    return 70.0 + (now - 1_000.0) * (1 - CLOCK_DRIFT)
+
+
 def test_an_executor_that_answers_nothing_gets_no_work_when_its_suspicion_ends() -> None:
     """Its leases may not be extended, so each start would be given up unsent, and planned anew
     with a write in each turn until the next call fails."""
--- a/vanillawell/tests/lease_keeper_tests.py
+++ b/vanillawell/tests/lease_keeper_tests.py
@@ -11,7 +11,7 @@
 from vanillawell.coordination.lease_keeper import READING_MARGIN, LeaseKeeper
 from vanillawell.protocol.lease_bounds import LeaseBounds
 from vanillawell.protocol.store import KeyValue
-from vanillawell.tests.scheduling_builders import Bench, facts, job, step
+from vanillawell.tests.scheduling_builders import Bench, FixedClocks, facts, job, step
 
 if TYPE_CHECKING:
     from vanillawell.state.executors import Executor
@@ -39,9 +39,8 @@
     clocks: dict[str, float] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
-        self.keeper = LeaseKeeper(
-            cast("Any", self.store), KEY, LONGEST_DOUBT, lambda _: self.clocks
-        )
+        store = cast("Any", self.store)
+        self.keeper = LeaseKeeper(store, KEY, LONGEST_DOUBT, FixedClocks(self.clocks))
         anyio.run(self.keeper.load)
 
     def save(self, executors: list[Executor], now: float, due: bool = False) -> bool:
@@ -94,7 +93,7 @@
     owner = Owner(OneValue(LeaseBounds({"i-1": 4.0}, {"i-2@1": 50.0, "i-3@1": 70.0}).to_bytes()))
     executor.lease_over = owner.keeper.first_bound("i-1", bench.now)
     assert executor.lease_over == pytest.approx(bench.now + 4.0 + READING_MARGIN)
-    owner.clocks = {"i-2@1": 53.0, "i-3@1": 72.5, "i-4@1": 999.0}
+    owner.clocks.update({"i-2@1": 53.0, "i-3@1": 72.5, "i-4@1": 999.0})
     owner.keeper.tighten([executor], bench.now)
     assert executor.lease_over == pytest.approx(bench.now + 1.5 + READING_MARGIN)
 
--- a/vanillawell/tests/scheduling_builders.py
+++ b/vanillawell/tests/scheduling_builders.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import itertools
+from dataclasses import dataclass, field
 from typing import Any
 
 from vanillawell.protocol.executor_calls import EndRow, HoldReport
@@ -68,6 +69,19 @@
     return ExecutorFacts(**{**fields, **changes})
 
 
+@dataclass
+class FixedClocks:
+    """Steady clocks of executors that stand where the test puts them, by executors' lives."""
+
+    shown: dict[str, float] = field(default_factory=dict)
+
+    def at_least(self, now: float) -> dict[str, float]:
+        return self.shown
+
+    def at_most(self, now: float) -> dict[str, float]:
+        return self.shown
+
+
 class Bench:
     """A shard with executors that do what they are told at once."""
 
--- a/vanillawell/tests/term_tests.py
+++ b/vanillawell/tests/term_tests.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import functools
-
 import anyio
 import pytest
 
@@ -21,14 +19,11 @@
 from vanillawell.protocol.work_documents import WorkKeys
 from vanillawell.standins.scheduler.store import StandInStore
 from vanillawell.tests.scheduler_cluster import listen
+from vanillawell.tests.scheduling_builders import FixedClocks
 
 KEYS = WorkKeys()
 
 
-def _shown(clocks: dict[str, float], _: float) -> dict[str, float]:
-    return clocks
-
-
 async def _take(store: PlatformStore, name: str) -> Term:
     candidate = Candidate(store, KEYS, "all", name)
     async with anyio.create_task_group() as tasks:
@@ -90,12 +85,12 @@
             store = PlatformStore(HttpClient(), listen(tasks, stand_in))
             ports = Ports(store, *([None] * 4))  # type: ignore[arg-type]
             former_term = await _take(store, "entry-0")
-            former = MachineOrders(former_term, ports, KEYS, "all", "entry-0", 0.5, lambda _: {})
+            former = MachineOrders(former_term, ports, KEYS, "all", "entry-0", 0.5, FixedClocks())
             assert await former.load()
             await former.announce(["m-1"])
             await former_term.give_up()
             term = await _take(store, "entry-1")
-            present = MachineOrders(term, ports, KEYS, "all", "entry-1", 0.5, lambda _: {})
+            present = MachineOrders(term, ports, KEYS, "all", "entry-1", 0.5, FixedClocks())
             now = clock.read()
             assert not present.may_order("m-2", now)
             assert await present.load()
@@ -124,7 +119,7 @@
             for value in (b'["m-1"]', b'{"machines": [], "clocks": {}}', b"{"):
                 term = await _take(store, "entry-0")
                 await term.write([Put(KEYS.machine_orders("all"), value)])
-                present = MachineOrders(term, ports, KEYS, "all", "entry-0", 0.5, lambda _: {})
+                present = MachineOrders(term, ports, KEYS, "all", "entry-0", 0.5, FixedClocks())
                 assert await present.load()
                 assert not present.may_order("m-2", clock.read())
                 if value == b"{":
@@ -151,7 +146,7 @@
             ports = Ports(store, *([None] * 4))  # type: ignore[arg-type]
             former_term = await _take(store, "entry-0")
             former = MachineOrders(
-                former_term, ports, KEYS, "all", "entry-0", 3.0, lambda _: {"i-0@1": 50.0}
+                former_term, ports, KEYS, "all", "entry-0", 3.0, FixedClocks({"i-0@1": 50.0})
             )
             assert await former.load()
             await former.announce(["m-1"])
@@ -162,8 +157,8 @@
                 ({"i-0@1": 50.0 + 2.9 + ORDER_FRESHNESS}, False),
                 ({"i-0@2": 99.0}, False),
             ):
-                read_clocks = functools.partial(_shown, clocks)
-                present = MachineOrders(term, ports, KEYS, "all", "entry-1", 3.0, read_clocks)
+                shown = FixedClocks(clocks)
+                present = MachineOrders(term, ports, KEYS, "all", "entry-1", 3.0, shown)
                 assert await present.load()
                 assert present.may_order("m-1", clock.read()) is free
             tasks.cancel_scope.cancel()
@@ -210,7 +205,7 @@
             store = PlatformStore(HttpClient(), listen(tasks, stand_in))
             ports = Ports(store, *([None] * 4))  # type: ignore[arg-type]
             term = await _take(store, "entry-0")
-            orders = MachineOrders(term, ports, KEYS, "all", "entry-0", 3.0, lambda _: {})
+            orders = MachineOrders(term, ports, KEYS, "all", "entry-0", 3.0, FixedClocks())
             assert await orders.load()
             stand_in.faults.delay = 0.6
             await orders.announce(["m-1"])
