Keep links to entries that leave the list while they answer

Callers saw: nothing at first; a zone that has lost the store and can open no connection kept its old configuration for good, withdrawn keys and lowered limits included, until `key_freshness` ended. Cause: its presence lapses with its lease, the others take it off their lists and closed their links to it, though these worked; nobody was left to tell it. test_one_way_cuts_between_zones_do_not_keep_a_change_away passed only where the change was written before the lease of 2 s had lapsed, which a busy machine does not manage ("not within 30 s: the change is in force everywhere"). Change: a link to an entry off the list stays while it answers, and is given up after four peer timeouts without an answer. Logged ("kept off the list", "given up"). Why it holds: a link is closed by what is known of the peer, not by what the store has forgotten. A second test kills an entry and sees its links given up.

--- a/vanillawell/coordination/peers.py
+++ b/vanillawell/coordination/peers.py
@@ -52,6 +52,10 @@
 RECONNECT_PAUSE = 0.2
 """Seconds between two tries to reach a peer."""
 
+TRIES_OFF_THE_LIST = 4
+"""Peer timeouts without an answer after which a peer that is off the list is given up; a silent
+connection is found and replaced within two."""
+
 BROKEN = (
     OSError,
     TimeoutError,
@@ -73,6 +77,21 @@
     same_zone: bool = True
 
 
+@dataclass(slots=True)
+class Link:
+    """A connection that is kept open to a peer."""
+
+    scope: anyio.CancelScope
+    answered: float
+    """When the peer last acknowledged a heartbeat; when the link was opened, before the first."""
+
+    wanted: bool = True
+    """Whether this entry should speak with the peer, by the list of members."""
+
+    joined: bool = False
+    """Whether the peer has ever been on that list; a seed may be an address that none has."""
+
+
 class Peers:
     """Own all connections to other entries."""
 
@@ -102,7 +121,7 @@
         self._names = names
         self._own_rows = own_rows
         self._heard = heard
-        self._links: dict[PeerAddress, anyio.CancelScope] = {}
+        self._links: dict[PeerAddress, Link] = {}
         self._seeds: list[PeerAddress] = []
         self._push = anyio.Event()
         self._direct_zones: set[str] = set()
@@ -114,15 +133,35 @@
         self.follow_members()
 
     def follow_members(self) -> None:
-        """Open links to new members and close those to gone ones."""
+        """Open links to new members and close those to gone ones.
+
+        An entry that has lost the store leaves the list while it goes on serving. If it cannot
+        open connections either, all that it hears comes over links that others keep to it.
+        """
         wanted = self._targets()
-        for address in [item for item in self._links if item not in wanted]:
-            self._links.pop(address).cancel()
-        for address in wanted:
-            if address not in self._links:
-                scope = anyio.CancelScope()
-                self._links[address] = scope
-                self._tasks.start_soon(self._dial, address, scope)
+        for address, link in list(self._links.items()):
+            link.wanted = address in wanted
+            link.joined |= address in self._listed()
+            if not link.wanted and not self._serves_off_the_list(address, link, clock.read()):
+                self._close(address, link)
+        for address in wanted - self._links.keys():
+            link = Link(anyio.CancelScope(), clock.read(), joined=address in self._listed())
+            self._links[address] = link
+            self._tasks.start_soon(self._dial, address, link)
+
+    def _close(self, address: PeerAddress, link: Link) -> None:
+        del self._links[address]
+        link.scope.cancel()
+
+    def _serves_off_the_list(self, address: PeerAddress, link: Link, now: float) -> bool:
+        """Tell whether a peer has left the list but answers still, or did a moment ago."""
+        if address in self._listed() or not link.joined:
+            return False
+        silent = now - link.answered
+        serves = silent <= self._interval() + TRIES_OFF_THE_LIST * self._timing.peer_timeout
+        subject = f"link to {address.host}:{address.port}"
+        self._telemetry.state(subject, "kept off the list" if serves else "given up")
+        return serves
 
     def push(self) -> None:
         """Send heartbeats now, since there is something new to tell."""
@@ -141,28 +180,36 @@
             )
         )
         chosen = [*mates, *far] if self._membership.is_watcher() else mates
-        found = {
-            PeerAddress(member.peer_host, member.peer_port, member.zone == me.zone)
-            for member in chosen
+        return self._addresses(chosen) if mates or far else set(self._seeds)
+
+    def _listed(self) -> set[PeerAddress]:
+        """Return the addresses of all members, also of those that others speak with."""
+        return self._addresses(self._membership.members.values())
+
+    def _addresses(self, members: Iterable[Presence]) -> set[PeerAddress]:
+        zone = self._membership.me.zone
+        return {
+            PeerAddress(member.peer_host, member.peer_port, member.zone == zone)
+            for member in members
         }
-        return found if mates or far else set(self._seeds)
 
-    async def _dial(self, address: PeerAddress, scope: anyio.CancelScope) -> None:
-        with scope:
-            while True:
+    async def _dial(self, address: PeerAddress, link: Link) -> None:
+        with link.scope:
+            while link.wanted or self._serves_off_the_list(address, link, clock.read()):
                 try:
                     timeout = self._timing.peer_timeout
                     local = self._local_host
                     raw = await self._transport.dial(address.host, address.port, local, timeout)
                     stream = self._transport.wrap(raw, self._names, self._count)
                     async with raw:
-                        await self._beat_over(stream, address)
+                        await self._beat_over(stream, address, link)
                 except BROKEN:
                     name = f"peer {address.host}:{address.port}"
                     self._telemetry.state(name, "unreachable", logging.WARNING)
                 await anyio.sleep(RECONNECT_PAUSE)
+            self._close(address, link)
 
-    async def _beat_over(self, stream: PeerLink, address: PeerAddress) -> None:
+    async def _beat_over(self, stream: PeerLink, address: PeerAddress, link: Link) -> None:
         """Send heartbeats and await each answer; silence ends the connection.
 
         A connection that something in between has lost track of reports nothing. The missing
@@ -175,6 +222,7 @@
                     await stream.send(self._beat(clock.read(), address.same_zone))
                 )
                 await self._until_acknowledged(stream)
+            link.answered = clock.read()
             # Not before: something in between may take connections and drop them at once, and each
             # try would log two changes.
             self._telemetry.state(f"peer {address.host}:{address.port}", "connected")
--- a/vanillawell/tests/silence_proof_tests.py
+++ b/vanillawell/tests/silence_proof_tests.py
@@ -86,6 +86,36 @@
         wait_until(lambda: min(versions(fleet)) == 2, "the change is in force everywhere")
 
 
+def test_a_change_reaches_a_zone_whose_presence_has_lapsed(tmp_path: Path) -> None:
+    """Zone 1 has lost the store and can open no connection, for longer than its leases last.
+
+    It goes on serving with the units that it holds, so the others must go on telling it: a change
+    made minutes after a cut is no less urgent than one made in its first second.
+    """
+    with running_fleet(tmp_path, **THREE_ZONES) as fleet:
+        fleet.fault("store", "cut", link="store-1")
+        fleet.fault("out", "cut", link="peer", source_zone=1)
+        others = [entry for entry in fleet.entries.values() if entry.zone != 1]
+        wait_until(
+            lambda: all(entry.status()["entries"] == len(others) for entry in others),
+            "zone 1 is off the others' lists",
+        )
+        fleet.cli("node", "set", "guild", "limit=5")
+        wait_until(lambda: min(versions(fleet)) == 2, "the change is in force everywhere")
+
+
+def test_an_entry_that_has_ended_is_not_called_for_ever(tmp_path: Path) -> None:
+    """An entry is killed. Those that kept a link to it must close it, or links would add up."""
+    with running_fleet(tmp_path, **THREE_ZONES) as fleet:
+        killed = fleet.entries.pop("entry-1-1")
+        killed.process.kill()
+        link = f'"link to 127.0.0.1:{killed.ports.advertised}","state":"given up"'
+        wait_until(
+            lambda: all(link in entry.process.log_text for entry in fleet.entries.values()),
+            "all give it up",
+        )
+
+
 def test_a_zone_that_can_send_but_not_be_reached_hears_of_a_change(tmp_path: Path) -> None:
     """Zone 1 has lost the store and nobody can open a connection to it, but it can to others."""
     with running_fleet(tmp_path, **THREE_ZONES) as fleet:
