Ask the store again where an operator's read got no answer

Change: commands repeat a read up to four times; it has no effect, so that is safe. Entries are unchanged: they read in rounds anyway. It also sees the error after four unanswered reads.

--- a/vanillawell/commands/context.py
+++ b/vanillawell/commands/context.py
@@ -10,13 +10,13 @@
 from functools import cached_property
 from pathlib import Path
 
+from vanillawell.commands.patient_store import PatientStore
 from vanillawell.config.settings import Address, ClientTls, StoreSettings
 from vanillawell.coordination.operator import ConfigurationEditor
 from vanillawell.exceptions import SettingsError
 from vanillawell.identity import read_secret
 from vanillawell.protocol.documents import StoreKeys
 from vanillawell.transport.admin_client import AdminAccess
-from vanillawell.transport.store_etcd import EtcdStore
 from vanillawell.transport.tls import ClientTrust
 
 
@@ -76,11 +76,11 @@
         return StoreKeys(self.prefix)
 
     @asynccontextmanager
-    async def connect(self) -> AsyncIterator[EtcdStore]:
+    async def connect(self) -> AsyncIterator[PatientStore]:
         """Open the store."""
-        async with EtcdStore(self.store_settings()) as store:
+        async with PatientStore(self.store_settings()) as store:
             yield store
 
-    def editor(self, store: EtcdStore) -> ConfigurationEditor:
+    def editor(self, store: PatientStore) -> ConfigurationEditor:
         """Return an editor that signs as the store's user, or else as the system's."""
         return ConfigurationEditor(store, self.keys, self.user or getpass.getuser())
--- a/vanillawell/standins/store.py
+++ b/vanillawell/standins/store.py
@@ -60,6 +60,9 @@
     lose_answers: int = 0
     """How many of the next writes take effect without an answer."""
 
+    lose_reads: int = 0
+    """How many of the next reads go without an answer."""
+
 
 class MemoryStore:
     """Answer gateway requests from memory; all keys stay base64, as they travel."""
@@ -103,6 +106,9 @@
         if writes and self.faults.lose_answers > 0:
             self.faults.lose_answers -= 1
             raise AnswerLostError(path)
+        if operation == "kv/range" and self.faults.lose_reads > 0:
+            self.faults.lose_reads -= 1
+            raise AnswerLostError(path)
         return answer
 
     async def _play_faults(self) -> None:
--- a/vanillawell/tests/rollout_proof_tests.py
+++ b/vanillawell/tests/rollout_proof_tests.py
@@ -159,6 +159,23 @@
         assert fleet.cli("config", "show")["nodes"]["guild"]["settings"]["limit"] == 5
 
 
+def test_a_lost_answer_to_a_read_does_not_end_an_operators_command(tmp_path: Path) -> None:
+    """The store leaves a read unanswered; the entry is gone, so that the command's is the one.
+
+    A command that ended there would report an error, also after its change was accepted.
+    """
+    with running_fleet(tmp_path) as fleet:
+        fleet.entries["entry-1-1"].process.kill()
+        fleet.store_faults(lose_reads=1)
+        assert fleet.cli("node", "set", "guild", "limit=5")["version"] == 2
+        fleet.store_faults(lose_reads=1)
+        assert [item["version"] for item in fleet.cli("config", "history")] == [1, 2]
+        fleet.store_faults(lose_reads=100)
+        ended = fleet.try_cli("config", "history")
+        assert ended.returncode == 4
+        assert ended.stderr.startswith("vanillawell: store gave no answer")
+
+
 def test_an_earlier_tree_comes_back_as_a_new_version(tmp_path: Path) -> None:
     with running_fleet(tmp_path) as fleet:
         fleet.cli("node", "set", "guild", "limit=5")
--- a/vanillawell/transport/store_etcd.py
+++ b/vanillawell/transport/store_etcd.py
@@ -9,7 +9,7 @@
 from base64 import b64decode, b64encode
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, Self
 
 import httpcore
 import orjson
@@ -66,7 +66,7 @@
         self._calls = 0
         self._token = ""
 
-    async def __aenter__(self) -> EtcdStore:
+    async def __aenter__(self) -> Self:
         return self
 
     async def __aexit__(
