Hold the jobs of a test until they have been told to give way

Test fault: test_each_job_is_done_once_through_a_peak_and_a_killed_runner needs jobs that still run when the peak comes, but these took 6 s each however long the commands and the callers took to start. Change: the workers' stand-in lets no task come further than half its work until the test has seen a stop; then the rest must be done as before, from the checkpoint. Callers hold their slots longer, so that the demand of the peak does not depend on how often they get to ask. Shown: with the giving way removed on a scratch copy it fails ("jobs give way").

--- a/vanillawell/standins/workers.py
+++ b/vanillawell/standins/workers.py
@@ -9,6 +9,9 @@
 CHECKPOINT_EVERY = 0.5
 """Seconds between two checkpoints that a task makes by itself."""
 
+HELD_AT = 0.5
+"""Part of its work at which a task waits while work is held."""
+
 
 @dataclass(slots=True)
 class Task:
@@ -43,6 +46,9 @@
     real_cores: dict[str, float] = field(default_factory=dict)
     """Cores that a job really uses, where that differs from what was declared."""
 
+    held: bool = False
+    """Whether tasks run on without getting further than a part of their work."""
+
     lag: float = 0.3
     tasks: dict[str, Task] = field(default_factory=dict)
     finished: list[str] = field(default_factory=list)
@@ -56,6 +62,7 @@
         self.setups = {name: WorkerSetup(**item) for name, item in request["workers"].items()}
         self.broken_jobs = set(request.get("broken_jobs", ()))
         self.real_cores = dict(request.get("real_cores", {}))
+        self.held = bool(request.get("held", False))
 
     def advance(self, now: float) -> None:
         """Let every running task go on up to now."""
@@ -72,7 +79,9 @@
         if now > task.lease_until:
             task.state = "lost"
             return
-        task.done += (now - task.updated) * task.cores
+        reached = task.done + (now - task.updated) * task.cores
+        most = max(task.done, HELD_AT * task.work) if self.held else reached
+        task.done = min(reached, most)
         task.updated = now
         if self.setups[task.worker].fails_all or task.job in self.broken_jobs:
             task.state = "failed"
--- a/vanillawell/tests/jobs_tests.py
+++ b/vanillawell/tests/jobs_tests.py
@@ -116,6 +116,7 @@
 
     The jobs must give way, go on from their checkpoints afterwards, and each be done once; the
     one that can never run gets its final error, and the worker that fails everything no more.
+    None comes further than half its work before the peak, however late that is.
     """
     workers_document = {
         "good-1": {"cores": 4},
@@ -137,16 +138,18 @@
             )["job"]
             for kind in (*kinds, "broken")
         }
-        fleet.set_up_workers(workers=workers_document, broken_jobs=[jobs["broken"]])
+        workers_now = {"workers": workers_document, "broken_jobs": [jobs["broken"]]}
+        fleet.set_up_workers(**workers_now, held=True)
         wait_until(lambda: running_well(fleet) >= 3, "jobs run")
         callers = SteadyCallers(
             list(fleet.entries.values()),
-            lambda n: Call(mark=f"m{n}", run_seconds=0.2, timeout=5.0),
+            lambda n: Call(mark=f"m{n}", run_seconds=0.6, timeout=5.0),
             open_requests=30,
         )
 
         def peak() -> None:
             wait_until(lambda: fleet.finished_jobs()["stops"] > 0, "jobs give way")
+            fleet.set_up_workers(**workers_now)
             killed = job_runner(fleet)
             callers.leave(killed)
             killed.process.kill()
