--- a/vanillawell/coordination/executor_driver.py
+++ b/vanillawell/coordination/executor_driver.py
@@ -32,8 +32,7 @@
 """Seconds a hold waits where short tasks may end, or start-ups and tails have to be watched.
 
 Where tasks end, holds are answered sooner anyway; but a lost answer is noticed only after the
-wait, and until then the ends of tasks are not seen and their room is not used. With two seconds
-and one answer in fifteen lost, an executor with ten ends a second was blind two thirds of the time.
+wait, and until then ends of tasks go unnoticed and their room unused.
 """
 
 
--- a/vanillawell/coordination/planner.py
+++ b/vanillawell/coordination/planner.py
@@ -64,7 +64,7 @@
 """Bounds how often all entries are asked about a leaving instance, whatever their number."""
 
 INSTANCES_PER_SECOND = 2500.0
-"""Bounds the processor time of rounds, which grows with the instances: 1.6 s apart at 4,000."""
+"""Bounds the processor time of rounds, which grows with the instances."""
 
 ASK_TIMEOUT = 1.0
 """Seconds an entry may take to say what it runs on an instance."""
--- a/vanillawell/coordination/policy_follower.py
+++ b/vanillawell/coordination/policy_follower.py
@@ -20,8 +20,7 @@
 PROOF_WAIT = 0.8
 """Seconds one call waits for changes; each answer proves how fresh the configuration is.
 
-Withdrawn keys must stop within 5 s in all places seen, less what a store that is slow to tell of
-changes takes (1 s) and the length of such a call."""
+Withdrawn keys must stop within 5 s, and a store that is slow to tell of changes takes 1 s."""
 
 DEAF_BOUND = 1.0
 """Seconds for which the store may keep changes from those who wait for them."""
--- a/vanillawell/coordination/pool_runner.py
+++ b/vanillawell/coordination/pool_runner.py
@@ -38,7 +38,7 @@
 log = logging.getLogger(__name__)
 
 PAUSE = 0.1
-"""Seconds between two looks: a peak lasts about four seconds, so it must be seen at once."""
+"""Seconds between two looks; peaks last only seconds."""
 
 LIST_PAUSE = 5.0
 """Seconds between two readings of the list of machines, which are priced; the registry tells of
--- a/vanillawell/coordination/term.py
+++ b/vanillawell/coordination/term.py
@@ -37,8 +37,7 @@
 """Seconds one call waits for news of the holder.
 
 A call that was sent while the store was silent fails only after this and its bound, however soon
-the store is back; with three seconds a shard went without an owner for 0.85 s after an outage, with
-one for 0.35 s."""
+the store is back; until then the shard may go without an owner."""
 
 TRY_PAUSE = 0.3
 """Seconds before a candidate tries again after the shard was not to be had."""
