--- a/vanillawell/platform/http.py
+++ b/vanillawell/platform/http.py
@@ -1,8 +1,7 @@
 """Exchange JSON documents over kept HTTP/1.1 connections, for everything the platform offers.
 
 One owner makes hundreds of small calls a second on about one core. A client on a parser and plain
-streams took a quarter of the processor time that a general connection pool took (0.29 ms a call
-against 1.19 ms, measured with waiting calls over kept connections).
+streams takes a fraction of the processor time of a general connection pool.
 """
 
 from __future__ import annotations
