Stop an entry under a load that the fleet can carry, and let requests outlast its notice

Test fault: test_a_planned_stop_cuts_no_request kept 12 requests open under a limit of 8, so some waited for a unit, and on a busy machine until their deadline: 429 cannot-finish-in-time and 504 deadline-exceeded, all not run, from entries that were not stopping. Change: the limit is above the open requests, units are there before the first, the notice is the product's default of 3 s; the balancer lags half a second behind readiness, and three requests run on for a second after the notice. Seen failing with the notice removed (ConnectError) and with the wait removed (500). Every reply must still be 200.

--- a/vanillawell/tests/rollout_proof_tests.py
+++ b/vanillawell/tests/rollout_proof_tests.py
@@ -13,11 +13,12 @@
 from vanillawell.standins.processes import call as control
 from vanillawell.standins.processes import wait_until
 from vanillawell.tests.builders import QUICK_TIMING
-from vanillawell.tests.caller import Call
+from vanillawell.tests.caller import Call, Reply
 from vanillawell.tests.fleet_base import (
     SteadyCallers,
     during_load,
     running_fleet,
+    send_all,
     send_one,
     wait_for_answers,
 )
@@ -31,6 +32,12 @@
 
 CONFIGURATION_KEY = "/vanillawell/configuration"
 
+STOP_NOTICE = 3.0
+"""Seconds from a stopping entry's notice to its end of taking requests, as by default."""
+
+BALANCER_LAG = 0.5
+"""Seconds after which the balancer sends nothing more to an entry that gave notice."""
+
 
 def units_held(entry: EntryHandle) -> int:
     return int(entry.status()["organisations"]["guild"]["units_held"])
@@ -187,30 +194,49 @@
 def test_a_planned_stop_cuts_no_request(tmp_path: Path) -> None:
     """An entry is asked to stop while callers use it, the balancer noticing a moment later.
 
-    Each request that it accepted must get its answer; none may be cut or lost.
+    Each request that it accepted must get its answer; none may be cut or lost. Some run on when
+    the notice is over. Units are there and the limits above the open requests, so that none is
+    refused for want of one.
     """
-    timing = QUICK_TIMING | {"stop_notice": 1.0}
-    with running_fleet(tmp_path, **THREE_ZONES | {"timing": timing}) as fleet:
+    timing = QUICK_TIMING | {"stop_notice": STOP_NOTICE, "longest_request": 10.0}
+    roomy = {"guild": {"limit": 100}, "court": {"limit": 100}}
+    with running_fleet(
+        tmp_path, **THREE_ZONES | {"timing": timing, "organisations": roomy}
+    ) as fleet:
         entries = dict(fleet.entries)
+        stopping = entries["entry-1-1"]
         callers = SteadyCallers(
             list(entries.values()),
             lambda n: Call(mark=f"m{n}", run_seconds=0.05 + n % 5 * 0.1, timeout=5.0),
             open_requests=12,
         )
+        outlasting = Call(organisation="court", run_seconds=STOP_NOTICE + 1, timeout=10.0)
+        kept: list[Reply] = []
+
+        wait_until(lambda: all(units_held(e) for e in entries.values()), "all hold units")
 
         def script() -> None:
             wait_for_answers(callers, 30, "requests are answered")
-            stopping = entries["entry-1-1"]
+            long = threading.Thread(
+                target=lambda: kept.extend(send_all([(stopping, outlasting)] * 3))
+            )
+            long.start()
+            wait_until(
+                lambda: stopping.status()["organisations"]["court"]["running"] == 3, "they run"
+            )
             thread = threading.Thread(target=stopping.process.stop)
             thread.start()
             wait_until(lambda: not stopping.ready, "readiness goes off")
+            time.sleep(BALANCER_LAG)
             callers.leave(stopping)
             thread.join()
+            long.join()
             assert stopping.process.wait() == 0
             wait_for_answers(callers, 30, "the others answer")
 
         replies = during_load(callers, script)
-        assert [reply for reply in replies if reply.status != 200] == []
+        assert len(kept) == 3
+        assert [reply for reply in [*replies, *kept] if reply.status != 200] == []
         held = fleet.entries["entry-1-2"].status()["entries"]
         assert held <= 6
 
