Ask the entries of the TLS tests once they hold a unit

Test fault: test_callers_backend_servers_and_admin_ports_speak_tls asks right after the start. Change: the tests' requests wait until the entry holds a unit. What they check is the same.

--- a/vanillawell/tests/security_tests.py
+++ b/vanillawell/tests/security_tests.py
@@ -14,7 +14,7 @@
 from vanillawell.tests.builders import uuid7
 from vanillawell.tests.caller import Call
 from vanillawell.tests.certificates import Certificates
-from vanillawell.tests.fleet_base import running_fleet, send_one
+from vanillawell.tests.fleet_base import running_fleet, send_one, units_held
 
 if TYPE_CHECKING:
     from pathlib import Path
@@ -67,6 +67,8 @@
 
 
 def ask(entry: EntryHandle, made: Certificates) -> tuple[int, bytes]:
+    """Call a service once the entry may start its request, and return as `exchange` does."""
+    wait_until(lambda: units_held(entry) > 0, "it holds units of the limit")
     lines = "GET /check/item HTTP/1.1\r\nAuthorization: Bearer vw-demo-guild"
     return exchange(entry, made, entry.ports.caller, lines)
 
