Read the least time left to an executor that drains, and log it

The registry told it and nothing read it. Whoever looks at a log could not tell how much notice an executor had given. No decision uses it yet.

--- a/vanillawell/coordination/registry.py
+++ b/vanillawell/coordination/registry.py
@@ -104,6 +104,7 @@
                     "service": facts.service,
                     "machine": facts.machine,
                     "draining": facts.draining,
+                    "remaining": facts.remaining,
                 },
             )
         self._shard.register(facts, clock.read(), time.time())
--- a/vanillawell/platform/documents.py
+++ b/vanillawell/platform/documents.py
@@ -111,6 +111,8 @@
     zone: str = ""
     state: str
     machine: str = ""
+    remainingMs: Milliseconds | None = None  # noqa: N815
+    """Least time left to an executor that drains."""
     born: int = 0
     capacity: _Amounts
     labels: list[str] = []
@@ -247,6 +249,7 @@
         labels=frozenset(beat.labels),
         capacity=beat.capacity.decode(),
         draining=beat.state == "draining",
+        remaining=None if beat.remainingMs is None else beat.remainingMs / 1000,
     )
 
 
--- a/vanillawell/state/executors.py
+++ b/vanillawell/state/executors.py
@@ -44,6 +44,8 @@
     labels: frozenset[str]
     capacity: Resources
     draining: bool
+    remaining: float | None = None
+    """Least seconds, from when it wrote this, after which it leaves; None if it did not say."""
 
 
 @dataclass(slots=True, eq=False)
