Show that lasting tasks stay on executors that drain

Callers saw a lasting task away for nine seconds although its executor had said four seconds ahead that it would leave. No code moves tasks off an executor that drains; they end with it and are then waited for by its lease.

--- a/vanillawell/standins/scheduler/executor.py
+++ b/vanillawell/standins/scheduler/executor.py
@@ -116,6 +116,11 @@
         self._siblings[self._siblings.index(self)] = successor
         return successor
 
+    def leave(self) -> None:
+        """End everything that runs here and answer nothing any more."""
+        self._present.clear()
+        self.faults.silent = True
+
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Answer one order."""
         body = await read_body(receive, LARGEST_BODY)
--- a/vanillawell/tests/scheduler_cluster.py
+++ b/vanillawell/tests/scheduler_cluster.py
@@ -242,6 +242,15 @@
         }
         self.store.put_document(f"servers/{name}", {**document, **changes})
 
+    def drain(self, name: str, seconds: float) -> None:
+        """Let an executor say that it leaves after `seconds` at the earliest."""
+        self.register(name, state="draining", remainingMs=seconds * 1000)
+
+    def leave(self, name: str) -> None:
+        """Let an executor leave: all that it runs ends, and it answers nothing any more."""
+        self.hosts[name].life.leave()
+        self.store.delete(f"servers/{name}")
+
     def restart(self, name: str) -> None:
         """Crash an executor and start it again under its id."""
         host = self.hosts[name]
