Move lasting tasks off executors that say they leave

Cause: only machines due for upkeep were emptied. An executor that drains merely got no new tasks; what lasts there ended with it and was then waited for until its lease was surely over, by each owner anew.

While time remains the decision is the one for upkeep (`to_stop`: a place elsewhere, and no more away than the step allows). From half a second and the length of a stop before the least time left is over, all that lasts is stopped: it would be lost anyway, and a stop gives a certain end and a checkpoint. The time left is kept as a point of time; the same entry read again gives no more, and an entry that an owner reads first counts as 1.5 s old. `to_stop` now goes by task ids: a new owner that still sees a task at work whose stop is under way chooses that task again, not a second one of its step.

Why it holds: a stop is settled like any other (end listed and stored before the next start), so TWICE and the ledger are untouched; nothing starts on executors that drain, as before. AVAIL exempts tasks on executors that drain, and those elsewhere are not stopped by this.

Not covered: gangs that last are treated task by task; tasks that end by themselves stay; two steps that see the same single place elsewhere may both be moved towards it.

--- a/vanillawell/coordination/shard_owner.py
+++ b/vanillawell/coordination/shard_owner.py
@@ -11,6 +11,7 @@
 
 from vanillawell import clock
 from vanillawell.coordination.advice_desk import AdviceDesk
+from vanillawell.coordination.drain_runner import DrainRunner
 from vanillawell.coordination.executor_driver import ExecutorDriver
 from vanillawell.coordination.executor_link import ExecutorLink
 from vanillawell.coordination.follow import Backoff
@@ -134,6 +135,8 @@
         tasks.start_soon(registry.look, lambda now: pools.expects(now) or upkeep.expects(now))
         tasks.start_soon(_run_after, registry.known, upkeep.run)
         tasks.start_soon(_run_after, registry.known, pools.run)
+        drains = DrainRunner(self._shard, self._term, self._bounds.kill_grace_ms / 1000, self.wake)
+        tasks.start_soon(_run_after, registry.known, drains.run)
         if self._ports.advice is not None:
             desk = AdviceDesk(self._shard, self._ports.advice, self.wake)
             tasks.start_soon(desk.run)
--- /dev/null
+++ b/vanillawell/state/draining.py
@@ -0,0 +1,53 @@
+"""Decide when lasting tasks leave an executor that said that it ends.
+
+While time remains they are moved like tasks off machines that are due for upkeep: only where
+another executor has a place, and within what their step lets be away at once. What would be lost
+with the executor anyway is stopped shortly before: a task that was stopped has a certain end and
+can begin elsewhere at once, while a lost one is waited for until its lease is surely over.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from vanillawell.state.upkeep import to_stop
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
+    from vanillawell.state.executors import Executor
+    from vanillawell.state.work import Run
+
+REPORTING = 0.5
+"""Seconds from a decision to stop until the end is known, beside the stop itself: a look, an order
+that may have to be repeated once, and a report."""
+
+
+def leaving(executors: Iterable[Executor]) -> list[Executor]:
+    """Return the executors that said that they end, in the same order for each owner."""
+    found = [item for item in executors if item.registered and item.leaves_after is not None]
+    return sorted(found, key=lambda item: item.name)
+
+
+def time_left(executor: Executor, now: float) -> float:
+    """Return the least seconds for which an executor that leaves goes on."""
+    return max(0.0, (executor.leaves_after or 0.0) - now)
+
+
+def leaves_soon(executor: Executor, kill_grace: float, now: float) -> bool:
+    """Tell whether stops must go out now for their ends to be known before an executor leaves."""
+    return time_left(executor, now) <= kill_grace + REPORTING
+
+
+def lasting_runs(executor: Executor) -> list[Run]:
+    """Return the long-running tasks that are charged to an executor."""
+    return [run for run in executor.runs.values() if run.task.step.spec.long_running]
+
+
+def to_move(
+    executor: Executor, has_place: Callable[[Run], bool], kill_grace: float, now: float
+) -> list[Run]:
+    """Return the long-running tasks of an executor that leaves that have to be stopped now."""
+    if leaves_soon(executor, kill_grace, now):
+        return [run for run in lasting_runs(executor) if not run.stop_wanted]
+    return to_stop(executor, has_place)
--- a/vanillawell/state/executors.py
+++ b/vanillawell/state/executors.py
@@ -22,6 +22,9 @@
 JOBS_IN_DOUBT = 2
 """Different jobs that these failures must come from: otherwise the fault is the job's."""
 
+ENTRY_AGE = 1.5
+"""Seconds after which executors write their entries anew at the latest."""
+
 QUARANTINE = 4.0
 """Seconds for which a doubtful executor gets no new work; then it is tried again."""
 
@@ -71,6 +74,12 @@
     began_at: float = 0.0
     """Clock of decisions at which a new life under the same id was noticed; 0 for the first."""
 
+    leaves_after: float | None = None
+    """Clock of decisions up to which it said that it goes on; None while it does not leave."""
+
+    told_at: float = 0.0
+    """Clock of decisions at which it was read last for how long it goes on."""
+
     suspected_until: float = 0.0
     cordoned: bool = False
     """Whether planned work keeps new tasks away."""
@@ -103,8 +112,25 @@
         self.seen_end = 0
         self.unsaved_ends.clear()
         self.failures.clear()
+        self.leaves_after = None
         self.began_at = now
 
+    def take_facts(self, facts: ExecutorFacts, now: float) -> None:
+        """Take in what it says of itself.
+
+        The same time left as before is the same entry, read again. An entry that is read for the
+        first time, as after a change of owner, may have stood for as long as entries do.
+        """
+        same = self.leaves_after is not None and facts.remaining == self.facts.remaining
+        if not facts.draining:
+            self.leaves_after = None
+        elif not same:
+            age = 0.0 if self.registered else ENTRY_AGE
+            self.leaves_after = now - age + (facts.remaining or 0.0)
+            self.told_at = now
+        self.facts = facts
+        self.registered = True
+
     def takes_work(self, now: float) -> bool:
         """Tell whether new tasks may be placed here."""
         return (
--- a/vanillawell/state/ledger.py
+++ b/vanillawell/state/ledger.py
@@ -95,7 +95,9 @@
         if known is not None:
             self._renew(known, facts, now)
             return []
-        self.executors[facts.executor] = Executor(facts)
+        executor = Executor(facts, registered=False)
+        executor.take_facts(facts, now)
+        self.executors[facts.executor] = executor
         if not facts.machine:
             return []
         former = [
@@ -111,8 +113,7 @@
             return
         if facts.incarnation > known.facts.incarnation:
             known.begin_life(now)
-        known.facts = facts
-        known.registered = True
+        known.take_facts(facts, now)
 
     def _abandon(self, executor: Executor) -> list[Ended]:
         runs = list(executor.runs.values())
--- a/vanillawell/state/upkeep.py
+++ b/vanillawell/state/upkeep.py
@@ -166,13 +166,14 @@
 
 
 def to_stop(executor: Executor, has_place: Callable[[Run], bool]) -> list[Run]:
-    """Return long-running tasks of a closed machine that may be moved now, one of a step.
+    """Return long-running tasks of an executor that may be moved now, one of a step.
 
     A task for which no other executor has a place stays at work: stopped now, it would be away
-    until a machine has come.
+    until a machine has come. The order is the same for each owner: a new one that can't see yet
+    what its predecessor stopped chooses the same task, not a second one.
     """
     chosen: dict[StepProgress, Run] = {}
-    for run in executor.runs.values():
+    for run in sorted(executor.runs.values(), key=lambda run: run.task.task_id):
         step = run.task.step
         movable = step.spec.long_running and not run.stop_wanted and step not in chosen
         if movable and may_take_away(run) and has_place(run):
--- /dev/null
+++ b/vanillawell/tests/draining_state_tests.py
@@ -0,0 +1,142 @@
+"""Test on plain data when lasting tasks leave an executor that said that it ends."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from typing import TYPE_CHECKING, Any
+
+import orjson
+import pytest
+
+from vanillawell.config.node_settings import PlatformKeys
+from vanillawell.platform.documents import UnreadableDocumentError, read_executor
+from vanillawell.state.draining import leaves_soon, leaving, time_left, to_move
+from vanillawell.state.executors import ENTRY_AGE
+from vanillawell.tests.scheduling_builders import Bench, facts, job, step
+
+if TYPE_CHECKING:
+    from vanillawell.state.executors import Executor
+    from vanillawell.state.work import Run
+
+GRACE = 0.4
+"""Seconds that a stop takes at most."""
+
+
+def _drains(bench: Bench, name: str, remaining: float | None) -> Executor:
+    executor = bench.shard.ledger.executors[name]
+    told = replace(executor.facts, draining=True, remaining=remaining)
+    return bench.register(told)
+
+
+def _to_move(bench: Bench, executor: Executor) -> list[Run]:
+    return to_move(executor, lambda run: bench.shard.has_place(run, bench.now), GRACE, bench.now)
+
+
+def _two_lasting(bench: Bench, **fields: Any) -> list[Run]:
+    bench.admit(job(step(2, long_running=True, **fields)))
+    runs = bench.place()
+    for run in runs:
+        run.at_work = True
+    return runs
+
+
+def test_tasks_are_moved_within_what_their_step_lets_be_away() -> None:
+    bench = Bench(facts("i-0"))
+    first, second = _two_lasting(bench, most_away=1)
+    bench.register(facts("i-1"))
+    executor = _drains(bench, "i-0", 4.0)
+    assert _to_move(bench, executor) == [first]
+    bench.shard.want_stop(first)
+    assert _to_move(bench, executor) == []
+    assert not second.stop_wanted
+
+
+def test_every_owner_moves_the_same_task_first() -> None:
+    """A stop that a former owner ordered is under way, and its task still looks at work. Its
+    successor knows the runs in another order; a second task of the step must not be stopped."""
+    bench = Bench(facts("i-0"))
+    first, _ = _two_lasting(bench, most_away=1)
+    bench.register(facts("i-1"))
+    executor = _drains(bench, "i-0", 4.0)
+    executor.runs = dict(reversed(executor.runs.items()))
+    assert _to_move(bench, executor) == [first]
+
+
+def test_a_task_without_a_place_works_on_until_its_executor_is_about_to_leave() -> None:
+    bench = Bench(facts("i-0"))
+    runs = _two_lasting(bench)
+    executor = _drains(bench, "i-0", 4.0)
+    assert _to_move(bench, executor) == []
+    bench.now += 3.2
+    assert _to_move(bench, executor) == runs
+
+
+def test_what_would_be_lost_anyway_is_stopped_in_time_beyond_what_may_be_away() -> None:
+    bench = Bench(facts("i-0"))
+    runs = _two_lasting(bench, most_away=1)
+    bench.register(facts("i-1"))
+    executor = _drains(bench, "i-0", 0.8)
+    assert _to_move(bench, executor) == runs
+
+
+def test_tasks_that_end_by_themselves_are_left_alone() -> None:
+    bench = Bench(facts("i-0"))
+    bench.admit(job(step(2)))
+    bench.place()
+    bench.register(facts("i-1"))
+    assert _to_move(bench, _drains(bench, "i-0", 0.5)) == []
+
+
+def test_an_executor_that_is_ready_again_keeps_its_tasks() -> None:
+    bench = Bench(facts("i-0"))
+    _two_lasting(bench)
+    executor = _drains(bench, "i-0", 4.0)
+    assert leaving(bench.shard.ledger.executors.values()) == [executor]
+    bench.register(facts("i-0"))
+    assert leaving(bench.shard.ledger.executors.values()) == []
+
+
+def test_an_entry_that_is_read_again_gives_no_more_time() -> None:
+    """The registry is read anew while machines are expected, and entries change only now and then.
+    The time left counts from the first reading."""
+    bench = Bench(facts("i-0"))
+    executor = _drains(bench, "i-0", 4.0)
+    bench.now += 1.0
+    _drains(bench, "i-0", 4.0)
+    assert time_left(executor, bench.now) == pytest.approx(3.0)
+    _drains(bench, "i-0", 2.5)
+    assert time_left(executor, bench.now) == pytest.approx(2.5)
+
+
+def test_a_new_owner_takes_the_entry_it_reads_first_for_an_old_one() -> None:
+    """An entry may be as old as the time between two. Taken for new by each of several owners in
+    turn, it would promise time that the executor doesn't have."""
+    bench = Bench(facts("i-0", draining=True, remaining=4.0))
+    (executor,) = bench.shard.ledger.executors.values()
+    assert time_left(executor, bench.now) == pytest.approx(4.0 - ENTRY_AGE)
+
+
+def test_a_new_life_under_the_same_id_does_not_leave() -> None:
+    bench = Bench(facts("i-0"))
+    executor = _drains(bench, "i-0", 4.0)
+    bench.register(facts("i-0", incarnation=2))
+    assert leaving([executor]) == []
+
+
+def test_an_executor_that_does_not_say_how_long_it_goes_on_may_leave_at_once() -> None:
+    bench = Bench(facts("i-0"))
+    assert leaves_soon(_drains(bench, "i-0", None), GRACE, bench.now)
+
+
+def _entry(**fields: object) -> bytes:
+    entry = {"service": "s", "address": "a:1", "state": "draining", "capacity": {}}
+    return orjson.dumps({**entry, **fields})
+
+
+def test_the_time_left_is_read_from_the_registry() -> None:
+    keys = PlatformKeys()
+    told = read_executor(keys, "servers/i-0", _entry(remainingMs=2200))
+    assert told.remaining == 2.2
+    assert read_executor(keys, "servers/i-0", _entry()).remaining is None
+    with pytest.raises(UnreadableDocumentError):
+        read_executor(keys, "servers/i-0", _entry(remainingMs="soon"))
