Show that work with checkpoints is lost with an executor that leaves

A task of a step that saves its progress needs seconds more than its executor has. It ends with the executor, its latest work is lost, and it waits for the lease before it begins again. The stand-in executor now tells progress and leaves checkpoints where a job's text asks for it.

--- a/vanillawell/standins/scheduler/executor.py
+++ b/vanillawell/standins/scheduler/executor.py
@@ -39,6 +39,17 @@
     ends_at: float
     how: str
     stopping: bool = False
+    began: float = 0.0
+    saves: bool = False
+    """Whether it tells how far it has come, and leaves that as a checkpoint when it is stopped."""
+
+    @property
+    def percent(self) -> int:
+        """Return how far it has come; tasks that don't tell are shown as being at work."""
+        if not self.saves:
+            return 100
+        worked = (time.monotonic() - self.began) / (self.ends_at - self.began)
+        return min(100, int(100 * worked))
 
 
 @dataclass(slots=True)
@@ -66,6 +77,9 @@
     started: Counter[str] = field(default_factory=Counter)
     """Starts by task."""
 
+    resumed: dict[str, str] = field(default_factory=dict)
+    """Checkpoint that the latest start of a task carried, by task."""
+
     done: set[str] = field(default_factory=set)
     """Tasks one of whose runs has ended well and was confirmed."""
 
@@ -176,10 +190,21 @@
         self._lease_end = max(self._lease_end, document["deadlineMs"])
         self._inspect(task)
         text = orjson.loads(document["spec"] or "{}")
-        ends_at = time.monotonic() + text.get("seconds", DEFAULT_SECONDS)
+        began = time.monotonic()
+        saved = document.get("lastCheckpoint", "")
+        ends_at = began + text.get("seconds", DEFAULT_SECONDS) * (1 - int(saved or 0) / 100)
         how = "failed" if text.get("fails") else "done"
-        self._present[task] = Present(task, number, text.get("cpu", 1_000), ends_at, how)
+        self._present[task] = Present(
+            task,
+            number,
+            text.get("cpu", 1_000),
+            ends_at,
+            how,
+            began=began,
+            saves=text.get("saves", False),
+        )
         self._audit.started[task] += 1
+        self._audit.resumed[task] = saved
         if sum(item.need for item in self._present.values()) > self.cpu:
             self._audit.broken.append(f"{self.name} is over its capacity with {task}")
         return ""
@@ -210,7 +235,7 @@
         if not self._ends:
             with anyio.move_on_after(document.get("waitMs", 0) / 1000):
                 await self._ended.wait()
-        running = [[item.task, item.number, "", 100, 0] for item in self._present.values()]
+        running = [[item.task, item.number, "", item.percent, 0] for item in self._present.values()]
         ended = list(self._ends[:SHOWN_ENDS])
         if self.faults.lose_reports:
             self.faults.lose_reports -= 1
@@ -223,7 +248,8 @@
     def _end(self, present: Present, how: str) -> None:
         del self._present[present.task]
         self._closed[present.task] = max(self._closed.get(present.task, 0), present.number)
-        self._ends.append([next(self._numbers), present.task, present.number, how, ""])
+        saved = str(present.percent) if present.saves and how == "stopped" else ""
+        self._ends.append([next(self._numbers), present.task, present.number, how, saved])
         self._ended.set()
         self._ended = anyio.Event()
 
--- a/vanillawell/tests/draining_state_tests.py
+++ b/vanillawell/tests/draining_state_tests.py
@@ -10,6 +10,7 @@
 
 from vanillawell.config.node_settings import PlatformKeys
 from vanillawell.platform.documents import UnreadableDocumentError, read_executor
+from vanillawell.protocol.executor_calls import HoldReport, RunningRow
 from vanillawell.state.draining import leaves_soon, leaving, time_left, to_move
 from vanillawell.state.executors import ENTRY_AGE
 from vanillawell.tests.scheduling_builders import Bench, facts, job, step
@@ -79,11 +80,56 @@
     assert _to_move(bench, executor) == runs
 
 
-def test_tasks_that_end_by_themselves_are_left_alone() -> None:
+def _short(bench: Bench, *percents: int, **fields: Any) -> Run:
+    """Place a task that ends by itself, and report its progress each second."""
+    bench.admit(job(step(1, **fields)))
+    (run,) = bench.place()
+    executor = bench.shard.ledger.executors[run.executor]
+    for percent in percents:
+        bench.now += 1.0
+        row = RunningRow(run.task.task_id, run.number, "", percent, 0.0)
+        report = HoldReport(0.0, executor.facts.incarnation, [row], [])
+        bench.shard.take_report(executor, report, bench.now, bench.now, bench.now)
+    return run
+
+
+def test_tasks_that_end_by_themselves_work_on_while_time_remains() -> None:
     bench = Bench(facts("i-0"))
-    bench.admit(job(step(2)))
-    bench.place()
+    _short(bench, 10, 20, saves_progress=True)
     bench.register(facts("i-1"))
+    assert _to_move(bench, _drains(bench, "i-0", 4.0)) == []
+
+
+def test_a_task_that_saves_progress_is_stopped_if_its_executor_leaves_long_before_its_end() -> None:
+    bench = Bench(facts("i-0"))
+    run = _short(bench, 10, 20, saves_progress=True)
+    assert _to_move(bench, _drains(bench, "i-0", 0.8)) == [run]
+
+
+def test_a_task_that_may_still_be_done_in_time_works_on() -> None:
+    bench = Bench(facts("i-0"))
+    _short(bench, 10, 50, saves_progress=True)
+    assert _to_move(bench, _drains(bench, "i-0", 0.8)) == []
+
+
+def test_a_task_whose_work_would_be_lost_by_a_stop_works_on() -> None:
+    """Executors may go on for seconds beyond the time they name; a stop surely loses the work."""
+    bench = Bench(facts("i-0"))
+    _short(bench, 10, 20)
+    assert _to_move(bench, _drains(bench, "i-0", 0.5)) == []
+
+
+def test_a_new_owner_does_not_take_former_progress_for_pace() -> None:
+    """The first report that a new owner gets shows a task at 80 per cent; seen as the work of a
+    moment, the rest would seem done at once, and the task would be lost with its executor."""
+    bench = Bench(facts("i-0"))
+    run = _short(bench, 80, 82, saves_progress=True)
+    assert _to_move(bench, _drains(bench, "i-0", 0.8)) == [run]
+
+
+def test_a_task_that_has_shown_no_pace_yet_works_on() -> None:
+    bench = Bench(facts("i-0"))
+    _short(bench, 10, saves_progress=True)
     assert _to_move(bench, _drains(bench, "i-0", 0.5)) == []
 
 
--- a/vanillawell/tests/draining_tests.py
+++ b/vanillawell/tests/draining_tests.py
@@ -14,6 +14,7 @@
     job,
     step,
     until,
+    until_state,
     with_cluster,
 )
 
@@ -82,6 +83,27 @@
     await until(lambda: len(built.hosts["i-1"].life.running) == 2, 1.0)
 
 
+@with_cluster(executors=1)
+async def test_a_task_that_saves_progress_goes_on_elsewhere_if_time_is_too_short(
+    built: Cluster,
+) -> None:
+    """A task needs seconds more than its executor has. Lost with it, it would wait until its lease
+    is surely over; stopped in time it goes on elsewhere from its checkpoint."""
+    member, job_id = built.members[0], built.new_id()
+    saving = job(step(1, savesProgress=True), spec={"seconds": 4.0, "saves": True})
+    await member.call("POST", PREFIX + job_id, saving)
+    leaving = built.hosts["i-0"].life
+    await until(lambda: bool(leaving.running))
+    await built.add_executor("i-1")
+    await _known(built, "i-1")
+    await anyio.sleep(0.5)
+    built.drain("i-0", 1.5)
+    await until(lambda: bool(built.hosts["i-1"].life.running), 1.5)
+    built.leave("i-0")
+    assert int(built.audit.resumed[f"{job_id}.0.0.0"]) > 0
+    await until_state(member, job_id, "completed", 4.0)
+
+
 @with_cluster(members=3, executors=1)
 async def test_new_owners_go_on_emptying_an_executor(built: Cluster) -> None:
     """Entries are stopped in turn, the owner first, right after an executor said that it leaves.
