Stop work with checkpoints in time on executors that leave

Callers of jobs whose tasks save their progress waited five to six seconds more when such a task was on an executor that left before its end: it was lost with the executor and waited for its lease.

Cause: executors that drain were emptied of lasting tasks only.

Change: when an executor is about to leave, tasks of steps that save progress are stopped, too, if they surely need longer than the least time left and half a second more. How long they need is reckoned from the progress shown since the first report to this owner, one per cent more than told; a task that has shown no pace works on. Tasks without checkpoints work on: an executor may stay for seconds beyond the time it named, and a stop surely loses what was done.

Why it holds: the next run carries the checkpoint of the listed end, by the path that stops for stalls use already; stops don't count as attempts.

--- a/vanillawell/coordination/drain_runner.py
+++ b/vanillawell/coordination/drain_runner.py
@@ -72,7 +72,7 @@
         if not left:
             return "empty"
         if leaves_soon(executor, self._kill_grace, now):
-            return "all stopped in time"
+            return "all stopped"
         return "moving" if any(run.stop_wanted for run in left) else "held"
 
     def _stop(self, executor: Executor, run: Run, now: float) -> None:
--- a/vanillawell/state/draining.py
+++ b/vanillawell/state/draining.py
@@ -3,7 +3,8 @@
 While time remains they are moved like tasks off machines that are due for upkeep: only where
 another executor has a place, and within what their step lets be away at once. What would be lost
 with the executor anyway is stopped shortly before: a task that was stopped has a certain end and
-can begin elsewhere at once, while a lost one is waited for until its lease is surely over.
+can begin elsewhere at once, while a lost one is waited for until its lease is surely over. That
+goes for tasks that end by themselves, too, if they save their progress and surely need longer.
 """
 
 from __future__ import annotations
@@ -23,6 +24,14 @@
 that may have to be repeated once, and a report."""
 
 
+OVERTIME = 0.5
+"""Seconds for which executors often go on beyond the time they named; some stay much longer, but a
+task with a checkpoint loses little by a needless stop."""
+
+COMPLETE = 100
+"""Percentage at which a task has done its work and is about to end."""
+
+
 def leaving(executors: Iterable[Executor]) -> list[Executor]:
     """Return the executors that said that they end, in the same order for each owner."""
     found = [item for item in executors if item.registered and item.leaves_after is not None]
@@ -44,10 +53,32 @@
     return [run for run in executor.runs.values() if run.task.step.spec.long_running]
 
 
+def least_rest(run: Run, now: float) -> float:
+    """Return the least seconds that a task still takes, going by the progress shown so far.
+
+    Progress is told in whole per cent, so a task may have come one further than it seems. What it
+    had done when it was first reported may be the work of earlier runs, or of a former term.
+    """
+    if run.reported is None or run.progressed is None or run.progressed <= run.reported:
+        return 0.0
+    most_a_second = (run.percent - run.percent_at_first + 1) / (run.progressed - run.reported)
+    return (COMPLETE - run.percent) / most_a_second - (now - run.progressed)
+
+
+def _outlasts(run: Run, executor: Executor, now: float) -> bool:
+    """Tell whether a task surely needs longer than its executor goes on, and saves what it did."""
+    spec = run.task.step.spec
+    if spec.long_running or not spec.saves_progress:
+        return False
+    return least_rest(run, now) > time_left(executor, now) + OVERTIME
+
+
 def to_move(
     executor: Executor, has_place: Callable[[Run], bool], kill_grace: float, now: float
 ) -> list[Run]:
-    """Return the long-running tasks of an executor that leaves that have to be stopped now."""
-    if leaves_soon(executor, kill_grace, now):
-        return [run for run in lasting_runs(executor) if not run.stop_wanted]
-    return to_stop(executor, has_place)
+    """Return the runs on an executor that leaves that have to be stopped now."""
+    if not leaves_soon(executor, kill_grace, now):
+        return to_stop(executor, has_place)
+    lost = lasting_runs(executor)
+    lost += [run for run in executor.runs.values() if _outlasts(run, executor, now)]
+    return [run for run in lost if not run.stop_wanted]
--- a/vanillawell/state/ledger.py
+++ b/vanillawell/state/ledger.py
@@ -258,7 +258,7 @@
             run.started = now
         run.at_work = row.percent >= 100
         if run.reported is None:
-            run.reported = now
+            run.reported, run.percent_at_first = now, row.percent
         if run.progressed is None or row.percent > run.percent:
             run.percent, run.progressed = row.percent, now
         if row.checkpoint:
--- a/vanillawell/state/work.py
+++ b/vanillawell/state/work.py
@@ -208,6 +208,9 @@
     reported: float | None = None
     """When a report first showed it."""
 
+    percent_at_first: int = 0
+    """How far it had come then; not all of it need be its own work."""
+
     progressed: float | None = None
     """When a report first showed it, or last showed it further than before."""
 
