Show what a planned stop loses since leases are kept by a stored document, and what else begins anew with an owner

Three pass and stay as guards: the store slow at planned stops, a task's second try, a wave's time with one owner.

--- /dev/null
+++ b/vanillawell/tests/handover_doubt_tests.py
@@ -0,0 +1,176 @@
+"""Prove what a planned stop or a freeze of an owner must not lose while the store is in trouble."""
+
+from __future__ import annotations
+
+import anyio
+
+from vanillawell.coordination.lease_keeper import READING_MARGIN
+from vanillawell.coordination.leases import ExecutorClock
+from vanillawell.platform.http import HttpClient
+from vanillawell.platform.store import PlatformStore
+from vanillawell.protocol.lease_bounds import LeaseBounds
+from vanillawell.protocol.store import Put
+from vanillawell.standins.scheduler.store import StandInStore
+from vanillawell.tests.lease_keeper_tests import OneValue, Owner, busy_executor
+from vanillawell.tests.scheduler_cluster import (
+    PREFIX,
+    Cluster,
+    job,
+    listen,
+    step,
+    until,
+    until_state,
+    with_cluster,
+)
+from vanillawell.tests.scheduling_builders import Bench, facts
+from vanillawell.tests.term_tests import _take
+
+OUTAGE = 6.0
+"""Seconds for which the store is away; sound work is to live through nine."""
+
+NOTICED = 2.6
+"""Seconds within which an owner notices that an executor of lasting tasks answers nothing."""
+
+SLOW_ANSWER = 0.4
+"""Seconds that each answer of a slow store takes."""
+
+PROCESS_END = 4.1
+"""Seconds between the request to stop and the end of the process."""
+
+
+def test_a_write_after_one_that_was_broken_off_is_stored_or_repeated() -> None:
+    """A stopping owner breaks its hand-over off while the store's answer is lost. What it writes
+    next must be in the store once it is taken as stored: ends are confirmed on that ground."""
+
+    async def run() -> None:
+        async with anyio.create_task_group() as tasks:
+            stand_in = StandInStore()
+            store = PlatformStore(HttpClient(), listen(tasks, stand_in))
+            term = await _take(store, "entry-0")
+            stand_in.faults.lose_answers = 1
+            with anyio.move_on_after(0.3):
+                await term.write([Put("value/bounds", b"x")])
+            assert "value/bounds" in stand_in.items
+            with anyio.fail_after(5):
+                await term.write([Put("value/turn", b"x")])
+            assert "value/turn" in stand_in.items
+            tasks.cancel_scope.cancel()
+
+    anyio.run(run)
+
+
+@with_cluster(members=2)
+async def test_sound_work_outlives_a_planned_stop_while_the_store_is_away(built: Cluster) -> None:
+    """The store goes away a moment before the owner is asked to stop. Nobody can take over, so the
+    owner goes on renewing what runs until its process ends."""
+    owner, job_id = await built.owner(), built.new_id()
+    await owner.call("POST", PREFIX + job_id, job(step(longRunning=True), spec={"seconds": 60}))
+    task = f"{job_id}.0.0.0"
+    await until(lambda: task in built.audit.started)
+    await anyio.sleep(1.0)
+    built.store.faults.refuse = True
+    began = anyio.current_time()
+    await owner.node.hand_over()
+    await anyio.sleep(PROCESS_END - (anyio.current_time() - began))
+    await built.kill(owner)
+    await anyio.sleep(OUTAGE - (anyio.current_time() - began))
+    built.store.faults.refuse = False
+    await built.owner()
+    await anyio.sleep(4.0)
+    assert built.audit.started[task] == 1
+    assert any(task in life.running for life in built.lives)
+
+
+def test_answers_that_came_late_do_not_shorten_a_stored_bound() -> None:
+    """An owner is frozen for a second. The answers that waited for it show clocks of then, and it
+    stores them as those of now; its successor must not count that second as passed once more."""
+    frozen, left = 1.2, 4.0
+    reading = ExecutorClock()
+    reading.note(100.0, now=10.0)
+    reading.note(100.0 + 0.5, now=10.0 + 0.5 + frozen)  # answered during the freeze, read after it
+    stored = reading.at(10.0 + 0.5 + frozen)
+    bench = Bench()
+    executor = busy_executor(bench, "i-1")
+    executor.contacted = False
+    document = LeaseBounds({"i-1": left}, {"i-2@1": stored})
+    passed = 2.0
+    owner = Owner(OneValue(document.to_bytes()), {"i-2@1": 100.0 + 0.5 + frozen + passed})
+    executor.lease_over = owner.keeper.first_bound("i-1", bench.now)
+    owner.keeper.tighten([executor], bench.now)
+    assert executor.lease_over >= bench.now + left - passed - 1e-9
+    assert frozen > READING_MARGIN, "the margin does not cover it"
+
+
+def test_an_executor_that_answers_nothing_gets_no_work_when_its_suspicion_ends() -> None:
+    """Its leases may not be extended, so each start would be given up unsent, and planned anew
+    with a write in each turn until the next call fails."""
+    bench = Bench(facts("i-1"))
+    executor = bench.shard.ledger.executors["i-1"]
+    executor.silent_since = bench.now - 5.0
+    assert not executor.takes_work(bench.now)
+
+
+@with_cluster(executors=1)
+async def test_an_executor_that_was_silent_beyond_its_leases_takes_work_again(
+    built: Cluster,
+) -> None:
+    """An executor answers nothing until all its leases are over, and then answers again. Nothing is
+    charged to it any more, so nobody asks whether it does, and each start is given up unsent."""
+    owner, lasting, later = await built.owner(), built.new_id(), built.new_id()
+    body = job(step(longRunning=True), spec={"seconds": 60})
+    await owner.call("POST", PREFIX + lasting, body)
+    task = f"{lasting}.0.0.0"
+    await until(lambda: task in built.audit.started)
+    life = built.hosts["i-0"].life
+    life.faults.silent = True
+    await anyio.sleep(OUTAGE + NOTICED)
+    life.faults.silent = False
+    await owner.call("POST", PREFIX + later, job())
+    await until_state(owner, later, "completed", 5)
+
+
+@with_cluster(members=2)
+async def test_an_end_is_stored_before_it_is_confirmed_when_a_hand_over_fails(
+    built: Cluster,
+) -> None:
+    """The owner is asked to stop, and the store's answer to its last word on leases is lost.
+    Tasks end meanwhile. One that is confirmed but not stored would be started once more."""
+    owner = await built.owner()
+    other = next(member for member in built.members if member is not owner)
+    job_ids = [built.new_id() for _ in range(12)]
+    for number, job_id in enumerate(job_ids):
+        await owner.call("POST", PREFIX + job_id, job(spec={"seconds": 1.5 + 0.1 * number}))
+    tasks = [f"{job_id}.0.0.0" for job_id in job_ids]
+    await until(lambda: all(task in built.audit.started for task in tasks))
+    built.store.faults.delay = 0.3
+    await until(lambda: tasks[0] in built.audit.done)
+    built.store.faults.only = lambda body: "leases/all" in body
+    built.store.faults.lose_answers = 1
+    await owner.node.hand_over()
+    await anyio.sleep(PROCESS_END - 1.0)
+    built.store.faults.delay = 0.0
+    await built.kill(owner)
+    await until(lambda: other.owns, 4)
+    for job_id in job_ids:
+        await until_state(other, job_id, "completed")
+    assert {task: built.audit.started[task] for task in tasks} == dict.fromkeys(tasks, 1)
+
+
+@with_cluster(members=3)
+async def test_sound_work_outlives_planned_stops_while_the_store_is_slow(built: Cluster) -> None:
+    """Each call to the store takes as long as on its slowest days. Between the last renewal of the
+    stopped owner and the first of its successor there are a dozen of them."""
+    owner, job_id = await built.owner(), built.new_id()
+    await owner.call("POST", PREFIX + job_id, job(step(longRunning=True), spec={"seconds": 60}))
+    task = f"{job_id}.0.0.0"
+    await until(lambda: task in built.audit.started)
+    built.store.faults.delay = SLOW_ANSWER
+    for _ in range(2):
+        await anyio.sleep(2.0)
+        stopped = await built.owner()
+        await stopped.node.hand_over()
+        await anyio.sleep(PROCESS_END - 1.0)
+        await built.kill(stopped)
+    await built.owner()
+    await anyio.sleep(6.0)
+    assert built.audit.started[task] == 1
--- /dev/null
+++ b/vanillawell/tests/owner_memory_tests.py
@@ -0,0 +1,102 @@
+"""Prove that what decides is not begun anew with each owner of a shard."""
+
+from __future__ import annotations
+
+import anyio
+
+from vanillawell.protocol.work_documents import read_record, write_record
+from vanillawell.state.shard import Shard
+from vanillawell.state.work import Ending, JobState
+from vanillawell.tests.owner_series_tests import (
+    LONGEST_ABSENCE,
+    kill,
+    silence_an_executor,
+    stop,
+)
+from vanillawell.tests.scheduler_cluster import PREFIX, Cluster, until, with_cluster
+from vanillawell.tests.scheduler_cluster import job as body_of_job
+from vanillawell.tests.scheduler_cluster import step as step_in_body
+from vanillawell.tests.scheduling_builders import Bench, facts, job
+
+WAVE = 4.0
+"""Seconds in which each machine of a wave is to have its upkeep."""
+
+
+def succeed(bench: Bench, *names: str) -> Bench:
+    """Return the shard of a new owner, with the same executors and what the store holds."""
+    after = Bench(*(facts(name) for name in names))
+    for record in bench.shard.board.jobs.values():
+        read, runs = read_record(record.job, write_record(record), after.now, after.now)
+        after.shard.restore(read, runs, lambda _: after.now + 9.0, after.now)
+    assert isinstance(after.shard, Shard)
+    return after
+
+
+def test_a_task_is_not_tried_again_where_it_failed_after_a_change_of_owner() -> None:
+    """An executor fails all that it starts. The owner is replaced before the next try, and the new
+    one begins on the same executor until the job has failed, with a sound one beside it."""
+    bench = Bench(facts("i-1"), facts("i-2"))
+    bench.admit(job())
+    first = bench.place()[0]
+    bench.end(first, Ending.FAILED)
+    after = succeed(bench, "i-1", "i-2")
+    again = after.place()[0]
+    assert again.executor != first.executor
+
+
+@with_cluster(members=2, executors=1)
+async def test_the_time_of_a_wave_does_not_begin_anew_with_its_owner(built: Cluster) -> None:
+    """A lasting task has no other place, so its machine is emptied only when the wave's time runs
+    out. A planned stop of the owner in between must not make the wave late."""
+    owner, job_id = await built.owner(), built.new_id()
+    lasting = body_of_job(step_in_body(longRunning=True), spec={"seconds": 60})
+    await owner.call("POST", PREFIX + job_id, lasting)
+    await until(lambda: f"{job_id}.0.0.0" in built.audit.started)
+    machine = next(iter(built.machines.machines.values()))
+    wave = {"wave": 1, "machines": [machine.name], "durationS": WAVE, "maximum": 1}
+    built.store.put_document("op/wave/1", wave)
+    with anyio.fail_after(WAVE):
+        await anyio.sleep(WAVE / 2)
+        await stop(built, await built.owner())
+        await until(lambda: machine.upkeeps == 1, WAVE)
+
+
+def test_the_sole_owner_tries_elsewhere_what_has_failed() -> None:
+    """Without a change of owner the second try goes to the sound executor."""
+    bench = Bench(facts("i-1"), facts("i-2"))
+    bench.admit(job())
+    first = bench.place()[0]
+    bench.end(first, Ending.FAILED)
+    assert bench.place()[0].executor != first.executor
+    assert all(record.state is not JobState.FAILED for record in bench.shard.board.jobs.values())
+
+
+@with_cluster(members=2, executors=1)
+async def test_a_sole_owner_keeps_the_time_of_a_wave(built: Cluster) -> None:
+    """Without a change of owner the machine is emptied before the wave's time is over."""
+    owner, job_id = await built.owner(), built.new_id()
+    lasting = body_of_job(step_in_body(longRunning=True), spec={"seconds": 60})
+    await owner.call("POST", PREFIX + job_id, lasting)
+    await until(lambda: f"{job_id}.0.0.0" in built.audit.started)
+    machine = next(iter(built.machines.machines.values()))
+    wave = {"wave": 1, "machines": [machine.name], "durationS": WAVE, "maximum": 1}
+    built.store.put_document("op/wave/1", wave)
+    await until(lambda: machine.upkeeps == 1, WAVE)
+
+
+@with_cluster(members=3, executors=3)
+async def test_a_machine_that_is_down_is_not_waited_for_by_owners_in_series(built: Cluster) -> None:
+    """A machine goes down, the owner is killed before it notices, and all others are stopped in
+    turn. Each of them knows the executor for less time than the list of machines may be behind."""
+    task = await silence_an_executor(built)
+    name = next(host.life.name for host in built.hosts.values() if host.life.faults.silent)
+    machine = built.machines.machines[built.hosts[name].machine]
+    machine.state, machine.executor = "down", ""
+    built.hosts[name].life.crash()
+    with anyio.fail_after(LONGEST_ABSENCE):
+        await kill(built, await built.owner())
+        for _ in range(4):
+            await built.owner()
+            await anyio.sleep(1.8)
+            await stop(built, await built.owner())
+        await until(lambda: built.audit.started[task] == 2, LONGEST_ABSENCE)
