--- a/vanillawell/coordination/lease_keeper.py
+++ b/vanillawell/coordination/lease_keeper.py
@@ -17,15 +17,16 @@
 from vanillawell.protocol.store import Put
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable, Mapping
+    from collections.abc import Iterable
 
+    from vanillawell.coordination.leases import ExecutorClocks
     from vanillawell.protocol.store import FollowedStore
     from vanillawell.state.executors import Executor
 
 log = logging.getLogger(__name__)
 
-READING_MARGIN = 0.3
-"""Seconds by which a stored reading of a clock may have been late on its way to its owner."""
+READING_MARGIN = 0.1
+"""Seconds added to a stored bound, for rounding."""
 
 CLOCKS_KEPT = 5
 """Executors whose clocks are stored with the bounds; one of them should live on."""
@@ -39,17 +40,16 @@
         store: FollowedStore,
         key: str,
         longest_doubt: float,
-        read_clocks: Callable[[float], Mapping[str, float]],
+        clocks: ExecutorClocks,
     ) -> None:
-        """Take the seconds for which an executor of which nothing is stored may hold leases, and
-        what reads the steady clocks of executors by their lives, those to keep first."""
+        """Take the seconds for which an executor of which nothing is stored may hold leases."""
         self._store = store
         self._key = key
         self._longest_doubt = longest_doubt
-        self._read_clocks = read_clocks
+        self._clocks = clocks
         self._former = LeaseBounds()
         self._stored: frozenset[str] = frozenset()
-        self._on_its_way: frozenset[str] = frozenset()
+        self._on_its_way: frozenset[str] | None = None
         self._closed = False
 
     async def load(self) -> None:
@@ -84,36 +84,58 @@
         ]
         if not waited_for:
             return
-        passed = surely_passed(self._former.clocks, self._read_clocks(now))
+        passed = surely_passed(self._former.clocks, self._clocks.at_least(now))
         for executor in waited_for:
             left = max(0.0, self._former.left[executor.name] - passed)
             executor.lease_over = min(executor.lease_over, now + left + READING_MARGIN)
 
     def may_extend(self, executor: str) -> bool:
         """Tell whether leases of an executor may be extended."""
-        return not self._closed and executor not in self._stored | self._on_its_way
+        named = self._stored | (self._on_its_way or frozenset())
+        return not self._closed and executor not in named
 
     def close(self) -> None:
         """Extend no lease any more, since another entry will take over."""
         self._closed = True
 
-    def draft(self, executors: Iterable[Executor], now: float, due: bool) -> Put | None:
-        """Return the write that the next transaction has to contain; None if nothing changed.
+    def reopen(self) -> None:
+        """Extend leases again: the latest draft is not stored, and never will be."""
+        self._closed, self._on_its_way = False, None
 
-        Executors that run nothing any more stay in the document until a write is `due` anyway.
+    def wants_write(self, executors: Iterable[Executor]) -> bool:
+        """Tell whether the stored document has to change without waiting for another write.
+
+        Executors that run nothing any more may stay in it for a while.
         """
         charged = [item for item in executors if item.runs]
-        named = {item.name: item for item in charged if self._closed or item.is_out_of_touch}
-        regained = any(item.name in self._stored - named.keys() for item in charged)
-        if self._stored == named.keys() or not (regained or due or named.keys() - self._stored):
+        named = self._to_name(charged).keys()
+        regained = any(item.name in self._stored - named for item in charged)
+        return regained or not named <= self._stored
+
+    def draft(self, executors: Iterable[Executor], now: float) -> Put | None:
+        """Return what the next write has to contain; None if the stored document is right.
+
+        There must be one write at a time, and `confirm` or `reopen` after each.
+        """
+        named = self._to_name(executors)
+        if self._stored == named.keys():
             return None
         left = {name: max(0.0, item.lease_over - now) for name, item in named.items()}
-        clocks = list(self._read_clocks(now).items())[:CLOCKS_KEPT]
+        clocks = list(self._clocks.at_most(now).items())[:CLOCKS_KEPT]
         self._on_its_way = frozenset(left)
         return Put(self._key, LeaseBounds(left, dict(clocks)).to_bytes())
 
     def confirm(self) -> None:
-        """Take in that the write of the latest draft is stored."""
+        """Take in that the latest draft is stored, if there was one."""
+        if self._on_its_way is None:
+            return
         fields = {"named": len(self._on_its_way), "before": len(self._stored)}
         log.info("lease bounds stored", extra=fields)
-        self._stored, self._on_its_way = self._on_its_way, frozenset()
+        self._stored, self._on_its_way = self._on_its_way, None
+
+    def _to_name(self, executors: Iterable[Executor]) -> dict[str, Executor]:
+        return {
+            item.name: item
+            for item in executors
+            if item.runs and (self._closed or item.is_out_of_touch)
+        }
--- a/vanillawell/coordination/shard_owner.py
+++ b/vanillawell/coordination/shard_owner.py
@@ -12,6 +12,7 @@
 
 from vanillawell import clock
 from vanillawell.coordination.advice_desk import AdviceDesk
+from vanillawell.coordination.driver_clocks import DriverClocks
 from vanillawell.coordination.executor_driver import ExecutorDriver
 from vanillawell.coordination.executor_link import ExecutorLink
 from vanillawell.coordination.follow import Backoff
@@ -24,11 +25,14 @@
 from vanillawell.coordination.registry import RegistryFollower
 from vanillawell.coordination.turn_batch import TurnBatch
 from vanillawell.coordination.upkeep_runner import UpkeepRunner
-from vanillawell.exceptions import StoreError
+from vanillawell.exceptions import (
+    StoreError,
+    StoreOutcomeUnknownError,
+    StoreUnavailableError,
+)
 from vanillawell.protocol.store import Put
 from vanillawell.protocol.work_documents import read_job, read_record
 from vanillawell.state.shard import Shard
-from vanillawell.state.upkeep import has_lasting, life_of
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -50,6 +54,9 @@
 CONTACT_BOUND = 1.0
 """Seconds after loading a shard in which executors that live should have reported."""
 
+HANDOVER_PAUSE = 0.1
+"""Seconds between two tries to store the bounds of leases at a hand-over."""
+
 QUIET_TURN = 0.25
 """Seconds after which the owner looks again without any news: for leases and due times."""
 
@@ -77,11 +84,12 @@
         self._bounds = settings.bounds
         self._shard = Shard(self._bounds.state_kept_s)
         self._drivers: dict[str, ExecutorDriver] = {}
+        self._clocks = DriverClocks(self._drivers)
         self._leases = LeaseKeeper(
             ports.store,
             keys.lease_bounds(name),
             longest_doubt(self._bounds.lease_most_ms / 1000, self._bounds.kill_grace_ms / 1000),
-            self._read_lasting_clocks,
+            self._clocks,
         )
         self._news = anyio.Event()
         self._stopping = False
@@ -108,14 +116,27 @@
 
         While the store is away nobody can take over, and what runs is better renewed.
         """
-        now = clock.read()
-        if not self._term.is_held(now):
-            return
+        while self._term.is_held(clock.read()):
+            try:
+                await self._term.write_if_reachable(self._last_bounds)
+            except StoreUnavailableError as error:
+                log.warning("lease bounds not stored", extra={"why": str(error)})
+                self._leases.reopen()
+            except StoreOutcomeUnknownError as error:
+                log.warning("lease bounds not confirmed", extra={"why": str(error)})
+            else:
+                self._leases.confirm()
+                return
+            await anyio.sleep(HANDOVER_PAUSE)
+
+    def _last_bounds(self) -> list[Put]:
         self._leases.close()
-        put = self._leases.draft(self._shard.ledger.executors.values(), now, due=True)
-        if put is not None:
-            await self._term.write([put])
-            self._leases.confirm()
+        return self._draft_bounds()
+
+    def _draft_bounds(self) -> list[Put]:
+        """Return the write of the bounds of leases, if there is one."""
+        put = self._leases.draft(self._shard.ledger.executors.values(), clock.read())
+        return [] if put is None else [put]
 
     async def run(self) -> None:
         """Own the shard until cancelled; raises TermLostError or DeposedError when it is lost."""
@@ -143,7 +164,7 @@
             self._name,
             self._settings.instance,
             self._bounds.duty_lease_ms / 1000,
-            self._read_clocks,
+            self._clocks,
         )
         upkeep = UpkeepRunner(
             self._shard,
@@ -268,22 +289,6 @@
         for name in [name for name in self._drivers if name not in executors]:
             self._drivers.pop(name).notify()
 
-    def _read_clocks(self, now: float) -> dict[str, float]:
-        """Return what the clocks of executors show now, by their lives; latest readings first."""
-        read = [item for item in self._drivers.values() if item.clock.value is not None]
-        read.sort(key=lambda item: -item.clock.read_at)
-        return {life_of(item.executor): item.clock.at(now) for item in read}
-
-    def _read_lasting_clocks(self, now: float) -> dict[str, float]:
-        """Return the same, executors that are likely to live on first."""
-        lasting = {
-            life_of(item): None
-            for item in self._shard.ledger.executors.values()
-            if has_lasting(item)
-        }
-        clocks = self._read_clocks(now)
-        return dict(sorted(clocks.items(), key=lambda item: item[0] not in lasting))
-
     def _new_driver(self, executor: Executor, tasks: TaskGroup) -> ExecutorDriver:
         link = ExecutorLink(
             executor,
@@ -318,15 +323,11 @@
         batch = TurnBatch.collect(self._shard, self._keys, time.time())
         pending = self._shard.board.pending()
         due = not batch.is_empty or pending != self._published
-        executors = self._shard.ledger.executors.values()
-        bounds = self._leases.draft(executors, clock.read(), due)
-        if not due and bounds is None:
+        if not due and not self._leases.wants_write(self._shard.ledger.executors.values()):
             return
-        extra = [put for put in (self._pending_put(pending), bounds) if put is not None]
-        for part in batch.parts(extra):
-            stored_at = await self._term.write(part.puts, part.deletes)
-            if bounds in part.puts:
-                self._leases.confirm()
+        for part in batch.parts(self._pending_put(pending)):
+            stored_at = await self._term.write(part.puts, part.deletes, self._draft_bounds)
+            self._leases.confirm()
             self._telemetry.store_writes.inc({"kind": "turn"})
             for end in part.ends:
                 end.executor.unsaved_ends.discard(end.sequence)
