--- a/vanillawell/tests/handover_doubt_tests.py
+++ b/vanillawell/tests/handover_doubt_tests.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING, Any, cast
+
 import anyio
 from hypothesis import given
 from hypothesis import strategies as st
 
 from vanillawell.coordination.lease_keeper import READING_MARGIN
 from vanillawell.coordination.leases import CLOCK_DRIFT, ExecutorClock
+from vanillawell.exceptions import StoreOutcomeUnknownError
 from vanillawell.platform.http import HttpClient
 from vanillawell.platform.store import PlatformStore
 from vanillawell.protocol.lease_bounds import LeaseBounds
@@ -27,6 +30,10 @@
 from vanillawell.tests.scheduling_builders import Bench, facts
 from vanillawell.tests.term_tests import _take
 
+if TYPE_CHECKING:
+    from vanillawell.protocol.store import Transaction, TransactionResult
+    from vanillawell.tests.scheduler_cluster import Member
+
 OUTAGE = 6.0
 """Seconds for which the store is away; sound work is to live through nine."""
 
@@ -174,3 +181,38 @@
     for job_id in job_ids:
         await until_state(other, job_id, "completed")
     assert {task: built.audit.started[task] for task in tasks} == dict.fromkeys(tasks, 1)
+
+
+class AnswerLostThenAway:
+    """Stand between an entry and the store: the write of the bounds is carried out and its answer
+    is lost; every call after it is refused."""
+
+    def __init__(self, member: Member) -> None:
+        self._member = member
+        self._inner = member.store.inner
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self._inner, name)
+
+    async def transact(self, transaction: Transaction) -> TransactionResult:
+        result = await self._inner.transact(transaction)
+        if any("leases/" in put.key for put in transaction.puts):
+            self._member.store.cut = True
+            raise StoreOutcomeUnknownError("lost by the test")
+        return result
+
+
+@with_cluster(members=2, executors=1)
+async def test_no_lease_is_extended_once_its_bound_may_be_stored(built: Cluster) -> None:
+    """The store takes the last word of a stopping owner in, breaks off before it answers, and then
+    refuses the next try. A successor trusts what it has stored, and would start tasks twice."""
+    owner, job_id = await built.owner(), built.new_id()
+    await owner.call("POST", PREFIX + job_id, job(step(longRunning=True), spec={"seconds": 60}))
+    await until(lambda: f"{job_id}.0.0.0" in built.audit.started)
+    owner.store.inner = cast("Any", AnswerLostThenAway(owner))
+    await owner.node.hand_over()
+    life = built.hosts["i-0"].life
+    before = life._lease_end
+    await anyio.sleep(1.5)
+    assert owner.store.cut, "the bounds were written"
+    assert life._lease_end == before
