Bind the bounds of leases to the owners that know of them

A clock that begins anew with an executor's next life kept the old bound.

Cause: one kind of bound for two matters, believed whoever wrote it last.

Change: the document tells silent executors, whose bounds hold until a newer one is stored, from those that a stopping owner hands over, whose bounds hold for its successor only; that one renews them as soon as they answer. Each owner signs the document with its token in the transaction that takes the shard, and only the last owner's is believed. A stopping owner renews everything once more before its last word. A try of unknown outcome is only undone by a later write that is stored. Executors get half a second to report to a new owner before they are named. How long an executor has been known is stored as well.

Why it holds: what is extended without a write is never in a bound that anybody but the extender trusts. Tests for each on plain data (lease_keeper_tests.py), and the listed test of the last word, now with one entry, so that no successor extends the lease rightly while the test looks.

--- a/vanillawell/coordination/executor_driver.py
+++ b/vanillawell/coordination/executor_driver.py
@@ -172,6 +172,7 @@
         self._link.shard.take_report(self._executor, report, sent, now, self._link.wall())
         if self._executor.facts.incarnation != life:
             self._confirmed_end = 0
+            self._link.clock.begin_life(report.clock, sent, now)
             log.info("executor restarted", extra={"executor": self._executor.name})
         if not self._link.contact.is_set():
             self._link.contact.set()
@@ -187,6 +188,14 @@
         self._orders.pace(now)
         self._link.wake_owner()
 
+    async def renew(self) -> None:
+        """Renew the leases at once, beside the call that waits for an end."""
+        try:
+            await self.hold(0.0)
+        except (NotSentError, NoAnswerError, OrderRefusedError, WrongIncarnationError) as error:
+            fields = {"executor": self._executor.name, "why": str(error)}
+            log.info("executor not renewed", extra=fields)
+
     def _renew(self, now: float) -> float | None:
         """Return the end of a new lease; None to leave the leases as they are.
 
--- a/vanillawell/coordination/lease_keeper.py
+++ b/vanillawell/coordination/lease_keeper.py
@@ -3,139 +3,163 @@
 An executor that answers nothing may run its tasks until its leases have expired. Only its owner
 knows when that is, and owners come and go: a successor that reckoned with the longest time from
 its own start would begin the wait anew, and a lasting task stays away for as long as owners are
-replaced. So the bound is stored, and an executor that it names gets no lease extended before the
-store holds a newer document without it.
+replaced. So the bound is stored, and an executor that the document names as silent gets no lease
+extended before the store holds a newer document without it.
 """
 
 from __future__ import annotations
 
+import itertools
 import logging
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from vanillawell.coordination.leases import surely_passed
-from vanillawell.protocol.lease_bounds import LeaseBounds
+from vanillawell.coordination.leases import REFERENCE_CLOCKS, surely_passed
+from vanillawell.protocol.lease_bounds import ExecutorBound, LeaseBounds
 from vanillawell.protocol.store import Put
+from vanillawell.state.ledger import RecalledBound
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
     from vanillawell.coordination.leases import ExecutorClocks
-    from vanillawell.protocol.store import FollowedStore
     from vanillawell.state.executors import Executor
 
 log = logging.getLogger(__name__)
 
-READING_MARGIN = 0.1
-"""Seconds added to a stored bound, for rounding."""
+ROUNDING = 0.1
+"""Seconds added to a stored bound."""
 
-CLOCKS_KEPT = 5
-"""Executors whose clocks are stored with the bounds; one of them should live on."""
+CONTACT_BOUND = 0.5
+"""Seconds after a change of owner in which executors that live should have reported."""
+
+NAMES_LOGGED = 5
+"""Executors named in one log line."""
+
+
+@dataclass(frozen=True, slots=True)
+class _Draft:
+    """A document whose write was begun and is not known to be stored."""
+
+    silent: frozenset[str]
+    last: bool
+    """Whether it is the last word of an owner that hands over."""
 
 
 class LeaseKeeper:
-    """Own the leases of all executors of a shard for one term."""
+    """Say for one term which leases may be extended, and what is stored of the others."""
 
     def __init__(
         self,
-        store: FollowedStore,
         key: str,
+        token: int,
+        former: LeaseBounds,
         longest_doubt: float,
         clocks: ExecutorClocks,
+        now: float,
     ) -> None:
-        """Take the seconds for which an executor of which nothing is stored may hold leases."""
-        self._store = store
+        """Take the fencing token, what the former owner left, and the seconds for which an executor
+        of which nothing is stored may hold leases."""
         self._key = key
+        self._token = token
+        self._former = former
         self._longest_doubt = longest_doubt
         self._clocks = clocks
-        self._former = LeaseBounds()
-        self._stored: frozenset[str] = frozenset()
-        self._on_its_way: frozenset[str] | None = None
-        self._closed = False
-
-    async def load(self) -> None:
-        """Read what the former owner stored; raises StoreError."""
-        found = await self._store.get(self._key)
-        if found is None:
-            return
-        try:
-            self._former = LeaseBounds.from_bytes(found.value)
-        except ValueError as error:
-            # Whoever is named there is renewed by nobody; the longest bound holds for all.
-            log.error("lease bounds unreadable", extra={"why": str(error)})
-            return
-        self._stored = frozenset(self._former.left)
+        self._began = now
+        self._stored = frozenset(former.silent)
+        self._drafts: list[_Draft] = []
+        self._handed_over = False
 
-    def first_bound(self, executor: str, now: float) -> float:
-        """Return the clock of decisions at which leases of a former term are surely over.
+    def recalled_bound(self, executor: str, now: float) -> RecalledBound:
+        """Return what is known of an executor from former terms, on this process's clock.
 
-        Nothing is known yet of the time that has passed since the bounds were stored.
+        Nothing is known yet of the time that has passed since it was stored.
         """
-        left = self._former.left.get(executor)
-        if left is None:
-            return now + self._longest_doubt
-        return now + left + READING_MARGIN
-
-    def tighten(self, executors: Iterable[Executor], now: float) -> None:
-        """Take the time into account that has passed since the former owner stored its bounds."""
-        waited_for = [
-            item
-            for item in executors
-            if item.runs and not item.contacted and item.name in self._former.left
-        ]
-        if not waited_for:
+        bound = self._former.of(executor)
+        if bound is None:
+            return RecalledBound(now + self._longest_doubt, now)
+        return RecalledBound(now + bound.left + ROUNDING, now - bound.known_for)
+
+    def count_time_passed(self, executors: Iterable[Executor], now: float) -> None:
+        """Shorten former bounds by the time that has surely passed since they were stored."""
+        unreached = [item for item in executors if item.runs and not item.contacted]
+        if not unreached:
             return
         passed = surely_passed(self._former.clocks, self._clocks.at_least(now))
-        for executor in waited_for:
-            left = max(0.0, self._former.left[executor.name] - passed)
-            executor.lease_over = min(executor.lease_over, now + left + READING_MARGIN)
+        for executor in unreached:
+            bound = self._former.of(executor.name)
+            if bound is not None:
+                over = now + max(0.0, bound.left - passed) + ROUNDING
+                executor.lease_over = min(executor.lease_over, over)
 
     def may_extend(self, executor: str) -> bool:
         """Tell whether leases of an executor may be extended."""
-        named = self._stored | (self._on_its_way or frozenset())
-        return not self._closed and executor not in named
-
-    def close(self) -> None:
-        """Extend no lease any more, since another entry will take over."""
-        self._closed = True
-
-    def reopen(self) -> None:
-        """Extend leases again: the latest draft is not stored, and never will be."""
-        self._closed, self._on_its_way = False, None
+        if self._handed_over or any(draft.last for draft in self._drafts):
+            return False
+        return executor not in self._stored and not any(
+            executor in draft.silent for draft in self._drafts
+        )
 
-    def wants_write(self, executors: Iterable[Executor]) -> bool:
+    def wants_write(self, executors: Iterable[Executor], now: float) -> bool:
         """Tell whether the stored document has to change without waiting for another write.
 
         Executors that run nothing any more may stay in it for a while.
         """
         charged = [item for item in executors if item.runs]
-        named = self._to_name(charged).keys()
-        regained = any(item.name in self._stored - named for item in charged)
-        return regained or not named <= self._stored
+        silent = {item.name for item in charged if self._is_silent(item, now)}
+        regained = any(item.name in self._stored - silent for item in charged)
+        return regained or not silent <= self._stored
 
-    def draft(self, executors: Iterable[Executor], now: float) -> Put | None:
+    def draft(self, executors: Iterable[Executor], now: float, last: bool = False) -> Put | None:
         """Return what the next write has to contain; None if the stored document is right.
 
-        There must be one write at a time, and `confirm` or `reopen` after each.
+        There must be one write at a time; `confirm` follows once it is stored.
         """
-        named = self._to_name(executors)
-        if self._stored == named.keys():
+        if self._handed_over:
             return None
-        left = {name: max(0.0, item.lease_over - now) for name, item in named.items()}
-        clocks = list(self._clocks.at_most(now).items())[:CLOCKS_KEPT]
-        self._on_its_way = frozenset(left)
-        return Put(self._key, LeaseBounds(left, dict(clocks)).to_bytes())
+        charged = [item for item in executors if item.runs]
+        silent = {item.name: _bound(item, now) for item in charged if self._is_silent(item, now)}
+        if not last and not self._drafts and self._stored == silent.keys():
+            return None
+        others = {item.name: _bound(item, now) for item in charged if item.name not in silent}
+        clocks = itertools.islice(self._clocks.at_most(now).items(), REFERENCE_CLOCKS)
+        document = LeaseBounds(self._token, silent, others if last else {}, dict(clocks))
+        self._drafts.append(_Draft(frozenset(silent), last))
+        self._log(document)
+        return Put(self._key, document.to_bytes())
 
     def confirm(self) -> None:
-        """Take in that the latest draft is stored, if there was one."""
-        if self._on_its_way is None:
+        """Take in that the latest draft is stored, if there was one; earlier ones are replaced."""
+        if not self._drafts:
             return
-        fields = {"named": len(self._on_its_way), "before": len(self._stored)}
-        log.info("lease bounds stored", extra=fields)
-        self._stored, self._on_its_way = self._on_its_way, None
-
-    def _to_name(self, executors: Iterable[Executor]) -> dict[str, Executor]:
-        return {
-            item.name: item
-            for item in executors
-            if item.runs and (self._closed or item.is_out_of_touch)
+        latest = self._drafts[-1]
+        self._stored, self._handed_over = latest.silent, latest.last
+        self._drafts.clear()
+
+    def take_back(self) -> None:
+        """Take in that the latest draft is not stored, and never will be."""
+        self._drafts.pop()
+
+    def _is_silent(self, executor: Executor, now: float) -> bool:
+        """Tell whether an executor is out of touch, and not just about to report to a new owner.
+
+        Named too early, one that is sound would be renewed only after two more writes.
+        """
+        if executor.contacted:
+            return executor.silent_since is not None
+        return executor.name in self._stored or now > self._began + CONTACT_BOUND
+
+    def _log(self, document: LeaseBounds) -> None:
+        lefts = [bound.left for bound in document.silent.values()]
+        fields = {
+            "token": self._token,
+            "silent": len(lefts),
+            "longest": round(max(lefts, default=0.0), 3),
+            "executors": sorted(document.silent)[:NAMES_LOGGED],
+            "handed_over": len(document.handed_over),
         }
+        log.info("lease bounds written", extra=fields)
+
+
+def _bound(executor: Executor, now: float) -> ExecutorBound:
+    return ExecutorBound(max(0.0, executor.lease_over - now), now - executor.known_since)
--- a/vanillawell/coordination/leases.py
+++ b/vanillawell/coordination/leases.py
@@ -28,6 +28,10 @@
 it gives up what an unreachable executor runs."""
 
 
+REFERENCE_CLOCKS = 5
+"""Executors whose clocks are stored for successors; one of them should live on."""
+
+
 def longest_doubt(longest_lease: float, kill_grace: float) -> float:
     """Return the seconds after a take-over for which unreachable executors may still run tasks.
 
@@ -67,6 +71,11 @@
         self.value, self.read_at = value, now
         self._most_ahead = min(self._most_ahead, value - sent)
 
+    def begin_life(self, value: float, sent: float, now: float) -> None:
+        """Take in the first reading after the clock began anew."""
+        self._most_ahead = float("inf")
+        self.note(value, sent, now)
+
     def at(self, now: float) -> float:
         """Return what the clock shows now, or a little less; it must have been read before."""
         assert self.value is not None
--- a/vanillawell/coordination/machine_orders.py
+++ b/vanillawell/coordination/machine_orders.py
@@ -19,7 +19,7 @@
 import orjson
 
 from vanillawell import clock
-from vanillawell.coordination.leases import surely_passed
+from vanillawell.coordination.leases import REFERENCE_CLOCKS, surely_passed
 from vanillawell.exceptions import StoreError
 from vanillawell.protocol.machine_calls import MachineDuty
 from vanillawell.protocol.store import Put
@@ -43,9 +43,6 @@
 WRITES_ALLOWED = 2
 """Multiple of the time that an announcement took by which the next one may be slower still."""
 
-CLOCKS_KEPT = 3
-"""Executors whose clocks are stored with an announcement; one of them should live on."""
-
 
 class MachineOrders:
     """Own the right to give orders for machines during one term."""
@@ -132,7 +129,7 @@
         }
         self._lately = {**recent, **dict.fromkeys(machines, now)}
         ages = {name: now - moment for name, moment in self._lately.items()}
-        clocks = dict(itertools.islice(self._clocks.at_most(now).items(), CLOCKS_KEPT))
+        clocks = dict(itertools.islice(self._clocks.at_most(now).items(), REFERENCE_CLOCKS))
         former = self._ages_of_former(now)
         document = {
             "machines": {**former, **ages},
--- a/vanillawell/coordination/shard_owner.py
+++ b/vanillawell/coordination/shard_owner.py
@@ -52,8 +52,11 @@
 
 log = logging.getLogger(__name__)
 
-CONTACT_BOUND = 1.0
-"""Seconds after loading a shard in which executors that live should have reported."""
+UNREACHED_AFTER = 1.0
+"""Seconds after loading a shard at which executors that have not reported are logged."""
+
+RENEWAL_BOUND = 0.3
+"""Seconds for which a stopping owner waits for executors to confirm a last renewal."""
 
 HANDOVER_PAUSE = 0.1
 """Seconds between two tries to store the bounds of leases at a hand-over."""
@@ -87,10 +90,12 @@
         self._drivers: dict[str, ExecutorDriver] = {}
         self._clocks = DriverClocks(self._drivers)
         self._leases = LeaseKeeper(
-            ports.store,
             keys.lease_bounds(name),
+            term.token,
+            term.former_bounds,
             longest_doubt(self._bounds.lease_most_ms / 1000, self._bounds.kill_grace_ms / 1000),
             self._clocks,
+            clock.read(),
         )
         self._news = anyio.Event()
         self._stopping = False
@@ -112,17 +117,23 @@
         self._stopping = True
         self.wake()
 
-    async def leave_leases(self) -> None:
-        """Extend no lease any more, and store for the next owner how long each may still hold.
+    async def store_last_bounds(self) -> None:
+        """Renew all leases once more, then extend none, and store how long each may still hold.
 
         While the store is away nobody can take over, and what runs is better renewed.
         """
+        with anyio.move_on_after(RENEWAL_BOUND):
+            async with anyio.create_task_group() as renewals:
+                for driver in self._drivers.values():
+                    if driver.executor.runs and not driver.executor.is_out_of_touch:
+                        renewals.start_soon(driver.renew)
+        last_bounds = functools.partial(self._draft_bounds, last=True)
         while self._term.is_held(clock.read()):
             try:
-                await self._term.write_if_reachable(self._last_bounds)
+                await self._term.write_if_reachable(last_bounds)
             except StoreUnavailableError as error:
                 log.warning("lease bounds not stored", extra={"why": str(error)})
-                self._leases.reopen()
+                self._leases.take_back()
             except StoreOutcomeUnknownError as error:
                 log.warning("lease bounds not confirmed", extra={"why": str(error)})
             else:
@@ -130,13 +141,9 @@
                 return
             await anyio.sleep(HANDOVER_PAUSE)
 
-    def _last_bounds(self) -> list[Put]:
-        self._leases.close()
-        return self._draft_bounds()
-
-    def _draft_bounds(self) -> list[Put]:
+    def _draft_bounds(self, last: bool = False) -> list[Put]:
         """Return the write of the bounds of leases, if there is one."""
-        put = self._leases.draft(self._shard.ledger.executors.values(), clock.read())
+        put = self._leases.draft(self._shard.ledger.executors.values(), clock.read(), last)
         return [] if put is None else [put]
 
     async def run(self) -> None:
@@ -198,7 +205,6 @@
             try:
                 orders = await self._ports.store.list(self._keys.orders_of_callers)
                 records = await self._ports.store.list(self._keys.records)
-                await self._leases.load()
                 break
             except StoreError as error:
                 log.warning("shard not loaded", extra={"why": str(error)})
@@ -220,8 +226,8 @@
                 log.error("unreadable job", extra={"job": job_id, "reason": str(error)})
                 continue
             recalled += len(runs)
-            bound = functools.partial(self._leases.first_bound, now=now)
-            self._shard.restore(record, runs, bound, now)
+            bound = functools.partial(self._leases.recalled_bound, now=now)
+            self._shard.restore(record, runs, bound)
         jobs = len(self._shard.board.jobs)
         fields = {"shard": self._name, "token": self._term.token}
         log.info("shard loaded", extra={**fields, "jobs": jobs, "runs": recalled})
@@ -231,7 +237,7 @@
 
         Their tasks start elsewhere only after that time, and nothing else would tell why.
         """
-        await anyio.sleep(CONTACT_BOUND)
+        await anyio.sleep(UNREACHED_AFTER)
         now = clock.read()
         for executor in self._shard.ledger.executors.values():
             if executor.contacted or not executor.runs:
@@ -260,7 +266,7 @@
         """
         while True:
             now = clock.read()
-            self._leases.tighten(self._shard.ledger.executors.values(), now)
+            self._leases.count_time_passed(self._shard.ledger.executors.values(), now)
             self._shard.expire(now, time.time())
             if not self._stopping:
                 self._shard.place(now, time.time())
@@ -326,7 +332,8 @@
         batch = TurnBatch.collect(self._shard, self._keys, time.time())
         pending = self._shard.board.pending()
         due = not batch.is_empty or pending != self._published
-        if not due and not self._leases.wants_write(self._shard.ledger.executors.values()):
+        executors = self._shard.ledger.executors.values()
+        if not due and not self._leases.wants_write(executors, clock.read()):
             return
         for part in batch.parts(self._pending_put(pending)):
             stored_at = await self._term.write(part.puts, part.deletes, self._draft_bounds)
--- a/vanillawell/coordination/term.py
+++ b/vanillawell/coordination/term.py
@@ -13,6 +13,7 @@
 from vanillawell import clock
 from vanillawell.coordination.follow import Backoff, PrefixFollower
 from vanillawell.exceptions import StoreError, StoreOutcomeUnknownError, StoreUnavailableError
+from vanillawell.protocol.lease_bounds import LeaseBounds
 from vanillawell.protocol.store import Compare, KeyValue, Put, Transaction
 from vanillawell.protocol.work_documents import TermDocument
 
@@ -68,6 +69,7 @@
         revision: int,
         lease: int,
         renewed: float,
+        former_bounds: LeaseBounds,
     ) -> None:
         self._store = store
         self._key = key
@@ -75,6 +77,7 @@
         self._revision = revision
         self._lease = lease
         self._ttl = LEASE
+        self._former_bounds = former_bounds
         self._renewed = renewed
         self._sequence = document.sequence
         """Number of the latest write that was begun. One that was broken off may have taken effect,
@@ -87,6 +90,11 @@
         """Return the fencing token."""
         return self._document.token
 
+    @property
+    def former_bounds(self) -> LeaseBounds:
+        """Return what the former owner left of executors' leases."""
+        return self._former_bounds
+
     def is_held(self, now: float) -> bool:
         """Tell whether nobody else can have been given the shard yet, by this process's clock."""
         return now < self._renewed + self._ttl
@@ -204,6 +212,7 @@
         self._shard = shard
         self._holder_key = keys.holder(shard)
         self._term_key = keys.term(shard)
+        self._bounds_key = keys.lease_bounds(shard)
         self._began = clock.read()
         self._me = f"{instance}/{uuid.uuid4().hex[:8]}"
         self._changed = anyio.Event()
@@ -277,6 +286,7 @@
         found = await self._store.get(self._term_key)
         before = TermDocument.from_bytes(found.value) if found else TermDocument(0, "")
         document = TermDocument(before.token + 1, self._me)
+        bounds = await self._read_bounds(before.token)
         sent = clock.read()
         lease = await self._store.grant_lease(LEASE)
         transaction = Transaction(
@@ -287,6 +297,7 @@
             puts=[
                 Put(self._holder_key, self._me.encode(), lease),
                 Put(self._term_key, document.to_bytes()),
+                Put(self._bounds_key, bounds.signed(document.token).to_bytes()),
             ],
         )
         try:
@@ -305,7 +316,24 @@
             "shard taken",
             extra={"shard": self._shard, "token": document.token, "before": before.holder},
         )
-        return Term(self._store, self._term_key, document, revision, lease, sent)
+        return Term(self._store, self._term_key, document, revision, lease, sent, bounds)
+
+    async def _read_bounds(self, token: int) -> LeaseBounds:
+        """Read what the owner with this token left of executors' leases."""
+        found = await self._store.get(self._bounds_key)
+        if found is None:
+            return LeaseBounds()
+        try:
+            bounds = LeaseBounds.from_bytes(found.value)
+        except ValueError as error:
+            # Without them each executor is waited for as long as any lease may last.
+            log.error("lease bounds unreadable", extra={"why": str(error)})
+            return LeaseBounds()
+        if bounds.token != token:
+            fields = {"found": bounds.token, "token": token}
+            log.warning("lease bounds of another owner", extra=fields)
+            return LeaseBounds()
+        return bounds
 
     def _is_mine(self, current: KeyValue | None, document: TermDocument) -> bool:
         return current is not None and current.value == document.to_bytes()
--- a/vanillawell/node.py
+++ b/vanillawell/node.py
@@ -115,7 +115,7 @@
         fields = {"shard": SHARD, "token": term.token}
         try:
             with anyio.fail_after(HANDOVER_BOUND):
-                await owner.leave_leases()
+                await owner.store_last_bounds()
                 await term.give_up()
         except (StoreError, TimeoutError) as error:
             log.warning("shard left to its lease", extra={**fields, "why": str(error)})
--- a/vanillawell/state/ledger.py
+++ b/vanillawell/state/ledger.py
@@ -32,6 +32,16 @@
     checkpoint: str = ""
 
 
+@dataclass(frozen=True, slots=True)
+class RecalledBound:
+    """What is known of an executor from former terms, on the clock of decisions."""
+
+    lease_over: float
+    """When all leases there are surely over, unless they are extended."""
+
+    known_since: float
+
+
 @dataclass(slots=True)
 class ReportOutcome:
     """What a report changed."""
@@ -172,16 +182,16 @@
         self._forget_if_empty(executor)
         return True
 
-    def recall(self, task: Task, run: Run, lease_over: float, now: float) -> None:
+    def recall(self, task: Task, run: Run, bound: RecalledBound) -> None:
         """Charge a run that the store tells of, until its executor says what became of it."""
         executor = self.executors.get(run.executor)
         if executor is None:
             facts = ExecutorFacts(
                 run.executor, run.incarnation, "", "", "", "", "", frozenset(), NOTHING, True
             )
-            executor = Executor(facts, now, registered=False)
+            executor = Executor(facts, bound.known_since, registered=False)
             self.executors[run.executor] = executor
-        executor.lease_over = max(executor.lease_over, lease_over)
+        executor.lease_over = max(executor.lease_over, bound.lease_over)
         self.charge(executor, run)
 
     def expire(self, now: float) -> list[Ended]:
--- a/vanillawell/state/shard.py
+++ b/vanillawell/state/shard.py
@@ -15,7 +15,7 @@
 from vanillawell.state.durations import DurationBook
 from vanillawell.state.executors import QUARANTINE, Executor, by_service
 from vanillawell.state.job_board import JobBoard
-from vanillawell.state.ledger import Ended, Ledger
+from vanillawell.state.ledger import Ended, Ledger, RecalledBound
 from vanillawell.state.placement import StepPlacer
 from vanillawell.state.placement_pass import PlacementPass
 from vanillawell.state.pool_sizing import ArrivalMeter
@@ -140,16 +140,13 @@
         record.late_by = record.seen + queue.slack_factor * path + queue.objective
 
     def restore(
-        self, record: JobRecord, runs: Iterable[Run], lease_over: Callable[[str], float], now: float
+        self, record: JobRecord, runs: Iterable[Run], bound: Callable[[str], RecalledBound]
     ) -> None:
-        """Take over a job with the runs that the store tells of.
-
-        `lease_over` tells by executor when leases of former terms are surely over.
-        """
+        """Take over a job with the runs that the store tells of; `bound` is called by executor."""
         self._set_objective(record)
         self.board.add(record)
         for run in runs:
-            self.ledger.recall(run.task, run, lease_over(run.executor), now)
+            self.ledger.recall(run.task, run, bound(run.executor))
             if record.state.final or run.task.done:
                 self.want_stop(run)
 
--- a/vanillawell/tests/handover_doubt_tests.py
+++ b/vanillawell/tests/handover_doubt_tests.py
@@ -8,15 +8,14 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from vanillawell.coordination.lease_keeper import READING_MARGIN
+from vanillawell.coordination.lease_keeper import ROUNDING
 from vanillawell.coordination.leases import CLOCK_DRIFT, ExecutorClock
 from vanillawell.exceptions import StoreOutcomeUnknownError
 from vanillawell.platform.http import HttpClient
 from vanillawell.platform.store import PlatformStore
-from vanillawell.protocol.lease_bounds import LeaseBounds
 from vanillawell.protocol.store import Put
 from vanillawell.standins.scheduler.store import StandInStore
-from vanillawell.tests.lease_keeper_tests import OneValue, Owner, busy_executor
+from vanillawell.tests.lease_keeper_tests import Owner, bounds, unreached
 from vanillawell.tests.scheduler_cluster import (
     PREFIX,
     Cluster,
@@ -97,15 +96,13 @@
     reading.note(100.0 + 0.5, sent=10.0, now=10.0 + 0.5 + frozen)
     stored = reading.at_most(10.0 + 0.5 + frozen)
     bench = Bench()
-    executor = busy_executor(bench, "i-1")
-    executor.contacted = False
-    document = LeaseBounds({"i-1": left}, {"i-2@1": stored})
     passed = 2.0
-    owner = Owner(OneValue(document.to_bytes()), {"i-2@1": 100.0 + 0.5 + frozen + passed})
-    executor.lease_over = owner.keeper.first_bound("i-1", bench.now)
-    owner.keeper.tighten([executor], bench.now)
+    shown = {"i-2@1": 100.0 + 0.5 + frozen + passed}
+    owner = Owner(bounds({"i-1": left}, {"i-2@1": stored}), shown)
+    executor = unreached(bench, owner, "i-1")
+    owner.keeper.count_time_passed([executor], bench.now)
     assert executor.lease_over >= bench.now + left - passed - 1e-9
-    assert frozen > READING_MARGIN, "the margin does not cover it"
+    assert frozen > ROUNDING, "the margin does not cover it"
 
 
 @given(st.lists(st.tuples(st.floats(0, 3), st.floats(0, 3), st.floats(0, 3)), min_size=1))
@@ -202,10 +199,11 @@
         return result
 
 
-@with_cluster(members=2, executors=1)
+@with_cluster(executors=1)
 async def test_no_lease_is_extended_once_its_bound_may_be_stored(built: Cluster) -> None:
     """The store takes the last word of a stopping owner in, breaks off before it answers, and then
-    refuses the next try. A successor trusts what it has stored, and would start tasks twice."""
+    refuses the next try. A successor trusts what it has stored, and would start tasks twice. None
+    is there that would extend the lease itself."""
     owner, job_id = await built.owner(), built.new_id()
     await owner.call("POST", PREFIX + job_id, job(step(longRunning=True), spec={"seconds": 60}))
     await until(lambda: f"{job_id}.0.0.0" in built.audit.started)
--- a/vanillawell/tests/lease_keeper_tests.py
+++ b/vanillawell/tests/lease_keeper_tests.py
@@ -3,14 +3,12 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING, Any, cast
+from typing import TYPE_CHECKING
 
-import anyio
 import pytest
 
-from vanillawell.coordination.lease_keeper import READING_MARGIN, LeaseKeeper
-from vanillawell.protocol.lease_bounds import LeaseBounds
-from vanillawell.protocol.store import KeyValue
+from vanillawell.coordination.lease_keeper import CONTACT_BOUND, ROUNDING, LeaseKeeper
+from vanillawell.protocol.lease_bounds import ExecutorBound, LeaseBounds
 from vanillawell.tests.scheduling_builders import Bench, FixedClocks, facts, job, step
 
 if TYPE_CHECKING:
@@ -20,37 +18,35 @@
 KEY = "leases"
 
 
-@dataclass
-class OneValue:
-    """Stand for a store that holds one value."""
-
-    value: bytes | None = None
-
-    async def get(self, key: str) -> KeyValue | None:
-        assert key == KEY
-        return None if self.value is None else KeyValue(key, self.value, 1)
+def bounds(silent: dict[str, float], clocks: dict[str, float] | None = None) -> LeaseBounds:
+    """Return what the owner with token 1 stored of silent executors."""
+    named = {name: ExecutorBound(left, 10.0) for name, left in silent.items()}
+    return LeaseBounds(1, named, {}, clocks or {})
 
 
 @dataclass
 class Owner:
     """One owner's keeper, with clocks that the test sets."""
 
-    store: OneValue
+    former: LeaseBounds = field(default_factory=LeaseBounds)
     clocks: dict[str, float] = field(default_factory=dict)
+    stored: LeaseBounds = field(default_factory=LeaseBounds)
 
     def __post_init__(self) -> None:
-        store = cast("Any", self.store)
-        self.keeper = LeaseKeeper(store, KEY, LONGEST_DOUBT, FixedClocks(self.clocks))
-        anyio.run(self.keeper.load)
+        self.keeper = LeaseKeeper(
+            KEY, 2, self.former, LONGEST_DOUBT, FixedClocks(self.clocks), Bench().now
+        )
 
-    def save(self, executors: list[Executor], now: float, due: bool = False) -> bool:
+    def save(
+        self, executors: list[Executor], now: float, due: bool = False, last: bool = False
+    ) -> bool:
         """Store what the keeper wants stored; tells whether it wanted anything."""
-        if not due and not self.keeper.wants_write(executors):
+        if not due and not last and not self.keeper.wants_write(executors, now):
             return False
-        put = self.keeper.draft(executors, now)
+        put = self.keeper.draft(executors, now, last)
         if put is None:
             return False
-        self.store.value = put.value
+        self.stored = LeaseBounds.from_bytes(put.value)
         self.keeper.confirm()
         return True
 
@@ -63,9 +59,17 @@
     return executor
 
 
+def unreached(bench: Bench, owner: Owner, name: str) -> Executor:
+    """Return an executor with a task of a former term that has not reported yet."""
+    executor = busy_executor(bench, name)
+    executor.contacted = False
+    executor.lease_over = owner.keeper.recalled_bound(name, bench.now).lease_over
+    return executor
+
+
 def test_an_executor_that_is_named_gets_no_lease_extended_until_the_store_says_otherwise() -> None:
     """A successor trusts the stored bound. Extended once more, a task would run twice."""
-    bench, owner = Bench(), Owner(OneValue())
+    bench, owner = Bench(), Owner()
     executor = busy_executor(bench, "i-1")
     executor.silent_since, executor.lease_over = bench.now, bench.now + 5
     assert owner.keeper.may_extend("i-1")
@@ -80,74 +84,130 @@
 
 def test_what_a_former_owner_named_is_not_extended_before_the_new_owner_has_stored_so() -> None:
     """An owner is replaced twice within moments. The second successor trusts the same bounds."""
-    store = OneValue(LeaseBounds({"i-1": 4.0}, {}).to_bytes())
-    assert not Owner(store).keeper.may_extend("i-1")
-    assert Owner(store).keeper.may_extend("i-2")
+    owner = Owner(bounds({"i-1": 4.0}))
+    assert not owner.keeper.may_extend("i-1")
+    assert owner.keeper.may_extend("i-2")
 
 
 def test_the_time_that_has_passed_since_counts_as_far_as_other_clocks_show_it() -> None:
     """Owners change in series. The bound stays where it was on executors' clocks."""
     bench = Bench()
-    executor = busy_executor(bench, "i-1")
-    executor.contacted = False
-    owner = Owner(OneValue(LeaseBounds({"i-1": 4.0}, {"i-2@1": 50.0, "i-3@1": 70.0}).to_bytes()))
-    executor.lease_over = owner.keeper.first_bound("i-1", bench.now)
-    assert executor.lease_over == pytest.approx(bench.now + 4.0 + READING_MARGIN)
+    owner = Owner(bounds({"i-1": 4.0}, {"i-2@1": 50.0, "i-3@1": 70.0}))
+    executor = unreached(bench, owner, "i-1")
+    assert executor.lease_over == pytest.approx(bench.now + 4.0 + ROUNDING)
     owner.clocks.update({"i-2@1": 53.0, "i-3@1": 72.5, "i-4@1": 999.0})
-    owner.keeper.tighten([executor], bench.now)
-    assert executor.lease_over == pytest.approx(bench.now + 1.5 + READING_MARGIN)
+    owner.keeper.count_time_passed([executor], bench.now)
+    assert executor.lease_over == pytest.approx(bench.now + 1.5 + ROUNDING)
 
 
 @pytest.mark.parametrize("clocks", [{}, {"i-2@2": 90.0}])
 def test_without_a_common_clock_no_time_counts_as_passed(clocks: dict[str, float]) -> None:
     """The executors whose clocks were stored are gone, or live another life with a new clock."""
-    bench = Bench()
-    executor = busy_executor(bench, "i-1")
-    executor.contacted = False
-    owner = Owner(OneValue(LeaseBounds({"i-1": 4.0}, {"i-2@1": 50.0}).to_bytes()), clocks)
-    executor.lease_over = owner.keeper.first_bound("i-1", bench.now)
-    owner.keeper.tighten([executor], bench.now + 1.0)
-    assert executor.lease_over == pytest.approx(bench.now + 4.0 + READING_MARGIN)
+    bench, owner = Bench(), Owner(bounds({"i-1": 4.0}, {"i-2@1": 50.0}), clocks)
+    executor = unreached(bench, owner, "i-1")
+    owner.keeper.count_time_passed([executor], bench.now + 1.0)
+    assert executor.lease_over == pytest.approx(bench.now + 4.0 + ROUNDING)
 
 
 def test_an_executor_that_was_reached_meanwhile_is_not_given_up_by_an_old_bound() -> None:
     """It was silent for a former owner only, and its leases have been extended since."""
-    bench = Bench()
+    bench, owner = Bench(), Owner(bounds({"i-1": 1.0}, {"i-2@1": 50.0}), {"i-2@1": 60.0})
     executor = busy_executor(bench, "i-1")
-    owner = Owner(OneValue(LeaseBounds({"i-1": 1.0}, {"i-2@1": 50.0}).to_bytes()), {"i-2@1": 60.0})
     executor.lease_over = bench.now + 5
-    owner.keeper.tighten([executor], bench.now)
+    owner.keeper.count_time_passed([executor], bench.now)
     assert executor.lease_over == bench.now + 5
 
 
 def test_executors_of_which_nothing_is_stored_may_hold_the_longest_leases() -> None:
     """The former owner was killed, and may have extended them a moment before."""
-    bench, owner = Bench(), Owner(OneValue())
-    assert owner.keeper.first_bound("i-1", bench.now) == bench.now + LONGEST_DOUBT
-
-
-def test_damaged_bounds_shorten_no_wait() -> None:
-    """What a former owner stored can't be read; the longest wait is the safe one."""
-    bench, owner = Bench(), Owner(OneValue(b"[]"))
-    assert owner.keeper.first_bound("i-1", bench.now) == bench.now + LONGEST_DOUBT
+    now = Bench().now
+    assert Owner().keeper.recalled_bound("i-1", now).lease_over == now + LONGEST_DOUBT
 
 
 def test_an_owner_that_hands_over_leaves_the_bounds_of_all_executors_at_work() -> None:
     """It may not know yet that one of them has fallen silent just before."""
-    bench, owner = Bench(), Owner(OneValue())
+    bench, owner = Bench(), Owner()
     executor = busy_executor(bench, "i-1")
     executor.lease_over = bench.now + 4
     assert not owner.save([executor], bench.now)
-    owner.keeper.close()
-    assert owner.save([executor], bench.now, due=True)
+    assert owner.save([executor], bench.now, last=True)
+    assert not owner.keeper.may_extend("i-1")
+    assert not owner.save([executor], bench.now, due=True), "its last word stays"
+    bound = Owner(owner.stored).keeper.recalled_bound("i-1", bench.now)
+    assert bound.lease_over == pytest.approx(bench.now + 4 + ROUNDING)
+
+
+def test_a_successor_renews_what_is_sound_without_waiting_for_the_store() -> None:
+    """The store is slow at a planned stop. Sound work would lapse while its new owner stores that
+    it may renew it, so only bounds of silent executors outlive the successor."""
+    bench, owner = Bench(), Owner()
+    executor = busy_executor(bench, "i-1")
+    owner.save([executor], bench.now, last=True)
+    assert Owner(owner.stored).keeper.may_extend("i-1")
+    after = Owner(owner.stored.signed(3)).keeper.recalled_bound("i-1", bench.now)
+    assert after.lease_over == bench.now + LONGEST_DOUBT
+
+
+def test_executors_get_a_moment_to_report_to_a_new_owner_before_they_are_named() -> None:
+    """Named at once, each sound executor would be renewed only after two writes."""
+    bench, owner = Bench(), Owner()
+    executor = unreached(bench, owner, "i-1")
+    assert not owner.save([executor], bench.now, due=True)
+    assert owner.save([executor], bench.now + CONTACT_BOUND + 0.1)
     assert not owner.keeper.may_extend("i-1")
-    assert Owner(owner.store).keeper.first_bound("i-1", 0.0) == pytest.approx(4 + READING_MARGIN)
+
+
+def test_an_executor_that_was_named_stays_so_until_it_reports() -> None:
+    """Forgotten at the start of each term, its bound would begin anew with the next owner."""
+    bench, owner = Bench(), Owner(bounds({"i-1": 4.0}))
+    executor = unreached(bench, owner, "i-1")
+    assert not owner.save([executor], bench.now, due=True)
+    executor.contacted = True
+    assert owner.save([executor], bench.now)
+
+
+def test_a_try_that_failed_for_certain_leaves_leases_as_they_were() -> None:
+    """The store refuses the last word of a stopping owner; nobody can take over meanwhile."""
+    bench, owner = Bench(), Owner()
+    executor = busy_executor(bench, "i-1")
+    owner.keeper.draft([executor], bench.now, last=True)
+    assert not owner.keeper.may_extend("i-1")
+    owner.keeper.take_back()
+    assert owner.keeper.may_extend("i-1")
+
+
+def test_a_try_without_an_answer_is_not_undone_by_one_that_failed() -> None:
+    """The first may be stored. Only a later write that is stored for certain replaces it."""
+    bench, owner = Bench(), Owner()
+    executor = busy_executor(bench, "i-1")
+    owner.keeper.draft([executor], bench.now, last=True)
+    owner.keeper.draft([executor], bench.now, last=True)
+    owner.keeper.take_back()
+    assert not owner.keeper.may_extend("i-1")
+    assert owner.save([executor], bench.now, due=True)
+    assert owner.keeper.may_extend("i-1")
+
+
+def test_how_long_an_executor_has_been_known_outlives_its_owners() -> None:
+    """The list of machines proves nothing of executors that have just come. Reckoned anew by each
+    owner, it would never prove anything while owners are replaced in series."""
+    bench, owner = Bench(), Owner()
+    executor = busy_executor(bench, "i-1")
+    executor.silent_since, executor.known_since = bench.now, bench.now - 7.0
+    assert owner.save([executor], bench.now)
+    bound = Owner(owner.stored).keeper.recalled_bound("i-1", 500.0)
+    assert bound.known_since == pytest.approx(493.0)
 
 
 def test_executors_that_run_nothing_any_more_are_forgotten_with_the_next_write() -> None:
     """A write of its own for each of them would cost the store more than it helps anybody."""
-    bench = Bench()
-    owner = Owner(OneValue(LeaseBounds({"i-gone": 4.0}, {}).to_bytes()))
+    bench, owner = Bench(), Owner(bounds({"i-gone": 4.0}))
     assert not owner.save([], bench.now)
     assert owner.save([], bench.now, due=True)
     assert owner.keeper.may_extend("i-gone")
+
+
+@pytest.mark.parametrize("data", [b"[]", b"{}", b"{", b'{"token": 1, "silent": [1]}'])
+def test_damaged_bounds_are_told_from_others(data: bytes) -> None:
+    with pytest.raises(ValueError):
+        LeaseBounds.from_bytes(data)
