--- a/vanillawell/tests/draining_state_tests.py
+++ b/vanillawell/tests/draining_state_tests.py
@@ -52,6 +52,17 @@
     assert not second.stop_wanted
 
 
+def test_a_task_waits_for_another_of_its_step_that_is_away_elsewhere() -> None:
+    bench = Bench(facts("i-0"), facts("i-1"))
+    first, second = _two_lasting(bench, most_away=1, most_per_executor=1)
+    bench.register(facts("i-2"))
+    executor = _drains(bench, first.executor, 4.0)
+    second.at_work = False
+    assert _to_move(bench, executor) == []
+    second.at_work = True
+    assert _to_move(bench, executor) == [first]
+
+
 def test_every_owner_moves_the_same_task_first() -> None:
     """A stop that a former owner ordered is under way, and its task still looks at work. Its
     successor knows the runs in another order; a second task of the step must not be stopped."""
