Name no executor as silent before it was asked, and forget none that was not

An owner that is stopped before it has read its jobs knew of no executor, and its last word would have told its successor that none is silent: the wait would begin anew. It now passes on what it found. And the half second in which executors report to a new owner counts from when they are asked: while the store is slow it was over almost before that (17 sound executors were named in a trial, and renewed 0.6 s later).

--- a/vanillawell/coordination/lease_keeper.py
+++ b/vanillawell/coordination/lease_keeper.py
@@ -31,7 +31,7 @@
 """Seconds added to a stored bound."""
 
 CONTACT_BOUND = 0.5
-"""Seconds after a change of owner in which executors that live should have reported."""
+"""Seconds after loading a shard in which executors that live should have reported."""
 
 NAMES_LOGGED = 5
 """Executors named in one log line."""
@@ -56,7 +56,6 @@
         former: LeaseBounds,
         longest_doubt: float,
         clocks: ExecutorClocks,
-        now: float,
     ) -> None:
         """Take the fencing token, what the former owner left, and the seconds for which an executor
         of which nothing is stored may hold leases."""
@@ -65,11 +64,16 @@
         self._former = former
         self._longest_doubt = longest_doubt
         self._clocks = clocks
-        self._began = now
+        self._began: float | None = None
+        """Clock of decisions at which the work of former terms was known."""
         self._stored = frozenset(former.silent)
         self._drafts: list[_Draft] = []
         self._handed_over = False
 
+    def begin(self, now: float) -> None:
+        """Note that the work of former terms is known, and executors are asked from now on."""
+        self._began = now
+
     def recalled_bound(self, executor: str, now: float) -> RecalledBound:
         """Return what is known of an executor from former terms, on this process's clock.
 
@@ -105,6 +109,8 @@
 
         Executors that run nothing any more may stay in it for a while.
         """
+        if self._began is None:
+            return False
         charged = [item for item in executors if item.runs]
         silent = {item.name for item in charged if self._is_silent(item, now)}
         regained = any(item.name in self._stored - silent for item in charged)
@@ -117,6 +123,8 @@
         """
         if self._handed_over:
             return None
+        if self._began is None:
+            return self._pass_on() if last else None
         charged = [item for item in executors if item.runs]
         silent = {item.name: _bound(item, now) for item in charged if self._is_silent(item, now)}
         if not last and not self._drafts and self._stored == silent.keys():
@@ -124,7 +132,16 @@
         others = {item.name: _bound(item, now) for item in charged if item.name not in silent}
         clocks = itertools.islice(self._clocks.at_most(now).items(), REFERENCE_CLOCKS)
         document = LeaseBounds(self._token, silent, others if last else {}, dict(clocks))
-        self._drafts.append(_Draft(frozenset(silent), last))
+        return self._begin_write(document, last)
+
+    def _pass_on(self) -> Put:
+        """Return what an owner leaves that has extended no lease: all that it found itself."""
+        found = self._former
+        document = LeaseBounds(self._token, found.silent, found.handed_over, found.clocks)
+        return self._begin_write(document, last=True)
+
+    def _begin_write(self, document: LeaseBounds, last: bool) -> Put:
+        self._drafts.append(_Draft(frozenset(document.silent), last))
         self._log(document)
         return Put(self._key, document.to_bytes())
 
@@ -147,7 +164,8 @@
         """
         if executor.contacted:
             return executor.silent_since is not None
-        return executor.name in self._stored or now > self._began + CONTACT_BOUND
+        late = self._began is not None and now > self._began + CONTACT_BOUND
+        return late or executor.name in self._stored
 
     def _log(self, document: LeaseBounds) -> None:
         lefts = [bound.left for bound in document.silent.values()]
--- a/vanillawell/coordination/shard_owner.py
+++ b/vanillawell/coordination/shard_owner.py
@@ -95,7 +95,6 @@
             term.former_bounds,
             longest_doubt(self._bounds.lease_most_ms / 1000, self._bounds.kill_grace_ms / 1000),
             self._clocks,
-            clock.read(),
         )
         self._news = anyio.Event()
         self._stopping = False
@@ -152,6 +151,7 @@
         self._policies.on_change(self._apply_policy)
         try:
             await self._load()
+            self._leases.begin(clock.read())
             self.loaded = True
             async with anyio.create_task_group() as tasks:
                 self._start_tasks(tasks)
--- a/vanillawell/tests/lease_keeper_tests.py
+++ b/vanillawell/tests/lease_keeper_tests.py
@@ -33,9 +33,9 @@
     stored: LeaseBounds = field(default_factory=LeaseBounds)
 
     def __post_init__(self) -> None:
-        self.keeper = LeaseKeeper(
-            KEY, 2, self.former, LONGEST_DOUBT, FixedClocks(self.clocks), Bench().now
-        )
+        clocks = FixedClocks(self.clocks)
+        self.keeper = LeaseKeeper(KEY, 2, self.former, LONGEST_DOUBT, clocks)
+        self.keeper.begin(Bench().now)
 
     def save(
         self, executors: list[Executor], now: float, due: bool = False, last: bool = False
@@ -188,6 +188,18 @@
     assert owner.keeper.may_extend("i-1")
 
 
+def test_an_owner_that_is_stopped_before_it_has_loaded_passes_on_what_it_found() -> None:
+    """It knows of no executor and has extended no lease. A document without any would make the
+    wait for silent executors begin anew with its successor."""
+    found = LeaseBounds(1, {"i-1": ExecutorBound(4.0, 9.0)}, {"i-2": ExecutorBound(3.0, 9.0)})
+    keeper = LeaseKeeper(KEY, 2, found, LONGEST_DOUBT, FixedClocks({}))
+    assert keeper.draft([], 100.0) is None
+    put = keeper.draft([], 100.0, last=True)
+    assert put is not None
+    left = LeaseBounds.from_bytes(put.value)
+    assert (left.token, left.silent, left.handed_over) == (2, found.silent, found.handed_over)
+
+
 def test_how_long_an_executor_has_been_known_outlives_its_owners() -> None:
     """The list of machines proves nothing of executors that have just come. Reckoned anew by each
     owner, it would never prove anything while owners are replaced in series."""
