--- /dev/null
+++ b/vanillawell/tests/narrow_link_tests.py
@@ -0,0 +1,76 @@
+"""Prove that an entry behind a narrow link still reads what it needs."""
+
+from __future__ import annotations
+
+import time
+from contextlib import asynccontextmanager
+from typing import TYPE_CHECKING, Any
+
+import anyio
+from anyio.abc import SocketAttribute
+
+from vanillawell.platform.http import HttpClient
+from vanillawell.protocol.calls import NoAnswerError
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+    from anyio.abc import SocketStream
+
+PARTS = 6
+"""Parts in which an answer arrives."""
+
+PAUSE = 0.1
+"""Seconds between two parts."""
+
+BOUND = 0.25
+"""Seconds that the caller gives an answer; shorter than all parts take together."""
+
+HEAD = f"HTTP/1.1 200 OK\r\nContent-Length: {2 * PARTS}\r\n\r\n".encode()
+
+
+@asynccontextmanager
+async def trickling(parts: int) -> AsyncIterator[str]:
+    """Serve one answer of which only the first `parts` parts are ever sent."""
+
+    async def answer(stream: SocketStream) -> None:
+        async with stream:
+            await stream.receive()
+            await stream.send(HEAD)
+            for _ in range(parts):
+                await anyio.sleep(PAUSE)
+                await stream.send(b"[]")
+            await anyio.sleep_forever()
+
+    listener: Any = await anyio.create_tcp_listener(local_host="127.0.0.1")
+    async with listener, anyio.create_task_group() as tasks:
+        tasks.start_soon(listener.serve, answer)
+        yield f"127.0.0.1:{listener.extra(SocketAttribute.local_port)}"
+        tasks.cancel_scope.cancel()
+
+
+async def _call(parts: int) -> bytes | None:
+    """Return the body of an answer; None if it was given up."""
+    async with trickling(parts) as address:
+        try:
+            answer = await HttpClient().call(address, "GET", "/kv-range", timeout=BOUND)
+        except NoAnswerError:
+            return None
+        return answer.body
+
+
+def test_an_answer_is_not_given_up_while_it_is_arriving() -> None:
+    """A page of the store's listing takes longer over a narrow link than an answer may take.
+
+    Given up and asked for again from its first byte, it would never be read: an owner would take
+    in no new jobs and no cancellations, and start tasks of cancelled jobs.
+    """
+    assert anyio.run(_call, PARTS) == b"[]" * PARTS
+
+
+def test_an_answer_that_stops_arriving_is_given_up() -> None:
+    """The path loses the connection in the middle of an answer. The caller waits no longer than for
+    one that never began."""
+    began = time.monotonic()
+    assert anyio.run(_call, PARTS // 2) is None
+    assert time.monotonic() - began < PARTS // 2 * PAUSE + BOUND + 0.3
