Give no answer up while it is arriving

Callers saw: after a change of owner on the grown deposits site, tasks started seconds after their job's cancellation had been acknowledged (UNASKED), counts of waiting jobs said nothing waits (MIXED), and nobody owned the shard for 30 s. Cause: an answer was given up 1.5 s after its call, however much of it had arrived. A page of the store's listing takes 1.7 s over a link of 5 Mbit/s. The inbox and all jobs were asked for again from the first byte, for ever. Change: the bound holds until the answer begins; from then on an answer is given up after one second without a further byte, or ten in all. Why it holds: bytes that arrive prove the path; a page has at most 1 MB.

--- a/vanillawell/platform/http.py
+++ b/vanillawell/platform/http.py
@@ -34,6 +34,13 @@
 IDLE_BOUND = 12.0
 """Seconds after which an unused connection is not used again; the other ends close after 15."""
 
+STALL_BOUND = 1.0
+"""Seconds without a further byte after which an answer that has begun to arrive is given up."""
+
+LONGEST_ANSWER = 10.0
+"""Seconds after which an answer is given up even while it arrives; a page of 1 MB takes two over a
+link of 5 Mbit/s."""
+
 READ_SIZE = 65_536
 """Bytes taken from a connection at once."""
 
@@ -84,13 +91,21 @@
         self.idle_since = opened
         self.reusable = False
 
-    async def exchange(self, request: bytes) -> HttpAnswer:
-        """Send a request and read its whole answer."""
+    async def exchange(self, request: bytes, timeout: float) -> HttpAnswer:
+        """Send a request and read its whole answer, which has to begin within `timeout` seconds.
+
+        An answer that is arriving is not given up: asked for again from its first byte, a large
+        one would never be read over a narrow link. Raises TimeoutError.
+        """
         self.reusable = False
-        await self._stream.send(request)
         answer = _Answer()
-        while not answer.complete:
-            answer.parser.feed_data(await self._stream.receive(READ_SIZE))
+        began = anyio.current_time()
+        with anyio.fail_after(timeout) as scope:
+            await self._stream.send(request)
+            while not answer.complete:
+                answer.parser.feed_data(await self._stream.receive(READ_SIZE))
+                arriving = anyio.current_time() + min(timeout, STALL_BOUND)
+                scope.deadline = max(scope.deadline, min(arriving, began + LONGEST_ANSWER))
         self.reusable = answer.reusable
         return HttpAnswer(answer.parser.get_status_code(), bytes(answer.body))
 
@@ -116,7 +131,7 @@
         timeout: float = 1.0,
         headers: Mapping[str, str] | None = None,
     ) -> HttpAnswer:
-        """Make one call of at most `timeout` seconds.
+        """Make one call, whose answer has to begin within `timeout` seconds.
 
         Raises:
             NotSentError: No connection could be opened, so the call had no effect.
@@ -127,8 +142,7 @@
         began = clock.read()
         connection = await self._take(address, began, min(timeout, CONNECT_BOUND))
         try:
-            with anyio.fail_after(timeout):
-                answer = await connection.exchange(request)
+            answer = await connection.exchange(request, timeout)
         except TimeoutError as error:
             await connection.close()
             await self._drop_older(address, began)
