--- a/vanillawell/tests/narrow_link_tests.py
+++ b/vanillawell/tests/narrow_link_tests.py
@@ -11,6 +11,13 @@
 
 from vanillawell.platform.http import HttpClient
 from vanillawell.protocol.calls import NoAnswerError
+from vanillawell.tests.scheduler_cluster import (
+    PREFIX,
+    Cluster,
+    job,
+    until_state,
+    with_cluster,
+)
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -74,3 +81,16 @@
     began = time.monotonic()
     assert anyio.run(_call, PARTS // 2) is None
     assert time.monotonic() - began < PARTS // 2 * PAUSE + BOUND + 0.3
+
+
+@with_cluster(members=2)
+async def test_an_entry_that_reads_jobs_for_longer_than_a_lease_keeps_the_shard(
+    built: Cluster,
+) -> None:
+    """The owner is killed, and the entry that takes over needs longer to read all jobs than its
+    lease lasts. Without renewals it loses the shard each time as soon as it has read them."""
+    await built.kill(await built.owner())
+    survivor, job_id = built.members[0], built.new_id()
+    survivor.store.listing_time = 1.0
+    assert (await survivor.call("POST", PREFIX + job_id, job())).status == 200
+    await until_state(survivor, job_id, "completed", 7.0)
--- a/vanillawell/tests/scheduler_cluster.py
+++ b/vanillawell/tests/scheduler_cluster.py
@@ -85,6 +85,8 @@
 
     inner: FollowedStore
     cut: bool = False
+    listing_time: float = 0.0
+    """Seconds that a listing takes to arrive."""
 
     def _check(self) -> None:
         if self.cut:
@@ -96,6 +98,7 @@
 
     async def list(self, prefix: str) -> Listing:
         self._check()
+        await anyio.sleep(self.listing_time)
         return await self.inner.list(prefix)
 
     async def transact(self, transaction: Transaction) -> TransactionResult:
