Renew the ownership of a shard while its jobs are read

Cause: renewals began only once all jobs were read. Over a link of 5 Mbit/s that takes longer than the lease of 1.5 s, so the next entry took the shard and met the same; the one before noticed nothing until it had read all. Change: the owner renews from its first moment. Why it holds: a lost lease ends the reading, since both are one task group.

--- a/vanillawell/coordination/shard_owner.py
+++ b/vanillawell/coordination/shard_owner.py
@@ -96,9 +96,10 @@
         self._apply_policy()
         self._policies.on_change(self._apply_policy)
         try:
-            await self._load()
-            self.loaded = True
             async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self._term.keep)
+                await self._load()
+                self.loaded = True
                 self._start_tasks(tasks)
                 await self._take_turns(tasks)
         finally:
@@ -106,7 +107,6 @@
 
     def _start_tasks(self, tasks: TaskGroup) -> None:
         store, keys = self._ports.store, self._settings.keys
-        tasks.start_soon(self._term.keep)
         inbox = Inbox(store, self._keys, self._shard, self.wake)
         registry = RegistryFollower(self._ports, keys.executors, self._shard, self.wake)
         orders = MachineOrders(
