--- a/vanillawell/commands/reference.py
+++ b/vanillawell/commands/reference.py
@@ -27,6 +27,7 @@
 NODE_CLASSES: tuple[type[BaseModel], ...] = (
     node_settings.NodeSettings,
     node_settings.NodeBounds,
+    node_settings.EntryCapacity,
     node_settings.PlatformKeys,
 )
 
--- a/vanillawell/config/node_settings.py
+++ b/vanillawell/config/node_settings.py
@@ -56,6 +56,24 @@
     """Time for which a leaving executor still serves."""
 
 
+class EntryCapacity(StrictModel):
+    """What one entry may use of its machine."""
+
+    processor_share: float = Field(default=1.0, ge=0)
+    """Part of a processor that it may use."""
+
+    processor_speed: float = Field(default=1.0, ge=0)
+    """Speed of that processor, as a multiple of a plain core."""
+
+    link_mbit: float = Field(default=1000.0, ge=0)
+    """Width of its link in megabits a second."""
+
+    @property
+    def cores(self) -> float:
+        """Return the plain cores that it may use."""
+        return self.processor_share * self.processor_speed
+
+
 class NodeSettings(StrictModel):
     """Settings of one process of the scheduler, filled in from the platform's template."""
 
@@ -83,6 +101,7 @@
     """Shortest lease that the store gives."""
 
     bounds: NodeBounds
+    capacity: EntryCapacity = EntryCapacity()
     keys: PlatformKeys = PlatformKeys()
     log_level: str = "INFO"
 
