--- a/vanillawell/tests/narrow_link_tests.py
+++ b/vanillawell/tests/narrow_link_tests.py
@@ -15,6 +15,7 @@
     PREFIX,
     Cluster,
     job,
+    until,
     until_state,
     with_cluster,
 )
@@ -94,3 +95,29 @@
     survivor.store.listing_time = 1.0
     assert (await survivor.call("POST", PREFIX + job_id, job())).status == 200
     await until_state(survivor, job_id, "completed", 7.0)
+
+
+@with_cluster(members=1)
+async def test_the_shard_falls_to_an_entry_that_can_carry_it(built: Cluster) -> None:
+    """Most entries have half a core and a narrow link, a few have more. Drawn by lot, the shard
+    falls to one that can't keep up with its executors; ends, moves and new jobs then wait."""
+    for _ in range(3):
+        owner = built.members[0]
+        for number in range(5):
+            built.add_member(f"weak-{number}", {"processor_share": 0.5, "link_mbit": 5})
+        strong = built.add_member("strong", {"processor_speed": 2, "link_mbit": 100})
+        await anyio.sleep(0.3)
+        await built.kill(owner)
+        assert await built.owner() is strong
+        for member in [member for member in built.members if member is not strong]:
+            await built.kill(member)
+
+
+@with_cluster(members=1)
+async def test_a_weak_entry_takes_the_shard_if_no_other_does(built: Cluster) -> None:
+    """All entries with more than half a core are gone. Callers wait for the others a little
+    longer, not for good."""
+    weak = built.add_member("weak", {"processor_share": 0.5, "link_mbit": 5})
+    await anyio.sleep(0.3)
+    await built.kill(built.members[0])
+    await until(lambda: weak.owns, 3.0)
--- a/vanillawell/tests/scheduler_cluster.py
+++ b/vanillawell/tests/scheduler_cluster.py
@@ -251,8 +251,8 @@
         host.life = host.life.crash()
         self.tasks.start_soon(host.life.tick)
 
-    def add_member(self, instance: str) -> Member:
-        """Start a scheduler."""
+    def add_member(self, instance: str, capacity: dict[str, float] | None = None) -> Member:
+        """Start a scheduler, with as much of its machine as `capacity` says."""
         settings = NodeSettings.model_validate(
             {
                 "instance": instance,
@@ -273,6 +273,7 @@
                     "grace_s": 6,
                     "drain_ms": 2000,
                 },
+                "capacity": capacity or {},
             }
         )
         ports = build_ports(settings, HttpClient())
