Leave a free shard to entries that can carry it

Callers saw: on the grown deposits site half of a peak failed after a change of owner; jobs were admitted seconds late, pools grew by 7 to 20 machines a second while 190 were wanted, ends and cancellations were taken in late. Cause: 28 of 36 entries have 0.52 cores and 5 Mbit/s, 8 have 2.15 cores and 100 Mbit/s, and who owns the shard was drawn by lot among all. Change: each entry knows from its settings what it may use, and leaves a free shard to others for up to 0.3 s, the longer the weaker it is. Entries with one core and 50 Mbit/s or more wait no longer than before.

--- a/vanillawell/coordination/term.py
+++ b/vanillawell/coordination/term.py
@@ -19,6 +19,7 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
+    from vanillawell.config.node_settings import EntryCapacity
     from vanillawell.protocol.store import Changes, FollowedStore, Listing
     from vanillawell.protocol.work_documents import WorkKeys
 
@@ -49,6 +50,15 @@
 SETTLED = 1.0
 """Seconds after its start from which an entry is preferred; one that fails at once is not."""
 
+HEAD_START = 0.3
+"""Seconds that the weakest entries leave a free shard to stronger ones."""
+
+OWNER_CORES = 1.0
+"""Plain cores with which an entry keeps up with some two hundred executors."""
+
+OWNER_LINK = 50.0
+"""Megabits a second with which it reads a page of the store in a fraction of its lease."""
+
 LATELY = 60.0
 """Seconds after its start for which an entry is preferred as an owner; a restart of all entries of
 a fleet of dozens takes about that long."""
@@ -156,11 +166,24 @@
         await self._store.revoke(self._lease)
 
 
+def weakness(capacity: EntryCapacity) -> float:
+    """Return how far an entry falls short of what an owner needs, from 0 to 1."""
+    return 1 - min(1.0, capacity.cores / OWNER_CORES, capacity.link_mbit / OWNER_LINK)
+
+
 class Candidate:
     """Take a shard whenever nobody holds it."""
 
-    def __init__(self, store: FollowedStore, keys: WorkKeys, shard: str, instance: str) -> None:
+    def __init__(
+        self,
+        store: FollowedStore,
+        keys: WorkKeys,
+        shard: str,
+        instance: str,
+        capacity: EntryCapacity | None = None,
+    ) -> None:
         self._store = store
+        self._weakness = 0.0 if capacity is None else weakness(capacity)
         self._shard = shard
         self._holder_key = keys.holder(shard)
         self._term_key = keys.term(shard)
@@ -205,10 +228,12 @@
         """Return how long to leave a free shard to others.
 
         Entries that started lately go first: when all are restarted one after the other, those have
-        their restart behind them, and the shard changes its owner less often.
+        their restart behind them, and the shard changes its owner less often. Before that counts
+        strength: an owner that can't keep up keeps all jobs waiting for as long as it stays.
         """
         lately = SETTLED <= now - self._began < LATELY
-        return random.uniform(0, STAGGER) + (0 if lately else STAGGER)
+        wait = random.uniform(0, STAGGER) + (0 if lately else STAGGER)
+        return wait + self._weakness * HEAD_START
 
     def _is_free(self) -> bool:
         return self._known and self._holder is None
