--- a/vanillawell/tests/narrow_link_tests.py
+++ b/vanillawell/tests/narrow_link_tests.py
@@ -11,10 +11,12 @@
 
 from vanillawell.platform.http import HttpClient
 from vanillawell.protocol.calls import NoAnswerError
+from vanillawell.protocol.work_documents import WorkKeys
 from vanillawell.tests.scheduler_cluster import (
     PREFIX,
     Cluster,
     job,
+    step,
     until,
     until_state,
     with_cluster,
@@ -121,3 +123,29 @@
     await anyio.sleep(0.3)
     await built.kill(built.members[0])
     await until(lambda: weak.owns, 3.0)
+
+
+@with_cluster(members=2)
+async def test_a_new_owner_starts_nothing_before_it_knows_what_was_cancelled(
+    built: Cluster,
+) -> None:
+    """The owner is killed, a job that waits for room is cancelled, and the next owner needs seconds
+    to read what callers asked for. It must not start the job when room comes; nor may it say that
+    nothing waits, while a job that it hasn't read of does."""
+    blocking, cancelled, waiting = built.new_id(), built.new_id(), built.new_id()
+    owner = await built.owner()
+    await owner.call("POST", PREFIX + blocking, job(step(16), spec={"seconds": 2.0}))
+    await until(lambda: len(built.audit.started) == 16)
+    await owner.call("POST", PREFIX + cancelled, job())
+    await anyio.sleep(0.3)
+    await built.kill(owner)
+    survivor = built.members[0]
+    survivor.store.listing_time, survivor.store.slow_prefix = 3.5, WorkKeys().inbox
+    assert (await survivor.call("DELETE", PREFIX + cancelled)).status == 200
+    assert (await survivor.call("POST", PREFIX + waiting, job())).status == 200
+    await until_state(survivor, blocking, "completed", 4.0)
+    assert f"{cancelled}.0.0.0" not in built.audit.started
+    assert (await survivor.call("GET", PREFIX)).document["pending"] > 0
+    await until_state(survivor, cancelled, "cancelled")
+    await until_state(survivor, waiting, "completed")
+    assert f"{cancelled}.0.0.0" not in built.audit.started
--- a/vanillawell/tests/scheduler_cluster.py
+++ b/vanillawell/tests/scheduler_cluster.py
@@ -87,6 +87,8 @@
     cut: bool = False
     listing_time: float = 0.0
     """Seconds that a listing takes to arrive."""
+    slow_prefix: str = ""
+    """Beginning of the prefixes for which that holds."""
 
     def _check(self) -> None:
         if self.cut:
@@ -98,7 +100,8 @@
 
     async def list(self, prefix: str) -> Listing:
         self._check()
-        await anyio.sleep(self.listing_time)
+        if prefix.startswith(self.slow_prefix):
+            await anyio.sleep(self.listing_time)
         return await self.inner.list(prefix)
 
     async def transact(self, transaction: Transaction) -> TransactionResult:
