Start nothing before the inbox of a term has been read

Cause: a new owner placed tasks and published counts as soon as it had read jobs and records. What callers asked for meanwhile lies in the inbox, which was read only afterwards, and on a narrow link not for seven seconds. Change: placing and publishing wait for the first reading of the inbox. The reading leaves a log line with the number of keys. Why it holds: a cancellation is acknowledged when it is stored in the inbox, and the reading sees all that was stored before it. Without the store nothing could start in any case.

--- a/vanillawell/coordination/inbox.py
+++ b/vanillawell/coordination/inbox.py
@@ -40,6 +40,8 @@
         self._shard = shard
         self._wake = wake
         self._heard = 0.0
+        self.is_read = False
+        """Whether everything is known that callers asked for before this term."""
         self._follower = PrefixFollower(
             store, keys.inbox, FOLLOW_WAIT, self._take_listing, self._take_changes
         )
@@ -55,6 +57,9 @@
         jobs_first = sorted(listing.items, key=lambda item: bool(self._keys.is_cancel(item.key)))
         for item in jobs_first:
             self._take(item.key, item.value)
+        if not self.is_read:
+            self.is_read = True
+            log.info("inbox read", extra={"keys": len(jobs_first)})
         self._wake()
 
     async def _look(self) -> None:
--- a/vanillawell/coordination/shard_owner.py
+++ b/vanillawell/coordination/shard_owner.py
@@ -74,6 +74,7 @@
         self._news = anyio.Event()
         self._stopping = False
         self._published: dict[str, int] | None = None
+        self._inbox = Inbox(ports.store, keys, self._shard, self.wake)
         self.loaded = False
         """Whether all jobs of former terms have been read."""
 
@@ -106,9 +107,9 @@
             self._policies.remove_listener(self._apply_policy)
 
     def _start_tasks(self, tasks: TaskGroup) -> None:
-        store, keys = self._ports.store, self._settings.keys
-        inbox = Inbox(store, self._keys, self._shard, self.wake)
-        registry = RegistryFollower(self._ports, keys.executors, self._shard, self.wake)
+        registry = RegistryFollower(
+            self._ports, self._settings.keys.executors, self._shard, self.wake
+        )
         orders = MachineOrders(
             self._term,
             self._ports,
@@ -129,7 +130,7 @@
             self.wake,
         )
         pools = PoolRunner(self._shard, self._term, self._ports, orders, self.wake)
-        tasks.start_soon(inbox.run)
+        tasks.start_soon(self._inbox.run)
         tasks.start_soon(registry.run)
         tasks.start_soon(registry.look, lambda now: pools.expects(now) or upkeep.expects(now))
         tasks.start_soon(_run_after, registry.known, upkeep.run)
@@ -183,12 +184,13 @@
         """Decide, store and act, again and again.
 
         All that happened while a turn was being stored is decided in the next one, so the number
-        of writes does not grow with the number of tasks.
+        of writes does not grow with the number of tasks. Nothing starts before the inbox has been
+        read, since it may say that a job was cancelled.
         """
         while True:
             now = clock.read()
             self._shard.expire(now, time.time())
-            if not self._stopping:
+            if self._inbox.is_read and not self._stopping:
                 self._shard.place(now, time.time())
             self._drive(tasks)
             self._send_stops()
@@ -255,7 +257,7 @@
     async def _store_turn(self) -> None:
         """Store what changed, then let the starts and the confirmed ends of it go out."""
         batch = TurnBatch.collect(self._shard, self._keys, time.time())
-        pending = self._shard.board.pending()
+        pending = self._shard.board.pending() if self._inbox.is_read else self._published
         if batch.is_empty and pending == self._published:
             return
         for part in batch.parts(self._pending_put(pending)):
@@ -275,7 +277,7 @@
         else:
             driver.orders.submit(run, stored_at)
 
-    def _pending_put(self, pending: dict[str, int]) -> Put | None:
+    def _pending_put(self, pending: dict[str, int] | None) -> Put | None:
         """Return the write that publishes how many jobs wait, if that has changed."""
         if pending == self._published:
             return None
