--- a/vanillawell/tests/narrow_link_tests.py
+++ b/vanillawell/tests/narrow_link_tests.py
@@ -149,3 +149,15 @@
     await until_state(survivor, cancelled, "cancelled")
     await until_state(survivor, waiting, "completed")
     assert f"{cancelled}.0.0.0" not in built.audit.started
+
+
+@with_cluster(members=2)
+async def test_a_new_owner_reads_the_inbox_once_at_a_time(built: Cluster) -> None:
+    """The inbox takes seconds to arrive. A second reading beside the first would halve what each
+    gets of a narrow link, so that both take longer still."""
+    await built.kill(await built.owner())
+    survivor, inbox = built.members[0], WorkKeys().inbox
+    survivor.store.listing_time, survivor.store.slow_prefix = 2.0, inbox
+    await until(lambda: inbox in survivor.store.listed)
+    await anyio.sleep(1.5)
+    assert survivor.store.listed.count(inbox) == 1
--- a/vanillawell/tests/scheduler_cluster.py
+++ b/vanillawell/tests/scheduler_cluster.py
@@ -89,6 +89,8 @@
     """Seconds that a listing takes to arrive."""
     slow_prefix: str = ""
     """Beginning of the prefixes for which that holds."""
+    listed: list[str] = field(default_factory=list)
+    """Prefixes of all listings that were asked for."""
 
     def _check(self) -> None:
         if self.cut:
@@ -100,6 +102,7 @@
 
     async def list(self, prefix: str) -> Listing:
         self._check()
+        self.listed.append(prefix)
         if prefix.startswith(self.slow_prefix):
             await anyio.sleep(self.listing_time)
         return await self.inner.list(prefix)
