Read the inbox once at a time after a change of owner

Cause: what reads the inbox while nothing is heard of it began 0.25 s after a change of owner, beside the first reading. On a narrow link each got half of it. Change: it leaves the first reading alone.

--- a/vanillawell/coordination/inbox.py
+++ b/vanillawell/coordination/inbox.py
@@ -71,7 +71,7 @@
         """
         while True:
             await anyio.sleep(INBOX_SILENCE)
-            if clock.read() - self._heard < INBOX_SILENCE:
+            if not self.is_read or clock.read() - self._heard < INBOX_SILENCE:
                 continue
             try:
                 listing = await self._store.list(self._keys.inbox)
