--- a/vanillawell/tests/upkeep_tests.py
+++ b/vanillawell/tests/upkeep_tests.py
@@ -60,6 +60,19 @@
     assert set(chosen) == {idle, "m-i-2"}
 
 
+def test_a_large_pool_has_more_machines_emptied_at_a_time() -> None:
+    """A wave asks for the upkeep of half of 60 machines in a pool. Emptied one after the other, two
+    seconds and more each, most of them would have their upkeep too late."""
+    bench = Bench(*(facts(f"i-{number}") for number in range(60)))
+    machines = bench.shard.ledger.by_machine()
+    progress = _progress(*list(machines)[:30], most_away=20)
+    progress.closed = dict.fromkeys(to_close(progress, machines), 0.0)
+    assert len(progress.closed) == 6
+    assert to_close(progress, machines) == []
+    progress.closed.popitem()
+    assert len(to_close(progress, machines)) == 1
+
+
 def test_no_more_lasting_tasks_are_taken_away_than_their_step_allows() -> None:
     bench = Bench(facts("i-0"), facts("i-1"))
     bench.admit(job(step(2, long_running=True, most_away=1, most_per_executor=1)))
