Empty as many machines of a pool at a time as it can spare

Cause: of each service one machine was emptied at a time, however many the wave names and may be away. With lasting tasks on it that takes 2 to 10 s. Change: a tenth of a service's machines, one at least. Pools of fewer than twenty machines are emptied as before. Why it holds: what may be taken away is still decided task by task, and the machines closed and away together stay within what the wave allows.

--- a/vanillawell/state/upkeep.py
+++ b/vanillawell/state/upkeep.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
@@ -20,6 +21,9 @@
 EMPTIED_AHEAD = 1
 """Machines that are emptied beyond those that may be away; more would only take room away."""
 
+EMPTIED_PART = 0.1
+"""Part of a service's machines that are emptied at a time, one at least."""
+
 PATIENCE = 4.0
 """Seconds for which tasks that end by themselves are waited for; longer ones are stopped."""
 
@@ -144,7 +148,7 @@
 def to_close(progress: WaveProgress, executors: Mapping[str, Executor]) -> list[str]:
     """Return machines that should be emptied now, those with least work first.
 
-    Machines that are down for other reasons are left for later. Of each service one machine is
+    Machines that are down for other reasons are left for later. Of each service few machines are
     emptied at a time, so that a pool loses no more room than needed.
     """
     wave = progress.wave
@@ -155,13 +159,14 @@
         if name not in progress.decided and name not in progress.closed and name in executors
     ]
     waiting.sort(key=lambda name: (len(executors[name].runs), executors[name].used.cpu, name))
-    busy = {executors[name].facts.service for name in progress.closed if name in executors}
+    sizes = Counter(item.facts.service for item in executors.values())
+    closed = Counter(executors[name].facts.service for name in progress.closed if name in executors)
     chosen: list[str] = []
     for name in waiting:
         service = executors[name].facts.service
-        if len(chosen) < room and service not in busy:
+        if len(chosen) < room and closed[service] < max(1, int(EMPTIED_PART * sizes[service])):
             chosen.append(name)
-            busy.add(service)
+            closed[service] += 1
     return chosen
 
 
