--- a/vanillawell/tests/scheduler_cluster.py
+++ b/vanillawell/tests/scheduler_cluster.py
@@ -85,6 +85,12 @@
 
     inner: FollowedStore
     cut: bool = False
+    listing_time: float = 0.0
+    """Seconds that a listing takes to arrive."""
+    slow_prefix: str = ""
+    """Beginning of the prefixes for which that holds."""
+    listed: list[str] = field(default_factory=list)
+    """Prefixes of all listings that were asked for."""
 
     def _check(self) -> None:
         if self.cut:
@@ -96,6 +102,9 @@
 
     async def list(self, prefix: str) -> Listing:
         self._check()
+        self.listed.append(prefix)
+        if prefix.startswith(self.slow_prefix):
+            await anyio.sleep(self.listing_time)
         return await self.inner.list(prefix)
 
     async def transact(self, transaction: Transaction) -> TransactionResult:
@@ -257,8 +266,8 @@
         host.life = host.life.crash()
         self.tasks.start_soon(host.life.tick)
 
-    def add_member(self, instance: str) -> Member:
-        """Start a scheduler."""
+    def add_member(self, instance: str, capacity: dict[str, float] | None = None) -> Member:
+        """Start a scheduler, with as much of its machine as `capacity` says."""
         settings = NodeSettings.model_validate(
             {
                 "instance": instance,
@@ -279,6 +288,7 @@
                     "grace_s": 6,
                     "drain_ms": 2000,
                 },
+                "capacity": capacity or {},
             }
         )
         ports = build_ports(settings, HttpClient())
