--- a/vanillawell/coordination/pool_runner.py
+++ b/vanillawell/coordination/pool_runner.py
@@ -125,12 +125,20 @@
         for move in moves:
             self._close(move, lives.get(move.machine))
         await self._orders.announce(move.machine for move in moves)
+        announced, left = clock.read(), 0
         for move in moves:
             executor = lives.get(move.machine)
             if self._orders.is_fresh(clock.read()):
                 await self._move(move, executor)
             else:
                 self._reopen(move.machine, executor)
+                left += 1
+        if left:
+            took = {
+                "announced": round(announced - now, 3),
+                "sent": round(clock.read() - announced, 3),
+            }
+            log.info("moves left", extra={"planned": len(moves), "left": left, **took})
 
     def _spare(self, standby: str, lives: dict[str, Executor], now: float) -> list[str]:
         """Return the machines of the standby pool that may be moved, the best ones last.
--- a/vanillawell/coordination/shard_owner.py
+++ b/vanillawell/coordination/shard_owner.py
@@ -10,6 +10,7 @@
 import orjson
 
 from vanillawell import clock
+from vanillawell.coordination import loop_lag
 from vanillawell.coordination.advice_desk import AdviceDesk
 from vanillawell.coordination.executor_driver import ExecutorDriver
 from vanillawell.coordination.executor_link import ExecutorLink
@@ -47,6 +48,9 @@
 QUIET_TURN = 0.25
 """Seconds after which the owner looks again without any news: for leases and due times."""
 
+SLOW_TURN = 0.3
+"""Seconds from which a turn is told in the log; callers wait that long for what it decides."""
+
 
 class ShardOwner:
     """Run a shard from the moment it was taken until it is lost or given up."""
@@ -107,6 +111,7 @@
     def _start_tasks(self, tasks: TaskGroup) -> None:
         store, keys = self._ports.store, self._settings.keys
         tasks.start_soon(self._term.keep)
+        tasks.start_soon(loop_lag.watch, "owner")
         inbox = Inbox(store, self._keys, self._shard, self.wake)
         registry = RegistryFollower(self._ports, keys.executors, self._shard, self.wake)
         orders = MachineOrders(
@@ -192,12 +197,22 @@
                 self._shard.place(now, time.time())
             self._drive(tasks)
             self._send_stops()
+            decided = clock.read()
             await self._store_turn()
+            self._log_if_slow(now, decided)
             if not self._shard.board.changed and not self._news.is_set():
                 with anyio.move_on_after(self._pause()):
                     await self._news.wait()
             self._news = anyio.Event()
 
+    def _log_if_slow(self, began: float, decided: float) -> None:
+        """Tell what a turn that took long spent its time on."""
+        ended = clock.read()
+        if ended - began < SLOW_TURN:
+            return
+        figures = {"decided": round(decided - began, 3), "stored": round(ended - decided, 3)}
+        log.warning("turn slow", extra={**figures, "jobs": len(self._shard.board.jobs)})
+
     def _pause(self) -> float:
         due = self._shard.board.next_due()
         if due is None:
