--- a/vanillawell/standins/scheduler/machines.py
+++ b/vanillawell/standins/scheduler/machines.py
@@ -47,6 +47,9 @@
     moves: list[tuple[str, str]] = field(default_factory=list)
     """Orders to move a machine into a pool, those without effect included."""
 
+    move_seconds: float = 0.0
+    """Seconds until the order for a move is carried out and answered."""
+
     advice_calls: int = 0
     on_move: Callable[[StandInMachine], Awaitable[None]] | None = None
     """Called once a machine has changed its pool."""
@@ -82,6 +85,7 @@
             await send_json(send, {"good": good})
             return
         if scope["path"] == "/machine-move":
+            await anyio.sleep(self.move_seconds)
             machine = self.machines[document["machine"]]
             self.moves.append((machine.name, document["pool"]))
             if machine.pool != document["pool"]:
--- a/vanillawell/tests/pool_runner_tests.py
+++ b/vanillawell/tests/pool_runner_tests.py
@@ -113,3 +113,21 @@
     await until(lambda: all(host.life.running for host in built.hosts.values()))
     built.lives[0].faults.silent = True
     await until(lambda: built.machines.machines["spare-1"].pool == POOL, 2.5)
+
+
+@with_cluster(executors=2)
+async def test_a_peak_gets_its_machines_at_once_however_long_one_order_takes(
+    built: Cluster,
+) -> None:
+    """A peak asks for twenty machines, and each order takes 0.15 s to be answered. Sent one after
+    the other, the last machine would be called when the peak is nearly over."""
+    member, job_id, called = built.members[0], built.new_id(), 20
+    built.machines.move_seconds = 0.15
+    for number in range(called):
+        name = f"spare-{number}"
+        built.machines.machines[name] = StandInMachine(name, STANDBY, "")
+    _configure(built)
+    await anyio.sleep(0.3)
+    peak = step(200, estimateMs=1_000)
+    await member.call("POST", PREFIX + job_id, job(peak, spec={"seconds": 0.8}))
+    await until(lambda: sum(pool == POOL for _, pool in built.machines.moves) == called, 1.5)
