Send a peak's orders for machines several at a time

Callers saw jobs wait for room for seconds while idle machines were there. Cause, by log (`moves left`): each order for a move waited for the answer to the one before, and only those that went out within half a second of their announcement were sent: 35 machines a look from an owner of 2.15 cores, 4 to 14 from one of 0.516, while a pool asked for 79 more.

Change: eight orders are under way at a time; each still goes out only while its announcement is fresh, and each machine still has its own.

--- a/vanillawell/coordination/pool_runner.py
+++ b/vanillawell/coordination/pool_runner.py
@@ -47,6 +47,12 @@
 ARRIVAL_BOUND = 4.0
 """Seconds after which a moved machine that has not come is no longer counted on."""
 
+MOVES_AT_ONCE = 8
+"""Orders for moves that are under way at the same time.
+
+A peak asks for dozens of machines at once. Sent one after the other, each order waits for the
+answer to the one before, and most are too old when their turn comes."""
+
 USUAL_MOVE = 1.2
 """Seconds after which a moved machine may come at any moment; moves are said to take 1.5 s."""
 
@@ -125,14 +131,8 @@
         for move in moves:
             self._close(move, lives.get(move.machine))
         await self._orders.announce(move.machine for move in moves)
-        announced, left = clock.read(), 0
-        for move in moves:
-            executor = lives.get(move.machine)
-            if self._orders.is_fresh(clock.read()):
-                await self._move(move, executor)
-            else:
-                self._reopen(move.machine, executor)
-                left += 1
+        announced = clock.read()
+        left = await self._send(moves, lives)
         if left:
             took = {
                 "announced": round(announced - now, 3),
@@ -140,6 +140,25 @@
             }
             log.info("moves left", extra={"planned": len(moves), "left": left, **took})
 
+    async def _send(self, moves: list[MachineMove], lives: dict[str, Executor]) -> int:
+        """Send announced orders, several at a time; returns how many were too late to go out."""
+        waiting = iter(moves)
+        late: list[MachineMove] = []
+
+        async def send_next() -> None:
+            for move in waiting:
+                executor = lives.get(move.machine)
+                if self._orders.is_fresh(clock.read()):
+                    await self._move(move, executor)
+                else:
+                    self._reopen(move.machine, executor)
+                    late.append(move)
+
+        async with anyio.create_task_group() as senders:
+            for _ in range(min(MOVES_AT_ONCE, len(moves))):
+                senders.start_soon(send_next)
+        return len(late)
+
     def _spare(self, standby: str, lives: dict[str, Executor], now: float) -> list[str]:
         """Return the machines of the standby pool that may be moved, the best ones last.
 
