Tell each entry how much processor it has, and show that chance chooses owners

The settings now hold the share and speed of the processor, and `shard taken` names the cores. Nothing decides by them yet. The new test fails: one of three small entries takes the shard while a large one is there.

--- a/vanillawell/config/node_settings.py
+++ b/vanillawell/config/node_settings.py
@@ -79,6 +79,12 @@
     advice: str = ""
     """Address of the service that says which executors may run a step; empty if there is none."""
 
+    processor_share: float = Field(default=1.0, gt=0)
+    """Part of a core that this process may use."""
+
+    processor_speed: float = Field(default=1.0, gt=0)
+    """How many times as fast as an ordinary core that core is."""
+
     shortest_lease_ms: int = Field(gt=0)
     """Shortest lease that the store gives."""
 
@@ -86,6 +92,11 @@
     keys: PlatformKeys = PlatformKeys()
     log_level: str = "INFO"
 
+    @property
+    def cores(self) -> float:
+        """Return how many ordinary cores this process has."""
+        return self.processor_share * self.processor_speed
+
     @field_validator("caller", "ready", "metrics", mode="before")
     @classmethod
     def _split_address(cls, value: Any) -> Any:
--- a/vanillawell/coordination/term.py
+++ b/vanillawell/coordination/term.py
@@ -159,8 +159,12 @@
 class Candidate:
     """Take a shard whenever nobody holds it."""
 
-    def __init__(self, store: FollowedStore, keys: WorkKeys, shard: str, instance: str) -> None:
+    def __init__(
+        self, store: FollowedStore, keys: WorkKeys, shard: str, instance: str, cores: float = 1.0
+    ) -> None:
+        """Take the name of this entry and the ordinary cores that it has."""
         self._store = store
+        self._cores = cores
         self._shard = shard
         self._holder_key = keys.holder(shard)
         self._term_key = keys.term(shard)
@@ -261,10 +265,8 @@
                 await self._store.revoke(lease)
                 return None
             revision = result.revision
-        log.info(
-            "shard taken",
-            extra={"shard": self._shard, "token": document.token, "before": before.holder},
-        )
+        fields = {"shard": self._shard, "token": document.token, "before": before.holder}
+        log.info("shard taken", extra={**fields, "cores": round(self._cores, 3)})
         return Term(self._store, self._term_key, document, revision, lease, sent)
 
     def _is_mine(self, current: KeyValue | None, document: TermDocument) -> bool:
--- a/vanillawell/node.py
+++ b/vanillawell/node.py
@@ -50,7 +50,9 @@
         bounds = settings.bounds
         revoke_bound = bounds.revoke_ms / 1000 if bounds.strict_revoke else None
         self.desk = WorkDesk(ports.store, self._keys, SHARD, self._policies, revoke_bound)
-        self._candidate = Candidate(ports.store, self._keys, SHARD, settings.instance)
+        self._candidate = Candidate(
+            ports.store, self._keys, SHARD, settings.instance, settings.cores
+        )
         self._owner: ShardOwner | None = None
         self._term: Term | None = None
         self._stopping = anyio.Event()
--- a/vanillawell/tests/term_tests.py
+++ b/vanillawell/tests/term_tests.py
@@ -220,3 +220,45 @@
             tasks.cancel_scope.cancel()
 
     anyio.run(run)
+
+
+def test_the_entry_with_the_most_processor_takes_a_free_shard() -> None:
+    """The owner of hundreds of executors is lost in a peak. Taken over by an entry with half a
+    core while one with two is there, the shard starts too few tasks for as long as it has it,
+    however much room there is."""
+
+    async def run() -> None:
+        async with anyio.create_task_group() as tasks:
+            stand_in = StandInStore()
+            tasks.start_soon(stand_in.tick)
+            store = PlatformStore(HttpClient(), listen(tasks, stand_in))
+            sizes = {"small-0": 0.5, "small-1": 0.5, "large": 2.0, "small-2": 0.5}
+            candidates = {
+                name: Candidate(store, KEYS, "all", name, cores) for name, cores in sizes.items()
+            }
+            for candidate in candidates.values():
+                tasks.start_soon(candidate.follow)
+            for _ in range(6):
+                assert await _first_to_win(candidates) == "large"
+            tasks.cancel_scope.cancel()
+
+    anyio.run(run)
+
+
+async def _first_to_win(candidates: dict[str, Candidate]) -> str:
+    """Let all try for the shard; returns who got it, and gives it up again."""
+    winners: list[str] = []
+
+    async def try_for_it(name: str, candidate: Candidate) -> None:
+        term = await candidate.win()
+        winners.append(name)
+        scope.cancel()
+        with anyio.CancelScope(shield=True):
+            await term.give_up()
+
+    with anyio.CancelScope() as scope:
+        async with anyio.create_task_group() as tries:
+            for name, candidate in candidates.items():
+                tries.start_soon(try_for_it, name, candidate)
+    await anyio.sleep(0.1)
+    return winners[0]
