Let entries with an ample processor take a free shard first

Cause, by log: after the first owner was lost, one of the 24 entries with 0.516 cores took the shard, though five with 2.15 were there. It needed 1.2 s to read the jobs, up to 0.7 s to store a turn, and started 200 to 360 tasks a second; the peak asked for twice as many, and had the machines for them (84 where 70 were wanted).

Change: an entry leaves a free shard to others for 0.3 s times the part by which its processor falls short of one core; those with a core or more try at once, as before. Why it holds: a take costs some 20 ms, and the shares come from the settings. A fleet of equal small entries waits at most that much longer; no term is cut short.

--- a/vanillawell/coordination/term.py
+++ b/vanillawell/coordination/term.py
@@ -54,6 +54,17 @@
 a fleet of dozens takes about that long."""
 
 
+AMPLE = 1.0
+"""Ordinary cores with which an entry can own hundreds of executors."""
+
+WEAK_WAIT = 0.3
+"""Seconds for which an entry without any processor would leave a free shard to others; one that has
+part of what is ample waits for a part of that.
+
+An owner that can't keep up holds all jobs back until it is lost itself. Entries don't know one
+another, so those that are well suited just try first."""
+
+
 class TermLostError(Exception):
     """Another entry has taken the shard over."""
 
@@ -208,11 +219,13 @@
     def _delay(self, now: float) -> float:
         """Return how long to leave a free shard to others.
 
-        Entries that started lately go first: when all are restarted one after the other, those have
-        their restart behind them, and the shard changes its owner less often.
+        Entries with an ample processor go first, since an owner's work grows with the executors.
+        Among equals those that started lately do: when all are restarted one after the other, those
+        have their restart behind them, and the shard changes its owner less often.
         """
         lately = SETTLED <= now - self._began < LATELY
-        return random.uniform(0, STAGGER) + (0 if lately else STAGGER)
+        weak = WEAK_WAIT * max(0.0, 1.0 - self._cores / AMPLE)
+        return weak + random.uniform(0, STAGGER) + (0 if lately else STAGGER)
 
     def _is_free(self) -> bool:
         return self._known and self._holder is None
