Show that planned work counts tasks on dark executors as at work

The test cuts an executor with one of two lasting tasks off, of which one may be away, and asks for upkeep of the other's machine: the other is stopped at once.

--- a/vanillawell/tests/scheduler_failure_tests.py
+++ b/vanillawell/tests/scheduler_failure_tests.py
@@ -344,3 +344,26 @@
     await member.call("POST", PREFIX + job_id, job())
     await until_state(member, job_id, "completed")
     assert member.owns
+
+
+@with_cluster(executors=3)
+async def test_upkeep_takes_no_task_away_while_another_of_its_step_is_out_of_reach(
+    built: Cluster,
+) -> None:
+    """One executor goes dark, and its lasting task with it; the owner's last word of it says that
+    it works. Its lease has seconds to go. Upkeep of the machine of the step's other task, of which
+    one may be away, must wait: stopped now, nobody would do the job's work."""
+    job_id, short, member = built.new_id(), built.new_id(), built.members[0]
+    lasting = step(2, longRunning=True, maxUnavailable=1, maxPerServer=1)
+    await member.call("POST", PREFIX + job_id, job(lasting, spec={"seconds": 60}))
+    await member.call("POST", PREFIX + short, job(step(3, maxPerServer=1), spec={"seconds": 60}))
+    await until(lambda: running(built) == 5)
+    dark, other = [life for life in built.lives if len(life.running) == 2]
+    kept = next(name for name in other.running if name.startswith(job_id))
+    dark.faults.silent = True
+    await anyio.sleep(2.0)
+    wave = {"wave": 1, "machines": [f"machine-of-{other.name}"], "durationS": 20, "maximum": 1}
+    built.store.put_document("op/wave/1", wave)
+    await anyio.sleep(2.5)
+    assert kept in other.running
+    await until(lambda: kept not in other.running, 8)
