Rely on nothing that a dark executor was last seen to do

Cause, by log: a rack goes dark at 11.0 s; one executor of it gets a new lease with an order that it never hears (13.4 s), so its lasting task stays charged, with "at work" as the last word of it, for six seconds and more. Upkeep (may_take_away) counted it as present and stopped another task of the step.

Change: an executor that answers nothing is taken to have none of its lasting tasks at work, until a report says so again. Charges and leases stay as they are. Why it holds: silence is noticed 2.5 s and a retry after the last answer at most, well before a task counts as away (5.5 s here, 4.5 s at the smaller sites); every order that takes lasting tasks away for upkeep asks others_away.

Ruled out: two tasks stopped together by upkeep itself; a change of owner (one owner all the while); the pool runner (it moves only machines without runs).

--- a/vanillawell/coordination/executor_driver.py
+++ b/vanillawell/coordination/executor_driver.py
@@ -195,12 +195,13 @@
         self._silent_since = None
 
     def _note_failure(self, error: Exception) -> None:
-        """Give the executor no new work for a while.
+        """Give the executor no new work for a while, and rely on nothing that it runs.
 
         Not even a refused connection proves that it has ended: a path that is cut may answer
         for it, while it runs on.
         """
         self._link.suspect()
+        self._executor.fall_silent()
         if not self._executor.facts.address:
             return
         if self._silent_since is None:
--- a/vanillawell/state/executors.py
+++ b/vanillawell/state/executors.py
@@ -127,6 +127,15 @@
         """Keep new work away until a moment."""
         self.suspected_until = max(self.suspected_until, until)
 
+    def fall_silent(self) -> None:
+        """Take in that it answers nothing: what it was last seen to do, it may do no more.
+
+        Its runs stay charged until their lease is over, which can take seconds; but planned work
+        must not rely on them meanwhile. Its next report tells which of them are at work.
+        """
+        for run in self.runs.values():
+            run.at_work = False
+
     def judge(self, run: Run, ending: Ending, now: float) -> bool:
         """Learn from how a run ended; True if the executor has just been put in quarantine.
 
--- a/vanillawell/state/work.py
+++ b/vanillawell/state/work.py
@@ -212,7 +212,8 @@
     """When a report first showed it, or last showed it further than before."""
 
     at_work: bool = False
-    """Whether a long-running task is past its start-up and works at full pace."""
+    """Whether a long-running task is past its start-up and works at full pace, as last reported by
+    an executor that still answers."""
 
     tail: float = 0.0
     """Last reported tail of response times, in seconds, of a task that has a target for it."""
