--- a/vanillawell/tests/pool_runner_tests.py
+++ b/vanillawell/tests/pool_runner_tests.py
@@ -131,3 +131,20 @@
     peak = step(200, estimateMs=1_000)
     await member.call("POST", PREFIX + job_id, job(peak, spec={"seconds": 0.8}))
     await until(lambda: sum(pool == POOL for _, pool in built.machines.moves) == called, 1.5)
+
+
+@with_cluster(executors=2)
+async def test_a_machine_that_was_listed_on_its_way_to_standby_is_found_in_a_peak(
+    built: Cluster,
+) -> None:
+    """A machine went to standby a moment ago, and the list showed it on its way. In the next peak
+    it is there. Taken for absent until the list is read again, dozens of machines would stand idle
+    for five seconds while callers wait for room."""
+    member, job_id = built.members[0], built.new_id()
+    spare = StandInMachine("spare-1", STANDBY, "", state="moving")
+    built.machines.machines["spare-1"] = spare
+    _configure(built)
+    await anyio.sleep(0.5)
+    spare.state = "up"
+    await member.call("POST", PREFIX + job_id, job(step(60), spec={"seconds": 0.8}))
+    await until(lambda: spare.pool == POOL, 1.5)
