Look again for machines on their way to standby while a pool lacks some

Callers waited for room for four seconds while machines stood idle. What isn't listed as up is not moved, so a pool that wants 96 to 212 machines stays at 87 until 8 s.

Change: while a pool lacks machines and some of the standby pool were not up, the list is read every half second. At other times nothing changes: readings are priced.

--- a/vanillawell/coordination/pool_runner.py
+++ b/vanillawell/coordination/pool_runner.py
@@ -4,7 +4,7 @@
 
 import logging
 import time
-from collections import defaultdict
+from collections import Counter, defaultdict
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
@@ -44,6 +44,10 @@
 """Seconds between two readings of the list of machines, which are priced; the registry tells of
 machines that arrive."""
 
+SHORT_LIST_PAUSE = 0.5
+"""Seconds between two readings while a pool lacks machines and some of the standby pool were not
+up in the last one: they are on their way there for about 1.5 s, and may have come since."""
+
 ARRIVAL_BOUND = 4.0
 """Seconds after which a moved machine that has not come is no longer counted on."""
 
@@ -87,6 +91,9 @@
         """Cores of a machine by pool, as last seen."""
         self._machines: dict[str, Machine] = {}
         self._listed = float("-inf")
+        self._lacking = False
+        """Whether a pool needed more machines than were to be had at the last look."""
+
         self._arriving: dict[str, tuple[str, float]] = {}
         """Machines on their way: the pool, and when the move was ordered."""
 
@@ -115,7 +122,7 @@
 
     async def _look(self, policy: WorkPolicy, standby: str) -> None:
         now = clock.read()
-        if now > self._listed + LIST_PAUSE:
+        if now > self._listed + self._list_pause(standby):
             machines = await self._ports.machines.list_machines()
             self._machines = {item.name: item for item in machines}
             self._listed = now
@@ -126,6 +133,8 @@
         spare = self._spare(standby, lives, now)
         idle = self._idle(lives, now)
         moves = self._sizer.plan(pools, standby, spare, idle, now)
+        coming = Counter(move.pool for move in moves)
+        self._lacking = any(pool.machines + coming[pool.service] < pool.wanted for pool in pools)
         if not moves:
             return
         for move in moves:
@@ -140,6 +149,14 @@
             }
             log.info("moves left", extra={"planned": len(moves), "left": left, **took})
 
+    def _list_pause(self, standby: str) -> float:
+        """Return the seconds between two readings of the list of machines."""
+        hidden = any(
+            item.pool == standby and item.state is not MachineState.UP
+            for item in self._machines.values()
+        )
+        return SHORT_LIST_PAUSE if self._lacking and hidden else LIST_PAUSE
+
     async def _send(self, moves: list[MachineMove], lives: dict[str, Executor]) -> int:
         """Send announced orders, several at a time; returns how many were too late to go out."""
         waiting = iter(moves)
