--- a/vanillawell/tests/upkeep_tests.py
+++ b/vanillawell/tests/upkeep_tests.py
@@ -49,6 +49,21 @@
     assert not progress.away
 
 
+def test_a_machine_that_went_to_standby_right_after_its_upkeep_is_back() -> None:
+    """A machine comes back and goes to standby before the list is read again; no executor lives on
+    it there. Waited for until one does, the wave would not be called complete, and one machine
+    fewer could be away at a time."""
+    progress = _progress("m-1", "m-2")
+    progress.away.update({"m-1": "i-1@5", "m-2": "i-2@5"})
+    progress.ordered.update({"m-1": 10.0, "m-2": 10.0})
+    progress.decided, progress.confirmed = {"m-1", "m-2"}, {"m-1"}
+    progress.returned({}, {"m-1", "m-2"}, listed=9.9)
+    progress.returned({}, {"m-2"}, listed=11.0)
+    assert progress.away.keys() == {"m-1", "m-2"}
+    progress.returned({}, {"m-1", "m-2"}, listed=13.0)
+    assert progress.away.keys() == {"m-2"}
+
+
 def test_idle_machines_come_first_and_one_of_each_service_at_a_time() -> None:
     bench = Bench(facts("i-0"), facts("i-1"), facts("i-2", service="other"))
     bench.admit(job(step(1)))
