Count a machine in standby as back from its upkeep once it is listed as up

Operators saw a wave go on for ever though all its machines had had their upkeep.

Change: where the upkeep has surely begun (its order was answered) and no executor lives, a list that is younger than the order and shows the machine as up is enough. Why it holds: such a list shows a machine in upkeep as that; orders without an answer still need a new life.

--- a/vanillawell/state/upkeep.py
+++ b/vanillawell/state/upkeep.py
@@ -85,11 +85,13 @@
 
         `lives` tells which life each machine has now, `up` which ones the list of machines showed
         as up when it was asked for at `listed`. A new life alone proves nothing: it may have been
-        on its way before the order. Nor does an older list, which shows each machine as up.
+        on its way before the order. Nor does an older list, which shows each machine as up. Where
+        no executor lives, as in standby, such a list is enough once the upkeep has surely begun.
         """
         for machine, before in list(self.away.items()):
             newer = listed > self.ordered.get(machine, 0.0) + LIST_LAG
-            changed = before == UNKNOWN_LIFE or lives.get(machine, before) != before
+            ended = machine in self.confirmed and machine not in lives
+            changed = ended or before == UNKNOWN_LIFE or lives.get(machine, before) != before
             if newer and changed and machine in up:
                 del self.away[machine]
 
