--- a/vanillawell/coordination/pool_runner.py
+++ b/vanillawell/coordination/pool_runner.py
@@ -4,7 +4,7 @@
 
 import logging
 import time
-from collections import defaultdict
+from collections import Counter, defaultdict
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
@@ -44,9 +44,19 @@
 """Seconds between two readings of the list of machines, which are priced; the registry tells of
 machines that arrive."""
 
+SHORT_LIST_PAUSE = 0.5
+"""Seconds between two readings while a pool lacks machines and some of the standby pool were not
+up in the last one: they are on their way there for about 1.5 s, and may have come since."""
+
 ARRIVAL_BOUND = 4.0
 """Seconds after which a moved machine that has not come is no longer counted on."""
 
+MOVES_AT_ONCE = 8
+"""Orders for moves that are under way at the same time.
+
+A peak asks for dozens of machines at once. Sent one after the other, each order waits for the
+answer to the one before, and most are too old when their turn comes."""
+
 USUAL_MOVE = 1.2
 """Seconds after which a moved machine may come at any moment; moves are said to take 1.5 s."""
 
@@ -81,6 +91,9 @@
         """Cores of a machine by pool, as last seen."""
         self._machines: dict[str, Machine] = {}
         self._listed = float("-inf")
+        self._lacking = False
+        """Whether a pool needed more machines than were to be had at the last look."""
+
         self._arriving: dict[str, tuple[str, float]] = {}
         """Machines on their way: the pool, and when the move was ordered."""
 
@@ -109,7 +122,7 @@
 
     async def _look(self, policy: WorkPolicy, standby: str) -> None:
         now = clock.read()
-        if now > self._listed + LIST_PAUSE:
+        if now > self._listed + self._list_pause(standby):
             machines = await self._ports.machines.list_machines()
             self._machines = {item.name: item for item in machines}
             self._listed = now
@@ -120,17 +133,48 @@
         spare = self._spare(standby, lives, now)
         idle = self._idle(lives, now)
         moves = self._sizer.plan(pools, standby, spare, idle, now)
+        coming = Counter(move.pool for move in moves)
+        self._lacking = any(pool.machines + coming[pool.service] < pool.wanted for pool in pools)
         if not moves:
             return
         for move in moves:
             self._close(move, lives.get(move.machine))
         await self._orders.announce(move.machine for move in moves)
-        for move in moves:
-            executor = lives.get(move.machine)
-            if self._orders.is_fresh(clock.read()):
-                await self._move(move, executor)
-            else:
-                self._reopen(move.machine, executor)
+        announced = clock.read()
+        left = await self._send(moves, lives)
+        if left:
+            took = {
+                "announced": round(announced - now, 3),
+                "sent": round(clock.read() - announced, 3),
+            }
+            log.info("moves left", extra={"planned": len(moves), "left": left, **took})
+
+    def _list_pause(self, standby: str) -> float:
+        """Return the seconds between two readings of the list of machines."""
+        hidden = any(
+            item.pool == standby and item.state is not MachineState.UP
+            for item in self._machines.values()
+        )
+        return SHORT_LIST_PAUSE if self._lacking and hidden else LIST_PAUSE
+
+    async def _send(self, moves: list[MachineMove], lives: dict[str, Executor]) -> int:
+        """Send announced orders, several at a time; returns how many were too late to go out."""
+        waiting = iter(moves)
+        late: list[MachineMove] = []
+
+        async def send_next() -> None:
+            for move in waiting:
+                executor = lives.get(move.machine)
+                if self._orders.is_fresh(clock.read()):
+                    await self._move(move, executor)
+                else:
+                    self._reopen(move.machine, executor)
+                    late.append(move)
+
+        async with anyio.create_task_group() as senders:
+            for _ in range(min(MOVES_AT_ONCE, len(moves))):
+                senders.start_soon(send_next)
+        return len(late)
 
     def _spare(self, standby: str, lives: dict[str, Executor], now: float) -> list[str]:
         """Return the machines of the standby pool that may be moved, the best ones last.
--- a/vanillawell/coordination/term.py
+++ b/vanillawell/coordination/term.py
@@ -337,10 +337,8 @@
                 await self._store.revoke(lease)
                 return None
             revision = result.revision
-        log.info(
-            "shard taken",
-            extra={"shard": self._shard, "token": document.token, "before": before.holder},
-        )
+        fields = {"shard": self._shard, "token": document.token, "before": before.holder}
+        log.info("shard taken", extra={**fields, "weakness": round(self._weakness, 3)})
         return Term(self._store, self._term_key, document, revision, lease, sent, bounds)
 
     async def _read_bounds(self, token: int) -> LeaseBounds:
