Store where a task failed, so that a new owner tries elsewhere

What callers saw: a job that fails at its first executor may be tried again on that very executor after each change of owner, until its attempts are used up, with a sound executor beside it. Cause: the record holds how often a task failed, but not where; `Task.failed_on`, which placement goes by, began empty with each owner. Change: the record holds where tasks that are not done failed last. It is a field of its own beside the rows of tasks, not a longer row: entries of the former version, which may own the shard once more while entries are replaced, take a longer row for no record and drop the job ("unreadable job"), but pass over a field that they don't know. A row in the former form reads as before. Why it holds: each end that is taken in marks its record as changed, so where a task failed is stored in the same transaction as the number of its failures. An end that was not stored yet is reported once more by its executor. Not stored: an executor's failures in a row and its quarantine. They can't be rebuilt from records: those tell neither when a run failed, nor in which life of the executor, nor what succeeded on it since; a failure long past would be held against a sound executor. A successor learns it anew from five failures, each of which now sends its task elsewhere.

--- a/vanillawell/protocol/work_documents.py
+++ b/vanillawell/protocol/work_documents.py
@@ -179,14 +179,24 @@
 
 
 def _write_step(step: StepProgress) -> dict[str, Any]:
-    """Write the done tasks as a list of indexes, and the touched ones with their latest run."""
+    """Write the done tasks as a list of indexes, and the touched ones with their latest run.
+
+    Where tasks failed has a field of its own: former versions, which may own the shard once more
+    while entries are replaced, pass over it, but take a longer row of a task for no record.
+    """
     touched = {
         str(task.task_id.task): _write_task(task)
         for task in step.tasks
         if task.number and (not task.done or task.run is not None)
     }
     done = [task.task_id.task for task in step.tasks if task.done]
-    return {"done": done, "tasks": touched, "failed_gangs": step.failed_gangs}
+    document = {"done": done, "tasks": touched, "failed_gangs": step.failed_gangs}
+    failed_on = {
+        str(task.task_id.task): task.failed_on
+        for task in step.tasks
+        if task.failed_on and not task.done
+    }
+    return {**document, "failed_on": failed_on} if failed_on else document
 
 
 def _write_task(task: Task) -> list[Any]:
@@ -237,6 +247,8 @@
         step.tasks[index].done = True
     step.left = sum(not task.done for task in step.tasks)
     step.failed_gangs = item["failed_gangs"]
+    for index, executor in item.get("failed_on", {}).items():
+        step.tasks[int(index)].failed_on = executor
     for index, (number, failures, checkpoint, where) in item["tasks"].items():
         task = step.tasks[int(index)]
         task.number, task.failures, task.checkpoint = number, failures, checkpoint
--- a/vanillawell/tests/owner_memory_tests.py
+++ b/vanillawell/tests/owner_memory_tests.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import anyio
+import orjson
 
 from vanillawell.protocol.work_documents import read_record, write_record
 from vanillawell.state.shard import Shard
@@ -100,3 +101,19 @@
             await anyio.sleep(1.8)
             await stop(built, await built.owner())
         await until(lambda: built.audit.started[task] == 2, LONGEST_ABSENCE)
+
+
+def test_records_of_versions_that_did_not_store_where_tasks_failed_stay_readable() -> None:
+    """Entries of two versions own a shard in turn during an update. A record that either of them
+    could not read would take its job away from everybody."""
+    bench = Bench(facts("i-1"))
+    item = job()
+    bench.admit(item)
+    bench.end(bench.place()[0], Ending.FAILED)
+    document = orjson.loads(write_record(bench.shard.board.jobs[item.job_id]))
+    (step,) = document["occurrences"]["0"]
+    assert step["tasks"] == {"0": [1, 1, "", None]}
+    assert step.pop("failed_on") == {"0": "i-1"}
+    record, runs = read_record(item, orjson.dumps(document), bench.now, bench.now)
+    (task,) = record.occurrences[0][0].tasks
+    assert (task.number, task.failures, task.failed_on, runs) == (1, 1, "", [])
