Count a wave's time on from owner to owner

What callers saw: a wave of upkeep is missed when its owner is replaced on the way. Its machines are emptied of lasting tasks that have no other place only when most of the wave's time is over, and each owner counted that time from its own start. Cause: `WaveProgress.seen` is known to the process alone. Change: the wave's progress holds for how long the wave had been known when it was written, and what some executors' steady clocks showed then at most (`coordination/wave_age.py`). A successor counts that age and what has surely passed on those clocks since, also while nobody owned the shard; clocks that it reads later can only lengthen it. Wall clocks play no part. An owner that has read no clock yet hands on the former statement, which stays true. New line: `wave known for longer`. When it is written: whenever progress is written anyway, the first time at first sight of the wave. Only if no clock had been read then, as by an owner that has just begun, or if the former version wrote the document, it is written once more when a clock is there: once a wave, not once a turn.

--- a/vanillawell/coordination/shard_owner.py
+++ b/vanillawell/coordination/shard_owner.py
@@ -176,6 +176,7 @@
             self._policies,
             orders,
             self.wake,
+            self._clocks,
         )
         pools = PoolRunner(self._shard, self._term, self._ports, orders, self.wake)
         losses = LossWatch(self._shard, self._ports.machines, self.wake)
--- a/vanillawell/coordination/upkeep_runner.py
+++ b/vanillawell/coordination/upkeep_runner.py
@@ -10,6 +10,7 @@
 import orjson
 
 from vanillawell import clock
+from vanillawell.coordination.wave_age import WaveAge
 from vanillawell.exceptions import StoreError
 from vanillawell.protocol.calls import NoAnswerError, NotSentError
 from vanillawell.protocol.machine_calls import (
@@ -34,6 +35,7 @@
     from collections.abc import Callable
 
     from vanillawell.config.node_settings import NodeSettings
+    from vanillawell.coordination.leases import ExecutorClocks
     from vanillawell.coordination.machine_orders import MachineOrders
     from vanillawell.coordination.policy_follower import PolicyFollower
     from vanillawell.coordination.ports import Ports
@@ -80,6 +82,7 @@
         policies: PolicyFollower,
         orders: MachineOrders,
         wake: Callable[[], None],
+        clocks: ExecutorClocks,
     ) -> None:
         self._shard = shard
         self._term = term
@@ -89,7 +92,11 @@
         self._policies = policies
         self._orders = orders
         self._wake = wake
+        self._clocks = clocks
         self._waves: dict[int, WaveProgress] = {}
+        self._ages: dict[int, WaveAge] = {}
+        """For how long each wave had been known, as stored last."""
+
         self._machines: dict[str, Machine] = {}
         self._listed = 0.0
         self._settled_at = clock.read() + settings.bounds.kill_grace_ms / 1000 + SETTLING
@@ -122,22 +129,36 @@
             return False
         await self._list()
         for progress in active:
+            self._count(progress)
             await self._advance(progress)
+            if not self._ages[progress.wave.number].clocks and self._clocks.at_most(clock.read()):
+                await self._save(progress)  # so that a successor can tell how long ago this was
         return True
 
+    def _count(self, progress: WaveProgress) -> None:
+        """Count the time of a wave that has surely passed under former owners and between them."""
+        now, number = clock.read(), progress.wave.number
+        seen = self._ages[number].seen_by(self._clocks, now)
+        if seen >= progress.seen:
+            return
+        progress.seen = seen
+        log.info("wave known for longer", extra={"wave": number, "seconds": round(now - seen, 3)})
+
     async def _open(self, wave: Wave) -> WaveProgress:
         """Read how far a wave came under former owners."""
         found = await self._ports.store.get(self._keys.wave(wave.number))
         progress = WaveProgress(wave, clock.read())
+        self._ages[wave.number] = WaveAge()
         if found is None:
             await self._save(progress)
             return progress
         try:
             document = orjson.loads(found.value)
+            self._ages[wave.number] = WaveAge.from_document(document)
             progress.decided = set(document["decided"])
             progress.confirmed = set(document["confirmed"])
             progress.completed = bool(document["completed"])
-        except (ValueError, TypeError, KeyError) as error:
+        except (ValueError, TypeError, KeyError, AttributeError) as error:
             # Begun anew: an upkeep that was done is not done again, and answered as if it were.
             fields = {"wave": wave.number, "why": repr(error)}
             log.error("wave's progress unreadable", extra=fields)
@@ -153,8 +174,10 @@
         return progress
 
     async def _save(self, progress: WaveProgress) -> None:
-        number = progress.wave.number
+        number, now = progress.wave.number, clock.read()
+        age = self._ages[number].later(progress.seen, self._clocks, now)
         document = {
+            **age.to_document(),
             "decided": sorted(progress.decided),
             "confirmed": sorted(progress.confirmed),
             "completed": progress.completed,
@@ -164,6 +187,7 @@
         await self._term.write(
             [Put(self._keys.wave(number), orjson.dumps(document)), Put(status_key, state)]
         )
+        self._ages[number] = age
 
     async def _list(self) -> None:
         now = clock.read()
--- a/vanillawell/tests/owner_memory_tests.py
+++ b/vanillawell/tests/owner_memory_tests.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+from base64 import b64decode
+
 import anyio
 import orjson
 
-from vanillawell.protocol.work_documents import read_record, write_record
+from vanillawell.protocol.work_documents import WorkKeys, read_record, write_record
 from vanillawell.state.shard import Shard
 from vanillawell.state.work import Ending, JobState
 from vanillawell.tests.owner_series_tests import (
@@ -117,3 +119,24 @@
     record, runs = read_record(item, orjson.dumps(document), bench.now, bench.now)
     (task,) = record.occurrences[0][0].tasks
     assert (task.number, task.failures, task.failed_on, runs) == (1, 1, "", [])
+
+
+@with_cluster(members=1, executors=1)
+async def test_the_time_of_a_wave_is_stored_at_first_sight_and_not_each_turn(
+    built: Cluster,
+) -> None:
+    """A successor knows nothing of a wave's age that was not stored before its owner was killed;
+    a store that is written each turn, though nothing changes, is load for nobody's good."""
+    owner, job_id = await built.owner(), built.new_id()
+    lasting = body_of_job(step_in_body(longRunning=True), spec={"seconds": 60})
+    await owner.call("POST", PREFIX + job_id, lasting)
+    await until(lambda: f"{job_id}.0.0.0" in built.audit.started)
+    machine = next(iter(built.machines.machines.values()))
+    wave = {"wave": 1, "machines": [machine.name], "durationS": 60.0, "maximum": 1}
+    built.store.put_document("op/wave/1", wave)
+    key = WorkKeys().wave(1)
+    await until(lambda: key in built.store.items)
+    first = built.store.items[key]
+    assert orjson.loads(b64decode(first.value))["clocks"]
+    await anyio.sleep(1.0)
+    assert built.store.items[key].revision == first.revision
