--- a/vanillawell/tests/owner_memory_tests.py
+++ b/vanillawell/tests/owner_memory_tests.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+from base64 import b64decode
+
 import anyio
+import orjson
 
-from vanillawell.protocol.work_documents import read_record, write_record
+from vanillawell.protocol.work_documents import WorkKeys, read_record, write_record
 from vanillawell.state.ledger import RecalledBound
 from vanillawell.state.shard import Shard
 from vanillawell.state.work import Ending, JobState
@@ -107,3 +110,40 @@
         await built.owner()
         await anyio.sleep(1.8)
         await stop(built, await built.owner())
+
+
+def test_records_of_versions_that_did_not_store_where_tasks_failed_stay_readable() -> None:
+    """Entries of two versions own a shard in turn during an update. A record that either of them
+    could not read would take its job away from everybody."""
+    bench = Bench(facts("i-1"))
+    item = job()
+    bench.admit(item)
+    bench.end(bench.place()[0], Ending.FAILED)
+    document = orjson.loads(write_record(bench.shard.board.jobs[item.job_id]))
+    (step,) = document["occurrences"]["0"]
+    assert step["tasks"] == {"0": [1, 1, "", None]}
+    assert step.pop("failed_on") == {"0": "i-1"}
+    record, runs = read_record(item, orjson.dumps(document), bench.now, bench.now)
+    (task,) = record.occurrences[0][0].tasks
+    assert (task.number, task.failures, task.failed_on, runs) == (1, 1, "", [])
+
+
+@with_cluster(members=1, executors=1)
+async def test_the_time_of_a_wave_is_stored_at_first_sight_and_not_each_turn(
+    built: Cluster,
+) -> None:
+    """A successor knows nothing of a wave's age that was not stored before its owner was killed;
+    a store that is written each turn, though nothing changes, is load for nobody's good."""
+    owner, job_id = await built.owner(), built.new_id()
+    lasting = body_of_job(step_in_body(longRunning=True), spec={"seconds": 60})
+    await owner.call("POST", PREFIX + job_id, lasting)
+    await until(lambda: f"{job_id}.0.0.0" in built.audit.started)
+    machine = next(iter(built.machines.machines.values()))
+    wave = {"wave": 1, "machines": [machine.name], "durationS": 60.0, "maximum": 1}
+    built.store.put_document("op/wave/1", wave)
+    key = WorkKeys().wave(1)
+    await until(lambda: key in built.store.items)
+    first = built.store.items[key]
+    assert orjson.loads(b64decode(first.value))["clocks"]
+    await anyio.sleep(1.0)
+    assert built.store.items[key].revision == first.revision
