--- a/vanillawell/tests/upkeep_tests.py
+++ b/vanillawell/tests/upkeep_tests.py
@@ -49,6 +49,19 @@
     assert not progress.away
 
 
+def test_a_machine_that_is_switched_off_after_its_upkeep_is_back() -> None:
+    """A machine comes back from its upkeep and is moved to standby at once, where no executor lives
+    on it. Waited for until it is used again, it would keep its place and the wave open."""
+    progress = _progress("m-1", "m-2")
+    for name in progress.wave.machines:
+        progress.away[name], progress.ordered[name] = "i-1@5", 10.0
+    progress.confirmed.add("m-1")
+    progress.returned({}, {"m-1", "m-2"}, listed=10.5)
+    assert progress.away.keys() == {"m-1", "m-2"}
+    progress.returned({}, {"m-1", "m-2"}, listed=12.5)
+    assert progress.away.keys() == {"m-2"}, "the order for m-2 may still be carried out"
+
+
 def test_idle_machines_come_first_and_one_of_each_service_at_a_time() -> None:
     bench = Bench(facts("i-0"), facts("i-1"), facts("i-2", service="other"))
     bench.admit(job(step(1)))
