Count a machine on standby as back from its upkeep

Cause: a machine counted as back only with a new executor on it. One that was moved to standby within 0.1 s of its return has none, so it was waited for until it was used again, and kept its place among those that may be away. Change: it is back, too, if nothing lives on it and a list asked for at least 1.7 s after its order shows it as up; only if the order was confirmed. Why it holds: an order without an answer may be carried out seconds later, so for those a new life is still required.

--- a/vanillawell/coordination/upkeep_runner.py
+++ b/vanillawell/coordination/upkeep_runner.py
@@ -21,6 +21,7 @@
 from vanillawell.state.upkeep import (
     PATIENCE,
     UNKNOWN_LIFE,
+    USUAL_UPKEEP,
     Wave,
     WaveProgress,
     has_lasting,
@@ -57,10 +58,6 @@
 REPEAT_PAUSE = 0.5
 """Seconds before an order without an answer is repeated; if it was done, that changes nothing."""
 
-
-USUAL_UPKEEP = 1.7
-"""Seconds after which a machine may be back from upkeep; upkeeps are said to take 2 s."""
-
 SETTLING = 1.0
 """Seconds beyond the time that stops take, after a change of owner, in which nothing that lasts is
 taken away: a stop that the former owner ordered may still be under way, and its task looks at work
--- a/vanillawell/state/upkeep.py
+++ b/vanillawell/state/upkeep.py
@@ -30,6 +30,9 @@
 LIST_LAG = 0.3
 """Seconds by which a list must be younger than an order to show its effect; a first guess."""
 
+USUAL_UPKEEP = 1.7
+"""Seconds after which a machine may be back from upkeep; upkeeps are said to take 2 s."""
+
 UNKNOWN_LIFE = "unknown"
 """Stands for the life of an executor on a machine where none was seen before its upkeep."""
 
@@ -89,12 +92,15 @@
 
         `lives` tells which life each machine has now, `up` which ones the list of machines showed
         as up when it was asked for at `listed`. A new life alone proves nothing: it may have been
-        on its way before the order. Nor does an older list, which shows each machine as up.
+        on its way before the order. Nor does an older list, which shows each machine as up. One on
+        which nothing lives, such as one on standby, is back if it is up after the time that an
+        upkeep takes; but only if its order was confirmed, or it may be carried out later still.
         """
         for machine, before in list(self.away.items()):
-            newer = listed > self.ordered.get(machine, 0.0) + LIST_LAG
+            age = listed - self.ordered.get(machine, 0.0)
             changed = before == UNKNOWN_LIFE or lives.get(machine, before) != before
-            if newer and changed and machine in up:
+            over = machine in self.confirmed and machine not in lives and age > USUAL_UPKEEP
+            if age > LIST_LAG and (changed or over) and machine in up:
                 del self.away[machine]
 
 
