Count on machines that a former owner has sent on their way

What callers saw: in a peak, each change of owner within 1.5 s of a move orders another machine though the lacking one is on its way. The surplus comes from the standby pool or from pools that need it next, and goes back only after its idleness. Cause: `PoolRunner._arriving` is known to the process alone. In a trial with a line of its own, a list read by a new owner showed four machines `moving` to a pool, of which it had no knowledge. Change: the list of machines, which each owner reads first, tells it: machines that are moving are listed with the pool that they go to (seen in all lines of the trial). They are waited for like moves of one's own, and an entry of the former executor there gets no work. New line: `machine on its way`. No additional reading and no write. Why it holds: a machine that has come is taken off by its executor's entry, one that has not is given up after the same bound, asking the list first where an entry stands.

--- a/vanillawell/coordination/pool_runner.py
+++ b/vanillawell/coordination/pool_runner.py
@@ -82,7 +82,7 @@
         self._machines: dict[str, Machine] = {}
         self._listed = float("-inf")
         self._arriving: dict[str, tuple[str, float]] = {}
-        """Machines on their way: the pool, and when the move was ordered."""
+        """Machines on their way: the pool, and when the move was ordered, or first seen."""
 
         self._told: dict[str, tuple[int, int]] = {}
         """Machines and need of each pool, as last logged."""
@@ -109,11 +109,14 @@
 
     async def _look(self, policy: WorkPolicy, standby: str) -> None:
         now = clock.read()
-        if now > self._listed + LIST_PAUSE:
+        listed = now > self._listed + LIST_PAUSE
+        if listed:
             machines = await self._ports.machines.list_machines()
             self._machines = {item.name: item for item in machines}
             self._listed = now
         lives = self._shard.ledger.by_machine()
+        if listed:
+            self._take_over_moves(lives, now)
         self._note_arrivals(standby, lives, now)
         pools = self._demands(policy, standby, lives, now)
         self._log_needs(pools)
@@ -182,6 +185,21 @@
         if executor is not None:
             executor.cordoned = False
 
+    def _take_over_moves(self, lives: dict[str, Executor], now: float) -> None:
+        """Count on machines that the list shows on their way by order of a former owner.
+
+        It names the pool that they go to. Nothing lives on them, though an entry may still stand.
+        """
+        for item in self._machines.values():
+            if item.state is not MachineState.MOVING or item.name in self._arriving:
+                continue
+            self._arriving[item.name] = (item.pool, now)
+            executor = lives.get(item.name)
+            if executor is not None and executor.facts.service != item.pool:
+                executor.cordoned = True
+            fields = {"machine": item.name, "pool": item.pool, "token": self._term.token}
+            log.info("machine on its way", extra={**fields, "entry": executor is not None})
+
     def _note_arrivals(self, standby: str, lives: dict[str, Executor], now: float) -> None:
         """Count a machine where it is once it has come, or has not come in time."""
         for name, (pool, since) in list(self._arriving.items()):
--- a/vanillawell/tests/pool_runner_tests.py
+++ b/vanillawell/tests/pool_runner_tests.py
@@ -5,6 +5,7 @@
 import anyio
 
 from vanillawell.standins.scheduler.machines import StandInMachine
+from vanillawell.tests.owner_series_tests import stop
 from vanillawell.tests.scheduler_cluster import (
     POOL,
     PREFIX,
@@ -113,3 +114,43 @@
     await until(lambda: all(host.life.running for host in built.hosts.values()))
     built.lives[0].faults.silent = True
     await until(lambda: built.machines.machines["spare-1"].pool == POOL, 2.5)
+
+
+async def _lack_one_machine(built: Cluster) -> list[tuple[str, str]]:
+    """Let a pool lack one machine; returns once one of three spare ones is on its way for good."""
+    owner, job_id = await built.owner(), built.new_id()
+    machines = built.machines.machines
+
+    async def moved(machine: StandInMachine) -> None:
+        machine.state, machine.executor = "moving", ""
+
+    built.machines.on_move = moved
+    for number in range(3):
+        machines[f"spare-{number}"] = StandInMachine(f"spare-{number}", STANDBY, "")
+    _configure(built)
+    await owner.call("POST", PREFIX + job_id, job(step(20), spec={"seconds": 30}))
+    await until(lambda: bool(built.machines.moves))
+    await anyio.sleep(0.3)
+    return list(built.machines.moves)
+
+
+@with_cluster(members=2, executors=2)
+async def test_a_machine_on_its_way_is_not_ordered_again_by_the_next_owner(
+    built: Cluster,
+) -> None:
+    """A pool lacks one machine, and one is on its way when the owner is stopped. If the next one
+    does not count on it, each owner takes another machine, from pools that need them next."""
+    ordered = await _lack_one_machine(built)
+    await stop(built, await built.owner())
+    await built.owner()
+    await anyio.sleep(1.2)
+    assert built.machines.moves == ordered
+
+
+@with_cluster(executors=2)
+async def test_a_sole_owner_counts_on_the_machine_that_it_ordered(built: Cluster) -> None:
+    """Without a change of owner one machine is ordered."""
+    ordered = await _lack_one_machine(built)
+    await anyio.sleep(1.2)
+    assert len(ordered) == 1
+    assert built.machines.moves == ordered
