Count a wave's time from when the entry first read of it

What callers saw: a wave that is asked for just after its owner was killed, or while the store refuses the first write of its progress, is missed. Cause: its time began with the successful first look of an owner, not when the wave was asked for, though all entries read of it at once, owners or not. Change: `PolicyFollower` keeps when it read of each wave, and a wave's progress begins with that. An entry that was started later begins with its own first reading, and learns more from the store. Why it holds: the entry's own clock goes on without ownership and without the store; the moment is never before the wave was asked for. The case of a store that refuses has no test of its own.

--- a/vanillawell/coordination/policy_follower.py
+++ b/vanillawell/coordination/policy_follower.py
@@ -5,6 +5,7 @@
 import logging
 from typing import TYPE_CHECKING
 
+from vanillawell import clock
 from vanillawell.coordination.follow import PrefixFollower
 
 if TYPE_CHECKING:
@@ -45,6 +46,8 @@
         self._listeners: list[Callable[[], None]] = []
         self.policy: WorkPolicy | None = None
         self.waves: dict[int, Wave] = {}
+        self.waves_seen: dict[int, float] = {}
+        """Clock of decisions at which each wave was first read of here."""
 
     def on_change(self, listener: Callable[[], None]) -> None:
         """Call `listener` after each change."""
@@ -86,6 +89,7 @@
                 wave = self._read_wave(value)
                 if wave.number not in self.waves:
                     log.info("upkeep requested", extra={"wave": wave.number})
+                    self.waves_seen[wave.number] = clock.read()
                 self.waves[wave.number] = wave
         except ValueError as error:
             log.error("unreadable document", extra={"key": key, "reason": str(error)})
--- a/vanillawell/coordination/upkeep_runner.py
+++ b/vanillawell/coordination/upkeep_runner.py
@@ -147,7 +147,7 @@
     async def _open(self, wave: Wave) -> WaveProgress:
         """Read how far a wave came under former owners."""
         found = await self._ports.store.get(self._keys.wave(wave.number))
-        progress = WaveProgress(wave, clock.read())
+        progress = WaveProgress(wave, self._policies.waves_seen[wave.number])
         self._ages[wave.number] = WaveAge()
         if found is None:
             await self._save(progress)
@@ -162,7 +162,7 @@
             # Begun anew: an upkeep that was done is not done again, and answered as if it were.
             fields = {"wave": wave.number, "why": repr(error)}
             log.error("wave's progress unreadable", extra=fields)
-            progress = WaveProgress(wave, clock.read())
+            progress = WaveProgress(wave, self._policies.waves_seen[wave.number])
         self._listed = 0.0
         await self._list()
         progress.away = {
--- a/vanillawell/tests/owner_memory_tests.py
+++ b/vanillawell/tests/owner_memory_tests.py
@@ -140,3 +140,19 @@
     assert orjson.loads(b64decode(first.value))["clocks"]
     await anyio.sleep(1.0)
     assert built.store.items[key].revision == first.revision
+
+
+@with_cluster(members=2, executors=1)
+async def test_the_time_of_a_wave_begins_while_nobody_owns_the_shard(built: Cluster) -> None:
+    """A wave is asked for just after the owner was killed. The entry that takes over has known of
+    it all the time; counted from its first turn as owner, the wave would be late."""
+    owner, job_id = await built.owner(), built.new_id()
+    lasting = body_of_job(step_in_body(longRunning=True), spec={"seconds": 60})
+    await owner.call("POST", PREFIX + job_id, lasting)
+    await until(lambda: f"{job_id}.0.0.0" in built.audit.started)
+    machine = next(iter(built.machines.machines.values()))
+    wave = {"wave": 1, "machines": [machine.name], "durationS": WAVE, "maximum": 1}
+    with anyio.fail_after(WAVE):
+        await built.kill(await built.owner())
+        built.store.put_document("op/wave/1", wave)
+        await until(lambda: machine.upkeeps == 1, WAVE)
