--- a/vanillawell/tests/owner_series_tests.py
+++ b/vanillawell/tests/owner_series_tests.py
@@ -3,8 +3,9 @@
 The users saw lasting tasks stay away for 11 to 17 seconds, with room for them, while all entries
 were restarted one after the other. Their executors had left before. How long an executor that does
 not answer may still hold leases was known to its owner alone; each new owner reckoned with the
-longest time from its own start, and was replaced before that was over. The logs proved it: each of
-these tasks ran again 9.1 seconds after the last `shard taken`, whenever its executor had left.
+longest time from its own start, and might be replaced before that was over. The logs proved it:
+each of these tasks ran again 9.1 seconds after the last change of owner, whenever its executor had
+left, once after a single change.
 """
 
 from __future__ import annotations
@@ -69,6 +70,19 @@
         await until(lambda: built.audit.started[task] == 2, LONGEST_ABSENCE)
 
 
+@with_cluster(members=2)
+async def test_one_planned_stop_does_not_prolong_the_wait_for_a_silent_executor(
+    built: Cluster,
+) -> None:
+    """The owner is stopped once, four seconds after an executor fell silent. Its successor knows
+    that the lease is nearly over."""
+    task = await silence_an_executor(built)
+    with anyio.fail_after(LONGEST_ABSENCE):
+        await anyio.sleep(4.0)
+        await stop(built, await built.owner())
+        await until(lambda: built.audit.started[task] == 2, LONGEST_ABSENCE)
+
+
 @with_cluster(members=3)
 async def test_owners_killed_in_series_do_not_prolong_the_wait_for_a_silent_executor(
     built: Cluster,
