--- /dev/null
+++ b/vanillawell/coordination/candidate.py
@@ -0,0 +1,201 @@
+"""Take a shard under a lease whenever nobody owns it."""
+
+from __future__ import annotations
+
+import logging
+import random
+import uuid
+from typing import TYPE_CHECKING
+
+import anyio
+
+from vanillawell import clock
+from vanillawell.coordination.follow import PrefixFollower
+from vanillawell.coordination.term import LEASE, Term
+from vanillawell.exceptions import StoreError, StoreOutcomeUnknownError
+from vanillawell.protocol.lease_bounds import LeaseBounds
+from vanillawell.protocol.store import Compare, KeyValue, Put, Transaction
+from vanillawell.protocol.work_documents import TermDocument
+
+if TYPE_CHECKING:
+    from vanillawell.config.node_settings import EntryCapacity
+    from vanillawell.protocol.store import Changes, FollowedStore, Listing
+    from vanillawell.protocol.work_documents import WorkKeys
+
+log = logging.getLogger(__name__)
+
+HOLDER_WAIT = 1.0
+"""Seconds one call waits for news of the holder.
+
+A call that was sent while the store was silent fails only after this and its bound, however soon
+the store is back; until then the shard may go without an owner."""
+
+TRY_PAUSE = 0.3
+"""Seconds before a candidate tries again after the shard was not to be had."""
+
+STAGGER = 0.06
+"""Seconds over which the candidates spread their tries after an owner was lost."""
+
+SETTLED = 1.0
+"""Seconds after its start from which an entry is preferred; one that fails at once is not."""
+
+HEAD_START = 0.3
+"""Seconds that the weakest entries leave a free shard to stronger ones."""
+
+OWNER_CORES = 1.0
+"""Plain cores with which an entry keeps up with some two hundred executors."""
+
+OWNER_LINK = 50.0
+"""Megabits a second with which it reads a page of the store in a fraction of its lease."""
+
+LATELY = 60.0
+"""Seconds after its start for which an entry is preferred as an owner; a restart of all entries of
+a fleet of dozens takes about that long."""
+
+
+def weakness(capacity: EntryCapacity) -> float:
+    """Return how far an entry falls short of what an owner needs, from 0 to 1."""
+    return 1 - min(1.0, capacity.cores / OWNER_CORES, capacity.link_mbit / OWNER_LINK)
+
+
+class Candidate:
+    """Take a shard whenever nobody holds it."""
+
+    def __init__(
+        self,
+        store: FollowedStore,
+        keys: WorkKeys,
+        shard: str,
+        instance: str,
+        capacity: EntryCapacity | None = None,
+    ) -> None:
+        self._store = store
+        self._weakness = 0.0 if capacity is None else weakness(capacity)
+        self._shard = shard
+        self._holder_key = keys.holder(shard)
+        self._term_key = keys.term(shard)
+        self._bounds_key = keys.lease_bounds(shard)
+        self._began = clock.read()
+        self._me = f"{instance}/{uuid.uuid4().hex[:8]}"
+        self._changed = anyio.Event()
+        self._holder: str | None = None
+        self._known = False
+        self._follower = PrefixFollower(
+            store, keys.holders, HOLDER_WAIT, self._take_listing, self._take_changes
+        )
+
+    @property
+    def holder(self) -> str | None:
+        """Return who holds the shard as far as known."""
+        return self._holder
+
+    async def follow(self) -> None:
+        """Follow who holds the shard until cancelled."""
+        await self._follower.run()
+
+    def _take_listing(self, listing: Listing) -> None:
+        values = {item.key: item.value for item in listing.items}
+        self._note(values.get(self._holder_key))
+
+    def _take_changes(self, changes: Changes) -> None:
+        for change in changes.changes:
+            if change.key == self._holder_key:
+                self._note(change.value)
+
+    def _note(self, value: bytes | None) -> None:
+        holder = value.decode("utf-8", "replace") if value else None
+        self._known = True
+        if holder != self._holder:
+            fields = {"shard": self._shard, "holder": holder, "before": self._holder}
+            log.info("holder changed", extra=fields)
+        self._holder = holder
+        self._changed.set()
+        self._changed = anyio.Event()
+
+    def _delay(self, now: float) -> float:
+        """Return how long to leave a free shard to others.
+
+        Entries that started lately go first: when all are restarted one after the other, those have
+        their restart behind them, and the shard changes its owner less often. Before that counts
+        strength: an owner that can't keep up keeps all jobs waiting for as long as it stays.
+        """
+        lately = SETTLED <= now - self._began < LATELY
+        wait = random.uniform(0, STAGGER) + (0 if lately else STAGGER)
+        return wait + self._weakness * HEAD_START
+
+    def _is_free(self) -> bool:
+        return self._known and self._holder is None
+
+    async def win(self) -> Term:
+        """Wait until the shard is free and take it."""
+        while True:
+            changed = self._changed
+            if not self._is_free():
+                await changed.wait()
+                continue
+            await anyio.sleep(self._delay(clock.read()))
+            if not self._is_free():
+                continue
+            try:
+                term = await self._take()
+            except StoreError as error:
+                log.warning("shard not taken", extra={"shard": self._shard, "why": str(error)})
+                term = None
+            if term is not None:
+                return term
+            with anyio.move_on_after(TRY_PAUSE):
+                await changed.wait()
+
+    async def _take(self) -> Term | None:
+        found = await self._store.get(self._term_key)
+        before = TermDocument.from_bytes(found.value) if found else TermDocument(0, "")
+        document = TermDocument(before.token + 1, self._me)
+        bounds = await self._read_bounds(before.token)
+        sent = clock.read()
+        lease = await self._store.grant_lease(LEASE)
+        transaction = Transaction(
+            compares=[
+                Compare(self._holder_key, 0),
+                Compare(self._term_key, found.mod_revision if found else 0),
+            ],
+            puts=[
+                Put(self._holder_key, self._me.encode(), lease),
+                Put(self._term_key, document.to_bytes()),
+                Put(self._bounds_key, bounds.signed(document.token).to_bytes()),
+            ],
+        )
+        try:
+            result = await self._store.transact(transaction)
+        except StoreOutcomeUnknownError:
+            current = await self._store.get(self._term_key)
+            if not self._is_mine(current, document):
+                raise
+            revision = current.mod_revision if current else 0
+        else:
+            if not result.succeeded:
+                await self._store.revoke(lease)
+                return None
+            revision = result.revision
+        fields = {"shard": self._shard, "token": document.token, "before": before.holder}
+        log.info("shard taken", extra={**fields, "weakness": round(self._weakness, 3)})
+        return Term(self._store, self._term_key, document, revision, lease, sent, bounds)
+
+    async def _read_bounds(self, token: int) -> LeaseBounds:
+        """Read what the owner with this token left of executors' leases."""
+        found = await self._store.get(self._bounds_key)
+        if found is None:
+            return LeaseBounds()
+        try:
+            bounds = LeaseBounds.from_bytes(found.value)
+        except ValueError as error:
+            # Without them each executor is waited for as long as any lease may last.
+            log.error("lease bounds unreadable", extra={"why": str(error)})
+            return LeaseBounds()
+        if bounds.token != token:
+            fields = {"found": bounds.token, "token": token}
+            log.warning("lease bounds of another owner", extra=fields)
+            return LeaseBounds()
+        return bounds
+
+    def _is_mine(self, current: KeyValue | None, document: TermDocument) -> bool:
+        return current is not None and current.value == document.to_bytes()
--- a/vanillawell/coordination/loss_watch.py
+++ b/vanillawell/coordination/loss_watch.py
@@ -1,4 +1,4 @@
-"""Ask the owner of all machines about executors that answer nothing."""
+"""Find out what became of executors that answer nothing, and tell what is waited for."""
 
 from __future__ import annotations
 
@@ -23,6 +23,9 @@
 
 log = logging.getLogger(__name__)
 
+UNREACHED_AFTER = 1.0
+"""Seconds after loading a shard at which executors that have not reported are logged."""
+
 PAUSE = 0.1
 """Seconds between two looks for executors in doubt."""
 
@@ -80,3 +83,19 @@
         log.warning("executor has ended", extra={**fields, **figures})
         self._shard.dead(executor.name, executor.facts.incarnation, now, time.time())
         self._wake()
+
+
+async def tell_unreached(shard: Shard, token: int) -> None:
+    """Log which executors with work of former terms have not reported, and what is waited for.
+
+    Their tasks start elsewhere only after that time, and nothing else would tell why.
+    """
+    await anyio.sleep(UNREACHED_AFTER)
+    now = clock.read()
+    for executor in shard.ledger.executors.values():
+        if executor.contacted or not executor.runs:
+            continue
+        fields = {"executor": executor.name, "token": token, "registered": executor.registered}
+        left = round(max(0.0, executor.lease_over - now), 3)
+        figures = {"runs": len(executor.runs), "lease_left": left}
+        log.warning("executor not reached", extra={**fields, **figures})
--- a/vanillawell/coordination/shard_owner.py
+++ b/vanillawell/coordination/shard_owner.py
@@ -18,20 +18,17 @@
 from vanillawell.coordination.executor_driver import ExecutorDriver
 from vanillawell.coordination.executor_link import ExecutorLink
 from vanillawell.coordination.follow import Backoff
+from vanillawell.coordination.hand_over import renew_once, store_last_bounds
 from vanillawell.coordination.inbox import Inbox
 from vanillawell.coordination.lease_keeper import LeaseKeeper
 from vanillawell.coordination.leases import longest_doubt
-from vanillawell.coordination.loss_watch import LossWatch
+from vanillawell.coordination.loss_watch import LossWatch, tell_unreached
 from vanillawell.coordination.machine_orders import MachineOrders
 from vanillawell.coordination.pool_runner import PoolRunner
 from vanillawell.coordination.registry import RegistryFollower
 from vanillawell.coordination.turn_batch import TurnBatch
 from vanillawell.coordination.upkeep_runner import UpkeepRunner
-from vanillawell.exceptions import (
-    StoreError,
-    StoreOutcomeUnknownError,
-    StoreUnavailableError,
-)
+from vanillawell.exceptions import StoreError
 from vanillawell.protocol.store import Put
 from vanillawell.protocol.work_documents import read_job, read_record
 from vanillawell.state.shard import Shard
@@ -53,15 +50,6 @@
 
 log = logging.getLogger(__name__)
 
-UNREACHED_AFTER = 1.0
-"""Seconds after loading a shard at which executors that have not reported are logged."""
-
-RENEWAL_BOUND = 0.3
-"""Seconds for which a stopping owner waits for executors to confirm a last renewal."""
-
-HANDOVER_PAUSE = 0.1
-"""Seconds between two tries to store the bounds of leases at a hand-over."""
-
 QUIET_TURN = 0.25
 """Seconds after which the owner looks again without any news: for leases and due times."""
 
@@ -122,32 +110,13 @@
         self.wake()
 
     async def store_last_bounds(self) -> None:
-        """Renew all leases once more, then extend none, and store how long each may still hold.
+        """Extend no lease any more, and store for the next owner how long each may still hold."""
+        await renew_once(self._drivers.values())
+        await store_last_bounds(self._term, self._leases, self._shard.ledger.executors)
 
-        While the store is away nobody can take over, and what runs is better renewed.
-        """
-        with anyio.move_on_after(RENEWAL_BOUND):
-            async with anyio.create_task_group() as renewals:
-                for driver in self._drivers.values():
-                    if driver.executor.runs and not driver.executor.is_out_of_touch:
-                        renewals.start_soon(driver.renew)
-        last_bounds = functools.partial(self._draft_bounds, last=True)
-        while self._term.is_held(clock.read()):
-            try:
-                await self._term.write_if_reachable(last_bounds)
-            except StoreUnavailableError as error:
-                log.warning("lease bounds not stored", extra={"why": str(error)})
-                self._leases.take_back()
-            except StoreOutcomeUnknownError as error:
-                log.warning("lease bounds not confirmed", extra={"why": str(error)})
-            else:
-                self._leases.confirm()
-                return
-            await anyio.sleep(HANDOVER_PAUSE)
-
-    def _draft_bounds(self, last: bool = False) -> list[Put]:
+    def _draft_bounds(self) -> list[Put]:
         """Return the write of the bounds of leases, if there is one."""
-        put = self._leases.draft(self._shard.ledger.executors.values(), clock.read(), last)
+        put = self._leases.draft(self._shard.ledger.executors.values(), clock.read())
         return [] if put is None else [put]
 
     async def run(self) -> None:
@@ -166,7 +135,7 @@
             self._policies.remove_listener(self._apply_policy)
 
     def _start_tasks(self, tasks: TaskGroup) -> None:
-        tasks.start_soon(self._tell_unreached)
+        tasks.start_soon(tell_unreached, self._shard, self._term.token)
         tasks.start_soon(loop_lag.watch, "owner")
         registry = RegistryFollower(
             self._ports, self._settings.keys.executors, self._shard, self.wake
@@ -239,27 +208,6 @@
         fields = {"shard": self._name, "token": self._term.token}
         log.info("shard loaded", extra={**fields, "jobs": jobs, "runs": recalled})
 
-    async def _tell_unreached(self) -> None:
-        """Log which executors with work of former terms have not reported, and what is waited for.
-
-        Their tasks start elsewhere only after that time, and nothing else would tell why.
-        """
-        await anyio.sleep(UNREACHED_AFTER)
-        now = clock.read()
-        for executor in self._shard.ledger.executors.values():
-            if executor.contacted or not executor.runs:
-                continue
-            log.warning(
-                "executor not reached",
-                extra={
-                    "executor": executor.name,
-                    "token": self._term.token,
-                    "runs": len(executor.runs),
-                    "registered": executor.registered,
-                    "lease_left": round(max(0.0, executor.lease_over - now), 3),
-                },
-            )
-
     def _apply_policy(self) -> None:
         if self._policies.policy is not None:
             self._shard.apply_policy(self._policies.policy)
--- a/vanillawell/node.py
+++ b/vanillawell/node.py
@@ -9,10 +9,11 @@
 import anyio
 
 from vanillawell import clock, logs
+from vanillawell.coordination.candidate import Candidate
 from vanillawell.coordination.executor_link import DeposedError
 from vanillawell.coordination.policy_follower import PolicyFollower
 from vanillawell.coordination.shard_owner import ShardOwner
-from vanillawell.coordination.term import Candidate, Term, TermLostError
+from vanillawell.coordination.term import Term, TermLostError
 from vanillawell.coordination.work_desk import WorkDesk
 from vanillawell.exceptions import StoreError
 from vanillawell.protocol.work_documents import WorkKeys
--- a/vanillawell/tests/term_tests.py
+++ b/vanillawell/tests/term_tests.py
@@ -7,13 +7,14 @@
 
 from vanillawell import clock
 from vanillawell.config.node_settings import EntryCapacity
+from vanillawell.coordination.candidate import Candidate
 from vanillawell.coordination.machine_orders import (
     LONGEST_FRESHNESS,
     ORDER_FRESHNESS,
     MachineOrders,
 )
 from vanillawell.coordination.ports import Ports
-from vanillawell.coordination.term import Candidate, Term, TermLostError
+from vanillawell.coordination.term import Term, TermLostError
 from vanillawell.platform.http import HttpClient
 from vanillawell.platform.store import PlatformStore
 from vanillawell.protocol.store import Put
