Keep the place of a machine whose upkeep is in doubt

To a successor, a list that shows the machine as up seems younger than the order, so the place of a machine whose order never took effect was freed at once and given to the next; then the order was repeated, which asks for no place. Change: a place is not freed while the machine's order is in doubt. It is confirmed or refused when it has been repeated, and from then on the list can be compared with a known moment. Measured: the new test failed before and passes; tests near it pass.

--- a/vanillawell/state/upkeep.py
+++ b/vanillawell/state/upkeep.py
@@ -85,9 +85,12 @@
 
         `lives` tells which life each machine has now, `up` which ones the list of machines showed
         as up when it was asked for at `listed`. A new life alone proves nothing: it may have been
-        on its way before the order. Nor does an older list, which shows each machine as up.
+        on its way before the order. Nor does an older list, which shows each machine as up. And one
+        whose order is in doubt keeps its place: it goes away once the order has been repeated.
         """
         for machine, before in list(self.away.items()):
+            if machine in self.doubtful:
+                continue
             newer = listed > self.ordered.get(machine, 0.0) + LIST_LAG
             changed = before == UNKNOWN_LIFE or lives.get(machine, before) != before
             if newer and changed and machine in up:
--- a/vanillawell/tests/upkeep_tests.py
+++ b/vanillawell/tests/upkeep_tests.py
@@ -110,3 +110,19 @@
     assert to_stop(executor, has_place) == []
     bench.register(facts("i-2"))
     assert to_stop(executor, has_place) == [first]
+
+
+def test_a_machine_whose_order_is_in_doubt_keeps_its_place_until_it_is_repeated() -> None:
+    """A new owner reads that an upkeep was decided, and the list shows the machine as up: the order
+    never went out. Its place must not go to another machine, since the order will be repeated, and
+    one more than allowed would be away."""
+    progress = _progress("m-1", "m-2")
+    progress.decided, progress.away = {"m-1"}, {"m-1": UNKNOWN_LIFE}
+    progress.returned({"m-1": "i-1@1"}, {"m-1", "m-2"}, listed=50.0)
+    assert set(progress.away) == {"m-1"}
+    progress.confirmed.add("m-1")
+    progress.ordered["m-1"] = 50.0
+    progress.returned({"m-1": "i-1@1"}, {"m-1", "m-2"}, listed=50.1)
+    assert set(progress.away) == {"m-1"}
+    progress.returned({"m-1": "i-1@2"}, {"m-1", "m-2"}, listed=53.0)
+    assert not progress.away
