--- a/vanillawell/state/upkeep.py
+++ b/vanillawell/state/upkeep.py
@@ -94,9 +94,12 @@
         as up when it was asked for at `listed`. A new life alone proves nothing: it may have been
         on its way before the order. Nor does an older list, which shows each machine as up. One on
         which nothing lives, such as one on standby, is back if it is up after the time that an
-        upkeep takes; but only if its order was confirmed, or it may be carried out later still.
+        upkeep takes. One whose order is in doubt keeps its place: the order may be carried out
+        later still, and is repeated.
         """
         for machine, before in list(self.away.items()):
+            if machine in self.doubtful:
+                continue
             age = listed - self.ordered.get(machine, 0.0)
             changed = before == UNKNOWN_LIFE or lives.get(machine, before) != before
             over = machine in self.confirmed and machine not in lives and age > USUAL_UPKEEP
