--- a/vanillawell/coordination/wave_age.py
+++ b/vanillawell/coordination/wave_age.py
@@ -12,16 +12,13 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any
 
-from vanillawell.coordination.leases import surely_passed
+from vanillawell.coordination.leases import REFERENCE_CLOCKS, surely_passed
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
     from vanillawell.coordination.leases import ExecutorClocks
 
-CLOCKS_KEPT = 5
-"""Executors whose clocks are stored with a wave's progress; upkeep itself ends some of them."""
-
 
 @dataclass(frozen=True, slots=True)
 class WaveAge:
@@ -47,7 +44,7 @@
         An owner that has read no clock yet can't tell more than its predecessor, unless that had
         read none either.
         """
-        present = dict(itertools.islice(clocks.at_most(now).items(), CLOCKS_KEPT))
+        present = dict(itertools.islice(clocks.at_most(now).items(), REFERENCE_CLOCKS))
         return WaveAge(now - seen, present) if present or not self.clocks else self
 
     def to_document(self) -> dict[str, Any]:
