Let a shard that is given up go to the entries that are best suited

Cause, by log and reading: an owner went on with its turns for a tenth of a second after its last word. Each write moves the document that candidates take the shard by. Those that are best suited try first, so they failed at it, paused for 0.3 s, and were overtaken by those that wait 0.3 s because they are not.

Change: a term is closed with the owner's last word; what would still be written waits until the term ends. And a candidate that finds the shard free, but its document moved, tries again at once, three times at most. Why it holds: the ends that are no longer stored are not confirmed either, so executors list them again to the successor.

Both tests fail on the code before and pass.

--- a/vanillawell/coordination/candidate.py
+++ b/vanillawell/coordination/candidate.py
@@ -33,6 +33,9 @@
 TRY_PAUSE = 0.3
 """Seconds before a candidate tries again after the shard was not to be had."""
 
+TRIES_AT_ONCE = 3
+"""Tries to take a shard that is free while its former owner's last writes get ahead."""
+
 STAGGER = 0.06
 """Seconds over which the candidates spread their tries after an owner was lost."""
 
@@ -58,6 +61,10 @@
     return 1 - min(1.0, capacity.cores / OWNER_CORES, capacity.link_mbit / OWNER_LINK)
 
 
+class _TermMovedError(Exception):
+    """The shard is free, but its former owner has written since its document was read."""
+
+
 class Candidate:
     """Take a shard whenever nobody holds it."""
 
@@ -147,6 +154,15 @@
                 await changed.wait()
 
     async def _take(self) -> Term | None:
+        """Take the shard unless somebody else has it by now."""
+        for _ in range(TRIES_AT_ONCE):
+            try:
+                return await self._try_once()
+            except _TermMovedError:
+                log.info("former owner has written meanwhile", extra={"shard": self._shard})
+        return None
+
+    async def _try_once(self) -> Term | None:
         found = await self._store.get(self._term_key)
         before = TermDocument.from_bytes(found.value) if found else TermDocument(0, "")
         document = TermDocument(before.token + 1, self._me)
@@ -174,6 +190,9 @@
         else:
             if not result.succeeded:
                 await self._store.revoke(lease)
+                holder = result.values.get(self._holder_key)
+                if holder is None or not holder.mod_revision:
+                    raise _TermMovedError
                 return None
             revision = result.revision
         fields = {"shard": self._shard, "token": document.token, "before": before.holder}
--- a/vanillawell/coordination/hand_over.py
+++ b/vanillawell/coordination/hand_over.py
@@ -60,5 +60,6 @@
             log.warning("lease bounds not confirmed", extra={"why": str(error)})
         else:
             leases.confirm()
+            term.close()
             return
         await anyio.sleep(RETRY_PAUSE)
--- a/vanillawell/coordination/term.py
+++ b/vanillawell/coordination/term.py
@@ -60,6 +60,7 @@
         self._sequence = document.sequence
         """Number of the latest write that was begun. One that was broken off may have taken effect,
         so its number is never used again: the next write would take it for its own."""
+        self._closed = False
         self._writing = anyio.Lock()
         """Two writes at once would carry the same number, and each take the other's for its own."""
 
@@ -114,6 +115,7 @@
             TermLostError: Another entry has taken the shard over; nothing was written.
         """
         async with self._writing:
+            await self._wait_if_closed()
             return await self._write([*puts, *prepare()], deletes)
 
     async def write_if_reachable(self, prepare: Callable[[], Sequence[Put]]) -> float:
@@ -174,9 +176,26 @@
 
     def _is_own(self, data: bytes) -> bool:
         """Tell whether a term's document was written in the name of this term."""
-        found = TermDocument.from_bytes(data)
+        try:
+            found = TermDocument.from_bytes(data)
+        except (ValueError, TypeError) as error:
+            log.error("term unreadable", extra={"why": repr(error)})
+            return False
         return (found.token, found.holder) == (self._document.token, self._document.holder)
 
+    def close(self) -> None:
+        """Write nothing more in the name of the term.
+
+        Each write moves the document that candidates take the shard by; those that are best suited
+        would fail at it and pause, and others be there first. Who writes still waits until the end
+        of the term ends it.
+        """
+        self._closed = True
+
+    async def _wait_if_closed(self) -> None:
+        if self._closed:
+            await anyio.sleep_forever()
+
     async def give_up(self) -> None:
         """End the lease, so that another entry can take over at once."""
         await self._store.revoke(self._lease)
--- a/vanillawell/tests/handover_doubt_tests.py
+++ b/vanillawell/tests/handover_doubt_tests.py
@@ -14,6 +14,7 @@
 from vanillawell.platform.http import HttpClient
 from vanillawell.platform.store import PlatformStore
 from vanillawell.protocol.store import Put
+from vanillawell.protocol.work_documents import WorkKeys
 from vanillawell.standins.scheduler.store import StandInStore
 from vanillawell.tests.lease_keeper_tests import Owner, bounds, unreached
 from vanillawell.tests.scheduler_cluster import (
@@ -214,3 +215,21 @@
     await anyio.sleep(1.5)
     assert owner.store.cut, "the bounds were written"
     assert life._lease_end == before
+
+
+@with_cluster(executors=2)
+async def test_an_owner_that_has_handed_over_writes_nothing_more(built: Cluster) -> None:
+    """Tasks go on ending for a moment after an owner's last word. Each write of a turn would move
+    the document that candidates take the shard by, and the best suited would fail at it first."""
+    owner = await built.owner()
+    for number in range(12):
+        body = job(spec={"seconds": 1.0 + 0.05 * number})
+        await owner.call("POST", PREFIX + built.new_id(), body)
+    await until(lambda: len(built.audit.started) == 12)
+    await until(lambda: sum(len(life.running) for life in built.lives) < 12)
+    await owner.node.hand_over()
+    key = WorkKeys().term("all")
+    before = built.store.items[key].revision
+    await anyio.sleep(1.0)
+    assert not any(member.owns for member in built.members if member is not owner)
+    assert built.store.items[key].revision == before
--- a/vanillawell/tests/term_tests.py
+++ b/vanillawell/tests/term_tests.py
@@ -7,6 +7,7 @@
 
 from vanillawell import clock
 from vanillawell.config.node_settings import EntryCapacity
+from vanillawell.coordination import candidate as candidate_module
 from vanillawell.coordination.candidate import Candidate
 from vanillawell.coordination.machine_orders import (
     LONGEST_FRESHNESS,
@@ -260,3 +261,34 @@
                 tries.start_soon(try_for_it, name, candidate)
     await anyio.sleep(0.1)
     return winners[0]
+
+
+def test_a_candidate_that_a_last_write_got_ahead_of_tries_again_at_once(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A former owner's last write lands while an entry takes the shard. If it paused then, entries
+    that are less suited to own the shard would be there first."""
+    monkeypatch.setattr(candidate_module, "TRY_PAUSE", 60.0)
+
+    async def run() -> None:
+        async with anyio.create_task_group() as tasks:
+            stand_in = StandInStore()
+            tasks.start_soon(stand_in.tick)
+            store = PlatformStore(HttpClient(), listen(tasks, stand_in))
+            former = await _take(store, "entry-0")
+            await former.give_up()
+            candidate = Candidate(store, KEYS, "all", "entry-1")
+            grant = store.grant_lease
+
+            async def grant_late(ttl: float) -> int:
+                store.grant_lease = grant  # type: ignore[method-assign]
+                await former.write([Put("value/last", b"x")])
+                return await grant(ttl)
+
+            store.grant_lease = grant_late  # type: ignore[method-assign]
+            tasks.start_soon(candidate.follow)
+            with anyio.fail_after(5):
+                await candidate.win()
+            tasks.cancel_scope.cancel()
+
+    anyio.run(run)
