Break no try of an owner's last word off

What callers would have seen: the store refuses calls when its owner is stopped, and sound work is lost.

Cause, by its log: the bound on the whole hand-over ended in the middle of a try. Whether that try did anything was unknown for good, so the owner renewed nothing any more, though the store had refused every try.

Change: a try that was begun runs to its end, which the store's own bound limits; only waiting is broken off.

--- a/vanillawell/coordination/hand_over.py
+++ b/vanillawell/coordination/hand_over.py
@@ -39,8 +39,9 @@
 
 async def store_last_bounds(
     term: Term, leases: LeaseKeeper, executors: Mapping[str, Executor]
-) -> None:
-    """Store the last word of an owner on leases, trying while its own lease holds.
+) -> bool:
+    """Store the last word of an owner on leases, trying while its own lease holds; tells whether
+    that was done.
 
     While the store is away nobody can take over, and what runs is better renewed: a try that did
     nothing for certain is taken back.
@@ -61,5 +62,6 @@
         else:
             leases.confirm()
             term.close()
-            return
+            return True
         await anyio.sleep(RETRY_PAUSE)
+    return False
--- a/vanillawell/coordination/shard_owner.py
+++ b/vanillawell/coordination/shard_owner.py
@@ -109,10 +109,10 @@
         self._stopping = True
         self.wake()
 
-    async def store_last_bounds(self) -> None:
+    async def store_last_bounds(self) -> bool:
         """Extend no lease any more, and store for the next owner how long each may still hold."""
         await renew_once(self._drivers.values())
-        await store_last_bounds(self._term, self._leases, self._shard.ledger.executors)
+        return await store_last_bounds(self._term, self._leases, self._shard.ledger.executors)
 
     def _draft_bounds(self) -> list[Put]:
         """Return the write of the bounds of leases, if there is one."""
--- a/vanillawell/coordination/term.py
+++ b/vanillawell/coordination/term.py
@@ -85,6 +85,8 @@
     async def keep(self) -> None:
         """Renew the lease until it is lost for certain; raises TermLostError then."""
         while True:
+            if self._closed:
+                raise TermLostError("given up")
             sent = clock.read()
             try:
                 alive = await self._store.keep_alive(self._lease)
@@ -127,11 +129,13 @@
             TermLostError: Another entry has taken the shard over; nothing was written.
         """
         async with self._writing:
-            document, puts = self._next_document(), prepare()
-            while True:
-                stored_at = await self._try(document, puts, ())
-                if stored_at is not None:
-                    return stored_at
+            stored_at: float | None = None
+            # Broken off, a try that does nothing could not be told from one that is carried out.
+            with anyio.CancelScope(shield=True):
+                document, puts = self._next_document(), prepare()
+                while stored_at is None:
+                    stored_at = await self._try(document, puts, ())
+            return stored_at
 
     async def _write(self, puts: Sequence[Put], deletes: Sequence[str]) -> float:
         document = self._next_document()
--- a/vanillawell/node.py
+++ b/vanillawell/node.py
@@ -116,9 +116,14 @@
             return
         owner.stop_placing()
         fields = {"shard": SHARD, "token": term.token}
+        stored = False
         try:
+            with anyio.move_on_after(HANDOVER_BOUND):
+                stored = await owner.store_last_bounds()
+            if not stored:
+                log.warning("shard left to its lease", extra={**fields, "why": "bounds not stored"})
+                return
             with anyio.fail_after(HANDOVER_BOUND):
-                await owner.store_last_bounds()
                 await term.give_up()
         except (StoreError, TimeoutError) as error:
             log.warning("shard left to its lease", extra={**fields, "why": str(error)})
