--- a/vanillawell/coordination/term.py
+++ b/vanillawell/coordination/term.py
@@ -135,6 +135,7 @@
                 document, puts = self._next_document(), prepare()
                 while stored_at is None:
                     stored_at = await self._try(document, puts, ())
+            assert stored_at is not None
             return stored_at
 
     async def _write(self, puts: Sequence[Put], deletes: Sequence[str]) -> float:
