Let one decision at a time be made of a machine, and ask for availability as the order goes out

Cause: the upkeep of machines was decided on one reading of the fleet, and then each machine was stored, announced and ordered in turn, 50 ms each by the log. With dozens of machines to go the last were ordered seconds after they were looked at. Where the move was over, the order ended what had begun there. Ruled out: the budget itself (others_away counted the waiting tasks), health answers, stale reports.

Change: a machine is claimed for a move or an upkeep before anything is ordered (machine_orders.py); one that is claimed for its upkeep is closed for every executor that registers there (ledger.py); all machines that are due are stored and announced at once and ordered side by side (upkeep_orders.py); just before an order goes out it asks whether all that lasts there may end (availability.py), and waits if not. The order repeated after a change of owner or a lost answer asks the same.

Why it holds: between decision and answer nothing can start on the machine, and the question is asked of whatever lives there at that moment, without an await in between.

--- a/vanillawell/coordination/driver_clocks.py
+++ b/vanillawell/coordination/driver_clocks.py
@@ -4,7 +4,8 @@
 
 from typing import TYPE_CHECKING
 
-from vanillawell.state.upkeep import has_lasting, life_of
+from vanillawell.state.availability import has_lasting
+from vanillawell.state.upkeep import life_of
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
--- a/vanillawell/coordination/machine_orders.py
+++ b/vanillawell/coordination/machine_orders.py
@@ -14,6 +14,7 @@
 
 import itertools
 import logging
+from enum import StrEnum
 from typing import TYPE_CHECKING
 
 import orjson
@@ -44,6 +45,13 @@
 """Multiple of the time that an announcement took by which the next one may be slower still."""
 
 
+class Purpose(StrEnum):
+    """What a machine is claimed for."""
+
+    MOVE = "move"
+    UPKEEP = "upkeep"
+
+
 class MachineOrders:
     """Own the right to give orders for machines during one term."""
 
@@ -73,6 +81,7 @@
         self._all_free_at = float("-inf")
         self._fresh_until = float("-inf")
         self._lately: dict[str, float] = {}
+        self._claims: dict[str, Purpose] = {}
         self.duty = MachineDuty(holder, term.token)
 
     async def load(self) -> bool:
@@ -112,6 +121,23 @@
             return True
         return age + self._since_former(now) > self._pause + self._former_freshness
 
+    def claim(self, machine: str, purpose: Purpose) -> bool:
+        """Take the sole right to order a machine; False while it is claimed for something else.
+
+        A wave and a pool may want the same machine. Without a claim one would carry out what it
+        decided before the other's order took effect, and end what has begun there since.
+        """
+        return self._claims.setdefault(machine, purpose) is purpose
+
+    def release(self, machine: str, purpose: Purpose) -> None:
+        """Give a claim back once nothing more is ordered on its ground."""
+        if self._claims.get(machine) is purpose:
+            del self._claims[machine]
+
+    def is_claimed(self, machine: str) -> bool:
+        """Tell whether a machine is claimed for anything."""
+        return machine in self._claims
+
     def _since_former(self, now: float) -> float:
         """Return the seconds that have surely passed since the former owner's announcement."""
         passed = surely_passed(self._former_clocks, self._clocks.at_least(now))
--- a/vanillawell/coordination/pool_runner.py
+++ b/vanillawell/coordination/pool_runner.py
@@ -11,6 +11,7 @@
 import anyio
 
 from vanillawell import clock
+from vanillawell.coordination.machine_orders import Purpose
 from vanillawell.coordination.pool_demand import DemandMeter
 from vanillawell.protocol.calls import NoAnswerError, NotSentError
 from vanillawell.protocol.machine_calls import MachineState, UpkeepRefusedError
@@ -179,7 +180,7 @@
             if item.pool == standby
             and item.state is MachineState.UP
             and item.name not in lives
-            and item.name not in self._arriving
+            and not self._orders.is_claimed(item.name)
             and self._orders.may_order(item.name, now)
         ]
         spare.sort(key=lambda item: item.zone not in zones - reached)
@@ -204,15 +205,24 @@
                 },
             )
 
+    def _expect(self, machine: str, pool: str, now: float) -> None:
+        """Count on a machine to come, and let nothing else be ordered for it meanwhile."""
+        self._arriving[machine] = (pool, now)
+        self._orders.claim(machine, Purpose.MOVE)
+
+    def _expect_no_more(self, machine: str) -> None:
+        self._arriving.pop(machine, None)
+        self._orders.release(machine, Purpose.MOVE)
+
     def _close(self, move: MachineMove, executor: Executor | None) -> None:
         """Let nothing start on a machine from the moment its move is decided."""
-        self._arriving[move.machine] = (move.pool, clock.read())
+        self._expect(move.machine, move.pool, clock.read())
         if executor is not None:
             executor.cordoned = True
 
     def _reopen(self, machine: str, executor: Executor | None) -> None:
         """Let a machine that was not moved take work again."""
-        self._arriving.pop(machine, None)
+        self._expect_no_more(machine)
         if executor is not None:
             executor.cordoned = False
 
@@ -224,7 +234,7 @@
         for item in self._machines.values():
             if item.state is not MachineState.MOVING or item.name in self._arriving:
                 continue
-            self._arriving[item.name] = (item.pool, now)
+            self._expect(item.name, item.pool, now)
             executor = lives.get(item.name)
             if executor is not None and executor.facts.service != item.pool:
                 executor.cordoned = True
@@ -237,7 +247,7 @@
             executor = lives.get(name)
             bound = STANDBY_BOUND if pool == standby else ARRIVAL_BOUND
             if executor is not None and executor.facts.service == pool:
-                del self._arriving[name]
+                self._expect_no_more(name)
             elif now > since + bound:
                 self._give_up_waiting(name, executor, since)
 
@@ -248,12 +258,13 @@
         an executor that has ended, and wait there until its lease is surely over.
         """
         if executor is None:
-            del self._arriving[name]
+            self._expect_no_more(name)
             return
         if self._listed <= since + LIST_LAG:
             self._listed = float("-inf")
             return
-        pool, _ = self._arriving.pop(name)
+        pool, _ = self._arriving[name]
+        self._expect_no_more(name)
         machine = self._machines.get(name)
         if machine is None or machine.pool == pool:
             self._end_life(executor)
@@ -271,7 +282,7 @@
         for name, executor in lives.items():
             if executor.runs or executor.unsaved_ends or not executor.takes_work(now):
                 continue
-            if self._orders.may_order(name, now):
+            if self._orders.may_order(name, now) and not self._orders.is_claimed(name):
                 idle[executor.facts.service].append(name)
         return idle
 
--- a/vanillawell/coordination/upkeep_runner.py
+++ b/vanillawell/coordination/upkeep_runner.py
@@ -3,29 +3,25 @@
 from __future__ import annotations
 
 import logging
-import time
 from typing import TYPE_CHECKING
 
 import anyio
 import orjson
 
 from vanillawell import clock
+from vanillawell.coordination.upkeep_orders import UpkeepOrders
 from vanillawell.coordination.wave_age import WaveAge
 from vanillawell.exceptions import StoreError
 from vanillawell.protocol.calls import NoAnswerError, NotSentError
-from vanillawell.protocol.machine_calls import (
-    MachineState,
-    UpkeepRefusal,
-    UpkeepRefusedError,
-)
+from vanillawell.protocol.machine_calls import MachineState
 from vanillawell.protocol.store import Put
+from vanillawell.state.availability import has_lasting
 from vanillawell.state.upkeep import (
     PATIENCE,
     UNKNOWN_LIFE,
     USUAL_UPKEEP,
     Wave,
     WaveProgress,
-    has_lasting,
     is_empty_enough,
     life_of,
     to_close,
@@ -33,7 +29,7 @@
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Mapping
 
     from vanillawell.config.node_settings import NodeSettings
     from vanillawell.coordination.leases import ExecutorClocks
@@ -57,9 +53,6 @@
 LIST_PAUSE = 0.5
 """Seconds between two readings of the list of machines during a wave; readings are priced."""
 
-REPEAT_PAUSE = 0.5
-"""Seconds before an order without an answer is repeated; if it was done, that changes nothing."""
-
 SETTLING = 1.0
 """Seconds beyond the time that stops take, after a change of owner, in which nothing that lasts is
 taken away: a stop that the former owner ordered may still be under way, and its task looks at work
@@ -96,6 +89,7 @@
 
         self._machines: dict[str, Machine] = {}
         self._listed = 0.0
+        self._upkeep_orders = UpkeepOrders(shard, term, ports, orders, self._save, wake)
         self._settled_at = clock.read() + settings.bounds.kill_grace_ms / 1000 + SETTLING
 
     async def run(self) -> None:
@@ -168,6 +162,8 @@
             if name in progress.doubtful
             or (name in self._machines and self._machines[name].state is MachineState.UPKEEP)
         }
+        for name in progress.doubtful:
+            self._upkeep_orders.reserve(name)
         return progress
 
     async def _save(self, progress: WaveProgress) -> None:
@@ -200,112 +196,66 @@
         up = {item.name for item in self._machines.values() if item.state is MachineState.UP}
         lives = {name: life_of(item) for name, item in executors.items()}
         progress.returned(lives, up | (progress.away.keys() - self._machines.keys()), self._listed)
-        for name in to_close(progress, executors):
+        free = {name: item for name, item in executors.items() if self._may_decide(name, now)}
+        for name in to_close(progress, free):
             progress.closed[name] = now
-            executors[name].cordoned = True
             fields = {"wave": progress.wave.number, "machine": name}
             log.info("machine closed", extra={**fields, "runs": len(executors[name].runs)})
+        due = [*self._emptied(progress, executors, now), *self._unused(progress, executors, now)]
+        places = max(0, progress.wave.most_away - len(progress.away))
+        await self._upkeep_orders.begin(progress, due[:places])
+        await self._upkeep_orders.settle_doubtful(progress, clock.read())
+        await self._finish(progress)
+
+    def _may_decide(self, machine: str, now: float) -> bool:
+        return self._upkeep_orders.may_decide(machine, now)
+
+    def _emptied(
+        self, progress: WaveProgress, executors: Mapping[str, Executor], now: float
+    ) -> list[str]:
+        """Move tasks away from closed machines; returns those whose upkeep may begin."""
+        emptied = []
         for name, since in list(progress.closed.items()):
             executor = executors.get(name)
             if executor is None:
                 del progress.closed[name]
                 continue
             executor.cordoned = True
-            await self._empty(progress, name, executor, since, now)
-        await self._order_unregistered(progress, executors)
-        await self._settle_doubtful(progress, executors, now)
-        await self._finish(progress)
-
-    async def _empty(
-        self, progress: WaveProgress, name: str, executor: Executor, since: float, now: float
+            if now < self._settled_at and has_lasting(executor):
+                continue
+            self._move_away(progress, executor, since, now)
+            may_begin = is_empty_enough(executor, since, progress.hurried(now), now)
+            if may_begin and self._may_decide(name, now):
+                emptied.append(name)
+        return emptied
+
+    def _move_away(
+        self, progress: WaveProgress, executor: Executor, since: float, now: float
     ) -> None:
-        """Move tasks away from a closed machine, and order its upkeep once it is empty."""
-        if now < self._settled_at and has_lasting(executor):
-            return
-        hurried = progress.hurried(now)
-        impatient = hurried or now > since + PATIENCE
-        for run in to_stop(executor, lambda run: impatient or self._shard.has_place(run, now)):
+        impatient = progress.hurried(now) or now > since + PATIENCE
+        runs = to_stop(executor, lambda run: impatient or self._shard.has_place(run, now))
+        for run in runs:
             self._shard.want_stop(run)
-        self._wake()
-        if len(progress.away) >= progress.wave.most_away:
-            return
-        if not self._orders.may_order(name, now):
-            return
-        if is_empty_enough(executor, since, hurried, now):
-            await self._order(progress, name, executor)
-
-    async def _order(self, progress: WaveProgress, name: str, executor: Executor | None) -> None:
-        """Decide on the upkeep of a machine, store that, and order it."""
-        progress.decided.add(name)
-        progress.away[name] = life_of(executor) if executor else UNKNOWN_LIFE
-        progress.closed.pop(name, None)
-        await self._save(progress)
-        await self._orders.announce([name])
-        await self._send(progress, name, executor)
-
-    async def _send(self, progress: WaveProgress, name: str, executor: Executor | None) -> None:
-        progress.ordered[name] = clock.read()
-        fields = {"wave": progress.wave.number, "machine": name, "token": self._term.token}
-        if not self._orders.is_fresh(clock.read()):
-            log.info("upkeep waits for a quicker announcement", extra=fields)
-            return
-        try:
-            await self._ports.machines.begin_upkeep(name, progress.wave.number, self._orders.duty)
-        except UpkeepRefusedError as error:
-            log.warning("upkeep refused", extra={**fields, "reason": error.reason.value})
-            self._refused(progress, name, executor, error.reason)
-            return
-        except (NotSentError, NoAnswerError) as error:
-            log.warning("upkeep unanswered", extra={**fields, "why": str(error)})
-            return
-        progress.confirmed.add(name)
-        if executor is not None and progress.away.get(name) == life_of(executor):
-            facts = executor.facts
-            self._shard.dead(facts.executor, facts.incarnation, clock.read(), time.time())
-        log.info("upkeep begun", extra={**fields, "away": len(progress.away)})
-        self._wake()
-
-    def _refused(
-        self,
-        progress: WaveProgress,
-        name: str,
-        executor: Executor | None,
-        reason: UpkeepRefusal,
-    ) -> None:
-        """Let a machine go whose upkeep was refused; it is decided anew if that can help.
-
-        A machine that is not up may be away for this very order, sent by a former owner.
-        """
-        if reason in (UpkeepRefusal.NOT_OF_WAVE, UpkeepRefusal.NO_SUCH_MACHINE):
-            progress.confirmed.add(name)
-        else:
-            progress.decided.discard(name)
-        progress.away.pop(name, None)
-        if executor is not None:
-            executor.cordoned = False
-
-    async def _settle_doubtful(
-        self, progress: WaveProgress, executors: dict[str, Executor], now: float
-    ) -> None:
-        """Repeat orders without an answer: a wave must not be called complete before they begin."""
-        for name in progress.doubtful:
-            due = now > progress.ordered.get(name, 0.0) + REPEAT_PAUSE
-            if due and self._orders.may_order(name, now):
-                await self._orders.announce([name])
-                await self._send(progress, name, executors.get(name))
+        if runs:
+            self._wake()
+
+    def _unused(
+        self, progress: WaveProgress, executors: Mapping[str, Executor], now: float
+    ) -> list[str]:
+        """Return the machines that are up, on which no executor lives, and that nobody moves."""
+        return [
+            name
+            for name in progress.wave.machines
+            if name not in progress.decided
+            and name not in executors
+            and self._is_unused(self._machines.get(name))
+            and self._may_decide(name, now)
+        ]
 
-    async def _order_unregistered(
-        self, progress: WaveProgress, executors: dict[str, Executor]
-    ) -> None:
-        """Order the upkeep of machines that are up and on which no executor lives."""
-        for name in progress.wave.machines:
-            machine = self._machines.get(name)
-            if name in progress.decided or name in executors or machine is None:
-                continue
-            if not self._orders.may_order(name, clock.read()) or self._in_use(machine):
-                continue
-            if machine.state is MachineState.UP and len(progress.away) < progress.wave.most_away:
-                await self._order(progress, name, None)
+    def _is_unused(self, machine: Machine | None) -> bool:
+        return (
+            machine is not None and machine.state is MachineState.UP and not self._in_use(machine)
+        )
 
     def _in_use(self, machine: Machine) -> bool:
         """Tell whether an executor whose entry in the registry has lapsed may run something there.
--- a/vanillawell/standins/scheduler/machines.py
+++ b/vanillawell/standins/scheduler/machines.py
@@ -50,6 +50,9 @@
     move_seconds: float = 0.0
     """Seconds until the order for a move is carried out and answered."""
 
+    upkeep_answer_seconds: float = 0.0
+    """Seconds until the order for an upkeep is carried out and answered."""
+
     advice_calls: int = 0
     on_move: Callable[[StandInMachine], Awaitable[None]] | None = None
     """Called once a machine has changed its pool."""
@@ -97,6 +100,7 @@
         await self._upkeep(scope, document, send)
 
     async def _upkeep(self, scope: Scope, document: dict[str, Any], send: Send) -> None:
+        await anyio.sleep(self.upkeep_answer_seconds)
         headers = dict(scope["headers"])
         token = int(headers[b"x-fence-token"])
         machine = self.machines[document["machine"]]
--- a/vanillawell/state/ledger.py
+++ b/vanillawell/state/ledger.py
@@ -66,6 +66,23 @@
         """Latest life of each executor that is known to be over while its entry may still stand."""
 
         self._usage: defaultdict[str, Resources] = defaultdict(Resources)
+        self._closed: set[str] = set()
+        """Machines on which nothing may start, whichever executor lives there."""
+
+    def close_machine(self, machine: str) -> None:
+        """Let nothing start on a machine, not even on an executor that is yet to register there."""
+        self._closed.add(machine)
+        for executor in self._on_machine(machine):
+            executor.cordoned = True
+
+    def open_machine(self, machine: str) -> None:
+        """Let a machine take work again."""
+        self._closed.discard(machine)
+        for executor in self._on_machine(machine):
+            executor.cordoned = False
+
+    def _on_machine(self, machine: str) -> list[Executor]:
+        return [item for item in self.executors.values() if item.facts.machine == machine]
 
     def usage(self, organisation: str) -> Resources:
         """Return what an organisation has running, or may have running."""
@@ -107,6 +124,7 @@
             return []
         executor = Executor(facts, now, registered=False)
         executor.take_facts(facts, now)
+        executor.cordoned = facts.machine in self._closed
         self.executors[facts.executor] = executor
         if not facts.machine:
             return []
--- a/vanillawell/state/upkeep.py
+++ b/vanillawell/state/upkeep.py
@@ -12,6 +12,8 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from vanillawell.state.availability import has_lasting, may_lose_all, may_take_away
+
 if TYPE_CHECKING:
     from collections.abc import Callable, Collection, Mapping
 
@@ -87,6 +89,12 @@
         """Return the machines whose order went out, or may have, and got no answer."""
         return self.decided - self.confirmed
 
+    def decide(self, machine: str, life: str) -> None:
+        """Note that the upkeep of a machine was decided; `life` is the executor's on it."""
+        self.decided.add(machine)
+        self.away[machine] = life
+        self.closed.pop(machine, None)
+
     def returned(self, lives: Mapping[str, str], up: Collection[str], listed: float) -> None:
         """Free the places of machines that are back.
 
@@ -112,48 +120,6 @@
     return f"{executor.name}@{executor.facts.incarnation}"
 
 
-def others_away(step: StepProgress, run: Run) -> int:
-    """Return how many other tasks of a step are not at work."""
-    return sum(
-        task.run is None or not is_working(task.run) for task in step.tasks if task.run is not run
-    )
-
-
-def is_working(run: Run) -> bool:
-    """Tell whether a long-running task is at work, as last reported, and may go on."""
-    return run.at_work and not run.stop_wanted
-
-
-def may_take_away(run: Run) -> bool:
-    """Tell whether planned work may end this run now.
-
-    A step says how many of its tasks may be away at once. Tasks that are away for any other cause
-    count too: they would be missing all the same. That the run itself was not at work when its
-    executor last reported allows nothing: after a change of owner nothing has been reported yet,
-    and between two reports a task may have got to work. A new owner that took it for granted
-    stopped two tasks of a step of which one might be away.
-    """
-    bound = run.task.step.spec.most_away
-    return not bound or others_away(run.task.step, run) < bound
-
-
-def has_lasting(executor: Executor) -> bool:
-    """Tell whether a long-running task is charged to an executor."""
-    return any(run.task.step.spec.long_running for run in executor.runs.values())
-
-
-def may_lose_all(executor: Executor) -> bool:
-    """Tell whether planned work may end everything on an executor at once."""
-    lasting = [run for run in executor.runs.values() if run.task.step.spec.long_running]
-    for step in {run.task.step for run in lasting}:
-        here = [run for run in lasting if run.task.step is step]
-        bound = step.spec.most_away
-        elsewhere = others_away(step, here[0]) - sum(not is_working(run) for run in here[1:])
-        if bound and elsewhere + len(here) > bound:
-            return False
-    return True
-
-
 def to_close(progress: WaveProgress, executors: Mapping[str, Executor]) -> list[str]:
     """Return machines that should be emptied now, those with least work first.
 
--- a/vanillawell/tests/pool_runner_tests.py
+++ b/vanillawell/tests/pool_runner_tests.py
@@ -10,37 +10,13 @@
     POOL,
     PREFIX,
     Cluster,
-    config,
     job,
     step,
     until,
     until_state,
     with_cluster,
 )
-
-STANDBY = "pool-standby"
-OTHER = "pool-other"
-
-
-def _configure(built: Cluster) -> None:
-    services = [{"name": POOL}, {"name": OTHER}, {"name": STANDBY, "standby": True}]
-    built.store.put_document("op/config", config(2, services=services))
-
-
-def _obey_moves(built: Cluster) -> None:
-    """Let a moved machine come back with a new executor in its pool."""
-    names = iter(range(1_000))
-
-    async def moved(machine: StandInMachine) -> None:
-        if machine.executor in built.hosts:
-            built.store.delete(f"servers/{machine.executor}")
-        if machine.pool == STANDBY:
-            return
-        host = await built.add_executor(f"moved-{next(names)}", machine=machine.name)
-        machine.executor = host.life.name
-        built.register(host.life.name, service=machine.pool)
-
-    built.machines.on_move = moved
+from vanillawell.tests.standby_pools import STANDBY, configure_standby, obey_moves
 
 
 @with_cluster(executors=2)
@@ -48,9 +24,9 @@
     """All machines of a pool are gone for good. Its callers must be served by machines from
     standby; a pool without machines that counted as one without need would stay empty for ever."""
     member, first, second = built.members[0], built.new_id(), built.new_id()
-    _obey_moves(built)
+    obey_moves(built)
     built.machines.machines["spare-1"] = StandInMachine("spare-1", STANDBY, "")
-    _configure(built)
+    configure_standby(built)
     await member.call("POST", PREFIX + first, job())
     await until_state(member, first, "completed")
     for host in list(built.hosts.values()):
@@ -76,7 +52,7 @@
         built.hosts[machine.executor].life.faults.silent = True
 
     built.machines.on_move = moved
-    _configure(built)
+    configure_standby(built)
     await until(lambda: any(item.pool == STANDBY for item in machines.values()), 8)
     (gone,) = [item for item in machines.values() if item.pool == STANDBY]
     await anyio.sleep(2.2)
@@ -90,9 +66,9 @@
     """In the middle of a peak the store tells nobody of changes. A machine that was called comes,
     and waits idle until the store can be heard again; so do all callers of those seconds."""
     member, first = built.members[0], built.new_id()
-    _obey_moves(built)
+    obey_moves(built)
     built.machines.machines["spare-1"] = StandInMachine("spare-1", STANDBY, "")
-    _configure(built)
+    configure_standby(built)
     await anyio.sleep(0.3)
     built.store.faults.deaf = True
     await member.call("POST", PREFIX + first, job(step(60), spec={"seconds": 0.8}))
@@ -107,9 +83,9 @@
     """The path to one of a pool's two machines is cut while tasks run there. Its entry stands, and
     counted as present it would leave the pool's callers with half of the room for seconds."""
     member, job_id = built.members[0], built.new_id()
-    _obey_moves(built)
+    obey_moves(built)
     built.machines.machines["spare-1"] = StandInMachine("spare-1", STANDBY, "")
-    _configure(built)
+    configure_standby(built)
     await member.call("POST", PREFIX + job_id, job(step(10), spec={"seconds": 3}))
     await until(lambda: all(host.life.running for host in built.hosts.values()))
     built.lives[0].faults.silent = True
@@ -127,7 +103,7 @@
     for number in range(called):
         name = f"spare-{number}"
         built.machines.machines[name] = StandInMachine(name, STANDBY, "")
-    _configure(built)
+    configure_standby(built)
     await anyio.sleep(0.3)
     peak = step(200, estimateMs=1_000)
     await member.call("POST", PREFIX + job_id, job(peak, spec={"seconds": 0.8}))
@@ -144,7 +120,7 @@
     member, job_id = built.members[0], built.new_id()
     spare = StandInMachine("spare-1", STANDBY, "", state="moving")
     built.machines.machines["spare-1"] = spare
-    _configure(built)
+    configure_standby(built)
     await anyio.sleep(0.5)
     spare.state = "up"
     await member.call("POST", PREFIX + job_id, job(step(60), spec={"seconds": 0.8}))
@@ -162,7 +138,7 @@
     built.machines.on_move = moved
     for number in range(3):
         machines[f"spare-{number}"] = StandInMachine(f"spare-{number}", STANDBY, "")
-    _configure(built)
+    configure_standby(built)
     await owner.call("POST", PREFIX + job_id, job(step(20), spec={"seconds": 30}))
     await until(lambda: bool(built.machines.moves))
     await anyio.sleep(0.3)
--- /dev/null
+++ b/vanillawell/tests/standby_pools.py
@@ -0,0 +1,36 @@
+"""Build clusters whose machines move between a pool, another one and standby."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from vanillawell.tests.scheduler_cluster import POOL, config
+
+if TYPE_CHECKING:
+    from vanillawell.standins.scheduler.machines import StandInMachine
+    from vanillawell.tests.scheduler_cluster import Cluster
+
+STANDBY = "pool-standby"
+OTHER = "pool-other"
+
+
+def configure_standby(built: Cluster) -> None:
+    """Let one pool be the standby pool."""
+    services = [{"name": POOL}, {"name": OTHER}, {"name": STANDBY, "standby": True}]
+    built.store.put_document("op/config", config(2, services=services))
+
+
+def obey_moves(built: Cluster) -> None:
+    """Let a moved machine come back with a new executor in its pool."""
+    names = iter(range(1_000))
+
+    async def moved(machine: StandInMachine) -> None:
+        if machine.executor in built.hosts:
+            built.store.delete(f"servers/{machine.executor}")
+        if machine.pool == STANDBY:
+            return
+        host = await built.add_executor(f"moved-{next(names)}", machine=machine.name)
+        machine.executor = host.life.name
+        built.register(host.life.name, service=machine.pool)
+
+    built.machines.on_move = moved
