Size pools by a trial placement of the lasting tasks that wait for room

Cause: a pool's floor was the widest step's need of machines, and its demand counted processors. Two jobs of six tasks each, one of a step on a machine, filled the memory of six machines with the first job; the pool had the six that its floor asked for and stayed there (63 of 192 cores).

Change: what is held by room is placed on trial, by memory and the bounds of its steps, on what the pool has and on machines on their way; the machines that this takes beyond them are asked for. Machines that come without helping (a label they lack) bring no more, since on trial the tasks have a place there.

--- a/vanillawell/coordination/pool_demand.py
+++ b/vanillawell/coordination/pool_demand.py
@@ -6,7 +6,10 @@
 from typing import TYPE_CHECKING
 
 from vanillawell.protocol.machine_calls import MachineState
+from vanillawell.state.placement_pass import HELD_BY_ROOM
 from vanillawell.state.pool_sizing import CORES_PER_UNIT, PoolDemand, demanded_cores, lasting_floor
+from vanillawell.state.trial_placement import machines_lacking
+from vanillawell.state.work import NOTHING, Resources
 
 if TYPE_CHECKING:
     from collections.abc import Mapping, Sequence
@@ -30,8 +33,8 @@
         """Take the shard, and the clock of decisions at which the term began."""
         self._shard = shard
         self._began = began
-        self._cores: dict[str, float] = {}
-        """Cores of a machine by pool, as last seen."""
+        self._sizes: dict[str, Resources] = {}
+        """What a machine of each pool offers, as last seen."""
 
     def measure(
         self,
@@ -86,12 +89,26 @@
     ) -> PoolDemand:
         own = [item for item in members if now >= item.suspected_until]
         usable = [item for item in own if not item.facts.draining and not item.cordoned]
-        cores = self._cores.get(pool) or max(self._cores.values(), default=0.0)
+        size = self._size(pool)
         wanted = max(
             demanded_cores(own, steps, self._shard.durations),
             self._shard.arrivals.cores(pool, now),
         )
-        return PoolDemand(pool, len(usable) + on_their_way, cores, wanted, lasting_floor(steps))
+        sound = [item for item in usable if item.takes_work(now)]
+        held = [step for step in steps if step.held_by == HELD_BY_ROOM]
+        return PoolDemand(
+            pool,
+            len(usable) + on_their_way,
+            size.cpu / CORES_PER_UNIT,
+            wanted,
+            lasting_floor(steps),
+            machines_lacking(sound, on_their_way, size, held),
+        )
+
+    def _size(self, pool: str) -> Resources:
+        """Return what a machine of a pool offers; that of any pool if it never had one."""
+        known = self._sizes.get(pool)
+        return known or max(self._sizes.values(), key=lambda size: size.cpu, default=NOTHING)
 
     def _on_their_way(
         self,
@@ -120,6 +137,5 @@
         queues would never be served again.
         """
         for executor in lives.values():
-            cores = executor.facts.capacity.cpu / CORES_PER_UNIT
-            if cores:
-                self._cores[executor.facts.service] = cores
+            if executor.facts.capacity.cpu:
+                self._sizes[executor.facts.service] = executor.facts.capacity
--- a/vanillawell/state/placement_pass.py
+++ b/vanillawell/state/placement_pass.py
@@ -17,6 +17,9 @@
 
 log = logging.getLogger(__name__)
 
+HELD_BY_ROOM = "room"
+"""What a step is held by whose tasks find no executor with a place."""
+
 
 class PlacementPass:
     """One look at all steps that may start."""
@@ -43,7 +46,7 @@
             self._held(step, "no queue")
             return
         if self._memo.hopeless(queue.service, step.spec.reserved):
-            self._held(step, "room")
+            self._held(step, HELD_BY_ROOM)
             return
         tickets = None
         if queue.advice:
@@ -130,7 +133,7 @@
         if not self._allowed(step.waiting[0]):
             self._held(step, "maximum of the organisation")
             return
-        self._held(step, "room")
+        self._held(step, HELD_BY_ROOM)
         if spec.long_running:
             roomiest = placer.roomiest()
             if roomiest:
--- a/vanillawell/state/pool_sizing.py
+++ b/vanillawell/state/pool_sizing.py
@@ -72,12 +72,17 @@
     floor: int = SMALLEST_POOL
     """Machines that it keeps for tasks that last, however little else there is to do."""
 
+    lacking: int = 0
+    """Machines beyond those it has without which tasks that last find no place."""
+
     @property
     def wanted(self) -> int:
         """Return the number of machines that the pool should have now."""
         if not self.cores:
             return self.machines
-        return max(self.floor, math.ceil(self.wanted_cores / (self.cores * FULL)))
+        for_cores = math.ceil(self.wanted_cores / (self.cores * FULL))
+        for_places = self.machines + self.lacking if self.lacking else 0
+        return max(self.floor, for_cores, for_places)
 
 
 @dataclass(frozen=True, slots=True)
