Empty more machines at a time when a wave is behind, and move lasting tasks where it is done

Cause: a tenth of a pool's machines was emptied at a time whatever was left of the wave's time; owners that were replaced twice left the last six machines to the last seconds. Lasting tasks went to machines that the same wave had yet to take down.

Change: as many machines are emptied as it takes to be through in time, at 3 s each; lasting tasks prefer machines that no wave has yet to take down.

--- a/vanillawell/coordination/upkeep_runner.py
+++ b/vanillawell/coordination/upkeep_runner.py
@@ -196,8 +196,11 @@
         up = {item.name for item in self._machines.values() if item.state is MachineState.UP}
         lives = {name: life_of(item) for name, item in executors.items()}
         progress.returned(lives, up | (progress.away.keys() - self._machines.keys()), self._listed)
+        for name in progress.wave.machines:
+            if name in executors:
+                executors[name].awaits_upkeep = name not in progress.decided
         free = {name: item for name, item in executors.items() if self._may_decide(name, now)}
-        for name in to_close(progress, free):
+        for name in to_close(progress, free, now):
             progress.closed[name] = now
             fields = {"wave": progress.wave.number, "machine": name}
             log.info("machine closed", extra={**fields, "runs": len(executors[name].runs)})
--- a/vanillawell/state/executors.py
+++ b/vanillawell/state/executors.py
@@ -89,6 +89,9 @@
     cordoned: bool = False
     """Whether planned work keeps new tasks away."""
 
+    awaits_upkeep: bool = False
+    """Whether a wave has yet to take its machine down, which ends all that runs there."""
+
     failures: list[str] = field(default_factory=list)
     """Jobs of the failed runs since the last success."""
 
--- a/vanillawell/state/placement.py
+++ b/vanillawell/state/placement.py
@@ -14,6 +14,10 @@
     from vanillawell.state.work import Step, StepProgress, Task
 
 
+Cost = tuple[bool, bool, bool, int, int, float, str]
+"""What speaks against an executor for a task, most important first; the least one is chosen."""
+
+
 def load(executor: Executor) -> float:
     """Return the part of an executor's processors that is charged."""
     capacity = executor.facts.capacity.cpu
@@ -89,10 +93,11 @@
         bound = self._spec.most_per_executor
         return bool(bound) and self._on_executor[executor.name] >= bound
 
-    def _cost(self, executor: Executor, task: Task) -> tuple[bool, bool, int, int, float, str]:
+    def _cost(self, executor: Executor, task: Task) -> Cost:
         """Return what speaks against an executor, most important first.
 
-        Tasks that last are spread over racks, so that one lost rack takes few of them. All others
+        Tasks that last stay off machines that a wave has yet to take down, where they would be
+        moved again. They are spread over racks, so that one lost rack takes few of them. All others
         go where their data is, then onto the fullest executor that has room: what a peak leaves
         behind then empties whole machines within the length of a task, and they can go to the pool
         whose peak begins. Short tasks don't slow each other.
@@ -107,6 +112,7 @@
         used = load(executor) if spec.long_running else -load(executor)
         return (
             executor.name == task.failed_on,
+            spec.long_running and executor.awaits_upkeep,
             bool(wanted) and rack != wanted,
             crowd,
             spread,
--- a/vanillawell/state/upkeep.py
+++ b/vanillawell/state/upkeep.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import Counter
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
@@ -26,6 +27,9 @@
 EMPTIED_PART = 0.1
 """Part of a service's machines that are emptied at a time, one at least."""
 
+EMPTYING = 3.0
+"""Seconds that it takes to empty a machine, from closing it to its order."""
+
 PATIENCE = 4.0
 """Seconds for which tasks that end by themselves are waited for; longer ones are stopped."""
 
@@ -82,7 +86,11 @@
 
     def hurried(self, now: float) -> bool:
         """Tell whether so much time has passed that nothing is waited for any more."""
-        return now > self.seen + HASTE * self.wave.duration
+        return self.unhurried_for(now) < 0
+
+    def unhurried_for(self, now: float) -> float:
+        """Return the seconds for which tasks may be waited for; negative once that is over."""
+        return self.seen + HASTE * self.wave.duration - now
 
     @property
     def doubtful(self) -> set[str]:
@@ -120,11 +128,10 @@
     return f"{executor.name}@{executor.facts.incarnation}"
 
 
-def to_close(progress: WaveProgress, executors: Mapping[str, Executor]) -> list[str]:
+def to_close(progress: WaveProgress, executors: Mapping[str, Executor], now: float) -> list[str]:
     """Return machines that should be emptied now, those with least work first.
 
-    Machines that are down for other reasons are left for later. Of each service few machines are
-    emptied at a time, so that a pool loses no more room than needed.
+    Machines that are down for other reasons are left for later.
     """
     wave = progress.wave
     room = wave.most_away + EMPTIED_AHEAD - len(progress.away) - len(progress.closed)
@@ -135,16 +142,30 @@
     ]
     waiting.sort(key=lambda name: (len(executors[name].runs), executors[name].used.cpu, name))
     sizes = Counter(item.facts.service for item in executors.values())
+    left = Counter(executors[name].facts.service for name in waiting)
     closed = Counter(executors[name].facts.service for name in progress.closed if name in executors)
+    left.update(closed)
+    time_left = progress.unhurried_for(now)
+    most = {name: _emptied_at_once(sizes[name], left[name], time_left) for name in left}
     chosen: list[str] = []
     for name in waiting:
         service = executors[name].facts.service
-        if len(chosen) < room and closed[service] < max(1, int(EMPTIED_PART * sizes[service])):
+        if len(chosen) < room and closed[service] < most[service]:
             chosen.append(name)
             closed[service] += 1
     return chosen
 
 
+def _emptied_at_once(size: int, left: int, time_left: float) -> int:
+    """Return how many machines of a service may be in emptying at the same time.
+
+    Few, so that a pool loses no more room than needed; but as many as it takes for those that are
+    `left` to be through in time. An owner that comes late in a wave finds most of them before it.
+    """
+    rounds = max(1.0, time_left / EMPTYING)
+    return max(1, int(EMPTIED_PART * size), math.ceil(left / rounds))
+
+
 def to_stop(executor: Executor, has_place: Callable[[Run], bool]) -> list[Run]:
     """Return long-running tasks of an executor that may be moved now, one of a step.
 
--- a/vanillawell/tests/busy_owner_tests.py
+++ b/vanillawell/tests/busy_owner_tests.py
@@ -12,7 +12,7 @@
 import anyio
 
 from vanillawell import clock
-from vanillawell.state.placement import StepPlacer
+from vanillawell.state.placement import Cost, StepPlacer
 from vanillawell.state.work import JobRecord
 from vanillawell.tests.scheduler_cluster import PREFIX, job, step, until_state, with_cluster
 from vanillawell.tests.scheduling_builders import Bench, facts
@@ -84,7 +84,7 @@
     compared = 0
 
     class Counting(StepPlacer):
-        def _cost(self, executor: Executor, task: Task) -> tuple[bool, bool, int, int, float, str]:
+        def _cost(self, executor: Executor, task: Task) -> Cost:
             nonlocal compared
             compared += 1
             return super()._cost(executor, task)
--- a/vanillawell/tests/upkeep_tests.py
+++ b/vanillawell/tests/upkeep_tests.py
@@ -69,7 +69,7 @@
     bench.admit(job(step(1)))
     bench.place()
     machines = bench.shard.ledger.by_machine()
-    chosen = to_close(_progress(*machines, most_away=3), machines)
+    chosen = to_close(_progress(*machines, most_away=3), machines, 0.0)
     assert len(chosen) == 2
     idle = next(name for name in ("m-i-0", "m-i-1") if not machines[name].runs)
     assert set(chosen) == {idle, "m-i-2"}
@@ -81,11 +81,32 @@
     bench = Bench(*(facts(f"i-{number}") for number in range(60)))
     machines = bench.shard.ledger.by_machine()
     progress = _progress(*list(machines)[:30], most_away=20)
-    progress.closed = dict.fromkeys(to_close(progress, machines), 0.0)
+    progress.closed = dict.fromkeys(to_close(progress, machines, 0.0), 0.0)
     assert len(progress.closed) == 6
-    assert to_close(progress, machines) == []
+    assert to_close(progress, machines, 0.0) == []
     progress.closed.popitem()
-    assert len(to_close(progress, machines)) == 1
+    assert len(to_close(progress, machines, 0.0)) == 1
+
+
+def test_a_wave_that_is_behind_has_more_machines_emptied_at_a_time() -> None:
+    """Owners were replaced in series, and six machines of a pool of twelve are left shortly before
+    nothing is waited for any more. Emptied one after the other, the last would be late."""
+    bench = Bench(*(facts(f"i-{number}") for number in range(12)))
+    machines = bench.shard.ledger.by_machine()
+    progress = _progress(*list(machines)[:6], most_away=10)
+    assert len(to_close(progress, machines, now=0.0)) == 2
+    assert len(to_close(progress, machines, now=11.0)) == 5
+    assert len(to_close(progress, machines, now=16.0)) == 6
+
+
+def test_a_lasting_task_moves_to_a_machine_that_a_wave_is_done_with() -> None:
+    """Of two machines with room one has yet to be taken down. A task that moves there would be
+    moved again seconds later, and be away twice."""
+    bench = Bench(facts("i-0"), facts("i-1"))
+    bench.shard.ledger.executors["i-0"].awaits_upkeep = True
+    bench.admit(job(step(1, long_running=True)))
+    (run,) = bench.place()
+    assert run.executor == "i-1"
 
 
 def test_no_more_lasting_tasks_are_taken_away_than_their_step_allows() -> None:
