Let organisations have their shares of a full pool

Cause: waiting steps were served by their deadlines, whoever sent them; a share was checked at nothing but the configuration's reading. The promise that an organisation has its share when all is full wasn't kept on the users' platform.

Change: among new jobs of one rank (priority, still in time or not) the next place goes to the organisation with least running for its share; begun jobs go on before them, since what was spent on them would be lost.

--- a/vanillawell/state/shard.py
+++ b/vanillawell/state/shard.py
@@ -7,10 +7,12 @@
 
 from __future__ import annotations
 
+import itertools
 import logging
 from collections import Counter
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING
+from operator import itemgetter
+from typing import TYPE_CHECKING, NamedTuple
 
 from vanillawell.state.durations import DurationBook
 from vanillawell.state.executors import QUARANTINE, Executor, by_service
@@ -19,6 +21,7 @@
 from vanillawell.state.placement import StepPlacer
 from vanillawell.state.placement_pass import PlacementPass
 from vanillawell.state.pool_sizing import ArrivalMeter
+from vanillawell.state.shares import in_shares
 from vanillawell.state.stalls import stalled_runs
 from vanillawell.state.work import (
     Ending,
@@ -85,6 +88,24 @@
     """What callers asked for and is taken in now: keys by the job that they concern."""
 
 
+class Rank(NamedTuple):
+    """What decides which of two steps is served first; the lower one is."""
+
+    ends: bool
+    """Whether its tasks end by themselves."""
+
+    priority: int
+    lateness: int
+    waits: bool
+    """Whether nothing was done for its job yet."""
+
+    @property
+    def shared(self) -> bool:
+        """Tell whether organisations get their shares: of new jobs, since begun ones would lose
+        what was spent on them."""
+        return self.ends and self.waits
+
+
 class Shard:
     """Own the state of one shard."""
 
@@ -279,21 +300,30 @@
         self.board.begin_due(wall)
         pass_ = PlacementPass(self, self._policy, now)
         waiting = [step for step in self.board.open_steps if step.has_waiting]
-        for step in sorted(waiting, key=lambda item: self._order(item, now)):
-            pass_.place(step)
+        waiting.sort(key=lambda step: step.record.late_by)
+        ranked = sorted(((self._rank(step, now), step) for step in waiting), key=itemgetter(0))
+        for rank, group in itertools.groupby(ranked, key=itemgetter(0)):
+            steps = [step for _, step in group]
+            for step in in_shares(steps, self._standing) if rank.shared else steps:
+                pass_.place(step)
 
-    def _order(self, step: StepProgress, now: float) -> tuple[bool, int, int, bool, float]:
-        """Return the sort key of a step: what must run at all times, then what still helps.
+    def _rank(self, step: StepProgress, now: float) -> Rank:
+        """Return the rank of a step: what must run at all times, then what still helps.
 
         Under a peak a pool can't meet every objective. Served in the order of their deadlines, all
         jobs would be late together; so those that can no longer be in time wait for the others, and
         jobs that have begun go before those that have not.
         """
-        record = step.record
-        queue = self.queue_of(record.job)
+        queue = self.queue_of(step.record.job)
         priority = queue.priority if queue else 0
         lateness = _lateness(step, now)
-        return (not step.spec.long_running, priority, lateness, not _begun(step), record.late_by)
+        return Rank(not step.spec.long_running, priority, lateness, not _begun(step))
+
+    def _standing(self, organisation: str) -> float:
+        """Return what an organisation has running for its weight, in thousandths of a core."""
+        limits = self._policy.organisations.get(organisation) if self._policy else None
+        weight = limits.share if limits and limits.share > 0 else 1.0
+        return self.ledger.usage(organisation).cpu / weight
 
     def has_place(self, run: Run, now: float) -> bool:
         """Tell whether another executor of its pool has a place for the task of a run."""
