Doubt the store when any call of the entry fails, and call one lost answer no silence

Cause: an entry learned of the store's silence from the writes of jobs alone, though its waiting call for the configuration had been reset a moment before.

Change: a failed call of the configuration's follower makes the store doubtful, so that a reading proves first that it answers; a caller is then told truly that nothing was run. An unanswered write counts as silence, for which callers are refused without asking, only if nothing else was answered since it was sent.

Tests: store_doubt_tests.py; the new one got 504 before.

--- a/vanillawell/coordination/follow.py
+++ b/vanillawell/coordination/follow.py
@@ -68,9 +68,14 @@
         self._on_changes = on_changes
         self._revision: int | None = None
         self._reachable = True
+        self._listeners: list[Callable[[bool], None]] = []
         self.proved: float | None = None
         """Clock of decisions up to which everything that was written is known."""
 
+    def on_outcome(self, listener: Callable[[bool], None]) -> None:
+        """Call `listener` after each call to the store, with whether it was answered."""
+        self._listeners.append(listener)
+
     async def run(self, pause: Callable[[], float] = no_pause) -> None:
         """Follow until cancelled; rest for as long as `pause` says after each answer."""
         backoff = Backoff()
@@ -123,6 +128,8 @@
         return replace(changes, changes=newer)
 
     def _note(self, reachable: bool, reason: str) -> None:
+        for listener in self._listeners:
+            listener(reachable)
         if reachable == self._reachable:
             return
         self._reachable = reachable
--- a/vanillawell/coordination/policy_follower.py
+++ b/vanillawell/coordination/policy_follower.py
@@ -57,6 +57,10 @@
         """Call `listener` no more."""
         self._listeners.remove(listener)
 
+    def on_outcome(self, listener: Callable[[bool], None]) -> None:
+        """Call `listener` after each call to the store, with whether it was answered."""
+        self._follower.on_outcome(listener)
+
     async def run(self) -> None:
         """Follow until cancelled."""
         await self._follower.run()
--- a/vanillawell/coordination/store_doubt.py
+++ b/vanillawell/coordination/store_doubt.py
@@ -17,22 +17,39 @@
 
 @dataclass(slots=True)
 class StoreDoubt:
-    """What is known of the store by the latest calls to it."""
+    """What is known of the store by the latest calls to it.
 
+    Times are those of the clock of decisions.
+    """
+
+    _answered_at: float = float("-inf")
     _silent_at: float | None = None
-    """Clock of decisions at which a call went unanswered; None after one that was answered."""
+    """When a call went unanswered while nothing else was answered either; None after an answer."""
+
+    _doubtful: bool = False
 
-    def note_answer(self) -> None:
+    def note_answer(self, now: float) -> None:
         """Take in that the store has answered."""
+        self._answered_at = now
         self._silent_at = None
+        self._doubtful = False
+
+    def note_failure(self) -> None:
+        """Take in that a call has failed, which may be its connection's fault alone."""
+        self._doubtful = True
+
+    def note_silence(self, sent: float, now: float) -> None:
+        """Take in that a call that was sent at `sent` has got no answer.
 
-    def note_silence(self, now: float) -> None:
-        """Take in that it has not."""
-        self._silent_at = now
+        If others were answered since, its answer was lost, and nobody else has to be shut out.
+        """
+        self._doubtful = True
+        if self._answered_at <= sent:
+            self._silent_at = now
 
     def is_doubtful(self) -> bool:
         """Tell whether a reading has to prove first that it answers."""
-        return self._silent_at is not None
+        return self._doubtful
 
     def is_silent(self, now: float) -> bool:
         """Tell whether it went unanswered so lately that asking again is no use."""
--- a/vanillawell/coordination/work_desk.py
+++ b/vanillawell/coordination/work_desk.py
@@ -78,6 +78,18 @@
         """Seconds after which a withdrawn key must not work; None if only for those in touch."""
 
         self._doubt = StoreDoubt()
+        policies.on_outcome(self._note_outcome)
+
+    def _note_outcome(self, answered: bool) -> None:
+        """Learn whether the store answers from the calls that this entry makes anyway.
+
+        Otherwise the first job of each entry is written into a store that is away, and its caller
+        can't be told that it has not run.
+        """
+        if answered:
+            self._doubt.note_answer(clock.read())
+        else:
+            self._doubt.note_failure()
 
     def body_bound(self) -> int:
         """Return the bytes that a request body may have."""
@@ -139,6 +151,7 @@
         backoff = Backoff()
         with anyio.move_on_after(_budget(time_left)):
             while unknown < TRIES_IN_DOUBT:
+                sent = clock.read()
                 try:
                     result = await self._store.transact(create)
                 except StoreUnavailableError as error:
@@ -148,10 +161,10 @@
                     unknown += 1
                 except StoreOutcomeUnknownError as error:
                     unknown += 1
-                    self._doubt.note_silence(clock.read())
+                    self._doubt.note_silence(sent, clock.read())
                     log.warning("job not confirmed", extra={"job": job.job_id, "why": str(error)})
                 else:
-                    self._doubt.note_answer()
+                    self._doubt.note_answer(clock.read())
                     self._log_submitted(job, result.succeeded)
                     return None
                 await backoff.wait()
@@ -160,15 +173,16 @@
 
     async def _store_answers(self, key: str) -> bool:
         """Tell by a reading of a key, which changes nothing, whether the store answers."""
-        if self._doubt.is_silent(clock.read()):
+        sent = clock.read()
+        if self._doubt.is_silent(sent):
             return False
         try:
             with anyio.fail_after(PROBE_BOUND):
                 await self._store.get(key)
         except (StoreError, TimeoutError):
-            self._doubt.note_silence(clock.read())
+            self._doubt.note_silence(sent, clock.read())
             return False
-        self._doubt.note_answer()
+        self._doubt.note_answer(clock.read())
         return True
 
     def _log_submitted(self, job: Job, created: bool) -> None:
--- a/vanillawell/tests/store_doubt_tests.py
+++ b/vanillawell/tests/store_doubt_tests.py
@@ -10,12 +10,16 @@
 import anyio
 
 from vanillawell import clock
+from vanillawell.coordination.store_doubt import StoreDoubt
 from vanillawell.tests.scheduler_cluster import PREFIX as JOBS
 from vanillawell.tests.scheduler_cluster import Cluster, job, until, with_cluster
 
 AT_ONCE = 0.7
 """Seconds within which a caller is told that the store does not answer."""
 
+WATCH_LOST = 2.5
+"""Seconds after which an entry's next waiting call to a silent store has failed."""
+
 
 @with_cluster(members=1)
 async def test_after_an_unanswered_write_callers_are_told_to_come_back(built: Cluster) -> None:
@@ -38,6 +42,31 @@
     assert again.status == 200
 
 
+@with_cluster(members=1)
+async def test_an_entry_that_hears_nothing_of_the_store_writes_no_job_into_it(
+    built: Cluster,
+) -> None:
+    """The store is away, and the entry's own waiting call has got no answer. Written all the same,
+    the first job of each entry would leave its caller in doubt, and unable to try again."""
+    member, job_id = await built.owner(), built.new_id()
+    built.store.faults.down = True
+    await anyio.sleep(WATCH_LOST)
+    began = clock.read()
+    reply = await member.call("POST", JOBS + job_id, job())
+    assert reply.status == 503
+    assert clock.read() - began < AT_ONCE
+
+
+def test_an_answer_that_was_lost_among_others_is_no_silence() -> None:
+    """A write gets no answer within its bound, while a waiting call was answered meanwhile."""
+    doubt = StoreDoubt()
+    doubt.note_answer(now=1.0)
+    doubt.note_silence(sent=0.5, now=2.0)
+    assert doubt.is_doubtful() and not doubt.is_silent(2.0)
+    doubt.note_silence(sent=1.5, now=3.0)
+    assert doubt.is_silent(3.0)
+
+
 @with_cluster(members=1)
 async def test_a_single_lost_answer_shuts_nobody_out(built: Cluster) -> None:
     """One write was carried out and its answer lost. The store answers all others; the next
