Size pools by counted jobs and their trend instead of a fixed growth

Cause: what is asked for was a window's work times 1.7, whatever its trend. A peak that begins grows threefold while a machine comes, one at its height not at all. Works of single jobs are uneven, so the sum of a window swings by a third by itself.

Change: jobs are counted and taken for as large as those of their service are on average; room follows the ratio of two windows, with a margin that shrinks with the number of jobs counted.

Ruled out: a forecaster of peaks that return.

--- a/vanillawell/coordination/pool_runner.py
+++ b/vanillawell/coordination/pool_runner.py
@@ -31,8 +31,8 @@
 
 log = logging.getLogger(__name__)
 
-PAUSE = 0.1
-"""Seconds between two looks; peaks last only seconds."""
+PAUSE = 0.05
+"""Seconds between two looks; a peak grows by a tenth of its height in 0.2 s."""
 
 LIST_PAUSE = 5.0
 """Seconds between two readings of the list of machines, which are priced; the registry tells of
--- a/vanillawell/tests/pool_sizing_tests.py
+++ b/vanillawell/tests/pool_sizing_tests.py
@@ -8,7 +8,13 @@
 from __future__ import annotations
 
 from vanillawell.state.durations import DurationBook
-from vanillawell.state.pool_sizing import ArrivalMeter, PoolDemand, PoolSizer, lasting_floor
+from vanillawell.state.pool_sizing import (
+    ArrivalMeter,
+    PoolDemand,
+    PoolSizer,
+    expected_growth,
+    lasting_floor,
+)
 from vanillawell.state.trial_placement import machines_lacking
 from vanillawell.state.work import JobRecord, Resources, Step
 from vanillawell.tests.scheduling_builders import Bench, facts, job, step
@@ -101,6 +107,28 @@
     assert meter.cores("a", 2.0) == 0
 
 
+def test_a_peak_at_its_height_brings_little_more_than_it_asks_for() -> None:
+    """Forty jobs come in each window, as many as in the one before. Room for seventy would bring
+    machines that nobody uses, and that the pool whose turn is next would miss."""
+    assert expected_growth(40, 40) < 1.4
+    assert expected_growth(400, 400) < 1.2
+
+
+def test_a_peak_that_begins_has_room_for_its_growth() -> None:
+    """Jobs have tripled from one window to the next, and a machine takes two more to come."""
+    assert expected_growth(12, 4) > 2
+
+
+def test_one_large_job_is_taken_for_no_peak() -> None:
+    """One job of forty times the usual work comes among usual ones, as happens by chance."""
+    usual, durations = ArrivalMeter(), DurationBook()
+    for number in range(60):
+        usual.note("a", job(step(4, seconds=1.0)), durations, number * 0.1)
+    before = usual.cores("a", 5.9)
+    usual.note("a", job(step(4, seconds=40.0)), durations, 5.95)
+    assert usual.cores("a", 6.0) < 3 * before
+
+
 def test_rotating_peaks_are_met_with_few_moves() -> None:
     """Two turns of four queues: each peak has its room within a tenth of a second after it was
     seen, and no more than six moves in and out are made for each."""
--- a/vanillawell/tests/turning_load.py
+++ b/vanillawell/tests/turning_load.py
@@ -32,7 +32,7 @@
 TICK = 0.05
 """Seconds between two decisions."""
 
-LOOK = 2
+LOOK = 1
 """Ticks between two looks at the pools."""
 
 START_DELAY = 0.03
