Tell all starts and ends of a peak in lines that hold many tasks

Other ends, which are few, keep a line each. A confirmed start is told at the level of debugging only: what goes wrong with an order has lines of its own, and the end tells the seconds since it.

--- a/vanillawell/coordination/run_orders.py
+++ b/vanillawell/coordination/run_orders.py
@@ -117,7 +117,7 @@
             run.enter(RunPhase.RUNNING, now)
         if run.started is None:
             run.started = now
-        log.info("run started", extra=self._link.describe(run))
+        log.debug("run confirmed", extra=self._link.describe(run))
 
     async def _start_refused(self, run: Run, error: OrderRefusedError) -> None:
         log.warning(
--- a/vanillawell/coordination/shard_owner.py
+++ b/vanillawell/coordination/shard_owner.py
@@ -11,7 +11,7 @@
 import orjson
 
 from vanillawell import clock
-from vanillawell.coordination import loop_lag
+from vanillawell.coordination import loop_lag, turn_log
 from vanillawell.coordination.advice_desk import AdviceDesk
 from vanillawell.coordination.drain_runner import DrainRunner
 from vanillawell.coordination.driver_clocks import DriverClocks
@@ -232,6 +232,8 @@
                 self._shard.place(now, time.time())
             self._drive(tasks)
             self._send_stops()
+            done, self._shard.outbox.done = self._shard.outbox.done, []
+            turn_log.tell_done(done, self._term.token)
             decided = clock.read()
             await self._store_turn()
             self._log_if_slow(now, decided)
@@ -312,6 +314,7 @@
             self._telemetry.store_writes.inc({"kind": "turn"})
             for end in part.ends:
                 end.executor.unsaved_ends.discard(end.sequence)
+            turn_log.tell_started(part.planned, self._term.token)
             for run in part.planned:
                 self._submit(run, stored_at)
             self._notify(end.executor.name for end in part.ends)
--- a/vanillawell/state/explain.py
+++ b/vanillawell/state/explain.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
+import itertools
 import re
 from collections import Counter
 from collections.abc import Iterable, Iterator
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from datetime import datetime
 from typing import Any
 
@@ -30,6 +31,10 @@
     fields: dict[str, Any]
 
 
+LINES_OF_RUNS = ("tasks started", "tasks done")
+"""Messages that tell of many tasks, a row for each: the four parts of its id, its run, its executor
+and what else the message knows."""
+
 HEAD = ("time", "level", "instance", "logger", "message")
 """Fields that every line has."""
 
@@ -113,7 +118,7 @@
             later = (
                 other.at
                 for other in self.lines
-                if other.message == "run started"
+                if other.message == "tasks started"
                 and other.at > line.at
                 and other.fields["task"][1] == step
             )
@@ -130,10 +135,23 @@
             causes["an executor did not answer"] += 2
 
 
+def _by_job(line: LogLine) -> Iterator[LogLine]:
+    """Yield a line for each task of one that tells of many; others as they are."""
+    if line.message not in LINES_OF_RUNS:
+        yield line
+        return
+    for job_id, occurrence, step, task, run, executor, *rest in line.fields["runs"]:
+        fields = {"job": job_id, "task": [occurrence, step, task], "run": run, "executor": executor}
+        if rest:
+            fields["seconds"] = rest[0]
+        fields["token"] = line.fields["token"]
+        yield replace(line, fields=fields)
+
+
 def gather(lines: Iterable[LogLine]) -> dict[str, JobStory]:
     """Return the stories of all jobs, by id."""
     stories: dict[str, JobStory] = {}
-    for line in lines:
+    for line in itertools.chain.from_iterable(map(_by_job, lines)):
         job_id = line.fields.get("job")
         if isinstance(job_id, str) and job_id:
             stories.setdefault(job_id, JobStory(job_id)).lines.append(line)
--- a/vanillawell/state/shard.py
+++ b/vanillawell/state/shard.py
@@ -76,6 +76,16 @@
     sequence: int
 
 
+class DoneTask(NamedTuple):
+    """A task that was done, for the log."""
+
+    task_id: TaskId
+    run: int
+    executor: str
+    seconds: float | None
+    """From its confirmed start to the news of its end; None if the start was not seen here."""
+
+
 @dataclass(slots=True)
 class Outbox:
     """What the decisions so far ask for."""
@@ -84,6 +94,7 @@
     ends: list[SavedEnd] = field(default_factory=list)
     stops: list[Run] = field(default_factory=list)
     stray_stops: list[StrayStop] = field(default_factory=list)
+    done: list[DoneTask] = field(default_factory=list)
     taken: dict[str, set[str]] = field(default_factory=dict)
     """What callers asked for and is taken in now: keys by the job that they concern."""
 
@@ -264,18 +275,7 @@
         if item.ending is Ending.FAILED:
             task.failed_on = run.executor
         self.board.ended(task, item.ending, item.checkpoint, now, wall)
-        log.info(
-            "run ended",
-            extra={
-                "job": record.job.job_id,
-                "task": task.task_id[1:],
-                "run": run.number,
-                "executor": run.executor,
-                "ending": item.ending,
-                "failures": task.failures,
-                "seconds": round(now - run.started, 3) if run.started else None,
-            },
-        )
+        self._tell_end(item, now)
         if record.state.final and not was_final:
             self._stop_runs(record)
             log.info(
@@ -288,6 +288,26 @@
                 },
             )
 
+    def _tell_end(self, item: Ended, now: float) -> None:
+        """Tell of an end: of tasks that are done with the next turn, of all others at once."""
+        run, step = item.run, item.run.task.step
+        seconds = round(now - run.started, 3) if run.started else None
+        if item.ending is Ending.DONE and not step.spec.long_running:
+            self.outbox.done.append(DoneTask(run.task.task_id, run.number, run.executor, seconds))
+            return
+        log.info(
+            "run ended",
+            extra={
+                "job": run.task.task_id.job_id,
+                "task": run.task.task_id[1:],
+                "run": run.number,
+                "executor": run.executor,
+                "ending": item.ending,
+                "failures": run.task.failures,
+                "seconds": seconds,
+            },
+        )
+
     def never_began(self, run: Run, now: float, wall: float) -> None:
         """Take in the proof that a run was not and will not be started."""
         if self.ledger.close(run):
--- a/vanillawell/tests/logs_tests.py
+++ b/vanillawell/tests/logs_tests.py
@@ -6,8 +6,12 @@
 import os
 import time
 
-from vanillawell.logs import DROPPED_FIELD, LONGEST_QUEUE, BudgetFilter, JsonFormatter
+import pytest
+
+from vanillawell.coordination import turn_log
+from vanillawell.logs import BUDGET, DROPPED_FIELD, LONGEST_QUEUE, BudgetFilter, JsonFormatter
 from vanillawell.logs import NonBlockingHandler as Handler
+from vanillawell.tests.scheduling_builders import Bench, facts, job, step
 
 
 def _record(message: str) -> logging.LogRecord:
@@ -45,3 +49,17 @@
     assert budget.filter(later)
     assert getattr(later, DROPPED_FIELD) == 2
     assert budget.dropped == 2
+
+
+def test_the_starts_of_a_peak_are_all_in_the_log(caplog: pytest.LogCaptureFixture) -> None:
+    """A large pool's owner starts a thousand tasks within a second. With a line for each, those
+    beyond the budget would be missing, and no late job of the peak could be explained."""
+    wide = job(step(1_000, cpu=1))
+    bench = Bench(facts("i-0"))
+    bench.admit(wide)
+    runs = bench.place()
+    with caplog.at_level(logging.INFO):
+        turn_log.tell_started(runs, token=7)
+    told = [row for record in caplog.records for row in record.__dict__["runs"]]
+    assert len(told) == len(runs) == 1_000
+    assert len(caplog.records) < BUDGET / 10
