Start tasks that may run twice elsewhere while their executors are silent

Cause: the owner gives a task up only when its run is over for certain. That is right for work that must not run twice; but callers mark steps whose tasks may (about a third of the short jobs), and that was read and not used.

Both stay charged to their executors and the organisation; the first that is done counts and the other is stopped, a silent one once it answers. A run that is back before its copy has begun goes on alone. The record names superseded runs, so a next owner knows of both. One copy at a time; no gangs, nothing that lasts.

--- a/vanillawell/protocol/work_documents.py
+++ b/vanillawell/protocol/work_documents.py
@@ -209,8 +209,9 @@
 def _write_step(step: StepProgress) -> dict[str, Any]:
     """Write the done tasks as a list of indexes, and the touched ones with their latest run.
 
-    Where tasks failed has a field of its own: former versions, which may own the shard once more
-    while entries are replaced, pass over it, but take a longer row of a task for no record.
+    Where tasks failed, and their superseded runs, have fields of their own: former versions, which
+    may own the shard once more while entries are replaced, pass over them, but take a longer row of
+    a task for no record.
     """
     touched = {
         str(task.task_id.task): _write_task(task)
@@ -224,12 +225,21 @@
         for task in step.tasks
         if task.failed_on and not task.done
     }
-    return {**document, "failed_on": failed_on} if failed_on else document
+    older = {
+        str(task.task_id.task): [_write_place(run) for run in task.older]
+        for task in step.tasks
+        if task.older
+    }
+    optional = {"failed_on": failed_on, "older": older}
+    return {**document, **{name: value for name, value in optional.items() if value}}
+
+
+def _write_place(run: Run) -> list[Any]:
+    return [run.executor, run.incarnation, run.number]
 
 
 def _write_task(task: Task) -> list[Any]:
-    run = task.run
-    where = [run.executor, run.incarnation, run.number] if run else None
+    where = _write_place(task.run) if task.run else None
     return [task.number, task.failures, task.checkpoint, where]
 
 
@@ -281,5 +291,14 @@
         task = step.tasks[int(index)]
         task.number, task.failures, task.checkpoint = number, failures, checkpoint
         if where is not None:
-            executor, incarnation, run_number = where
-            yield Run(task, run_number, executor, incarnation, RunPhase.RECALLED, now)
+            yield _read_place(task, where, now)
+    for index, places in item.get("older", {}).items():
+        for where in places:
+            run = _read_place(step.tasks[int(index)], where, now)
+            run.superseded = True
+            yield run
+
+
+def _read_place(task: Task, where: list[Any], now: float) -> Run:
+    executor, incarnation, number = where
+    return Run(task, number, executor, incarnation, RunPhase.RECALLED, now)
--- a/vanillawell/state/ledger.py
+++ b/vanillawell/state/ledger.py
@@ -180,17 +180,36 @@
         executor.charge(run)
         record = run.task.step.record
         record.open_runs += 1
-        run.task.run = run
+        if run.superseded:
+            run.task.older.append(run)
+        else:
+            run.task.run = run
         self._usage[record.job.organisation] += run.task.step.spec.need
 
     def _discharge(self, executor: Executor, run: Run) -> None:
         executor.release(run)
         record = run.task.step.record
         record.open_runs -= 1
-        if run.task.run is run:
+        if run.superseded:
+            run.task.older.remove(run)
+        elif run.task.run is run:
             run.task.run = None
         self._usage[record.job.organisation] -= run.task.step.spec.need
 
+    @staticmethod
+    def supersede(run: Run) -> None:
+        """Let another run of a task begin beside this one, which stays charged where it is."""
+        run.superseded = True
+        run.task.run = None
+        run.task.older.append(run)
+
+    @staticmethod
+    def _reinstate(run: Run) -> None:
+        """Take a superseded run for the task's own again, since no other was begun."""
+        run.task.older.remove(run)
+        run.superseded = False
+        run.task.run = run
+
     def close(self, run: Run) -> bool:
         """Stop charging a run; False if it was closed before."""
         executor = self.executors.get(run.executor)
@@ -247,6 +266,8 @@
             row = present.pop((run.task.task_id, run.number), None)
             if row is not None:
                 self._confirm(run, row, now)
+                if run.superseded and run.task.run is None and not run.task.done:
+                    self._reinstate(run)
             elif self._is_over(executor, run, sent):
                 self._discharge(executor, run)
                 outcome.ended.append(Ended(run, Ending.LOST))
--- a/vanillawell/state/placement.py
+++ b/vanillawell/state/placement.py
@@ -39,7 +39,7 @@
         self._spec = spec
         self._tickets = tickets
         self._candidates = [item for item in candidates if self._may_run(item)]
-        held = [task.run for task in step.tasks if task.run is not None]
+        held = [run for task in step.tasks for run in task.open_runs]
         self._on_executor = Counter(run.executor for run in held)
         racks = {item.name: item.facts.rack for item in candidates}
         self._on_rack = Counter(racks.get(run.executor, "") for run in held)
--- a/vanillawell/state/shard.py
+++ b/vanillawell/state/shard.py
@@ -14,6 +14,7 @@
 from operator import itemgetter
 from typing import TYPE_CHECKING, NamedTuple
 
+from vanillawell.state.copies import to_copy
 from vanillawell.state.durations import DurationBook
 from vanillawell.state.executors import QUARANTINE, Executor, by_service
 from vanillawell.state.job_board import JobBoard
@@ -191,11 +192,10 @@
         return True
 
     def _stop_runs(self, record: JobRecord) -> None:
-        for steps in record.occurrences.values():
-            for step in steps:
-                for task in step.tasks:
-                    if task.run is not None:
-                        self.want_stop(task.run)
+        steps = itertools.chain.from_iterable(record.occurrences.values())
+        for task in itertools.chain.from_iterable(step.tasks for step in steps):
+            for run in task.open_runs:
+                self.want_stop(run)
 
     def want_stop(self, run: Run) -> None:
         """Ask for a run to be stopped."""
@@ -232,6 +232,9 @@
             self._take_late_end(end, now, wall)
         for run in outcome.recheck:
             self.want_stop(run)
+        for run in executor.runs.values():
+            if run.superseded and (run.task.done or run.task.step.record.state.final):
+                self.want_stop(run)
         for row in outcome.strays:
             if row.task_id is not None:
                 self.outbox.stray_stops.append(StrayStop(executor.name, row.task_id, row.run))
@@ -276,6 +279,8 @@
             task.failed_on = run.executor
         self.board.ended(task, item.ending, item.checkpoint, now, wall)
         self._tell_end(item, now)
+        if task.done:
+            self._stop_copies(task)
         if record.state.final and not was_final:
             self._stop_runs(record)
             log.info(
@@ -288,6 +293,30 @@
                 },
             )
 
+    def _stop_copies(self, task: Task) -> None:
+        """Stop what still runs of a done task; silent executors are told once they answer."""
+        for run in task.open_runs:
+            if not self.ledger.executors[run.executor].is_out_of_touch:
+                self.want_stop(run)
+
+    def _copy_from_silent(self, now: float) -> None:
+        """Let tasks that may run twice begin elsewhere while their executors are silent."""
+        for run in to_copy(self.ledger.executors.values(), now):
+            record = run.task.step.record
+            self.ledger.supersede(run)
+            self.board.changed[record.job.job_id] = record
+            silent_since = self.ledger.executors[run.executor].silent_since or now
+            log.info(
+                "task copied",
+                extra={
+                    "job": record.job.job_id,
+                    "task": run.task.task_id[1:],
+                    "run": run.number,
+                    "executor": run.executor,
+                    "silent": round(now - silent_since, 3),
+                },
+            )
+
     def _tell_end(self, item: Ended, now: float) -> None:
         """Tell of an end: of tasks that are done with the next turn, of all others at once."""
         run, step = item.run, item.run.task.step
@@ -318,6 +347,7 @@
         if self._policy is None:
             return
         self.board.begin_due(wall)
+        self._copy_from_silent(now)
         pass_ = PlacementPass(self, self._policy, now)
         waiting = [step for step in self.board.open_steps if step.has_waiting]
         waiting.sort(key=lambda step: step.record.late_by)
--- a/vanillawell/state/work.py
+++ b/vanillawell/state/work.py
@@ -224,6 +224,9 @@
     pace: int = 100
     """Percentage of full pace at which the run was last told to work."""
 
+    superseded: bool = False
+    """Whether a newer run of its task may go on beside it, on another executor."""
+
     ticket: str = ""
     """Proof that the run's step may use this executor, where the queue asks for one."""
 
@@ -240,7 +243,7 @@
 
 @dataclass(slots=True, eq=False)
 class Task:
-    """One task; at most one run of it is open at any time."""
+    """One task; at most one run of it is open at any time, unless copies of it are allowed."""
 
     task_id: TaskId
     step: StepProgress
@@ -248,6 +251,9 @@
     """Number of its latest run; numbers only rise."""
 
     run: Run | None = None
+    older: list[Run] = field(default_factory=list)
+    """Superseded runs that may still go on, where copies are allowed."""
+
     failures: int = 0
     checkpoint: str = ""
     done: bool = False
@@ -257,6 +263,11 @@
     changed: float = 0.0
     """When its latest run ended, on the clock of decisions."""
 
+    @property
+    def open_runs(self) -> list[Run]:
+        """Return its runs that are not over for certain."""
+        return [*self.older, self.run] if self.run else list(self.older)
+
 
 @dataclass(slots=True, eq=False)
 class StepProgress:
