Begin a wave with the machines that hold lasting tasks

The lasting tasks were moved one after the other to the end, 1.6 s each, while the owner was replaced and the store away for 10 of 26 s.

Cause: machines with least work were emptied first, so those whose tasks leave one at a time came last.

Change: machines that hold lasting tasks and the others each have their own number in emptying at a time, so the former begin with the wave.

--- a/vanillawell/state/upkeep.py
+++ b/vanillawell/state/upkeep.py
@@ -129,9 +129,11 @@
 
 
 def to_close(progress: WaveProgress, executors: Mapping[str, Executor], now: float) -> list[str]:
-    """Return machines that should be emptied now, those with least work first.
+    """Return machines that should be emptied now.
 
-    Machines that are down for other reasons are left for later.
+    Lasting tasks are moved one after the other as their steps allow, which decides how long a wave
+    takes; so the machines that hold them begin at once, beside those with least work. Machines that
+    are down for other reasons are left for later.
     """
     wave = progress.wave
     room = wave.most_away + EMPTIED_AHEAD - len(progress.away) - len(progress.closed)
@@ -141,21 +143,26 @@
         if name not in progress.decided and name not in progress.closed and name in executors
     ]
     waiting.sort(key=lambda name: (len(executors[name].runs), executors[name].used.cpu, name))
-    sizes = Counter(item.facts.service for item in executors.values())
-    left = Counter(executors[name].facts.service for name in waiting)
-    closed = Counter(executors[name].facts.service for name in progress.closed if name in executors)
-    left.update(closed)
+    kinds = {name: _emptying_kind(executors[name]) for name in executors}
+    sizes = Counter(service for service, _ in kinds.values())
+    closed = Counter(kinds[name] for name in progress.closed if name in kinds)
+    left = Counter(kinds[name] for name in waiting) + closed
     time_left = progress.unhurried_for(now)
-    most = {name: _emptied_at_once(sizes[name], left[name], time_left) for name in left}
+    most = {kind: _emptied_at_once(sizes[kind[0]], left[kind], time_left) for kind in left}
     chosen: list[str] = []
     for name in waiting:
-        service = executors[name].facts.service
-        if len(chosen) < room and closed[service] < most[service]:
+        kind = kinds[name]
+        if len(chosen) < room and closed[kind] < most[kind]:
             chosen.append(name)
-            closed[service] += 1
+            closed[kind] += 1
     return chosen
 
 
+def _emptying_kind(executor: Executor) -> tuple[str, bool]:
+    """Return the service, and whether lasting tasks have to be moved away."""
+    return executor.facts.service, has_lasting(executor)
+
+
 def _emptied_at_once(size: int, left: int, time_left: float) -> int:
     """Return how many machines of a service may be in emptying at the same time.
 
--- a/vanillawell/tests/upkeep_tests.py
+++ b/vanillawell/tests/upkeep_tests.py
@@ -88,6 +88,18 @@
     assert len(to_close(progress, machines, 0.0)) == 1
 
 
+def test_machines_with_lasting_tasks_are_begun_with_at_once() -> None:
+    """Lasting tasks leave one after the other, so that the machines that hold them take longest.
+    Left for the end of a wave, they are late when an owner is lost or the store is away."""
+    bench = Bench(facts("i-0"), facts("i-1"), facts("i-2"))
+    bench.admit(job(step(1, long_running=True)))
+    (run,) = bench.place()
+    machines = bench.shard.ledger.by_machine()
+    chosen = to_close(_progress(*machines, most_away=3), machines, now=0.0)
+    assert len(chosen) == 2
+    assert f"m-{run.executor}" in chosen
+
+
 def test_a_wave_that_is_behind_has_more_machines_emptied_at_a_time() -> None:
     """Owners were replaced in series, and six machines of a pool of twelve are left shortly before
     nothing is waited for any more. Emptied one after the other, the last would be late."""
