Let lasting tasks of several steps share machines

Cause: a lasting task went to the machine with least load among all that the peak had brought.

Change: among machines without a task of its step it goes where other lasting tasks are, and then by racks as before; tasks with a target for their answers stay apart, since they slow each other.

--- a/vanillawell/state/placement.py
+++ b/vanillawell/state/placement.py
@@ -5,6 +5,7 @@
 from collections import Counter
 from typing import TYPE_CHECKING
 
+from vanillawell.state.availability import has_lasting
 from vanillawell.state.work import NOTHING, Resources
 
 if TYPE_CHECKING:
@@ -14,7 +15,7 @@
     from vanillawell.state.work import Step, StepProgress, Task
 
 
-Cost = tuple[bool, bool, bool, int, int, float, str]
+Cost = tuple[bool, bool, bool, int, bool, int, float, str]
 """What speaks against an executor for a task, most important first; the least one is chosen."""
 
 
@@ -97,7 +98,9 @@
         """Return what speaks against an executor, most important first.
 
         Tasks that last stay off machines that a wave has yet to take down, where they would be
-        moved again. They are spread over racks, so that one lost rack takes few of them. All others
+        moved again. They share machines with those of other steps, since a machine that holds one
+        can't leave its pool after a peak; not those that have to answer quickly, which disturb each
+        other. They are spread over racks, so that one lost takes few. All others
         go where their data is, then onto the fullest executor that has room: what a peak leaves
         behind then empties whole machines within the length of a task, and they can go to the pool
         whose peak begins. Short tasks don't slow each other.
@@ -115,6 +118,7 @@
             spec.long_running and executor.awaits_upkeep,
             bool(wanted) and rack != wanted,
             crowd,
+            spec.long_running and not spec.tail_target and not has_lasting(executor),
             spread,
             used,
             executor.name,
--- a/vanillawell/tests/start_rules_tests.py
+++ b/vanillawell/tests/start_rules_tests.py
@@ -106,3 +106,20 @@
     bench = Bench(facts("i-0"), facts("i-1"))
     bench.admit(job(step(long_running=True)))
     assert fail_all(bench, 3 * ATTEMPTS) == 3 * ATTEMPTS
+
+
+def test_lasting_tasks_of_two_steps_share_machines() -> None:
+    """A wave moves lasting tasks while a peak has brought many machines. Spread over all of these,
+    they would keep twice as many in the pool once the peak is over."""
+    bench = Bench(*(facts(f"i-{number}", rack=f"r{number}") for number in range(8)))
+    for _ in range(2):
+        bench.admit(job(step(2, long_running=True, most_per_executor=1)))
+    assert len(executors_of(bench.place())) == 2
+
+
+def test_lasting_tasks_that_answer_users_do_not_share_machines_while_others_are_free() -> None:
+    """The load of each slows the answers of the other."""
+    bench = Bench(*(facts(f"i-{number}") for number in range(4)))
+    for _ in range(2):
+        bench.admit(job(step(2, long_running=True, most_per_executor=1, tail_target=0.1)))
+    assert len(executors_of(bench.place())) == 4
