Count what an order for upkeep ends as away while the order is under way

By reading, after orders go out side by side: a new owner that repeats the orders of two machines, each with a task of a step of which one may be away, asked for both before either was answered, and would end both. The lasting tasks on a machine now count as away from the moment its order goes out; if the order is refused, the executor's next report tells that they are at work. Test in upkeep_tests.py, which failed before.

--- a/vanillawell/coordination/upkeep_orders.py
+++ b/vanillawell/coordination/upkeep_orders.py
@@ -12,7 +12,7 @@
 from vanillawell.coordination.machine_orders import Purpose
 from vanillawell.protocol.calls import NoAnswerError, NotSentError
 from vanillawell.protocol.machine_calls import UpkeepRefusal, UpkeepRefusedError
-from vanillawell.state.availability import may_lose_all
+from vanillawell.state.availability import expect_loss, may_lose_all
 from vanillawell.state.upkeep import UNKNOWN_LIFE, life_of
 
 if TYPE_CHECKING:
@@ -120,6 +120,8 @@
             log.warning("upkeep waits for lasting tasks", extra={**fields, "on": executor.name})
             progress.closed.setdefault(name, now)
             return
+        if executor is not None:
+            expect_loss(executor)
         try:
             await self._machines.begin_upkeep(name, progress.wave.number, self._orders.duty)
         except UpkeepRefusedError as error:
--- a/vanillawell/state/availability.py
+++ b/vanillawell/state/availability.py
@@ -53,3 +53,13 @@
         if bound and elsewhere + len(here) > bound:
             return False
     return True
+
+
+def expect_loss(executor: Executor) -> None:
+    """Count all on an executor as away, since an order that ends it is about to go out.
+
+    Orders go out side by side. Counted only once the first is answered, two tasks of a step of
+    which one may be away would end together. A report tells what is at work after all.
+    """
+    for run in executor.runs.values():
+        run.at_work = False
--- a/vanillawell/tests/upkeep_tests.py
+++ b/vanillawell/tests/upkeep_tests.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from vanillawell.state.availability import expect_loss, may_lose_all
 from vanillawell.state.upkeep import (
     UNKNOWN_LIFE,
     Wave,
@@ -156,6 +157,19 @@
     assert not is_empty_enough(executor, since=0.0, hurried=True, now=bench.now)
 
 
+def test_a_second_order_counts_on_what_the_first_will_end() -> None:
+    """A new owner repeats the orders for two machines side by side, each with a task of a step of
+    which one may be away. Both answers are yet to come when the second is about to go out."""
+    bench = Bench(facts("i-0"), facts("i-1"))
+    bench.admit(job(step(2, long_running=True, most_away=1, most_per_executor=1)))
+    for run in bench.place():
+        run.at_work = True
+    first, second = bench.shard.ledger.executors.values()
+    assert may_lose_all(first) and may_lose_all(second)
+    expect_loss(first)
+    assert not may_lose_all(second)
+
+
 def test_a_lasting_task_stays_at_work_until_another_machine_has_a_place() -> None:
     """The machine of a lasting task is to be emptied, and each other one has its share of the step.
     Stopped at once, the task would be away until another machine has come."""
