--- a/vanillawell/commands/reference.py
+++ b/vanillawell/commands/reference.py
@@ -28,7 +28,6 @@
     node_settings.NodeSettings,
     node_settings.NodeBounds,
     node_settings.EntryCapacity,
-    node_settings.PlatformKeys,
 )
 
 TREE_CLASSES: tuple[type[BaseModel], ...] = (OperatorTree, Node, ScopedSettings, Key, Instance)
--- a/vanillawell/config/node_settings.py
+++ b/vanillawell/config/node_settings.py
@@ -9,25 +9,6 @@
 from vanillawell.config.settings import Address, StrictModel
 
 
-class PlatformKeys(StrictModel):
-    """Where the platform's own documents lie in its store."""
-
-    configuration: str = "op/config"
-    """Key of the operators' configuration."""
-
-    operators: str = "op/"
-    """Prefix of everything that operators write."""
-
-    waves: str = "op/wave/"
-    """Prefix of requests for upkeep."""
-
-    executors: str = "servers/"
-    """Prefix of the registry of executors."""
-
-    wave_states: str = "status/wave/"
-    """Prefix under which operators look for the state of a wave."""
-
-
 class NodeBounds(StrictModel):
     """Bounds that the platform sets for all of its users, in milliseconds unless said."""
 
@@ -102,7 +83,6 @@
 
     bounds: NodeBounds
     capacity: EntryCapacity = EntryCapacity()
-    keys: PlatformKeys = PlatformKeys()
     log_level: str = "INFO"
 
     @field_validator("caller", "ready", "metrics", mode="before")
--- a/vanillawell/coordination/policy_follower.py
+++ b/vanillawell/coordination/policy_follower.py
@@ -11,7 +11,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from vanillawell.config.node_settings import PlatformKeys
+    from vanillawell.coordination.ports import PlatformKeys
     from vanillawell.protocol.store import Changes, FollowedStore, Listing
     from vanillawell.state.upkeep import Wave
     from vanillawell.state.work_policy import WorkPolicy
--- a/vanillawell/coordination/ports.py
+++ b/vanillawell/coordination/ports.py
@@ -16,6 +16,26 @@
     from vanillawell.state.work_policy import WorkPolicy
 
 
+@dataclass(frozen=True, slots=True)
+class PlatformKeys:
+    """Where the documents of others lie in the store."""
+
+    configuration: str
+    """Key of the operators' configuration."""
+
+    operators: str
+    """Prefix of everything that operators write."""
+
+    waves: str
+    """Prefix of requests for upkeep."""
+
+    executors: str
+    """Prefix of the registry of executors."""
+
+    wave_states: str
+    """Prefix under which operators look for the state of a wave."""
+
+
 @dataclass(frozen=True, slots=True)
 class DocumentReader:
     """Read and write the documents that others keep in the store.
@@ -31,6 +51,8 @@
     write_wave_state: Callable[[int, bool], bytes]
     """Write a wave's state for operators, from its number and whether it is completed."""
 
+    keys: PlatformKeys
+
 
 @dataclass(frozen=True, slots=True)
 class Ports:
--- a/vanillawell/coordination/shard_owner.py
+++ b/vanillawell/coordination/shard_owner.py
@@ -138,7 +138,7 @@
         tasks.start_soon(tell_unreached, self._shard, self._term.token)
         tasks.start_soon(loop_lag.watch, "owner")
         registry = RegistryFollower(
-            self._ports, self._settings.keys.executors, self._shard, self.wake
+            self._ports, self._ports.documents.keys.executors, self._shard, self.wake
         )
         orders = MachineOrders(
             self._term,
--- a/vanillawell/coordination/upkeep_runner.py
+++ b/vanillawell/coordination/upkeep_runner.py
@@ -176,7 +176,7 @@
             "completed": progress.completed,
         }
         state = self._ports.documents.write_wave_state(number, progress.completed)
-        status_key = f"{self._settings.keys.wave_states}{number}"
+        status_key = f"{self._ports.documents.keys.wave_states}{number}"
         await self._term.write(
             [Put(self._keys.wave(number), orjson.dumps(document)), Put(status_key, state)]
         )
--- a/vanillawell/node.py
+++ b/vanillawell/node.py
@@ -50,7 +50,7 @@
         self._keys = WorkKeys()
         self.telemetry = WorkTelemetry()
         self._policies = PolicyFollower(
-            ports.store, settings.keys, ports.documents.policy, ports.documents.wave
+            ports.store, ports.documents.keys, ports.documents.policy, ports.documents.wave
         )
         bounds = settings.bounds
         revoke_bound = bounds.revoke_ms / 1000 if bounds.strict_revoke else None
--- a/vanillawell/platform/__main__.py
+++ b/vanillawell/platform/__main__.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import functools
 import logging
 import os
 from dataclasses import dataclass
@@ -63,8 +62,9 @@
         documents=DocumentReader(
             policy=documents.read_config,
             wave=documents.read_wave,
-            executor=functools.partial(documents.read_executor, settings.keys),
+            executor=documents.read_executor,
             write_wave_state=documents.write_wave_state,
+            keys=documents.KEYS,
         ),
     )
 
--- a/vanillawell/platform/documents.py
+++ b/vanillawell/platform/documents.py
@@ -8,11 +8,12 @@
 
 import hashlib
 import re
-from typing import TYPE_CHECKING, Annotated, TypeVar
+from typing import Annotated, TypeVar
 
 import orjson
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
+from vanillawell.coordination.ports import PlatformKeys
 from vanillawell.state.executors import ExecutorFacts
 from vanillawell.state.upkeep import Wave
 from vanillawell.state.work import Job, Resources, Step
@@ -24,8 +25,13 @@
     WorkPolicy,
 )
 
-if TYPE_CHECKING:
-    from vanillawell.config.node_settings import PlatformKeys
+KEYS = PlatformKeys(
+    configuration="op/config",
+    operators="op/",
+    waves="op/wave/",
+    executors="servers/",
+    wave_states="status/wave/",
+)
 
 Count = Annotated[int, Field(ge=0)]
 Milliseconds = Annotated[float, Field(ge=0)]
@@ -230,7 +236,7 @@
     return AdviceRule(hint.decideMs / 1000, hint.eachMs / 1000, hint.validityMs / 1000)
 
 
-def read_executor(keys: PlatformKeys, key: str, data: bytes) -> ExecutorFacts:
+def read_executor(key: str, data: bytes) -> ExecutorFacts:
     """Read an executor's entry in the registry."""
     beat = _load(_Beat, data)
     if beat.state not in ("ready", "draining"):
@@ -239,7 +245,7 @@
     if not host or not port.isdigit():
         raise UnreadableDocumentError(f"address {beat.address!r} is none")
     return ExecutorFacts(
-        executor=key.removeprefix(keys.executors),
+        executor=key.removeprefix(KEYS.executors),
         incarnation=beat.born,
         service=beat.service,
         address=beat.address,
--- a/vanillawell/tests/draining_state_tests.py
+++ b/vanillawell/tests/draining_state_tests.py
@@ -8,7 +8,6 @@
 import orjson
 import pytest
 
-from vanillawell.config.node_settings import PlatformKeys
 from vanillawell.platform.documents import UnreadableDocumentError, read_executor
 from vanillawell.protocol.executor_calls import HoldReport, RunningRow
 from vanillawell.state.draining import leaves_soon, leaving, time_left, to_move
@@ -191,9 +190,8 @@
 
 
 def test_the_time_left_is_read_from_the_registry() -> None:
-    keys = PlatformKeys()
-    told = read_executor(keys, "servers/i-0", _entry(remainingMs=2200))
+    told = read_executor("servers/i-0", _entry(remainingMs=2200))
     assert told.remaining == 2.2
-    assert read_executor(keys, "servers/i-0", _entry()).remaining is None
+    assert read_executor("servers/i-0", _entry()).remaining is None
     with pytest.raises(UnreadableDocumentError):
-        read_executor(keys, "servers/i-0", _entry(remainingMs="soon"))
+        read_executor("servers/i-0", _entry(remainingMs="soon"))
--- a/vanillawell/tests/layers_tests.py
+++ b/vanillawell/tests/layers_tests.py
@@ -14,7 +14,7 @@
     "targetMs deadlineMs waitMs clockMs slackFactor targetLatencyMs hasMore pageToken "
     "nextToken tombstone ttlMs healthPath coldRemainingMs startTimeMs intervalMs "
     "X-Fence-Token X-Duty-Holder X-Expect-Instance X-Key decideMs eachMs validityMs "
-    "sameRack durationS holdMaxMs killGraceMs revokeMs status_s "
+    "sameRack durationS holdMaxMs killGraceMs revokeMs status_s op/config op/wave status/wave "
 )
 """Names of the users' platform that mean nothing outside its adapter."""
 
