--- a/vanillawell/coordination/run_orders.py
+++ b/vanillawell/coordination/run_orders.py
@@ -25,7 +25,7 @@
     from anyio.abc import TaskGroup
 
     from vanillawell.coordination.executor_link import ExecutorLink
-    from vanillawell.state.shard import StrayStop
+    from vanillawell.state.outbox import StrayStop
     from vanillawell.state.work import Run, TaskId
 
 log = logging.getLogger(__name__)
--- a/vanillawell/coordination/turn_batch.py
+++ b/vanillawell/coordination/turn_batch.py
@@ -13,7 +13,8 @@
     from collections.abc import Iterable, Iterator
 
     from vanillawell.protocol.work_documents import WorkKeys
-    from vanillawell.state.shard import SavedEnd, Shard
+    from vanillawell.state.outbox import SavedEnd
+    from vanillawell.state.shard import Shard
     from vanillawell.state.work import Run
 
 LARGEST_TRANSACTION = 32
--- a/vanillawell/coordination/turn_log.py
+++ b/vanillawell/coordination/turn_log.py
@@ -12,7 +12,7 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-    from vanillawell.state.shard import DoneTask
+    from vanillawell.state.outbox import DoneTask
     from vanillawell.state.work import Run
 
 log = logging.getLogger(__name__)
--- /dev/null
+++ b/vanillawell/state/outbox.py
@@ -0,0 +1,50 @@
+"""Collect what the decisions on a shard ask for, until its owner carries it out."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, NamedTuple
+
+if TYPE_CHECKING:
+    from vanillawell.state.executors import Executor
+    from vanillawell.state.work import Run, TaskId
+
+
+@dataclass(frozen=True, slots=True)
+class StrayStop:
+    """A run to stop that is not charged to any task."""
+
+    executor: str
+    task_id: TaskId
+    run: int
+
+
+@dataclass(frozen=True, slots=True)
+class SavedEnd:
+    """An end that may be confirmed to its executor once it is stored."""
+
+    executor: Executor
+    sequence: int
+
+
+class DoneTask(NamedTuple):
+    """A task that was done, for the log."""
+
+    task_id: TaskId
+    run: int
+    executor: str
+    seconds: float | None
+    """From its confirmed start to the news of its end; None if the start was not seen here."""
+
+
+@dataclass(slots=True)
+class Outbox:
+    """What the decisions so far ask for."""
+
+    planned: list[Run] = field(default_factory=list)
+    ends: list[SavedEnd] = field(default_factory=list)
+    stops: list[Run] = field(default_factory=list)
+    stray_stops: list[StrayStop] = field(default_factory=list)
+    done: list[DoneTask] = field(default_factory=list)
+    taken: dict[str, set[str]] = field(default_factory=dict)
+    """What callers asked for and is taken in now: keys by the job that they concern."""
--- a/vanillawell/state/shard.py
+++ b/vanillawell/state/shard.py
@@ -10,18 +10,19 @@
 import itertools
 import logging
 from collections import Counter
-from dataclasses import dataclass, field
 from operator import itemgetter
-from typing import TYPE_CHECKING, NamedTuple
+from typing import TYPE_CHECKING
 
 from vanillawell.state.copies import to_copy
 from vanillawell.state.durations import DurationBook
 from vanillawell.state.executors import QUARANTINE, Executor, by_service
 from vanillawell.state.job_board import JobBoard
 from vanillawell.state.ledger import Ended, Ledger, RecalledBound
+from vanillawell.state.outbox import DoneTask, Outbox, SavedEnd, StrayStop
 from vanillawell.state.placement import StepPlacer
 from vanillawell.state.placement_pass import PlacementPass
 from vanillawell.state.pool_sizing import ArrivalMeter
+from vanillawell.state.ranking import rank_of
 from vanillawell.state.shares import in_shares
 from vanillawell.state.stalls import stalled_runs
 from vanillawell.state.work import (
@@ -32,7 +33,6 @@
     RunPhase,
     StepProgress,
     Task,
-    TaskId,
 )
 
 if TYPE_CHECKING:
@@ -40,6 +40,7 @@
 
     from vanillawell.protocol.executor_calls import EndRow, HoldReport
     from vanillawell.state.executors import ExecutorFacts
+    from vanillawell.state.ranking import Rank
     from vanillawell.state.work_policy import Queue, WorkPolicy
 
 log = logging.getLogger(__name__)
@@ -47,76 +48,6 @@
 DEFAULT_ATTEMPTS = 3
 """Failed runs that fail a job whose queue is no longer configured."""
 
-WORTHLESS_AFTER = 3.0
-"""Multiple of its objective after which a job helps nobody any more; it then waits for the rest.
-
-The published terms count a job as late up to this multiple, and as nothing beyond."""
-
-
-HEADROOM = 1.3
-"""Multiple of the expected work left that a job's time must hold for it to count as still in time.
-
-Estimates are uneven and later steps may have to wait; without headroom the pool goes on starting
-jobs at the last moment, most of which then miss it."""
-
-
-@dataclass(frozen=True, slots=True)
-class StrayStop:
-    """A run to stop that is not charged to any task."""
-
-    executor: str
-    task_id: TaskId
-    run: int
-
-
-@dataclass(frozen=True, slots=True)
-class SavedEnd:
-    """An end that may be confirmed to its executor once it is stored."""
-
-    executor: Executor
-    sequence: int
-
-
-class DoneTask(NamedTuple):
-    """A task that was done, for the log."""
-
-    task_id: TaskId
-    run: int
-    executor: str
-    seconds: float | None
-    """From its confirmed start to the news of its end; None if the start was not seen here."""
-
-
-@dataclass(slots=True)
-class Outbox:
-    """What the decisions so far ask for."""
-
-    planned: list[Run] = field(default_factory=list)
-    ends: list[SavedEnd] = field(default_factory=list)
-    stops: list[Run] = field(default_factory=list)
-    stray_stops: list[StrayStop] = field(default_factory=list)
-    done: list[DoneTask] = field(default_factory=list)
-    taken: dict[str, set[str]] = field(default_factory=dict)
-    """What callers asked for and is taken in now: keys by the job that they concern."""
-
-
-class Rank(NamedTuple):
-    """What decides which of two steps is served first; the lower one is."""
-
-    ends: bool
-    """Whether its tasks end by themselves."""
-
-    priority: int
-    lateness: int
-    waits: bool
-    """Whether nothing was done for its job yet."""
-
-    @property
-    def shared(self) -> bool:
-        """Tell whether organisations get their shares: of new jobs, since begun ones would lose
-        what was spent on them."""
-        return self.ends and self.waits
-
 
 class Shard:
     """Own the state of one shard."""
@@ -358,16 +289,8 @@
                 pass_.place(step)
 
     def _rank(self, step: StepProgress, now: float) -> Rank:
-        """Return the rank of a step: what must run at all times, then what still helps.
-
-        Under a peak a pool can't meet every objective. Served in the order of their deadlines, all
-        jobs would be late together; so those that can no longer be in time wait for the others, and
-        jobs that have begun go before those that have not.
-        """
         queue = self.queue_of(step.record.job)
-        priority = queue.priority if queue else 0
-        lateness = _lateness(step, now)
-        return Rank(not step.spec.long_running, priority, lateness, not _begun(step))
+        return rank_of(step, queue.priority if queue else 0, now)
 
     def _standing(self, organisation: str) -> float:
         """Return what an organisation has running for its weight, in thousandths of a core."""
@@ -403,21 +326,3 @@
     def unplan(self, run: Run) -> None:
         """Take a plan back that was not settled."""
         self.ledger.close(run)
-
-
-def _lateness(step: StepProgress, now: float) -> int:
-    """Return 0 for a step whose job can still be in time, 1 for a late one, 2 for a worthless one.
-
-    A step that has begun is served like one in time: what was spent on it would be lost.
-    """
-    record = step.record
-    if now > record.seen + WORTHLESS_AFTER * (record.late_by - record.seen):
-        return 2
-    begun = any(task.done or task.run for task in step.tasks)
-    left = 0.0 if begun else HEADROOM * record.chains[step.position]
-    return int(now + left > record.late_by)
-
-
-def _begun(step: StepProgress) -> bool:
-    """Tell whether work was done for the step's job already."""
-    return step.position > 0 or any(task.done or task.run for task in step.tasks)
