Let executors in touch hold their leases in the random lives of a shard

Traced: an executor of the test never had a lease (lease_over 0), so that any call of expire gave up all its runs at once, a doubtful order of another executor's included, and the next placement started that task while the test still counted the order as open.

The test was wrong, not the shard: an order goes out with a lease (ExecutorLink.extend_lease). Now executors in touch hold one that is renewed, a silent one's runs out, and a doubt ends where the lease does. The check itself, no start while an order may still be carried out, is unchanged.

--- a/vanillawell/tests/shard_machine_tests.py
+++ b/vanillawell/tests/shard_machine_tests.py
@@ -22,6 +22,9 @@
 MAXIMUM = 6_000
 ATTEMPTS = 3
 
+LEASE = 5.0
+"""Seconds for which executors hold what they run without a renewal."""
+
 STEPS = st.lists(
     st.builds(
         Step,
@@ -159,10 +162,18 @@
         if executor is None:
             return
         self.shard.ledger.unregister(name)
-        executor.lease_over = self.bench.now + (0.0 if over else 5.0)
-        if over:
-            self._forget_doubts(name)
-        self.shard.expire(self.bench.now, self.bench.now)
+        executor.lease_over = self.bench.now + (0.0 if over else LEASE)
+        self._expire()
+
+    def _expire(self) -> None:
+        """Renew the leases of executors in touch, as their drivers do, and let others run out."""
+        now = self.bench.now
+        for executor in self.shard.ledger.executors.values():
+            if executor.registered and executor.silent_since is None:
+                executor.lease_over = now + LEASE
+            elif executor.lease_over <= now:
+                self._forget_doubts(executor.name)
+        self.shard.expire(now, now)
 
     @rule(name=st.sampled_from(("i-0", "i-1", "i-2")))
     def lose_touch(self, name: str) -> None:
@@ -172,7 +183,7 @@
             return
         executor.fall_silent()
         executor.silent_since = self.bench.now
-        executor.lease_over = self.bench.now + 5.0
+        executor.lease_over = self.bench.now + LEASE
 
     @rule(name=st.sampled_from(("i-0", "i-1", "i-2")))
     def answer_again(self, name: str) -> None:
