Keep more machines with lasting tasks in emptying at a time

Cause, by log: a tenth of a pool of 28 machines is two, each with tasks of two steps, several of one step; between 8.7 and 14.6 s one step moved nothing although one of its tasks might have been away all the time.

Change: a quarter of a service's machines may be in emptying if they hold lasting tasks. The pool calls replacements for them as for all closed machines.

--- a/vanillawell/state/upkeep.py
+++ b/vanillawell/state/upkeep.py
@@ -27,6 +27,10 @@
 EMPTIED_PART = 0.1
 """Part of a service's machines that are emptied at a time, one at least."""
 
+EMPTIED_PART_LASTING = 0.25
+"""The same for machines that hold lasting tasks: these are moved one of a step at a time, and with
+few machines open to them most steps would have nobody to move."""
+
 EMPTYING = 3.0
 """Seconds that it takes to empty a machine, from closing it to its order."""
 
@@ -148,7 +152,12 @@
     closed = Counter(kinds[name] for name in progress.closed if name in kinds)
     left = Counter(kinds[name] for name in waiting) + closed
     time_left = progress.unhurried_for(now)
-    most = {kind: _emptied_at_once(sizes[kind[0]], left[kind], time_left) for kind in left}
+    most = {
+        (service, lasting): _emptied_at_once(
+            sizes[service], left[service, lasting], lasting, time_left
+        )
+        for service, lasting in left
+    }
     chosen: list[str] = []
     for name in waiting:
         kind = kinds[name]
@@ -163,14 +172,15 @@
     return executor.facts.service, has_lasting(executor)
 
 
-def _emptied_at_once(size: int, left: int, time_left: float) -> int:
-    """Return how many machines of a service may be in emptying at the same time.
+def _emptied_at_once(size: int, left: int, lasting: bool, time_left: float) -> int:
+    """Return how many machines of one kind of a service may be in emptying at the same time.
 
     Few, so that a pool loses no more room than needed; but as many as it takes for those that are
     `left` to be through in time. An owner that comes late in a wave finds most of them before it.
     """
     rounds = max(1.0, time_left / EMPTYING)
-    return max(1, int(EMPTIED_PART * size), math.ceil(left / rounds))
+    part = EMPTIED_PART_LASTING if lasting else EMPTIED_PART
+    return max(1, int(part * size), math.ceil(left / rounds))
 
 
 def to_stop(executor: Executor, has_place: Callable[[Run], bool]) -> list[Run]:
--- a/vanillawell/tests/upkeep_tests.py
+++ b/vanillawell/tests/upkeep_tests.py
@@ -101,6 +101,17 @@
     assert f"m-{run.executor}" in chosen
 
 
+def test_many_machines_with_lasting_tasks_are_open_to_moves_at_a_time() -> None:
+    """Twenty machines hold tasks of four steps, each of which moves one task in 1.6 s. With two in
+    emptying, the other steps would have nothing to move, and the wave would take twice as long."""
+    bench = Bench(*(facts(f"i-{number}") for number in range(20)))
+    for _ in range(4):
+        bench.admit(job(step(5, cpu=8_000, long_running=True, most_away=1, most_per_executor=1)))
+    bench.place()
+    machines = bench.shard.ledger.by_machine()
+    assert len(to_close(_progress(*machines, most_away=20), machines, now=-20.0)) == 5
+
+
 def test_a_wave_that_is_behind_has_more_machines_emptied_at_a_time() -> None:
     """Owners were replaced in series, and six machines of a pool of twelve are left shortly before
     nothing is waited for any more. Emptied one after the other, the last would be late."""
