--- a/vanillawell/coordination/pool_runner.py
+++ b/vanillawell/coordination/pool_runner.py
@@ -211,6 +211,7 @@
         self._orders.claim(machine, Purpose.MOVE)
 
     def _expect_no_more(self, machine: str) -> None:
+        """Count on a machine no more, and let others order it."""
         self._arriving.pop(machine, None)
         self._orders.release(machine, Purpose.MOVE)
 
--- a/vanillawell/coordination/ports.py
+++ b/vanillawell/coordination/ports.py
@@ -52,6 +52,7 @@
     """Write a wave's state for operators, from its number and whether it is completed."""
 
     keys: PlatformKeys
+    """Where these documents lie."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/vanillawell/coordination/upkeep_orders.py
+++ b/vanillawell/coordination/upkeep_orders.py
@@ -68,6 +68,7 @@
         self._shard.ledger.close_machine(machine)
 
     def _settle(self, machine: str) -> None:
+        """Let a machine be used again, since its order was answered."""
         self._orders.release(machine, Purpose.UPKEEP)
         self._shard.ledger.open_machine(machine)
 
