--- a/vanillawell/coordination/pool_demand.py
+++ b/vanillawell/coordination/pool_demand.py
@@ -7,9 +7,9 @@
 
 from vanillawell.protocol.machine_calls import MachineState
 from vanillawell.state.placement_pass import HELD_BY_ROOM
-from vanillawell.state.pool_sizing import CORES_PER_UNIT, PoolDemand, demanded_cores, lasting_floor
+from vanillawell.state.pool_sizing import PoolDemand, demanded_cores, lasting_floor
 from vanillawell.state.trial_placement import machines_lacking
-from vanillawell.state.work import NOTHING, Resources
+from vanillawell.state.work import CORES_PER_UNIT, NOTHING, Resources
 
 if TYPE_CHECKING:
     from collections.abc import Mapping, Sequence
--- a/vanillawell/state/shard.py
+++ b/vanillawell/state/shard.py
@@ -13,6 +13,7 @@
 from operator import itemgetter
 from typing import TYPE_CHECKING
 
+from vanillawell.state.arrivals import ArrivalMeter
 from vanillawell.state.copies import to_copy
 from vanillawell.state.durations import DurationBook
 from vanillawell.state.executors import QUARANTINE, Executor, by_service
@@ -21,7 +22,6 @@
 from vanillawell.state.outbox import DoneTask, Outbox, SavedEnd, StrayStop
 from vanillawell.state.placement import StepPlacer
 from vanillawell.state.placement_pass import PlacementPass
-from vanillawell.state.pool_sizing import ArrivalMeter
 from vanillawell.state.ranking import rank_of
 from vanillawell.state.shares import in_shares
 from vanillawell.state.stalls import stalled_runs
--- a/vanillawell/state/work.py
+++ b/vanillawell/state/work.py
@@ -6,6 +6,9 @@
 from enum import StrEnum
 from typing import NamedTuple
 
+CORES_PER_UNIT = 1000
+"""Thousandths of a core in a core."""
+
 
 @dataclass(frozen=True, slots=True)
 class Resources:
