Count what a new owner finds waiting as work, not as arrivals

Cause: jobs were counted as arriving when the owner admitted them.

Change: those read with the first reading of the inbox are left out of the arrivals; what they need is counted as waiting work as before. Ruled out: counting them by when callers handed them in, since wall clocks of entries differ by seconds.

Test: arrivals_tests.py, which failed before.

--- a/vanillawell/coordination/inbox.py
+++ b/vanillawell/coordination/inbox.py
@@ -106,7 +106,7 @@
         except ValueError as error:
             log.error("unreadable job", extra={"job": job_id, "reason": str(error)})
             return
-        record = self._shard.admit(job, clock.read())
+        record = self._shard.admit(job, clock.read(), is_backlog=not self.is_read)
         if record is not None:
             log.info(
                 "job admitted",
--- a/vanillawell/state/shard.py
+++ b/vanillawell/state/shard.py
@@ -81,8 +81,11 @@
         """Return the rules of a job's queue."""
         return self._queues.get(job.queue)
 
-    def admit(self, job: Job, now: float) -> JobRecord | None:
-        """Begin to follow an accepted job; None if it is known already."""
+    def admit(self, job: Job, now: float, is_backlog: bool = False) -> JobRecord | None:
+        """Begin to follow an accepted job; None if it is known already.
+
+        `is_backlog` says that it was accepted before this process owned the shard.
+        """
         if job.job_id in self.board.jobs:
             return None
         record = JobRecord(job, now)
@@ -90,7 +93,7 @@
         self.board.add(record)
         self.board.changed[job.job_id] = record
         queue = self.queue_of(job)
-        if queue is not None:
+        if queue is not None and not is_backlog:
             self.arrivals.note(queue.service, job, self.durations, now)
         return record
 
--- a/vanillawell/tests/arrivals_tests.py
+++ b/vanillawell/tests/arrivals_tests.py
@@ -8,7 +8,7 @@
 
 from vanillawell.state.arrivals import ArrivalMeter, expected_growth
 from vanillawell.state.durations import DurationBook
-from vanillawell.tests.scheduling_builders import job, step
+from vanillawell.tests.scheduling_builders import POOL, Bench, facts, job, step
 
 
 def test_a_peak_is_seen_before_its_tasks_have_piled_up() -> None:
@@ -34,6 +34,17 @@
     assert expected_growth(12, 4) > 2
 
 
+def test_what_a_new_owner_finds_waiting_is_taken_for_no_peak() -> None:
+    """Forty jobs have waited for an owner for seconds, and are all taken in at once. Taken for what
+    arrives within that moment, they called all idle machines, and the pool whose turn was next had
+    none; what they need is counted as waiting work."""
+    bench = Bench(facts("i-0"))
+    for _ in range(40):
+        bench.shard.admit(job(step(4)), bench.now, is_backlog=True)
+    assert bench.shard.arrivals.cores(POOL, bench.now) == 0
+    assert len(bench.shard.board.open_steps) == 40
+
+
 def test_one_large_job_is_taken_for_no_peak() -> None:
     """One job of forty times the usual work comes among usual ones, as happens by chance."""
     usual, durations = ArrivalMeter(), DurationBook()
