--- a/vanillawell/standins/scheduler/store.py
+++ b/vanillawell/standins/scheduler/store.py
@@ -61,6 +61,9 @@
     lose_late: int = 0
     """So many of the next writes get no answer and take effect later, if they still can."""
 
+    lose_renewals: int = 0
+    """So many of the next renewals of a lease take effect and get no answer."""
+
     only: Callable[[str], bool] = field(default=lambda _body: True)
     """Which writes lose their answers, by their body."""
 
@@ -141,6 +144,9 @@
         if matching and faults.lose_answers and path == "/kv-txn":
             faults.lose_answers -= 1
             await anyio.sleep_forever()
+        if faults.lose_renewals and path.startswith("/kv-keep/"):
+            faults.lose_renewals -= 1
+            await anyio.sleep_forever()
         return result
 
     def _carry_out(self, path: str, body: bytes) -> tuple[int, dict[str, Any]]:
