Show that hopeless jobs shut a whole pool of sound executors out

Five failed runs in a row from two jobs or more put an executor into quarantine for 4 s. Jobs that fail wherever they run do that to each executor in turn, so that all other jobs of the pool wait in front of idle machines.

--- /dev/null
+++ b/vanillawell/tests/failure_marks_tests.py
@@ -0,0 +1,31 @@
+"""Test on plain data what failed runs prove, and what they do not."""
+
+from __future__ import annotations
+
+from vanillawell.state.work import Ending
+from vanillawell.tests.scheduling_builders import Bench, facts, job, step
+
+EXECUTORS = 4
+HOPELESS = 8
+"""Jobs handed in at once all of whose tasks fail wherever they run."""
+
+PATIENCE = 3.0
+"""Seconds without any start, where there is room, after which a job counts as lost."""
+
+
+def test_jobs_that_fail_everywhere_do_not_close_a_pool() -> None:
+    """Many jobs come that can never be done. Their failures are their own: with each executor shut
+    out for them, all other jobs of the pool would wait in front of idle, sound machines."""
+    bench = Bench(*(facts(f"i-{number}") for number in range(EXECUTORS)))
+    bench.admit(*(job(step(4)) for _ in range(HOPELESS)))
+    for _ in range(3):
+        for run in bench.place():
+            if run.task.run is run:
+                bench.end(run, Ending.FAILED)
+        bench.now += 0.5
+    sound = job()
+    bench.admit(sound)
+    began = bench.now
+    while not any(run.task.task_id.job_id == sound.job_id for run in bench.place()):
+        bench.now += 0.1
+        assert bench.now < began + PATIENCE
