--- a/vanillawell/tests/failure_marks_tests.py
+++ b/vanillawell/tests/failure_marks_tests.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from vanillawell.state.work import Ending
+from vanillawell.state.work import Ending, JobState
 from vanillawell.tests.scheduling_builders import Bench, facts, job, step
 
 EXECUTORS = 4
@@ -29,3 +29,16 @@
     while not any(run.task.task_id.job_id == sound.job_id for run in bench.place()):
         bench.now += 0.1
         assert bench.now < began + PATIENCE
+
+
+def test_a_gang_whose_members_fail_together_has_failed_once() -> None:
+    """All members of one run are listed as failed by an executor that fails all it runs. Counted
+    one by one, they would use up all attempts of a gang that may still be done."""
+    bench = Bench(facts("i-0"))
+    gang = job(step(3, gang=True))
+    bench.admit(gang)
+    runs = bench.place()
+    assert len(runs) == 3
+    for run in runs:
+        bench.end(run, Ending.FAILED)
+    assert bench.shard.board.jobs[gang.job_id].state is JobState.RUNNING
