Show that a take-over without an answer is lost again

The answer to the write that takes a shard is waited for for 1.5 s, as long as the lease lasts that goes with it. By then it has ended; nobody owned the shard in the meantime, and the token rises by two.

--- a/vanillawell/tests/renewal_tests.py
+++ b/vanillawell/tests/renewal_tests.py
@@ -23,3 +23,21 @@
     await until(lambda: built.store.faults.lose_renewals == 0)
     await anyio.sleep(2 * LEASE)
     assert owner.node.term is term
+
+
+@with_cluster(members=2)
+async def test_an_entry_whose_take_over_got_no_answer_keeps_the_shard(built: Cluster) -> None:
+    """The store gives a free shard to an entry and its answer is lost. Waited for as long as the
+    lease lasts, the shard would be lost again before its new owner knows that it has it."""
+    former = await built.owner()
+    other = next(member for member in built.members if member is not former)
+    term = former.node.term
+    assert term is not None
+    built.store.faults.only = lambda body: "holder/all" in body
+    built.store.faults.lose_answers = 1
+    await built.kill(former)
+    await until(lambda: built.store.faults.lose_answers == 0)
+    await until(lambda: other.owns)
+    await anyio.sleep(LEASE)
+    assert other.node.term is not None
+    assert other.node.term.token == term.token + 1
