Show what is lost with an entry that is stopped as it takes the shard

Two entries are stopped in short order: the owner, then its successor, while the answer to the write by which it takes the shard is under way (0.1 s in the test). The take is broken off on its side only.

The store that stands between an entry and the stand-in can now delay answers.

--- a/vanillawell/tests/scheduler_cluster.py
+++ b/vanillawell/tests/scheduler_cluster.py
@@ -89,6 +89,8 @@
     """Seconds that a listing takes to arrive."""
     slow_prefix: str = ""
     """Beginning of the prefixes for which that holds."""
+    answer_time: float = 0.0
+    """Seconds that the answer to a write takes to arrive, after the write was carried out."""
     listed: list[str] = field(default_factory=list)
     """Prefixes of all listings that were asked for."""
 
@@ -109,7 +111,9 @@
 
     async def transact(self, transaction: Transaction) -> TransactionResult:
         self._check()
-        return await self.inner.transact(transaction)
+        result = await self.inner.transact(transaction)
+        await anyio.sleep(self.answer_time)
+        return result
 
     async def grant_lease(self, ttl: float) -> int:
         self._check()
