Show that a successor that is killed as it begins takes the stored bounds with it

An owner that hands over stores how long each executor may still hold leases. Its successor signs the document as it takes over, which drops these bounds, since it may extend leases at once; of executors that it did not hear of it stores a bound half a second after it has loaded. Killed before that (0.3 s in the test), it leaves nothing, and the next owner waits for the longest lease from its own start: the lasting task of a silent executor did not run again within 9 s.

--- a/vanillawell/tests/short_terms_tests.py
+++ b/vanillawell/tests/short_terms_tests.py
@@ -6,7 +6,12 @@
 
 from vanillawell.node import SHARD
 from vanillawell.protocol.work_documents import WorkKeys
-from vanillawell.tests.owner_series_tests import LONGEST_ABSENCE, silence_an_executor
+from vanillawell.tests.owner_series_tests import (
+    LONGEST_ABSENCE,
+    kill,
+    silence_an_executor,
+    stop,
+)
 from vanillawell.tests.scheduler_cluster import Cluster, until, with_cluster
 
 UNNOTICED = 1.0
@@ -31,3 +36,19 @@
         await taker.node.hand_over()
         other.store.cut = False
         await until(lambda: built.audit.started[task] == 2, LONGEST_ABSENCE)
+
+
+@with_cluster(members=3)
+async def test_a_successor_that_is_killed_as_it_begins_does_not_take_the_bounds_with_it(
+    built: Cluster,
+) -> None:
+    """The owner is stopped as planned and leaves all bounds, which hold for its successor only.
+    That is killed a moment later, before it has stored of whom it heard nothing."""
+    task = await silence_an_executor(built)
+    with anyio.fail_after(LONGEST_ABSENCE):
+        await anyio.sleep(UNNOTICED)
+        await stop(built, await built.owner())
+        successor = await built.owner()
+        await anyio.sleep(0.3)
+        await kill(built, successor)
+        await until(lambda: built.audit.started[task] == 2, LONGEST_ABSENCE)
