Show that owners in series wait for a machine that stays empty, for as long as they are replaced

For three seconds after it has loaded the shard, a new owner counts machines that are listed as up for room, though no executor of them has registered. Each owner begins these seconds anew.

--- a/vanillawell/tests/pool_runner_tests.py
+++ b/vanillawell/tests/pool_runner_tests.py
@@ -5,7 +5,7 @@
 import anyio
 
 from vanillawell.standins.scheduler.machines import StandInMachine
-from vanillawell.tests.owner_series_tests import stop
+from vanillawell.tests.owner_series_tests import LONGEST_ABSENCE, stop
 from vanillawell.tests.scheduler_cluster import (
     POOL,
     PREFIX,
@@ -165,3 +165,54 @@
     await anyio.sleep(1.2)
     assert len(ordered) == 1
     assert built.machines.moves == ordered
+
+
+async def _leave_a_machine_empty(built: Cluster) -> str:
+    """Let an executor with a lasting task leave for good while its machine stays up, and keep a
+    spare machine in standby; returns the task's name."""
+    host = built.hosts["i-0"]
+    (task,) = host.life.running
+    built.leave("i-0")
+    built.machines.machines[host.machine].executor = ""
+    return task
+
+
+async def _fill_a_pool_for_good(built: Cluster) -> None:
+    """Let each machine of a pool run a lasting task, with a spare one in standby."""
+    owner, lasting = await built.owner(), step(2, longRunning=True, maxPerServer=1)
+    obey_moves(built)
+    built.machines.machines["spare-1"] = StandInMachine("spare-1", STANDBY, "")
+    configure_standby(built)
+    await owner.call("POST", PREFIX + built.new_id(), job(lasting, spec={"seconds": 60}))
+    await until(lambda: sum(len(life.running) for life in built.lives) == 2)
+
+
+@with_cluster(members=2, executors=2)
+async def test_owners_in_series_do_not_count_on_a_machine_that_stays_empty(built: Cluster) -> None:
+    """Each new owner counts machines that are up for room, though no executor of them has
+    registered, for three seconds. Replaced before that, owners never call the spare machine."""
+    await _fill_a_pool_for_good(built)
+    await stop(built, await built.owner())
+    await built.owner()
+    await anyio.sleep(0.3)
+    task = await _leave_a_machine_empty(built)
+    async with anyio.create_task_group() as others:
+        others.start_soon(_stop_in_turn, built)
+        await until(lambda: built.audit.started[task] == 2, LONGEST_ABSENCE)
+        others.cancel_scope.cancel()
+
+
+async def _stop_in_turn(built: Cluster) -> None:
+    """Stop each owner as planned after a short term."""
+    while True:
+        await anyio.sleep(1.6)
+        await stop(built, await built.owner())
+        await built.owner()
+
+
+@with_cluster(executors=2)
+async def test_a_sole_owner_calls_a_machine_for_one_that_stays_empty(built: Cluster) -> None:
+    """Without a change of owner the spare machine comes, and the lasting task runs again."""
+    await _fill_a_pool_for_good(built)
+    task = await _leave_a_machine_empty(built)
+    await until(lambda: built.audit.started[task] == 2, LONGEST_ABSENCE)
