Show that a new owner places lasting tasks on machines that the former one sends away

An owner's announcement of orders keeps its successors from ordering the same machines, not from placing work on them. An owner is stopped while its order to send an idle machine to standby is on its way (0.6 s in the test); the next owner starts a lasting task there, which ends with the move.

--- a/vanillawell/tests/pool_runner_tests.py
+++ b/vanillawell/tests/pool_runner_tests.py
@@ -4,6 +4,8 @@
 
 import anyio
 
+from vanillawell.node import SHARD
+from vanillawell.protocol.work_documents import WorkKeys
 from vanillawell.standins.scheduler.machines import StandInMachine
 from vanillawell.tests.owner_series_tests import LONGEST_ABSENCE, stop
 from vanillawell.tests.scheduler_cluster import (
@@ -216,3 +218,30 @@
     await _fill_a_pool_for_good(built)
     task = await _leave_a_machine_empty(built)
     await until(lambda: built.audit.started[task] == 2, LONGEST_ABSENCE)
+
+
+@with_cluster(members=2, executors=3)
+async def test_nothing_is_placed_on_a_machine_that_a_former_owner_sends_away(
+    built: Cluster,
+) -> None:
+    """An owner orders a machine that nobody needs to standby, and is stopped while the order is on
+    its way. Its successor sees a sound, idle executor there; what it starts ends with the move."""
+    owner, moved_with = await built.owner(), list[str]()
+
+    async def moved(machine: StandInMachine) -> None:
+        life = built.hosts[machine.executor].life
+        moved_with.extend(life.running)
+        machine.executor = ""
+        life.leave()
+
+    built.machines.on_move, built.machines.move_seconds = moved, 0.6
+    configure_standby(built)
+    await until(lambda: WorkKeys().machine_orders(SHARD) in built.store.items, 8)
+    await anyio.sleep(0.05)
+    await stop(built, owner)
+    successor = await built.owner()
+    lasting = step(3, longRunning=True, maxPerServer=1)
+    await successor.call("POST", PREFIX + built.new_id(), job(lasting, spec={"seconds": 60}))
+    await until(lambda: bool(built.machines.moves))
+    await anyio.sleep(0.1)
+    assert moved_with == []
