Show that a task stays charged to an executor that refuses to be held

Each call to hold an executor reckons with a longer lease before it goes out, since it may arrive. A refusal says that nothing was done, and the reckoning stays: the executor ends its tasks when the leases that it knows of are over, and the owner waits for one that was never given, for as long as the executor refuses. It does not count as silent either, so nothing else frees the task. The stand-in executor can refuse all calls now.

--- a/vanillawell/standins/scheduler/executor.py
+++ b/vanillawell/standins/scheduler/executor.py
@@ -59,6 +59,9 @@
     silent: bool = False
     """No call is answered, and new ones have no effect."""
 
+    unhealthy: bool = False
+    """Every call is refused and has no effect."""
+
     lose_answers: int = 0
     """So many of the next starts are carried out and get no answer."""
 
@@ -146,6 +149,9 @@
         if expected and expected != self.name:
             await send_bytes(send, 421, b"{}")
             return
+        if self.faults.unhealthy:
+            await send_bytes(send, 503, b"{}")
+            return
         if document.get("fence", 0) < self._fence:
             await self._answer(send, {"reason": "fence"}, 409)
             return
