Show that a new owner doesn't know on which machine an executor lived that has left

Another executor on its machine proves that a former one has ended. Its machine stands in its entry only, which goes with it. Recalled by a new owner, its runs wait for the list of machines, or, where that tells nothing, for its leases: a lasting task did not run again within 3 s.

--- a/vanillawell/tests/owner_memory_tests.py
+++ b/vanillawell/tests/owner_memory_tests.py
@@ -163,3 +163,32 @@
         await built.kill(await built.owner())
         built.store.put_document("op/wave/1", wave)
         await until(lambda: machine.upkeeps == 1, WAVE)
+
+
+async def _replace_a_silent_executor(built: Cluster, name: str) -> None:
+    """Let another executor live on the machine of the silent one, while the list of machines shows
+    none."""
+    host = next(host for host in built.hosts.values() if host.life.faults.silent)
+    host.life.leave()
+    built.machines.machines.clear()
+    await built.add_executor(name, machine=host.machine, born=host.life.born + 5_000)
+
+
+@with_cluster(members=2, executors=2)
+async def test_a_new_owner_knows_on_which_machine_an_executor_lived(built: Cluster) -> None:
+    """An executor has left, its entry with it, and the owner is stopped. Another one registers on
+    its machine, which proves that the former has ended; its successor must not wait for leases."""
+    task = await silence_an_executor(built)
+    await stop(built, await built.owner())
+    await built.owner()
+    await _replace_a_silent_executor(built, "i-after")
+    await until(lambda: built.audit.started[task] == 2, 3.0)
+
+
+@with_cluster(executors=2)
+async def test_a_sole_owner_knows_on_which_machine_an_executor_lived(built: Cluster) -> None:
+    """Without a change of owner the next executor on the machine ends the wait."""
+    task = await silence_an_executor(built)
+    await anyio.sleep(0.5)
+    await _replace_a_silent_executor(built, "i-after")
+    await until(lambda: built.audit.started[task] == 2, 3.0)
--- a/vanillawell/tests/scheduler_cluster.py
+++ b/vanillawell/tests/scheduler_cluster.py
@@ -224,10 +224,15 @@
         return f"{next(self._ids):016x}"
 
     async def add_executor(
-        self, name: str, cpu: int = 8_000, rack: str = "r1", machine: str = ""
+        self,
+        name: str,
+        cpu: int = 8_000,
+        rack: str = "r1",
+        machine: str = "",
+        born: int = 1_000,
     ) -> Host:
         """Start an executor, on a machine of its own unless one is named, and register it."""
-        life = StandInExecutor(name, self.audit, self.lives, cpu)
+        life = StandInExecutor(name, self.audit, self.lives, cpu, born)
         self.lives.append(life)
         host = Host(life, "", machine or f"machine-of-{name}", rack)
         host.address = listen(self.tasks, host)
