Show that executors that have just come keep a list of machines from being believed

A list is believed of executors out of touch if it names three quarters of those in touch. It may be two seconds behind, which is allowed for in the executors that it is asked about, not in those that it has to name. On plain data, four executors that came half a second ago beside two old ones keep a machine that is listed as down from ending the wait for its executor.

--- a/vanillawell/tests/losses_tests.py
+++ b/vanillawell/tests/losses_tests.py
@@ -100,3 +100,16 @@
     executors = list(bench.shard.ledger.executors.values())
     executors[0].silent_since = bench.now
     assert in_doubt(executors, bench.now + LATER) == []
+
+
+def test_executors_that_have_just_come_do_not_speak_against_a_list() -> None:
+    """A peak brings many machines, and the list is behind. For as long as they come, no machine
+    that is down would be believed to be, and lasting tasks wait for the leases of its executor."""
+    bench, executors = bench_of("i-1", "i-2", "i-3")
+    executors[0].silent_since = bench.now
+    asked = bench.now + LATER
+    bench.now = asked - LISTED_AFTER / 4
+    for number in range(4):
+        bench.register(facts(f"new-{number}"))
+    fleet = list(bench.shard.ledger.executors.values())
+    assert losses(fleet, listing("i-2", "i-3", down=("i-1",)), asked).ended == [executors[0]]
