Show that an owner that is stopped before any report puts stored bounds back to where they were

An owner that has loaded the shard and read no executor's clock yet writes the bounds that it found as its own, without any clock. Its successor can't count the time that passed before. On plain data: 4 s were stored, 3 s have passed by an executor's clock, and the successor reckons with 4.2 s. An owner that is stopped before it has loaded passes on bounds and clocks.

--- a/vanillawell/tests/lease_keeper_tests.py
+++ b/vanillawell/tests/lease_keeper_tests.py
@@ -223,3 +223,16 @@
 def test_damaged_bounds_are_told_from_others(data: bytes) -> None:
     with pytest.raises(ValueError):
         LeaseBounds.from_bytes(data)
+
+
+def test_an_owner_that_is_stopped_before_any_report_keeps_the_time_that_has_passed() -> None:
+    """It took seconds to load the shard and has read no clock yet. Written anew without one, the
+    bounds that it found would begin again where they were when it took over."""
+    bench, found = Bench(), bounds({"i-1": 4.0}, {"i-2@1": 50.0})
+    owner = Owner(found)
+    executor = unreached(bench, owner, "i-1")
+    assert owner.save([executor], bench.now, last=True)
+    after = Owner(owner.stored, {"i-2@1": 53.0})
+    executor = unreached(bench, after, "i-1")
+    after.keeper.count_time_passed([executor], bench.now)
+    assert executor.lease_over <= bench.now + 4.0 - 3.0 + 3 * ROUNDING
