--- a/vanillawell/tests/lease_keeper_tests.py
+++ b/vanillawell/tests/lease_keeper_tests.py
@@ -236,3 +236,16 @@
     executor = unreached(bench, after, "i-1")
     after.keeper.count_time_passed([executor], bench.now)
     assert executor.lease_over <= bench.now + 4.0 - 3.0 + 3 * ROUNDING
+
+
+def test_bounds_that_pass_through_many_owners_do_not_grow() -> None:
+    """Owners are replaced in quick succession. Each adds what it reckons for rounding, and the
+    wait grows by as much with each of them."""
+    bench, stored = Bench(), bounds({"i-1": 4.0}, {"i-2@1": 50.0})
+    for _ in range(5):
+        owner = Owner(stored, {"i-2@1": 50.0})
+        executor = unreached(bench, owner, "i-1")
+        owner.keeper.count_time_passed([executor], bench.now)
+        assert owner.save([executor], bench.now, last=True)
+        stored = owner.stored
+    assert stored.silent["i-1"].left <= 4.0 + 2 * ROUNDING
