Show that a task that needs advice is moved before it is known who may run it

Whether another executor has a place for a task is asked with the tickets of its step. They expire within seconds, are asked for only while a task waits, and begin anew with each owner; without any, each executor counts as one that may run the task. On plain data a lasting task is stopped on an executor that has four seconds left, though no other one may run it.

--- a/vanillawell/tests/draining_state_tests.py
+++ b/vanillawell/tests/draining_state_tests.py
@@ -12,7 +12,8 @@
 from vanillawell.protocol.executor_calls import HoldReport, RunningRow
 from vanillawell.state.draining import leaves_soon, leaving, time_left, to_move
 from vanillawell.state.executors import ENTRY_AGE
-from vanillawell.tests.scheduling_builders import Bench, facts, job, step
+from vanillawell.state.work_policy import AdviceRule, Queue
+from vanillawell.tests.scheduling_builders import POOL, QUEUE, Bench, facts, job, step
 
 if TYPE_CHECKING:
     from vanillawell.state.executors import Executor
@@ -184,6 +185,23 @@
     assert leaves_soon(_drains(bench, "i-0", None), GRACE, bench.now)
 
 
+def test_a_task_that_needs_advice_is_not_moved_before_it_is_known_who_may_run_it() -> None:
+    """Tickets hold for seconds only, and are forgotten with each owner. Without any, all executors
+    were taken for places; the task was stopped, and none of those that may run it had room."""
+    rule = AdviceRule(0.005, 0.001, 3.0)
+    hinted = Queue(QUEUE, "h", "/q/", POOL, 0, 3, 1.6, 0.6, False, rule)
+    bench, item = Bench(facts("i-0"), queues={QUEUE: hinted}), job(step(long_running=True))
+    bench.admit(item)
+    bench.shard.tickets[item.job_id, 0, 0] = {"i-0": "ticket"}
+    (run,) = bench.place()
+    run.at_work = True
+    bench.register(facts("i-1"))
+    executor = _drains(bench, "i-0", 4.0)
+    assert _to_move(bench, executor) == []
+    bench.shard.tickets.clear()
+    assert _to_move(bench, executor) == []
+
+
 def _entry(**fields: object) -> bytes:
     entry = {"service": "s", "address": "a:1", "state": "draining", "capacity": {}}
     return orjson.dumps({**entry, **fields})
