Show that stops of tasks on an executor that leaves wait for the turn that is being stored

Stops are decided beside the turns, every tenth of a second, but go out at the beginning of the next turn only. While a turn is stored (2.5 s in the test; 0.7 to 2.8 s were seen from an entry with a narrow link), an executor that leaves within 1.5 s keeps its lasting tasks, which are then lost with it and wait for its leases.

--- a/vanillawell/tests/draining_tests.py
+++ b/vanillawell/tests/draining_tests.py
@@ -139,3 +139,20 @@
     built.store.faults.refuse = False
     await until(lambda: len(other.running) == 2, NOTICE)
     built.leave("i-0")
+
+
+@with_cluster(executors=1)
+async def test_stops_do_not_wait_for_a_slow_turn(built: Cluster) -> None:
+    """An owner with a narrow link is storing a turn, for seconds, when an executor says that it
+    leaves. Orders to stop need nothing of that; sent after it, they find the executor gone."""
+    await _lasting(built)
+    await built.add_executor("i-1")
+    await _known(built, "i-1")
+    owner, leaving = await built.owner(), built.hosts["i-0"].life
+    owner.store.answer_time = 2.5
+    async with anyio.create_task_group() as callers:
+        callers.start_soon(owner.call, "POST", PREFIX + built.new_id(), job())
+        await anyio.sleep(0.3)
+        built.drain("i-0", 1.5)
+        await until(lambda: not leaving.running, 1.5)
+        callers.cancel_scope.cancel()
