Show that an owner that is stopped during a slow turn keeps the shard until it has ended

A stopping owner tries for a second to store its last word, and waits for the turn that is being stored before that. If the turn takes longer (1.5 s in the test; 0.7 to 2.8 s were seen from an entry with a narrow link) it leaves the shard to its lease, which it renews for as long as it lives, and starts nothing any more: no other entry owned the shard within 2.6 s after that, though the store was quick again. After such an end no bound is stored of executors in touch.

--- a/vanillawell/tests/handover_doubt_tests.py
+++ b/vanillawell/tests/handover_doubt_tests.py
@@ -233,3 +233,19 @@
     await anyio.sleep(1.0)
     assert not any(member.owns for member in built.members if member is not owner)
     assert built.store.items[key].revision == before
+
+
+@with_cluster(members=2, executors=1)
+async def test_an_owner_whose_turn_is_slow_hands_over_once_it_is_stored(built: Cluster) -> None:
+    """An owner with a narrow link is stopped while it stores a turn, for longer than it waits to
+    hand over. It lives on for seconds, starts nothing any more, and keeps the shard all the while;
+    then its lease has to end, and of executors in touch no bound is left."""
+    owner = await built.owner()
+    (other,) = [member for member in built.members if member is not owner]
+    owner.store.answer_time = 1.5
+    async with anyio.create_task_group() as callers:
+        callers.start_soon(other.call, "POST", PREFIX + built.new_id(), job())
+        await anyio.sleep(0.2)
+        await owner.node.hand_over()
+        owner.store.answer_time = 0.0
+        await until(lambda: other.owns, 2.6)
