End the life of an executor that a refusal was meant for, not the present one

What callers saw: nothing that is on record; a window of milliseconds. An executor that had begun a new life elsewhere, while an order to its former address was under way, got no work until its entry was removed, and its runs were started once more.

Cause: 421 was booked on the life that was known when the answer came. The order's target tells which life was asked.

--- a/vanillawell/coordination/executor_driver.py
+++ b/vanillawell/coordination/executor_driver.py
@@ -116,7 +116,7 @@
                     await self._wait_for_news()
         if not self._executor.is_out_of_touch:
             await self._await_permission()
-        sent = clock.read()
+        sent, target = clock.read(), self._link.target()
         try:
             await self.hold(self._wait())
         except (NotSentError, NoAnswerError) as error:
@@ -129,7 +129,7 @@
             self._link.refused(error)
             await anyio.sleep(RETRY_PAUSE)
         except WrongIncarnationError:
-            self._link.note_dead("another executor lives at the address")
+            self._link.note_dead(target, "another executor lives at the address")
 
     async def _await_permission(self) -> None:
         """Wait a moment until leases may be extended again.
--- a/vanillawell/coordination/executor_link.py
+++ b/vanillawell/coordination/executor_link.py
@@ -102,12 +102,16 @@
         fields = {"executor": self.executor.name, "reason": error.reason.value}
         log.warning("hold refused", extra=fields)
 
-    def note_dead(self, reason: str) -> None:
-        """Take in the proof that this life of the executor is over."""
-        fields = {"executor": self.executor.name, "reason": reason}
+    def note_dead(self, target: Target, reason: str) -> None:
+        """Take in the proof that the life that a call was meant for is over.
+
+        By the time of the answer the executor may have begun another one elsewhere, of which the
+        answer says nothing.
+        """
+        is_present = target.incarnation == self.executor.facts.incarnation
+        fields = {"executor": target.executor, "reason": reason, "is_present": is_present}
         log.warning("executor gone", extra={**fields, "runs": len(self.executor.runs)})
-        facts = self.executor.facts
-        self.shard.dead(facts.executor, facts.incarnation, clock.read(), self.wall())
+        self.shard.dead(target.executor, target.incarnation, clock.read(), self.wall())
         self.wake_owner()
 
     def describe(self, run: Run) -> dict[str, object]:
--- a/vanillawell/coordination/run_orders.py
+++ b/vanillawell/coordination/run_orders.py
@@ -95,8 +95,9 @@
         )
         run.enter(RunPhase.ORDERED, now)
         self._notify()
+        target = self._link.target()
         try:
-            value = await self._link.calls.start(self._link.target(), order, self._link.term.token)
+            value = await self._link.calls.start(target, order, self._link.term.token)
         except NotSentError as error:
             self._link.suspect()
             self._never_began(run, str(error))
@@ -104,7 +105,7 @@
             self._link.suspect_if_silent(now)
             await self._settle_uncertain(run, str(error))
         except WrongIncarnationError:
-            self._link.note_dead("another executor lives at the address")
+            self._link.note_dead(target, "another executor lives at the address")
         except OrderRefusedError as error:
             await self._start_refused(run, error)
         else:
@@ -166,6 +167,7 @@
     async def _look_again(self) -> None:
         """Ask for a report at once; the waiting hold was sent too early to settle the matter."""
         for _ in range(LOOKS):
+            target = self._link.target()
             try:
                 await self._ask_now()
             except (NotSentError, NoAnswerError) as error:
@@ -175,7 +177,7 @@
                 self._link.refused(error)
                 return
             except WrongIncarnationError:
-                self._link.note_dead("another executor lives at the address")
+                self._link.note_dead(target, "another executor lives at the address")
                 return
             else:
                 return
@@ -191,9 +193,9 @@
         await self._stop_once(stray.task_id, stray.run)
 
     async def _stop_once(self, task_id: TaskId, run: int) -> bool:
-        sent = clock.read()
+        sent, target = clock.read(), self._link.target()
         try:
-            await self._link.calls.stop(self._link.target(), task_id, run, self._link.term.token)
+            await self._link.calls.stop(target, task_id, run, self._link.term.token)
         except (NotSentError, NoAnswerError) as error:
             fields = {
                 "executor": self._link.executor.name,
@@ -204,7 +206,7 @@
             self._link.suspect_if_silent(sent)
             return False
         except WrongIncarnationError:
-            self._link.note_dead("another executor lives at the address")
+            self._link.note_dead(target, "another executor lives at the address")
             return False
         except OrderRefusedError as error:
             if error.reason is Refused.FENCE:
