Reckon with the clock of an executor's present life alone

Cause: an executor that runs nothing is asked nothing, so its owner hears of a new life from the registry. The report that follows then shows no change of life, and the reading of the former life's clock stayed: the lease ended by that clock, up to the longest that executors give, while the owner reckoned with five seconds.

Change: the link knows whose clock it has read, and drops the reading with the life it belongs to, wherever the new life was heard of. The first call to a new life carries no lease, as the first call of a new owner does. Clocks stored for successors are those of present lives, too.

Left: a start that reaches a new life before anybody has heard of it still carries a lease by the former clock.

--- a/vanillawell/coordination/driver_clocks.py
+++ b/vanillawell/coordination/driver_clocks.py
@@ -35,4 +35,4 @@
         return {life_of(item.executor): item.clock.at_most(now) for item in read}
 
     def _read(self) -> list[ExecutorDriver]:
-        return [item for item in self._drivers.values() if item.clock.value is not None]
+        return [item for item in self._drivers.values() if item.knows_clock]
--- a/vanillawell/coordination/executor_driver.py
+++ b/vanillawell/coordination/executor_driver.py
@@ -60,6 +60,11 @@
         """Return the estimate of the executor's clock."""
         return self._link.clock
 
+    @property
+    def knows_clock(self) -> bool:
+        """Tell whether the clock of the executor's present life has been read."""
+        return self._link.knows_clock
+
     @property
     def orders(self) -> RunOrders:
         """Return what sends orders to the executor."""
@@ -167,6 +172,7 @@
 
     async def hold(self, wait: float) -> None:
         """Renew the lease, confirm what is stored and take in the report."""
+        self._enter_life(self._executor.facts.incarnation)
         sent = clock.read()
         saved = self._ends_to_confirm()
         lease_end = self._renew(sent)
@@ -176,15 +182,11 @@
         if not self._is_needed():
             return
         now = clock.read()
-        self._link.answered(report.clock, sent, now)
-        self._confirmed_end = max(self._confirmed_end, saved)
+        if not self._enter_life(report.incarnation):
+            self._confirmed_end = max(self._confirmed_end, saved)
+        self._link.answered(report.incarnation, report.clock, sent, now)
         self._note_contact()
-        life = self._executor.facts.incarnation
         self._link.shard.take_report(self._executor, report, sent, now, self._link.wall())
-        if self._executor.facts.incarnation != life:
-            self._confirmed_end = 0
-            self._link.clock.begin_life(report.clock, sent, now)
-            log.info("executor restarted", extra={"executor": self._executor.name})
         if not self._link.contact.is_set():
             self._link.contact.set()
             log.info(
@@ -199,6 +201,14 @@
         self._orders.pace(now)
         self._link.wake_owner()
 
+    def _enter_life(self, incarnation: int) -> bool:
+        """Begin anew with a new life of the executor; tells whether it is one."""
+        if not self._link.enter_life(incarnation):
+            return False
+        self._confirmed_end = 0
+        log.info("executor restarted", extra={"executor": self._executor.name})
+        return True
+
     async def renew(self) -> None:
         """Renew the leases at once, beside the call that waits for an end."""
         try:
@@ -213,7 +223,7 @@
         An executor that does not answer gets no renewal: each call might still reach it, and its
         runs could never be given up. Nor does an owner renew long after it lost its own lease.
         """
-        if self._link.clock.value is None or self._executor.silent_since is not None:
+        if not self._link.knows_clock or self._executor.silent_since is not None:
             return None
         if not self._link.may_extend_lease():
             return None
--- a/vanillawell/coordination/executor_link.py
+++ b/vanillawell/coordination/executor_link.py
@@ -51,6 +51,9 @@
     """Seconds that the executor takes at most to end what has no lease any more."""
 
     clock: ExecutorClock = field(default_factory=ExecutorClock)
+    _clock_life: int | None = None
+    """Start of the life whose clock was read, in milliseconds since the epoch."""
+
     contact: anyio.Event = field(default_factory=anyio.Event)
     """Set once the executor has reported."""
 
@@ -61,6 +64,25 @@
         facts = self.executor.facts
         return Target(facts.executor, facts.address, facts.incarnation)
 
+    @property
+    def knows_clock(self) -> bool:
+        """Tell whether the clock of the executor's present life has been read."""
+        is_present = self._clock_life == self.executor.facts.incarnation
+        return is_present and self.clock.value is not None
+
+    def enter_life(self, incarnation: int) -> bool:
+        """Drop what the clock showed in a former life; tells whether there was one.
+
+        An executor that runs nothing is asked nothing, so its owner may hear of its new life from
+        the registry. A lease that ended by the former life's clock would outlive what the owner
+        reckons with.
+        """
+        former, self._clock_life = self._clock_life, incarnation
+        if former in (None, incarnation):
+            return False
+        self.clock.forget()
+        return True
+
     def may_extend_lease(self) -> bool:
         """Tell whether a call may extend the executor's leases now."""
         return self.leases.may_extend(self.executor.name)
@@ -75,9 +97,11 @@
         self.executor.lease_over = max(self.executor.lease_over, over)
         return self.clock.lease_end(now, lease)
 
-    def answered(self, reading: float, sent: float, now: float) -> None:
-        """Take in the answer to a call that was sent at `sent`, with a reading of its clock."""
-        self.clock.note(reading, sent, now)
+    def answered(self, incarnation: int, reading: float, sent: float, now: float) -> None:
+        """Take in the answer to a call to one life that was sent at `sent`, with a reading of its
+        clock."""
+        if incarnation == self._clock_life:
+            self.clock.note(reading, sent, now)
         self.answered_at = now
 
     def suspect(self) -> None:
--- a/vanillawell/coordination/leases.py
+++ b/vanillawell/coordination/leases.py
@@ -71,10 +71,9 @@
         self.value, self.read_at = value, now
         self._most_ahead = min(self._most_ahead, value - sent)
 
-    def begin_life(self, value: float, sent: float, now: float) -> None:
-        """Take in the first reading after the clock began anew."""
-        self._most_ahead = float("inf")
-        self.note(value, sent, now)
+    def forget(self) -> None:
+        """Drop all readings, since the clock has begun anew."""
+        self.value, self._most_ahead = None, float("inf")
 
     def at(self, now: float) -> float:
         """Return what the clock shows now, or a little less; it must have been read before."""
--- a/vanillawell/coordination/run_orders.py
+++ b/vanillawell/coordination/run_orders.py
@@ -25,6 +25,7 @@
     from anyio.abc import TaskGroup
 
     from vanillawell.coordination.executor_link import ExecutorLink
+    from vanillawell.protocol.executor_calls import Target
     from vanillawell.state.outbox import StrayStop
     from vanillawell.state.work import Run, TaskId
 
@@ -73,7 +74,7 @@
         async with self._slots:
             now = clock.read()
             stale = now - stored_at > START_FRESHNESS and not self._link.term.is_held(now)
-            if run.stop_wanted or stale or self._link.clock.value is None:
+            if run.stop_wanted or stale or not self._link.knows_clock:
                 self._never_began(run, "stopped before" if run.stop_wanted else "stale")
                 return
             if not self._link.may_extend_lease():
@@ -109,11 +110,11 @@
         except OrderRefusedError as error:
             await self._start_refused(run, error)
         else:
-            self._started(run, value, now)
+            self._started(run, target, value, now)
 
-    def _started(self, run: Run, value: float, sent: float) -> None:
+    def _started(self, run: Run, target: Target, value: float, sent: float) -> None:
         now = clock.read()
-        self._link.answered(value, sent, now)
+        self._link.answered(target.incarnation, value, sent, now)
         if run.phase is RunPhase.ORDERED:
             run.enter(RunPhase.RUNNING, now)
         if run.started is None:
