Reckon with no lease of a call that an executor refused

What callers saw: nothing that is on record.

Cause: the owner raised the end of the lease before each call, since the call might arrive, and left it raised when the executor said that it had done nothing.

Change: each call that carries a lease notes what was reckoned with before it; a refusal as unhealthy, or a call of which nothing was sent, restores that, unless a later call went out meanwhile. Other refusals of a start may take the lease in, so they restore nothing.

--- a/vanillawell/coordination/executor_driver.py
+++ b/vanillawell/coordination/executor_driver.py
@@ -18,7 +18,7 @@
 if TYPE_CHECKING:
     from anyio.abc import TaskGroup
 
-    from vanillawell.coordination.executor_link import ExecutorLink
+    from vanillawell.coordination.executor_link import ExecutorLink, LeaseExtension
     from vanillawell.coordination.leases import ExecutorClock
     from vanillawell.state.executors import Executor
     from vanillawell.state.work import Run
@@ -175,10 +175,15 @@
         self._enter_life(self._executor.facts.incarnation)
         sent = clock.read()
         saved = self._ends_to_confirm()
-        lease_end = self._renew(sent)
-        report = await self._link.calls.hold(
-            self._link.target(), self._link.term.token, saved, lease_end, wait
-        )
+        extension = self._renew(sent)
+        lease_end = None if extension is None else extension.end
+        try:
+            report = await self._link.calls.hold(
+                self._link.target(), self._link.term.token, saved, lease_end, wait
+            )
+        except (NotSentError, OrderRefusedError):
+            self._link.take_back(extension)
+            raise
         if not self._is_needed():
             return
         now = clock.read()
@@ -217,8 +222,8 @@
             fields = {"executor": self._executor.name, "why": str(error)}
             log.info("executor not renewed", extra=fields)
 
-    def _renew(self, now: float) -> float | None:
-        """Return the end of a new lease; None to leave the leases as they are.
+    def _renew(self, now: float) -> LeaseExtension | None:
+        """Return a new lease; None to leave the leases as they are.
 
         An executor that does not answer gets no renewal: each call might still reach it, and its
         runs could never be given up. Nor does an owner renew long after it lost its own lease.
--- a/vanillawell/coordination/executor_link.py
+++ b/vanillawell/coordination/executor_link.py
@@ -33,6 +33,20 @@
     """An executor has seen a higher fencing token: another entry owns the shard."""
 
 
+@dataclass(frozen=True, slots=True)
+class LeaseExtension:
+    """A lease that one call carries."""
+
+    end: float
+    """Seconds on the executor's clock."""
+
+    number: int
+    """Counts the leases that calls to the executor have carried."""
+
+    over_before: float
+    """When all leases there are surely over if the call does nothing, on the clock of decisions."""
+
+
 @dataclass(slots=True)
 class ExecutorLink:
     """What all traffic to one life of one executor shares."""
@@ -54,6 +68,9 @@
     _clock_life: int | None = None
     """Start of the life whose clock was read, in milliseconds since the epoch."""
 
+    _extensions: int = 0
+    """Number of the latest lease that a call carried."""
+
     contact: anyio.Event = field(default_factory=anyio.Event)
     """Set once the executor has reported."""
 
@@ -87,15 +104,26 @@
         """Tell whether a call may extend the executor's leases now."""
         return self.leases.may_extend(self.executor.name)
 
-    def extend_lease(self, now: float) -> float:
-        """Return the end of a lease that begins now, on the executor's clock.
+    def extend_lease(self, now: float) -> LeaseExtension:
+        """Return a lease that begins now, for one call to carry.
 
-        From here on the lease is reckoned with, since the call that carries it may arrive.
+        From here on the lease is reckoned with, since the call may arrive.
         """
         lease = min(LEASE, self.longest_lease)
+        before = self.executor.lease_over
         over = self.clock.surely_over(now, lease) + self.kill_grace + LEASE_MARGIN
-        self.executor.lease_over = max(self.executor.lease_over, over)
-        return self.clock.lease_end(now, lease)
+        self.executor.lease_over = max(before, over)
+        self._extensions += 1
+        return LeaseExtension(self.clock.lease_end(now, lease), self._extensions, before)
+
+    def take_back(self, extension: LeaseExtension | None) -> None:
+        """Take in that the call with a lease has done nothing, unless another went out since.
+
+        Reckoned with all the same, it would keep tasks charged to an executor that refuses all
+        calls for as long as it refuses, though their leases have expired.
+        """
+        if extension is not None and extension.number == self._extensions:
+            self.executor.lease_over = extension.over_before
 
     def answered(self, incarnation: int, reading: float, sent: float, now: float) -> None:
         """Take in the answer to a call to one life that was sent at `sent`, with a reading of its
--- a/vanillawell/coordination/run_orders.py
+++ b/vanillawell/coordination/run_orders.py
@@ -85,12 +85,12 @@
         self._link.wake_owner()
 
     async def _send_start(self, run: Run, now: float) -> None:
-        task = run.task
+        task, extension = run.task, self._link.extend_lease(now)
         order = StartOrder(
             task.task_id,
             run.number,
             task.step.record.job.payload,
-            self._link.extend_lease(now),
+            extension.end,
             task.checkpoint,
             run.ticket,
         )
@@ -100,6 +100,7 @@
         try:
             value = await self._link.calls.start(target, order, self._link.term.token)
         except NotSentError as error:
+            self._link.take_back(extension)
             self._link.suspect()
             self._never_began(run, str(error))
         except NoAnswerError as error:
@@ -108,6 +109,8 @@
         except WrongIncarnationError:
             self._link.note_dead(target, "another executor lives at the address")
         except OrderRefusedError as error:
+            if error.reason is Refused.UNHEALTHY:
+                self._link.take_back(extension)
             await self._start_refused(run, error)
         else:
             self._started(run, target, value, now)
