--- a/vanillawell/coordination/executor_driver.py
+++ b/vanillawell/coordination/executor_driver.py
@@ -18,7 +18,7 @@
 if TYPE_CHECKING:
     from anyio.abc import TaskGroup
 
-    from vanillawell.coordination.executor_link import ExecutorLink
+    from vanillawell.coordination.executor_link import ExecutorLink, LeaseExtension
     from vanillawell.coordination.leases import ExecutorClock
     from vanillawell.state.executors import Executor
     from vanillawell.state.work import Run
@@ -60,6 +60,11 @@
         """Return the estimate of the executor's clock."""
         return self._link.clock
 
+    @property
+    def knows_clock(self) -> bool:
+        """Tell whether the clock of the executor's present life has been read."""
+        return self._link.knows_clock
+
     @property
     def orders(self) -> RunOrders:
         """Return what sends orders to the executor."""
@@ -116,7 +121,7 @@
                     await self._wait_for_news()
         if not self._executor.is_out_of_touch:
             await self._await_permission()
-        sent = clock.read()
+        sent, target = clock.read(), self._link.target()
         try:
             await self.hold(self._wait())
         except (NotSentError, NoAnswerError) as error:
@@ -129,7 +134,7 @@
             self._link.refused(error)
             await anyio.sleep(RETRY_PAUSE)
         except WrongIncarnationError:
-            self._link.note_dead("another executor lives at the address")
+            self._link.note_dead(target, "another executor lives at the address")
 
     async def _await_permission(self) -> None:
         """Wait a moment until leases may be extended again.
@@ -167,24 +172,26 @@
 
     async def hold(self, wait: float) -> None:
         """Renew the lease, confirm what is stored and take in the report."""
+        self._enter_life(self._executor.facts.incarnation)
         sent = clock.read()
         saved = self._ends_to_confirm()
-        lease_end = self._renew(sent)
-        report = await self._link.calls.hold(
-            self._link.target(), self._link.term.token, saved, lease_end, wait
-        )
+        extension = self._renew(sent)
+        lease_end = None if extension is None else extension.end
+        try:
+            report = await self._link.calls.hold(
+                self._link.target(), self._link.term.token, saved, lease_end, wait
+            )
+        except (NotSentError, OrderRefusedError):
+            self._link.take_back(extension)
+            raise
         if not self._is_needed():
             return
         now = clock.read()
-        self._link.answered(report.clock, sent, now)
-        self._confirmed_end = max(self._confirmed_end, saved)
+        if not self._enter_life(report.incarnation):
+            self._confirmed_end = max(self._confirmed_end, saved)
+        self._link.answered(report.incarnation, report.clock, sent, now)
         self._note_contact()
-        life = self._executor.facts.incarnation
         self._link.shard.take_report(self._executor, report, sent, now, self._link.wall())
-        if self._executor.facts.incarnation != life:
-            self._confirmed_end = 0
-            self._link.clock.begin_life(report.clock, sent, now)
-            log.info("executor restarted", extra={"executor": self._executor.name})
         if not self._link.contact.is_set():
             self._link.contact.set()
             log.info(
@@ -199,6 +206,14 @@
         self._orders.pace(now)
         self._link.wake_owner()
 
+    def _enter_life(self, incarnation: int) -> bool:
+        """Begin anew with a new life of the executor; tells whether it is one."""
+        if not self._link.enter_life(incarnation):
+            return False
+        self._confirmed_end = 0
+        log.info("executor restarted", extra={"executor": self._executor.name})
+        return True
+
     async def renew(self) -> None:
         """Renew the leases at once, beside the call that waits for an end."""
         try:
@@ -207,13 +222,13 @@
             fields = {"executor": self._executor.name, "why": str(error)}
             log.info("executor not renewed", extra=fields)
 
-    def _renew(self, now: float) -> float | None:
-        """Return the end of a new lease; None to leave the leases as they are.
+    def _renew(self, now: float) -> LeaseExtension | None:
+        """Return a new lease; None to leave the leases as they are.
 
         An executor that does not answer gets no renewal: each call might still reach it, and its
         runs could never be given up. Nor does an owner renew long after it lost its own lease.
         """
-        if self._link.clock.value is None or self._executor.silent_since is not None:
+        if not self._link.knows_clock or self._executor.silent_since is not None:
             return None
         if not self._link.may_extend_lease():
             return None
--- a/vanillawell/coordination/executor_link.py
+++ b/vanillawell/coordination/executor_link.py
@@ -33,6 +33,20 @@
     """An executor has seen a higher fencing token: another entry owns the shard."""
 
 
+@dataclass(frozen=True, slots=True)
+class LeaseExtension:
+    """A lease that one call carries."""
+
+    end: float
+    """Seconds on the executor's clock."""
+
+    number: int
+    """Counts the leases that calls to the executor have carried."""
+
+    over_before: float
+    """When all leases there are surely over if the call does nothing, on the clock of decisions."""
+
+
 @dataclass(slots=True)
 class ExecutorLink:
     """What all traffic to one life of one executor shares."""
@@ -51,6 +65,12 @@
     """Seconds that the executor takes at most to end what has no lease any more."""
 
     clock: ExecutorClock = field(default_factory=ExecutorClock)
+    _clock_life: int | None = None
+    """Start of the life whose clock was read, in milliseconds since the epoch."""
+
+    _extensions: int = 0
+    """Number of the latest lease that a call carried."""
+
     contact: anyio.Event = field(default_factory=anyio.Event)
     """Set once the executor has reported."""
 
@@ -61,23 +81,55 @@
         facts = self.executor.facts
         return Target(facts.executor, facts.address, facts.incarnation)
 
+    @property
+    def knows_clock(self) -> bool:
+        """Tell whether the clock of the executor's present life has been read."""
+        is_present = self._clock_life == self.executor.facts.incarnation
+        return is_present and self.clock.value is not None
+
+    def enter_life(self, incarnation: int) -> bool:
+        """Drop what the clock showed in a former life; tells whether there was one.
+
+        An executor that runs nothing is asked nothing, so its owner may hear of its new life from
+        the registry. A lease that ended by the former life's clock would outlive what the owner
+        reckons with.
+        """
+        former, self._clock_life = self._clock_life, incarnation
+        if former in (None, incarnation):
+            return False
+        self.clock.forget()
+        return True
+
     def may_extend_lease(self) -> bool:
         """Tell whether a call may extend the executor's leases now."""
         return self.leases.may_extend(self.executor.name)
 
-    def extend_lease(self, now: float) -> float:
-        """Return the end of a lease that begins now, on the executor's clock.
+    def extend_lease(self, now: float) -> LeaseExtension:
+        """Return a lease that begins now, for one call to carry.
 
-        From here on the lease is reckoned with, since the call that carries it may arrive.
+        From here on the lease is reckoned with, since the call may arrive.
         """
         lease = min(LEASE, self.longest_lease)
+        before = self.executor.lease_over
         over = self.clock.surely_over(now, lease) + self.kill_grace + LEASE_MARGIN
-        self.executor.lease_over = max(self.executor.lease_over, over)
-        return self.clock.lease_end(now, lease)
+        self.executor.lease_over = max(before, over)
+        self._extensions += 1
+        return LeaseExtension(self.clock.lease_end(now, lease), self._extensions, before)
+
+    def take_back(self, extension: LeaseExtension | None) -> None:
+        """Take in that the call with a lease has done nothing, unless another went out since.
 
-    def answered(self, reading: float, sent: float, now: float) -> None:
-        """Take in the answer to a call that was sent at `sent`, with a reading of its clock."""
-        self.clock.note(reading, sent, now)
+        Reckoned with all the same, it would keep tasks charged to an executor that refuses all
+        calls for as long as it refuses, though their leases have expired.
+        """
+        if extension is not None and extension.number == self._extensions:
+            self.executor.lease_over = extension.over_before
+
+    def answered(self, incarnation: int, reading: float, sent: float, now: float) -> None:
+        """Take in the answer to a call to one life that was sent at `sent`, with a reading of its
+        clock."""
+        if incarnation == self._clock_life:
+            self.clock.note(reading, sent, now)
         self.answered_at = now
 
     def suspect(self) -> None:
@@ -102,12 +154,16 @@
         fields = {"executor": self.executor.name, "reason": error.reason.value}
         log.warning("hold refused", extra=fields)
 
-    def note_dead(self, reason: str) -> None:
-        """Take in the proof that this life of the executor is over."""
-        fields = {"executor": self.executor.name, "reason": reason}
+    def note_dead(self, target: Target, reason: str) -> None:
+        """Take in the proof that the life that a call was meant for is over.
+
+        By the time of the answer the executor may have begun another one elsewhere, of which the
+        answer says nothing.
+        """
+        is_present = target.incarnation == self.executor.facts.incarnation
+        fields = {"executor": target.executor, "reason": reason, "is_present": is_present}
         log.warning("executor gone", extra={**fields, "runs": len(self.executor.runs)})
-        facts = self.executor.facts
-        self.shard.dead(facts.executor, facts.incarnation, clock.read(), self.wall())
+        self.shard.dead(target.executor, target.incarnation, clock.read(), self.wall())
         self.wake_owner()
 
     def describe(self, run: Run) -> dict[str, object]:
--- a/vanillawell/coordination/run_orders.py
+++ b/vanillawell/coordination/run_orders.py
@@ -25,6 +25,7 @@
     from anyio.abc import TaskGroup
 
     from vanillawell.coordination.executor_link import ExecutorLink
+    from vanillawell.protocol.executor_calls import Target
     from vanillawell.state.outbox import StrayStop
     from vanillawell.state.work import Run, TaskId
 
@@ -73,7 +74,7 @@
         async with self._slots:
             now = clock.read()
             stale = now - stored_at > START_FRESHNESS and not self._link.term.is_held(now)
-            if run.stop_wanted or stale or self._link.clock.value is None:
+            if run.stop_wanted or stale or not self._link.knows_clock:
                 self._never_began(run, "stopped before" if run.stop_wanted else "stale")
                 return
             if not self._link.may_extend_lease():
@@ -84,35 +85,39 @@
         self._link.wake_owner()
 
     async def _send_start(self, run: Run, now: float) -> None:
-        task = run.task
+        task, extension = run.task, self._link.extend_lease(now)
         order = StartOrder(
             task.task_id,
             run.number,
             task.step.record.job.payload,
-            self._link.extend_lease(now),
+            extension.end,
             task.checkpoint,
             run.ticket,
         )
         run.enter(RunPhase.ORDERED, now)
         self._notify()
+        target = self._link.target()
         try:
-            value = await self._link.calls.start(self._link.target(), order, self._link.term.token)
+            value = await self._link.calls.start(target, order, self._link.term.token)
         except NotSentError as error:
+            self._link.take_back(extension)
             self._link.suspect()
             self._never_began(run, str(error))
         except NoAnswerError as error:
             self._link.suspect_if_silent(now)
             await self._settle_uncertain(run, str(error))
         except WrongIncarnationError:
-            self._link.note_dead("another executor lives at the address")
+            self._link.note_dead(target, "another executor lives at the address")
         except OrderRefusedError as error:
+            if error.reason is Refused.UNHEALTHY:
+                self._link.take_back(extension)
             await self._start_refused(run, error)
         else:
-            self._started(run, value, now)
+            self._started(run, target, value, now)
 
-    def _started(self, run: Run, value: float, sent: float) -> None:
+    def _started(self, run: Run, target: Target, value: float, sent: float) -> None:
         now = clock.read()
-        self._link.answered(value, sent, now)
+        self._link.answered(target.incarnation, value, sent, now)
         if run.phase is RunPhase.ORDERED:
             run.enter(RunPhase.RUNNING, now)
         if run.started is None:
@@ -166,6 +171,7 @@
     async def _look_again(self) -> None:
         """Ask for a report at once; the waiting hold was sent too early to settle the matter."""
         for _ in range(LOOKS):
+            target = self._link.target()
             try:
                 await self._ask_now()
             except (NotSentError, NoAnswerError) as error:
@@ -175,7 +181,7 @@
                 self._link.refused(error)
                 return
             except WrongIncarnationError:
-                self._link.note_dead("another executor lives at the address")
+                self._link.note_dead(target, "another executor lives at the address")
                 return
             else:
                 return
@@ -191,9 +197,9 @@
         await self._stop_once(stray.task_id, stray.run)
 
     async def _stop_once(self, task_id: TaskId, run: int) -> bool:
-        sent = clock.read()
+        sent, target = clock.read(), self._link.target()
         try:
-            await self._link.calls.stop(self._link.target(), task_id, run, self._link.term.token)
+            await self._link.calls.stop(target, task_id, run, self._link.term.token)
         except (NotSentError, NoAnswerError) as error:
             fields = {
                 "executor": self._link.executor.name,
@@ -204,7 +210,7 @@
             self._link.suspect_if_silent(sent)
             return False
         except WrongIncarnationError:
-            self._link.note_dead("another executor lives at the address")
+            self._link.note_dead(target, "another executor lives at the address")
             return False
         except OrderRefusedError as error:
             if error.reason is Refused.FENCE:
