Let the stand-in of the store hide no change that comes as a wait ends

Callers of the product saw nothing: the fault is in the stand-in that tests run against.

Cause: a waiting call looked for changes, waited, and at the end of its time answered with no change and the revision of that moment. When the process is held up for some milliseconds, a change and the end of the wait fall due in one round of the event loop; the wait is broken off before it looks again, and the answer vouches for a revision whose change it leaves out. Whoever follows asks on from there.

Why this works: events, the end of kept history and the revision are now read together, with no wait in between, after the wait however it ended. Playing deaf is as it was while it lasts; a call whose wait ends after it is told what came meanwhile.

--- a/vanillawell/standins/scheduler/store.py
+++ b/vanillawell/standins/scheduler/store.py
@@ -116,18 +116,23 @@
     async def _watch(self, query: dict[str, str]) -> tuple[int, dict[str, Any]]:
         after, prefix = int(query["after"]), query["prefix"]
         with anyio.move_on_after(int(query["waitMs"]) / 1000):
-            while True:
-                if after < self._kept_from:
-                    return 410, {}
-                events = [
-                    event
-                    for event in self._history
-                    if event["revision"] > after and event["key"].startswith(prefix)
-                ]
-                if events and not self.faults.deaf:
-                    return 200, {"events": events, "storeRevision": self._revision}
+            while after >= self._kept_from and not self._events(prefix, after):
                 await self._changed.wait()
-        return 200, {"events": [], "storeRevision": self._revision}
+        # The wait may end in the moment of a change, so look once more: unless it plays deaf, an
+        # answer holds all that happened up to the revision that it names.
+        if after < self._kept_from:
+            return 410, {}
+        return 200, {"events": self._events(prefix, after), "storeRevision": self._revision}
+
+    def _events(self, prefix: str, after: int) -> list[dict[str, Any]]:
+        """Return what a waiting call is told of the changes after a revision."""
+        if self.faults.deaf:
+            return []
+        return [
+            event
+            for event in self._history
+            if event["revision"] > after and event["key"].startswith(prefix)
+        ]
 
     async def _write(self, path: str, body: bytes) -> tuple[int, dict[str, Any]]:
         faults = self.faults
