--- a/vanillawell/coordination/shard_owner.py
+++ b/vanillawell/coordination/shard_owner.py
@@ -29,6 +29,7 @@
 from vanillawell.coordination.turn_batch import TurnBatch
 from vanillawell.coordination.upkeep_runner import UpkeepRunner
 from vanillawell.exceptions import StoreError
+from vanillawell.protocol.queue_documents import read_queues, write_queues
 from vanillawell.protocol.store import Put
 from vanillawell.protocol.work_documents import read_job, read_record
 from vanillawell.state.shard import Shard
@@ -46,6 +47,7 @@
     from vanillawell.protocol.work_documents import WorkKeys
     from vanillawell.state.executors import Executor
     from vanillawell.state.work import Run
+    from vanillawell.state.work_policy import Queue
     from vanillawell.work_telemetry import WorkTelemetry
 
 log = logging.getLogger(__name__)
@@ -91,6 +93,7 @@
         self._news = anyio.Event()
         self._stopping = False
         self._published: dict[str, int] | None = None
+        self._stored_queues: dict[str, Queue] = {}
         self._inbox = Inbox(ports.store, keys, self._shard, self.wake)
         self.loaded = False
         """Whether all jobs of former terms have been read."""
@@ -190,6 +193,29 @@
                 log.warning("shard not loaded", extra={"why": str(error)})
                 await backoff.wait()
         self._restore(orders, records)
+        if self._shard.lacks_rules():
+            await self._recall_queues()
+
+    async def _recall_queues(self) -> None:
+        """Read the rules of queues with jobs that the configuration does not hold any more."""
+        backoff = Backoff()
+        while True:
+            try:
+                found = await self._ports.store.get(self._keys.queues(self._name))
+                break
+            except StoreError as error:
+                log.warning("rules of queues not read", extra={"why": str(error)})
+                await backoff.wait()
+        if found is None:
+            log.warning("no rules of queues stored", extra={"token": self._term.token})
+            return
+        try:
+            queues = read_queues(found.value)
+        except ValueError as error:
+            log.error("rules of queues unreadable", extra={"why": str(error)})
+            return
+        log.info("rules of queues recalled", extra={"queues": len(queues)})
+        self._shard.recall_queues(queues)
 
     def _restore(self, orders: Listing, records: Listing) -> None:
         now = clock.read()
@@ -303,11 +329,13 @@
         """Store what changed, then let the starts and the confirmed ends of it go out."""
         batch = TurnBatch.collect(self._shard, self._keys, time.time())
         pending = self._shard.board.pending() if self._inbox.is_read else self._published
-        due = not batch.is_empty or pending != self._published
+        queues = self._shard.queues_in_use()
+        due = not batch.is_empty or pending != self._published or queues != self._stored_queues
         executors = self._shard.ledger.executors.values()
         if not due and not self._leases.wants_write(executors, clock.read()):
             return
-        for part in batch.parts(self._pending_put(pending)):
+        extra = [*self._pending_puts(pending), *self._queue_puts(queues)]
+        for part in batch.parts(extra):
             stored_at = await self._term.write(part.puts, part.deletes, self._draft_bounds)
             if self._leases.confirm():
                 self._notify(self._drivers)
@@ -318,7 +346,7 @@
             for run in part.planned:
                 self._submit(run, stored_at)
             self._notify(end.executor.name for end in part.ends)
-        self._published = pending
+        self._published, self._stored_queues = pending, queues
 
     def _submit(self, run: Run, stored_at: float) -> None:
         driver = self._drivers.get(run.executor)
@@ -327,11 +355,21 @@
         else:
             driver.orders.submit(run, stored_at)
 
-    def _pending_put(self, pending: dict[str, int] | None) -> Put | None:
+    def _pending_puts(self, pending: dict[str, int] | None) -> list[Put]:
         """Return the write that publishes how many jobs wait, if that has changed."""
         if pending == self._published:
-            return None
-        return Put(self._keys.pending(self._name), orjson.dumps(pending))
+            return []
+        return [Put(self._keys.pending(self._name), orjson.dumps(pending))]
+
+    def _queue_puts(self, queues: dict[str, Queue]) -> list[Put]:
+        """Return the write of the rules of queues that have jobs, if these have changed.
+
+        A successor may have read only a configuration without such a queue; its jobs, which were
+        accepted, would never be served.
+        """
+        if queues == self._stored_queues:
+            return []
+        return [Put(self._keys.queues(self._name), write_queues(queues))]
 
     def _notify(self, executors: Iterable[str]) -> None:
         """Let the drivers of some executors go on, since something was stored for them."""
--- a/vanillawell/coordination/turn_batch.py
+++ b/vanillawell/coordination/turn_batch.py
@@ -20,9 +20,9 @@
 LARGEST_TRANSACTION = 32
 """Entries of all kinds that the store takes in one transaction, as published."""
 
-ENTRIES_AT_ONCE = LARGEST_TRANSACTION - 4
-"""Entries in one transaction, beside the term's comparison and write, the published counts and the
-bounds of leases."""
+ENTRIES_AT_ONCE = LARGEST_TRANSACTION - 5
+"""Entries in one transaction, beside the term's comparison and write, the published counts, the
+rules of queues and the bounds of leases."""
 
 
 @dataclass(slots=True)
@@ -75,7 +75,7 @@
         """Tell whether there is nothing to store."""
         return not (self.records or self.deletes or self.planned or self.ends)
 
-    def parts(self, extra: Put | None) -> Iterator[TurnPart]:
+    def parts(self, extra: Iterable[Put]) -> Iterator[TurnPart]:
         """Yield transactions; `extra` goes into the first.
 
         Ends become confirmable with the last one: which job an end belongs to does not matter
@@ -85,8 +85,7 @@
         parts.extend(TurnPart(deletes=chunk) for chunk in _chunks(self.deletes, ENTRIES_AT_ONCE))
         if not parts:
             parts.append(TurnPart())
-        if extra is not None:
-            parts[0].puts.append(extra)
+        parts[0].puts.extend(extra)
         parts[-1].ends = self.ends
         yield from parts
 
--- a/vanillawell/protocol/work_documents.py
+++ b/vanillawell/protocol/work_documents.py
@@ -68,6 +68,10 @@
         """Return the key of a job's record."""
         return self.records + job_id
 
+    def queues(self, shard: str) -> str:
+        """Return the key of the rules of queues that have jobs, for the owner's successors."""
+        return f"{self.prefix}queues/{shard}"
+
     def pending(self, shard: str) -> str:
         """Return the key of the counts of jobs that wait for their first start, by queue."""
         return f"{self.prefix}pending/{shard}"
--- a/vanillawell/state/shard.py
+++ b/vanillawell/state/shard.py
@@ -62,6 +62,8 @@
         """Tickets by executor for steps of queues that need advice."""
         self._policy: WorkPolicy | None = None
         self._queues: dict[str, Queue] = {}
+        self._names_in_use: set[str] = set()
+        """Queues of the jobs that were followed so far."""
 
     def _attempts(self, queue: str) -> int:
         known = self._queues.get(queue)
@@ -77,6 +79,22 @@
         self._policy = policy
         self._queues.update(policy.queues)
 
+    def queues_in_use(self) -> dict[str, Queue]:
+        """Return the rules, as far as known, of the queues of all jobs that were followed."""
+        return {
+            name: self._queues[name] for name in sorted(self._names_in_use) if name in self._queues
+        }
+
+    def lacks_rules(self) -> bool:
+        """Tell whether there are jobs of queues whose rules are not known."""
+        return not self._names_in_use <= self._queues.keys()
+
+    def recall_queues(self, queues: Mapping[str, Queue]) -> None:
+        """Take over the rules of queues that the configuration has dropped since."""
+        self._queues = {**queues, **self._queues}
+        for record in self.board.jobs.values():
+            self._set_objective(record)
+
     def queue_of(self, job: Job) -> Queue | None:
         """Return the rules of a job's queue."""
         return self._queues.get(job.queue)
@@ -89,6 +107,7 @@
         if job.job_id in self.board.jobs:
             return None
         record = JobRecord(job, now)
+        self._names_in_use.add(job.queue)
         self._set_objective(record)
         self.board.add(record)
         self.board.changed[job.job_id] = record
@@ -110,6 +129,8 @@
         self, record: JobRecord, runs: Iterable[Run], bound: Callable[[str], RecalledBound]
     ) -> None:
         """Take over a job with the runs that the store tells of; `bound` is called by executor."""
+        if not record.state.final:
+            self._names_in_use.add(record.job.queue)
         self._set_objective(record)
         self.board.add(record)
         for run in runs:
