Show a shard without an owner for good after the store was deaf

The owner is lost while the stand-in store tells of no change and its answers to waiting calls name the present revision. The other entry goes on from there, and never hears that the lease has ended. Whether the platform's own store names the revision of what it keeps back is not known.

--- a/vanillawell/tests/scheduler_failure_tests.py
+++ b/vanillawell/tests/scheduler_failure_tests.py
@@ -8,6 +8,8 @@
 
 import anyio
 
+from vanillawell.coordination.holder_watch import HOLDER_WAIT
+from vanillawell.protocol.work_documents import WorkKeys
 from vanillawell.tests.scheduler_cluster import (
     PREFIX,
     Cluster,
@@ -61,6 +63,20 @@
     await until(lambda: owner.owns, 4)
 
 
+@with_cluster(members=2)
+async def test_an_owner_that_is_lost_while_the_store_is_deaf_is_replaced(built: Cluster) -> None:
+    """The owner is killed, and its lease ends while the store tells of no change. Another entry
+    owns the shard soon after the store can be heard again, or all jobs would wait for good."""
+    owner = await built.owner()
+    survivor = next(member for member in built.members if member is not owner)
+    built.store.faults.deaf = True
+    await built.kill(owner)
+    await until(lambda: WorkKeys().holder("all") not in built.store.items, 3)
+    await anyio.sleep(2 * HOLDER_WAIT)
+    built.store.faults.deaf = False
+    await until(lambda: survivor.owns, 2.5)
+
+
 @with_cluster(members=2)
 async def test_a_planned_stop_hands_the_shard_over_at_once(built: Cluster) -> None:
     """The owner is asked to stop. Another entry owns the shard well before the lease would end."""
