Ask a store again from the last news, so that what it kept back is heard in the end

Callers saw (on the stand-in): after an owner was lost while the store was deaf, no entry owned the shard any more and no job went on, also once the store was heard again. A configuration written meanwhile is followed in the same way. Cause: an answer without changes moved its follower on to the revision it named, and a deaf store names a revision with changes it did not tell. The inbox and, while machines should come, the registry are read themselves meanwhile; the holder of the shard is not. Change: only a reading or an answer with changes moves a follower on. No call more; should the store no longer keep changes from there, it says so and the prefix is listed anew, as before. Weighed: reading the holder itself once a second, one call more for each entry and second.

--- a/vanillawell/coordination/follow.py
+++ b/vanillawell/coordination/follow.py
@@ -115,6 +115,10 @@
             return
         asked_from = self._revision
         changes = await self._store.changes(self._prefix, asked_from, self._wait)
+        if not changes.changes:
+            # The store may keep changes back and yet name their revision; asked from the same one
+            # as before, it tells them once it can be heard again.
+            return
         if self._revision > asked_from:
             changes = self._without_known(changes)
         self._revision = max(self._revision, changes.revision)
