Count a failed run of a gang once, however many of its members failed

What callers saw: nothing that is on record. A gang that may fail three times was shown as failed after one run, if its executor listed three members as failed, as one does that fails all it runs.

Cause: each member's end counted as a failed run of the whole gang. Change: members share the number of their run, and a number counts once; the record holds the latest, in a field that former versions pass over.

--- a/vanillawell/protocol/work_documents.py
+++ b/vanillawell/protocol/work_documents.py
@@ -234,7 +234,7 @@
         for task in step.tasks
         if task.older
     }
-    optional = {"failed_on": failed_on, "older": older}
+    optional = {"failed_on": failed_on, "older": older, "failed_number": step.failed_number}
     return {**document, **{name: value for name, value in optional.items() if value}}
 
 
@@ -289,6 +289,7 @@
         step.tasks[index].done = True
     step.left = sum(not task.done for task in step.tasks)
     step.failed_gangs = item["failed_gangs"]
+    step.failed_number = item.get("failed_number", 0)
     for index, executor in item.get("failed_on", {}).items():
         step.tasks[int(index)].failed_on = executor
     for index, (number, failures, checkpoint, where) in item["tasks"].items():
--- a/vanillawell/state/job_board.py
+++ b/vanillawell/state/job_board.py
@@ -124,8 +124,9 @@
     def _failed(self, task: Task, wall: float) -> None:
         task.failures += 1
         step = task.step
-        if step.spec.gang:
+        if step.spec.gang and task.number > step.failed_number:
             step.failed_gangs += 1
+            step.failed_number = task.number
         if step.spec.long_running:
             return
         bound = self._attempts(step.record.job.queue)
--- a/vanillawell/state/work.py
+++ b/vanillawell/state/work.py
@@ -287,6 +287,9 @@
     failed_gangs: int = 0
     """Runs of the whole gang that failed."""
 
+    failed_number: int = 0
+    """Number of the latest of these; members of a gang share their numbers."""
+
     held_by: str = ""
     """What keeps its waiting tasks from starting, as last logged; empty if nothing does."""
 
