Shut out half of a pool at most for what its executors failed

What callers saw: nothing that is on record. Jobs that fail wherever they run put each executor of a pool in quarantine in turn (five failed runs in a row, from two jobs); all other jobs of the pool found no place for up to four seconds, in front of idle machines.

Cause: the marks were judged executor by executor. Change: as with ejections of backend servers, a part of the pool may be shut out at a time; where more of it fails what it starts, the fault is the jobs'. One line tells of each doubt and its outcome. Weighed: to take marks back once a task fails elsewhere, too; too late where the first failures shut all of them out.

--- a/vanillawell/state/executors.py
+++ b/vanillawell/state/executors.py
@@ -8,7 +8,7 @@
 from vanillawell.state.work import NOTHING, Ending, Resources, Run, TaskId
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Iterable, Sequence
 
 SUSPICION = 1.0
 """Seconds for which an executor that could not be reached gets no new work."""
@@ -24,6 +24,9 @@
 ENTRY_AGE = 1.5
 """Seconds after which executors write their entries anew at the latest."""
 
+QUARANTINED_PART = 0.5
+"""Part of a pool that may be in quarantine at a time."""
+
 QUARANTINE = 4.0
 """Seconds for which a doubtful executor gets no new work; then it is tried again."""
 
@@ -86,6 +89,9 @@
     """Clock of decisions at which it was read last for how long it goes on."""
 
     suspected_until: float = 0.0
+    quarantined_until: float = 0.0
+    """Clock of decisions up to which it gets no work for what it failed."""
+
     cordoned: bool = False
     """Whether planned work keeps new tasks away."""
 
@@ -179,8 +185,8 @@
         for run in self.runs.values():
             run.at_work = False
 
-    def judge(self, run: Run, ending: Ending, now: float) -> bool:
-        """Learn from how a run ended; True if the executor has just been put in quarantine.
+    def judge(self, run: Run, ending: Ending) -> bool:
+        """Learn from how a run ended; True if the executor's soundness is in doubt by now.
 
         An executor that fails all it starts looks idle, so it would draw ever more work.
         """
@@ -192,10 +198,24 @@
         recent = self.failures[-FAILURES_IN_A_ROW:]
         if len(recent) < FAILURES_IN_A_ROW or len(set(recent)) < JOBS_IN_DOUBT:
             return False
-        self.suspect(now + QUARANTINE)
         del self.failures[:-2]
         return True
 
+    def quarantine(self, now: float) -> None:
+        """Keep new work away for a while, since it fails what it starts."""
+        self.quarantined_until = now + QUARANTINE
+        self.suspect(self.quarantined_until)
+
+
+def may_quarantine(pool: Sequence[Executor], now: float) -> bool:
+    """Tell whether one more executor of a pool may be put in quarantine.
+
+    Where most of a pool fails what it starts, the fault is that of the jobs: shut out for them,
+    sound executors would be idle while all other jobs wait.
+    """
+    shut_out = sum(now < item.quarantined_until for item in pool)
+    return shut_out + 1 <= QUARANTINED_PART * len(pool)
+
 
 def by_service(executors: Iterable[Executor], service: str) -> list[Executor]:
     """Return the executors of one service."""
--- a/vanillawell/state/ledger.py
+++ b/vanillawell/state/ledger.py
@@ -10,11 +10,18 @@
 from __future__ import annotations
 
 import itertools
+import logging
 from collections import defaultdict
 from dataclasses import dataclass, field, replace
 from typing import TYPE_CHECKING
 
-from vanillawell.state.executors import Executor, ExecutorFacts
+from vanillawell.state.executors import (
+    QUARANTINE,
+    Executor,
+    ExecutorFacts,
+    by_service,
+    may_quarantine,
+)
 from vanillawell.state.work import NOTHING, Ending, Resources, Run, RunPhase, Task, TaskId
 
 if TYPE_CHECKING:
@@ -22,6 +29,8 @@
 
     from vanillawell.protocol.executor_calls import EndRow, HoldReport, RunningRow
 
+log = logging.getLogger(__name__)
+
 
 @dataclass(frozen=True, slots=True)
 class Ended:
@@ -277,6 +286,15 @@
         self._forget_if_empty(executor)
         return outcome
 
+    def _doubt(self, executor: Executor, now: float) -> None:
+        """Put an executor that fails what it starts in quarantine, unless its whole pool does."""
+        registered = [item for item in self.executors.values() if item.registered]
+        is_shut_out = may_quarantine(by_service(registered, executor.facts.service), now)
+        fields = {"executor": executor.name, "quarantine": QUARANTINE if is_shut_out else 0.0}
+        log.warning("executor fails its work", extra=fields)
+        if is_shut_out:
+            executor.quarantine(now)
+
     def _take_end(
         self,
         executor: Executor,
@@ -295,7 +313,8 @@
                 outcome.late_ends.append(end)
             return
         executor.unsaved_ends.add(end.sequence)
-        executor.judge(run, end.ending, now)
+        if executor.judge(run, end.ending):
+            self._doubt(executor, now)
         self._discharge(executor, run)
         outcome.ended.append(Ended(run, end.ending, end.checkpoint))
 
