Renew an owner's lease though an answer to a renewal is lost

An owner whose one renewal got no answer lost its shard, though the store had carried it out and answered everything else; callers waited for another owner, and one more change of owner began.

Term.keep made one call after the other and waited for each answer for 1.5 s, which is as long as the lease lasts. The lease was lost by the wait alone. The next renewal might go over another connection that the path had lost track of, too.

KeptLease sends the next renewal beside one that has had no answer for 0.3 s, four at a time at most, and over a new connection. A renewal counts once it is confirmed, by when it was sent, however late the answer is: the store carried it out after that, so the lease lasts at least as long as is believed. One without an answer counts for nothing. Renewals go out half a second after the former one was sent, not answered, so a slow store gets them in time, too; one that answers in milliseconds gets as many as before.

--- a/vanillawell/coordination/candidate.py
+++ b/vanillawell/coordination/candidate.py
@@ -12,6 +12,7 @@
 from vanillawell import clock
 from vanillawell.coordination.challenger import PRECEDENCE
 from vanillawell.coordination.holder_watch import HolderWatch
+from vanillawell.coordination.kept_lease import KeptLease
 from vanillawell.coordination.term import LEASE, Term
 from vanillawell.exceptions import StoreError, StoreOutcomeUnknownError
 from vanillawell.protocol.lease_bounds import LeaseBounds
@@ -179,7 +180,8 @@
             revision = result.revision
         fields = {"shard": self._shard, "token": document.token, "before": before.holder}
         log.info("shard taken", extra={**fields, "weakness": round(self._me.weakness, 3)})
-        return Term(self._store, self._term_key, document, revision, lease, sent, bounds)
+        kept = KeptLease(self._store, lease, LEASE, sent)
+        return Term(self._store, self._term_key, document, revision, kept, bounds)
 
     async def _read_bounds(self, token: int) -> LeaseBounds:
         """Read what the owner with this token left of executors' leases."""
--- a/vanillawell/coordination/term.py
+++ b/vanillawell/coordination/term.py
@@ -10,7 +10,7 @@
 
 from vanillawell import clock
 from vanillawell.coordination.follow import Backoff
-from vanillawell.exceptions import StoreError, StoreOutcomeUnknownError, StoreUnavailableError
+from vanillawell.exceptions import StoreOutcomeUnknownError, StoreUnavailableError
 from vanillawell.protocol.lease_bounds import LeaseBounds
 from vanillawell.protocol.store import Compare, Put, Transaction
 from vanillawell.protocol.work_documents import TermDocument
@@ -18,6 +18,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
 
+    from vanillawell.coordination.kept_lease import KeptLease
     from vanillawell.protocol.store import FollowedStore
 
 log = logging.getLogger(__name__)
@@ -28,9 +29,6 @@
 Loss of an owner is noticed after this time at most; together with the take-over it has to stay
 well below the leases of running tasks, so that running work outlives its owner."""
 
-RENEWALS = 3
-"""Renewals in the time of one lease, so that two may be lost."""
-
 
 class TermLostError(Exception):
     """Another entry has taken the shard over."""
@@ -45,8 +43,7 @@
         key: str,
         document: TermDocument,
         revision: int,
-        lease: int,
-        renewed: float,
+        lease: KeptLease,
         former_bounds: LeaseBounds,
     ) -> None:
         self._store = store
@@ -54,9 +51,7 @@
         self._document = document
         self._revision = revision
         self._lease = lease
-        self._ttl = LEASE
         self._former_bounds = former_bounds
-        self._renewed = renewed
         self._sequence = document.sequence
         """Number of the latest write that was begun. One that was broken off may have taken effect,
         so its number is never used again: the next write would take it for its own."""
@@ -76,30 +71,15 @@
 
     def is_held(self, now: float) -> bool:
         """Tell whether nobody else can have been given the shard yet, by this process's clock."""
-        return now < self._renewed + self._ttl
+        return self._lease.is_held(now)
 
     def lapsed_for(self, now: float) -> float:
         """Return the seconds since the lease may have ended; negative while it holds."""
-        return now - self._renewed - self._ttl
+        return self._lease.lapsed_for(now)
 
     async def keep(self) -> None:
         """Renew the lease until it is lost for certain; raises TermLostError then."""
-        while True:
-            if self._closed:
-                raise TermLostError("given up")
-            sent = clock.read()
-            try:
-                alive = await self._store.keep_alive(self._lease)
-            except StoreError as error:
-                log.warning(
-                    "lease not renewed",
-                    extra={"lapsed": round(self.lapsed_for(clock.read()), 3), "why": str(error)},
-                )
-            else:
-                if not alive:
-                    raise TermLostError("the lease has ended")
-                self._renewed = sent
-            await anyio.sleep(self._ttl / RENEWALS)
+        raise TermLostError(await self._lease.keep())
 
     async def write(
         self,
@@ -196,6 +176,7 @@
         of the term ends it.
         """
         self._closed = True
+        self._lease.let_go("given up")
 
     async def _wait_if_closed(self) -> None:
         if self._closed:
@@ -203,4 +184,4 @@
 
     async def give_up(self) -> None:
         """End the lease, so that another entry can take over at once."""
-        await self._store.revoke(self._lease)
+        await self._store.revoke(self._lease.number)
--- a/vanillawell/platform/http.py
+++ b/vanillawell/platform/http.py
@@ -129,8 +129,10 @@
         document: object = None,
         timeout: float = 1.0,
         headers: Mapping[str, str] | None = None,
+        fresh: bool = False,
     ) -> HttpAnswer:
-        """Make one call, whose answer has to begin within `timeout` seconds.
+        """Make one call, whose answer has to begin within `timeout` seconds, over a new connection
+        if `fresh`.
 
         Raises:
             NotSentError: No connection could be opened, so the call had no effect.
@@ -139,7 +141,7 @@
         body = b"" if document is None else orjson.dumps(document)
         request = _render(address, method, path, body, headers)
         began = clock.read()
-        connection = await self._take(address, began, min(timeout, CONNECT_BOUND))
+        connection = await self._take(address, began, min(timeout, CONNECT_BOUND), fresh)
         try:
             answer = await connection.exchange(request, timeout)
         except TimeoutError as error:
@@ -158,9 +160,9 @@
         await self._give_back(address, connection)
         return answer
 
-    async def _take(self, address: str, now: float, bound: float) -> _Connection:
+    async def _take(self, address: str, now: float, bound: float, fresh: bool) -> _Connection:
         idle = self._idle[address]
-        while idle:
+        while idle and not fresh:
             connection = idle.pop()
             if now - connection.idle_since < IDLE_BOUND:
                 return connection
--- a/vanillawell/platform/store.py
+++ b/vanillawell/platform/store.py
@@ -48,11 +48,18 @@
         """Calls made so far."""
 
     async def _call(
-        self, method: str, path: str, document: object = None, bound: float = ANSWER_BOUND
+        self,
+        method: str,
+        path: str,
+        document: object = None,
+        bound: float = ANSWER_BOUND,
+        fresh: bool = False,
     ) -> HttpAnswer:
         self.calls += 1
         try:
-            answer = await self._http.call(self._address, method, path, document, bound)
+            answer = await self._http.call(
+                self._address, method, path, document, bound, fresh=fresh
+            )
         except NotSentError as error:
             raise StoreUnavailableError(str(error)) from error
         except NoAnswerError as error:
@@ -125,9 +132,9 @@
         answer = await self._call("POST", "/kv-lease", {"ttlMs": round(ttl * 1000)})
         return int(_document(answer)["lease"])
 
-    async def keep_alive(self, lease: int) -> bool:
-        """Renew a lease; False means that it has ended."""
-        answer = await self._call("POST", f"/kv-keep/{lease}")
+    async def keep_alive(self, lease: int, fresh: bool = False) -> bool:
+        """Renew a lease, over a new connection if `fresh`; False means that it has ended."""
+        answer = await self._call("POST", f"/kv-keep/{lease}", fresh=fresh)
         return answer.status != 404
 
     async def revoke(self, lease: int) -> None:
--- a/vanillawell/protocol/store.py
+++ b/vanillawell/protocol/store.py
@@ -108,8 +108,8 @@
     async def grant_lease(self, ttl: float) -> int:
         """Create a lease of `ttl` seconds and return its id."""
 
-    async def keep_alive(self, lease: int) -> bool:
-        """Renew a lease; False means that it has ended."""
+    async def keep_alive(self, lease: int, fresh: bool = False) -> bool:
+        """Renew a lease, over a new connection if `fresh`; False means that it has ended."""
 
     async def revoke(self, lease: int) -> None:
         """End a lease and delete its keys."""
--- a/vanillawell/tests/scheduler_cluster.py
+++ b/vanillawell/tests/scheduler_cluster.py
@@ -119,9 +119,9 @@
         self._check()
         return await self.inner.grant_lease(ttl)
 
-    async def keep_alive(self, lease: int) -> bool:
+    async def keep_alive(self, lease: int, fresh: bool = False) -> bool:
         self._check()
-        return await self.inner.keep_alive(lease)
+        return await self.inner.keep_alive(lease, fresh)
 
     async def revoke(self, lease: int) -> None:
         self._check()
