Let an entry know in time that it has taken the shard

An entry whose take-over was carried out without an answer learned of it after 1.5 s, when its lease had ended: the shard changed hands once more, and nothing started meanwhile.

The answer to the write that takes a shard was waited for as long as the lease lasts that goes with it, and nobody renewed that lease before the answer.

ShardClaim sends the write once more after 0.5 s, three times at most. It requires the revision of the term's document, so it takes effect once, however late a try is carried out, and a try that finds its own document there tells that an earlier one did. The lease is renewed from its grant, and the answer to a renewal is waited for if the lease isn't surely held without it. If the claim failed, or its outcome is not known after two seconds, the lease is ended and renewed no more, so that a late try finds none. If the answer to that is lost, the lease ends by itself.

--- a/vanillawell/coordination/candidate.py
+++ b/vanillawell/coordination/candidate.py
@@ -13,10 +13,11 @@
 from vanillawell.coordination.challenger import PRECEDENCE
 from vanillawell.coordination.holder_watch import HolderWatch
 from vanillawell.coordination.kept_lease import KeptLease
+from vanillawell.coordination.shard_claim import ShardClaim
 from vanillawell.coordination.term import LEASE, Term
 from vanillawell.exceptions import StoreError, StoreOutcomeUnknownError
 from vanillawell.protocol.lease_bounds import LeaseBounds
-from vanillawell.protocol.store import Compare, KeyValue, Put, Transaction
+from vanillawell.protocol.store import Compare, Put, Transaction
 from vanillawell.protocol.work_documents import Contender, TermDocument
 
 if TYPE_CHECKING:
@@ -57,6 +58,10 @@
     return 1 - min(1.0, capacity.cores / OWNER_CORES, capacity.link_mbit / OWNER_LINK)
 
 
+END_BOUND = 0.5
+"""Seconds to wait for the answer to the end of a lease, which ends by itself soon after."""
+
+
 class _TermMovedError(Exception):
     """The shard is free, but its former owner has written since its document was read."""
 
@@ -81,6 +86,9 @@
         short_by = 0.0 if capacity is None else weakness(capacity)
         self._me = Contender(f"{instance}/{uuid.uuid4().hex[:8]}", short_by)
         self._watch = HolderWatch(store, keys, shard)
+        self._claims = 0
+        """Number of the latest claim. Each writes a document of its own: one whose answer was lost
+        may take effect later, under its own lease, and must not pass for the next one."""
 
     @property
     def me(self) -> Contender:
@@ -148,40 +156,50 @@
     async def _try_once(self) -> Term | None:
         found = await self._store.get(self._term_key)
         before = TermDocument.from_bytes(found.value) if found else TermDocument(0, "")
-        document = TermDocument(before.token + 1, self._me.name)
+        self._claims += 1
+        document = TermDocument(before.token + 1, self._me.name, self._claims)
         bounds = await self._read_bounds(before.token)
         sent = clock.read()
-        lease = await self._store.grant_lease(LEASE)
+        number = await self._store.grant_lease(LEASE)
+        lease = KeptLease(self._store, number, LEASE, sent)
+        proof = Put(self._term_key, document.to_bytes())
         transaction = Transaction(
             compares=[
                 Compare(self._holder_key, 0),
                 Compare(self._term_key, found.mod_revision if found else 0),
             ],
             puts=[
-                Put(self._holder_key, self._me.to_bytes(), lease),
-                Put(self._term_key, document.to_bytes()),
+                Put(self._holder_key, self._me.to_bytes(), number),
+                proof,
                 Put(self._bounds_key, bounds.signed(document.token).to_bytes()),
             ],
         )
         try:
-            result = await self._store.transact(transaction)
+            result = await ShardClaim(self._store, lease, transaction, proof).settle()
         except StoreOutcomeUnknownError:
-            current = await self._store.get(self._term_key)
-            if not self._is_mine(current, document):
-                raise
-            revision = current.mod_revision if current else 0
-        else:
-            if not result.succeeded:
-                await self._store.revoke(lease)
-                holder = result.values.get(self._holder_key)
-                if holder is None or not holder.mod_revision:
-                    raise _TermMovedError
-                return None
-            revision = result.revision
+            await self._end(lease)
+            raise
+        if not result.succeeded:
+            await self._end(lease)
+            holder = result.values.get(self._holder_key)
+            if holder is None or not holder.mod_revision:
+                raise _TermMovedError
+            return None
         fields = {"shard": self._shard, "token": document.token, "before": before.holder}
         log.info("shard taken", extra={**fields, "weakness": round(self._me.weakness, 3)})
-        kept = KeptLease(self._store, lease, LEASE, sent)
-        return Term(self._store, self._term_key, document, revision, kept, bounds)
+        return Term(self._store, self._term_key, document, result.revision, lease, bounds)
+
+    async def _end(self, lease: KeptLease) -> None:
+        """End the lease of a claim that failed, so that no try of it takes effect any more."""
+        with anyio.move_on_after(END_BOUND) as bound:
+            try:
+                await self._store.revoke(lease.number)
+            except StoreError as error:
+                fields = {"shard": self._shard, "why": str(error)}
+                log.warning("lease left to itself", extra=fields)
+        if bound.cancelled_caught:
+            fields = {"shard": self._shard, "why": f"no answer in {END_BOUND} s"}
+            log.warning("lease left to itself", extra=fields)
 
     async def _read_bounds(self, token: int) -> LeaseBounds:
         """Read what the owner with this token left of executors' leases."""
@@ -199,6 +217,3 @@
             log.warning("lease bounds of another owner", extra=fields)
             return LeaseBounds()
         return bounds
-
-    def _is_mine(self, current: KeyValue | None, document: TermDocument) -> bool:
-        return current is not None and current.value == document.to_bytes()
--- a/vanillawell/coordination/kept_lease.py
+++ b/vanillawell/coordination/kept_lease.py
@@ -61,13 +61,23 @@
         """Return the seconds since it may have ended; negative while it holds."""
         return now - self._confirmed - self._ttl
 
+    async def await_hold(self) -> None:
+        """Wait for renewals under way unless it is held without them."""
+        while self._under_way and not self._ended and not self.is_held(clock.read()):
+            await self._answered.wait()
+
     def let_go(self, reason: str) -> None:
         """Renew it no more."""
         self._ended = reason
 
     async def keep(self) -> str:
-        """Renew it until it has ended for certain or is let go; returns why."""
+        """Renew it until it has ended for certain or is let go; returns why.
+
+        Broken off, this drops the answers that are under way; begun again, it counts from the
+        latest renewal that was confirmed.
+        """
         self._under_way.clear()
+        self._sent = self._confirmed
         async with anyio.create_task_group() as calls:
             while not self._ended:
                 await self._wait_until_due()
@@ -88,7 +98,9 @@
         """Return the clock of decisions at which the next renewal is to be sent."""
         if len(self._under_way) >= RENEWALS_AT_ONCE:
             return float("inf")
-        return self._sent + (DOUBT if self._is_in_doubt() else self._ttl / RENEWALS)
+        if self._is_in_doubt():
+            return self._sent + DOUBT
+        return self._sent + self._ttl / RENEWALS
 
     def _is_in_doubt(self) -> bool:
         return self._sent in self._under_way
--- a/vanillawell/coordination/shard_claim.py
+++ b/vanillawell/coordination/shard_claim.py
@@ -12,7 +12,7 @@
 
 if TYPE_CHECKING:
     from vanillawell.coordination.kept_lease import KeptLease
-    from vanillawell.protocol.store import FollowedStore, KeyValue, Transaction
+    from vanillawell.protocol.store import FollowedStore, Put, Transaction
 
 log = logging.getLogger(__name__)
 
@@ -36,7 +36,7 @@
     """
 
     def __init__(
-        self, store: FollowedStore, lease: KeptLease, transaction: Transaction, proof: KeyValue
+        self, store: FollowedStore, lease: KeptLease, transaction: Transaction, proof: Put
     ) -> None:
         """Take the write, and the key and value by which one that took effect is known."""
         self._store = store
@@ -68,6 +68,8 @@
                         break
                     log.warning("claim unanswered", extra={"key": self._proof.key})
                 await self._decided.wait()
+                if self._result is not None and self._result.succeeded:
+                    await self._lease.await_hold()
             tasks.cancel_scope.cancel()
         if self._result is None:
             raise self._failure
