Take signals in until the process ends

What callers saw: an entry that was stopping, and still served for seconds, ended at once when it was told of new settings (SIGHUP) or asked to stop a second time. Requests that it had read were cut, and its shard was left to its lease instead of being handed over.

Cause: the receiver of signals was closed as soon as a stop was asked for, which gives each signal its default effect back: to end the process. The same held before the receiver was opened (a SIGHUP while libraries or settings are being loaded), and in the last moments of the process.

Why this works: one task follows signals from before anything is served until the process's tasks are cancelled, and ignores them after that (signals.py, used by both programs). SIGHUP is ignored from the first line on, before the libraries are loaded, which is why the program moved from __main__.py to process.py. Each later signal leaves one line in the log. Left: a signal in the interpreter's own start, before the first line of ours, and a SIGTERM before anything is served still end the process.

--- a/vanillawell/daemon.py
+++ b/vanillawell/daemon.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import signal
 import sys
 from pathlib import Path
 from typing import Annotated
@@ -34,7 +35,8 @@
 
 
 def main() -> None:
-    """Run the program."""
+    """Run the program; a reload needs nothing before it serves, and must not end it."""
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     app()
 
 
--- a/vanillawell/entry.py
+++ b/vanillawell/entry.py
@@ -3,13 +3,12 @@
 from __future__ import annotations
 
 import logging
-import signal
 import uuid
 from typing import TYPE_CHECKING
 
 import anyio
 
-from vanillawell import clock
+from vanillawell import clock, signals
 from vanillawell.coordination.peers import PeerAddress
 from vanillawell.entry_core import EntryCore
 from vanillawell.exceptions import StoreError
@@ -109,6 +108,8 @@
 
     async def run(self) -> None:
         """Serve until a signal asks for a planned stop, then stop without cutting a request."""
+        stop = anyio.Event()
+        await self._tasks.start(signals.follow, stop)
         seeds = (PeerAddress(item.host, item.port) for item in self._settings.seeds)
         self._core.peers.add_seeds(seeds)
         for task in (
@@ -128,9 +129,7 @@
         self._tasks.start_soon(self._serve, self._admin_server, self._listeners.admin)
         caller_done = anyio.Event()
         self._tasks.start_soon(self._serve_callers, caller_done)
-        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-            async for _ in signals:
-                break
+        await stop.wait()
         await self._stop(caller_done)
         self._tasks.cancel_scope.cancel()
 
--- a/vanillawell/node.py
+++ b/vanillawell/node.py
@@ -3,12 +3,11 @@
 from __future__ import annotations
 
 import logging
-import signal
 from typing import TYPE_CHECKING
 
 import anyio
 
-from vanillawell import clock, logs
+from vanillawell import logs
 from vanillawell.coordination.candidate import Candidate
 from vanillawell.coordination.challenger import Challenger
 from vanillawell.coordination.executor_link import DeposedError
@@ -170,13 +169,3 @@
         except TermLostError:
             return  # another entry owns it already
         log.info("shard given up", extra=fields)
-
-
-async def wait_for_stop() -> None:
-    """Return once a planned stop is asked for; a reload needs nothing, since all is followed."""
-    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
-        async for number in signals:
-            if number is not signal.SIGHUP:
-                log.info("stop requested", extra={"clock": clock.read()})
-                return
-            log.info("reload requested", extra={"outcome": "settings hold nothing that changes"})
--- a/vanillawell/tests/platform_process.py
+++ b/vanillawell/tests/platform_process.py
@@ -84,6 +84,14 @@
         """Tell whether the log holds a message."""
         return any(message in line for line in self._lines)
 
+    def has_loaded(self, library: str) -> bool:
+        """Tell whether it has loaded a library, by part of its file's name."""
+        return library in Path(f"/proc/{self._process.pid}/maps").read_text()
+
+    def is_running(self) -> bool:
+        """Tell whether it has not ended."""
+        return self._process.poll() is None
+
     def wait_for(self, message: str, seconds: float) -> None:
         """Wait until the log holds a message; fails after `seconds`."""
         bound = time.monotonic() + seconds
--- a/vanillawell/tests/scheduler_cluster.py
+++ b/vanillawell/tests/scheduler_cluster.py
@@ -15,9 +15,9 @@
 from vanillawell.config.node_settings import NodeSettings
 from vanillawell.exceptions import StoreOutcomeUnknownError, StoreUnavailableError
 from vanillawell.node import Node
-from vanillawell.platform.__main__ import build_ports
 from vanillawell.platform.callers import CallerApp
 from vanillawell.platform.http import HttpClient
+from vanillawell.platform.process import build_ports
 from vanillawell.standins.scheduler.executor import Audit, StandInExecutor
 from vanillawell.standins.scheduler.machines import StandInMachine, StandInMachines
 from vanillawell.standins.scheduler.store import StandInStore
