Send stops as soon as they are wanted, not with the next turn

What callers saw: lasting tasks on an executor that says that it leaves were lost with it, and ran again only once its lease was surely over, whenever its owner was storing a slow turn (0.7 to 2.8 s were seen from an entry with a narrow link).

Cause: stops are decided beside the turns, by drains, waves, reports and cancels, but were handed to the drivers at the beginning of a turn only, though they need nothing of what a turn stores: the record tells of the run until its end is known, and a stop carries the fencing token. A stop whose executor had no driver was dropped without a word.

Now the outbox tells a sender of each stop, which hands it to the driver at once. No start goes out sooner than before, and a run stays charged until the same proofs, so nothing can run twice by it.

--- a/vanillawell/coordination/shard_owner.py
+++ b/vanillawell/coordination/shard_owner.py
@@ -26,6 +26,7 @@
 from vanillawell.coordination.machine_orders import MachineOrders
 from vanillawell.coordination.pool_runner import PoolRunner
 from vanillawell.coordination.registry import RegistryFollower
+from vanillawell.coordination.stop_sender import StopSender
 from vanillawell.coordination.turn_batch import TurnBatch
 from vanillawell.coordination.upkeep_runner import UpkeepRunner
 from vanillawell.exceptions import StoreError
@@ -81,6 +82,7 @@
         self._shard = Shard(self._bounds.state_kept_s)
         self._drivers: dict[str, ExecutorDriver] = {}
         self._clocks = DriverClocks(self._drivers)
+        self._stops = StopSender(self._shard, term, self._drivers)
         self._leases = LeaseKeeper(
             keys.lease_bounds(name),
             term.token,
@@ -172,6 +174,7 @@
         tasks.start_soon(registry.look, expects)
         tasks.start_soon(_run_after, registry.known, upkeep.run)
         tasks.start_soon(_run_after, registry.known, pools.run)
+        tasks.start_soon(self._stops.run)
         drains = DrainRunner(self._shard, self._term, self._bounds.kill_grace_ms / 1000, self.wake)
         tasks.start_soon(_run_after, registry.known, drains.run)
         if self._ports.advice is not None:
@@ -231,7 +234,7 @@
             if self._inbox.is_read and not self._stopping:
                 self._shard.place(now, time.time())
             self._drive(tasks)
-            self._send_stops()
+            self._stops.send(clock.read())
             done, self._shard.outbox.done = self._shard.outbox.done, []
             turn_log.tell_done(done, self._term.token)
             decided = clock.read()
@@ -286,19 +289,6 @@
         tasks.start_soon(driver.run)
         return driver
 
-    def _send_stops(self) -> None:
-        outbox = self._shard.outbox
-        stops, outbox.stops = outbox.stops, []
-        for run in stops:
-            driver = self._drivers.get(run.executor)
-            if driver is not None:
-                driver.orders.stop(run)
-        strays, outbox.stray_stops = outbox.stray_stops, []
-        for stray in strays:
-            driver = self._drivers.get(stray.executor)
-            if driver is not None:
-                driver.orders.stop_stray(stray)
-
     async def _store_turn(self) -> None:
         """Store what changed, then let the starts and the confirmed ends of it go out."""
         batch = TurnBatch.collect(self._shard, self._keys, time.time())
--- a/vanillawell/state/outbox.py
+++ b/vanillawell/state/outbox.py
@@ -6,6 +6,8 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from vanillawell.state.executors import Executor
     from vanillawell.state.work import Run, TaskId
 
@@ -37,6 +39,10 @@
     """From its confirmed start to the news of its end; None if the start was not seen here."""
 
 
+def _nobody() -> None:
+    """Stand for the listener that there is none of yet."""
+
+
 @dataclass(slots=True)
 class Outbox:
     """What the decisions so far ask for."""
@@ -48,3 +54,16 @@
     done: list[DoneTask] = field(default_factory=list)
     taken: dict[str, set[str]] = field(default_factory=dict)
     """What callers asked for and is taken in now: keys by the job that they concern."""
+
+    on_stop: Callable[[], None] = _nobody
+    """Called when a stop is asked for; unlike all else it waits for no turn."""
+
+    def stop(self, run: Run) -> None:
+        """Ask for a run to be stopped."""
+        self.stops.append(run)
+        self.on_stop()
+
+    def stop_stray(self, stray: StrayStop) -> None:
+        """Ask for a run to be stopped that is not charged to any task."""
+        self.stray_stops.append(stray)
+        self.on_stop()
--- a/vanillawell/state/shard.py
+++ b/vanillawell/state/shard.py
@@ -137,7 +137,7 @@
             return
         run.stop_wanted = True
         if run.phase is not RunPhase.PLANNED:
-            self.outbox.stops.append(run)
+            self.outbox.stop(run)
 
     def register(self, facts: ExecutorFacts, now: float, wall: float) -> None:
         """Take in a change in the registry of executors."""
@@ -171,7 +171,7 @@
                 self.want_stop(run)
         for row in outcome.strays:
             if row.task_id is not None:
-                self.outbox.stray_stops.append(StrayStop(executor.name, row.task_id, row.run))
+                self.outbox.stop_stray(StrayStop(executor.name, row.task_id, row.run))
         self._leave_stalled(executor, now)
 
     def _leave_stalled(self, executor: Executor, now: float) -> None:
