Ask only executors known for two seconds whether a list is believed

What callers saw: in a peak, lasting tasks on a machine that is down waited for the leases of its executor, though the list of machines showed it down.

Cause: a list is believed of executors out of touch if it names three quarters of those in touch. The list may be behind by two seconds, and that is reckoned with for the executors in doubt, but not for those that speak for the list: each one that had just come spoke against it.

Now only executors that the list should name when it was asked for are counted. Where there are none, as in the first seconds of an owner that recalls no bounds, all in touch count as before.

Two tests more: newcomers do not speak for a list either (failed with the change taken out), and they are asked where nobody else is (failed without that part); both on plain data, as trials.

--- a/vanillawell/state/losses.py
+++ b/vanillawell/state/losses.py
@@ -19,7 +19,7 @@
 """Seconds after which an executor that lives is on the list, which may be behind."""
 
 BELIEVED_FROM = 0.75
-"""Part of the executors in touch that a list must name to be believed of the others."""
+"""Part of the executors in touch that a list has to name to be believed of the others."""
 
 
 @dataclass(slots=True)
@@ -49,7 +49,7 @@
     """
     living = set(carried.values())
     found = Losses()
-    if not _is_believed(executors, living):
+    if not _is_believed(executors, living, asked):
         return found
     for executor in in_doubt(executors, asked):
         if executor.name in living:
@@ -59,8 +59,14 @@
     return found
 
 
-def _is_believed(executors: Iterable[Executor], living: Collection[str]) -> bool:
-    """Tell whether a list names most of the executors that do answer."""
+def _is_believed(executors: Iterable[Executor], living: Collection[str], asked: float) -> bool:
+    """Tell whether a list names most of the executors that do answer.
+
+    Those that have come since the list may have been made speak neither for nor against it, unless
+    there are no others.
+    """
     in_touch = [item for item in executors if item.registered and not item.is_out_of_touch]
-    named = sum(item.name in living for item in in_touch)
-    return bool(named) and named >= BELIEVED_FROM * len(in_touch)
+    settled = [item for item in in_touch if asked > item.known_since + LISTED_AFTER]
+    witnesses = settled or in_touch
+    named = sum(item.name in living for item in witnesses)
+    return bool(named) and named >= BELIEVED_FROM * len(witnesses)
--- a/vanillawell/tests/losses_tests.py
+++ b/vanillawell/tests/losses_tests.py
@@ -113,3 +113,29 @@
         bench.register(facts(f"new-{number}"))
     fleet = list(bench.shard.ledger.executors.values())
     assert losses(fleet, listing("i-2", "i-3", down=("i-1",)), asked).ended == [executors[0]]
+
+
+def test_executors_that_have_just_come_do_not_speak_for_a_list() -> None:
+    """The list misses most of those that have answered for long. Newcomers that it names must not
+    outvote them."""
+    bench, executors = bench_of("i-1", "i-2", "i-3", "i-4")
+    executors[0].silent_since = bench.now
+    asked = bench.now + LATER
+    bench.now = asked - LISTED_AFTER / 4
+    names = [f"new-{number}" for number in range(9)]
+    for name in names:
+        bench.register(facts(name))
+    fleet = list(bench.shard.ledger.executors.values())
+    assert losses(fleet, listing("i-2", *names, down=("i-1",)), asked) == Losses()
+
+
+def test_where_all_have_just_come_they_speak_for_and_against_a_list() -> None:
+    """An owner in its first seconds knows no executor in touch for longer."""
+    bench, executors = bench_of("i-1", "i-2", "i-3")
+    executors[0].silent_since = bench.now
+    asked = bench.now + LATER
+    for executor in executors[1:]:
+        executor.known_since = asked - LISTED_AFTER / 4
+    assert losses(executors, listing("i-2", down=("i-1",)), asked) == Losses()
+    listed = listing("i-2", "i-3", down=("i-1",))
+    assert losses(executors, listed, asked).ended == [executors[0]]
