Let an owner that can't hand over go on, and try again

What callers saw: an owner that was stopping, and whose last word was not stored within a second (its answer was lost, or the store refused it), kept the shard until its process ended and started nothing. Jobs waited for that, and then for its lease: nothing started for 4.5 s after one lost answer.

Cause: a stop ended placing for good, and there was one bounded attempt to hand over.

Why this works: placing pauses for a try only. Each try writes once; if it fails, or its outcome is unknown, the owner decides for 0.6 s and tries again. Its next turn replaces a last word that may be stored, in the same write as the runs that it plans, and these are submitted only when that write is confirmed, so leases may be extended again by then. 0.4 s before its process ends an owner that could not hand over ends its lease all the same. That is safe: runs are in their records before they start, no lease is extended while a last word may be stored, and executors of which nothing is stored are taken to hold the longest leases. A try is broken off at that moment, as one of unknown outcome, so the process ends in time. The end of the lease is tried again, too, after a last word that is stored. Giving way to a stronger entry takes the same path; a stop meanwhile waits for it.

Left: a start that is submitted just as a last word goes out is still given up unsent ("lease not extended"), and planned anew by whoever owns the shard next. A store that falls silent right after a stop ends renewals, as before.

--- a/vanillawell/coordination/hand_over.py
+++ b/vanillawell/coordination/hand_over.py
@@ -24,9 +24,6 @@
 RENEWAL_BOUND = 0.3
 """Seconds for which a stopping owner waits for executors to confirm a last renewal."""
 
-RETRY_PAUSE = 0.1
-"""Seconds between two tries to store the bounds of leases."""
-
 
 async def renew_once(drivers: Iterable[ExecutorDriver]) -> None:
     """Renew the leases of all sound work, so that it outlives a slow change of owner."""
@@ -38,10 +35,10 @@
 
 
 async def store_last_bounds(
-    term: Term, leases: LeaseKeeper, executors: Mapping[str, Executor]
+    term: Term, leases: LeaseKeeper, executors: Mapping[str, Executor], until: float
 ) -> bool:
-    """Store the last word of an owner on leases, trying while its own lease holds; tells whether
-    that was done.
+    """Try once to store the last word of an owner on leases, by `until` on the clock of decisions;
+    tells whether that was done.
 
     While the store is away nobody can take over, and what runs is better renewed: a try that did
     nothing for certain is taken back.
@@ -51,17 +48,17 @@
         put = leases.draft(executors.values(), clock.read(), last=True)
         return [] if put is None else [put]
 
-    while term.is_held(clock.read()):
-        try:
-            await term.write_if_reachable(draft)
-        except StoreUnavailableError as error:
-            log.warning("lease bounds not stored", extra={"why": str(error)})
-            leases.take_back()
-        except StoreOutcomeUnknownError as error:
-            log.warning("lease bounds not confirmed", extra={"why": str(error)})
-        else:
-            leases.confirm()
-            term.close()
-            return True
-        await anyio.sleep(RETRY_PAUSE)
-    return False
+    if not term.is_held(clock.read()):
+        return False
+    try:
+        await term.write_if_reachable(draft, until)
+    except StoreUnavailableError as error:
+        log.warning("lease bounds not stored", extra={"why": str(error)})
+        leases.take_back()
+        return False
+    except StoreOutcomeUnknownError as error:
+        log.warning("lease bounds not confirmed", extra={"why": str(error)})
+        return False
+    leases.confirm()
+    term.close()
+    return True
--- a/vanillawell/coordination/lease_keeper.py
+++ b/vanillawell/coordination/lease_keeper.py
@@ -70,6 +70,11 @@
         self._drafts: list[_Draft] = []
         self._handed_over = False
 
+    @property
+    def is_handed_over(self) -> bool:
+        """Tell whether the last word is stored."""
+        return self._handed_over
+
     def begin(self, now: float) -> None:
         """Note that the work of former terms is known, and executors are asked from now on."""
         self._began = now
--- a/vanillawell/coordination/shard_owner.py
+++ b/vanillawell/coordination/shard_owner.py
@@ -89,7 +89,7 @@
             self._clocks,
         )
         self._news = anyio.Event()
-        self._stopping = False
+        self._placing = True
         self._published: dict[str, int] | None = None
         self._inbox = Inbox(ports.store, keys, self._shard, self.wake)
         self.loaded = False
@@ -106,13 +106,25 @@
 
     def stop_placing(self) -> None:
         """Decide on no further starts, since another entry will take over."""
-        self._stopping = True
-        self.wake()
+        self._placing = False
+
+    async def store_last_word(self, until: float) -> bool:
+        """Extend no lease any more, and try once to store for the next owner how long each may
+        still hold, by `until` on the clock of decisions; tells whether that was done.
 
-    async def store_last_bounds(self) -> bool:
-        """Extend no lease any more, and store for the next owner how long each may still hold."""
-        await renew_once(self._drivers.values())
-        return await store_last_bounds(self._term, self._leases, self._shard.ledger.executors)
+        Nothing is placed meanwhile, since leases of starts couldn't be extended either. An owner
+        that has not said its last word goes on: its next turn replaces one that may be stored.
+        """
+        if self._leases.is_handed_over:
+            return True
+        self.stop_placing()
+        try:
+            await renew_once(self._drivers.values())
+            executors = self._shard.ledger.executors
+            return await store_last_bounds(self._term, self._leases, executors, until)
+        finally:
+            self._placing = not self._leases.is_handed_over
+            self.wake()
 
     def _draft_bounds(self) -> list[Put]:
         """Return the write of the bounds of leases, if there is one."""
@@ -228,7 +240,7 @@
             now = clock.read()
             self._leases.count_time_passed(self._shard.ledger.executors.values(), now)
             self._shard.expire(now, time.time())
-            if self._inbox.is_read and not self._stopping:
+            if self._inbox.is_read and self._placing:
                 self._shard.place(now, time.time())
             self._drive(tasks)
             self._send_stops()
--- a/vanillawell/node.py
+++ b/vanillawell/node.py
@@ -7,7 +7,7 @@
 
 import anyio
 
-from vanillawell import logs
+from vanillawell import clock, logs
 from vanillawell.coordination.candidate import Candidate
 from vanillawell.coordination.challenger import Challenger
 from vanillawell.coordination.executor_link import DeposedError
@@ -33,8 +33,18 @@
 
 The balancer asks each second and goes on sending callers until the second miss."""
 
-HANDOVER_BOUND = 1.0
-"""Seconds for which a stopping owner waits for the end of its turn before it gives the shard up."""
+GIVE_UP_BOUND = 1.0
+"""Seconds for which an owner that has said its last word waits for the end of its lease."""
+
+HANDOVER_PAUSE = 0.6
+"""Seconds between two tries to hand a shard over. The owner settles the first one, decides and
+stores a turn in between; a slow store takes 0.4 s for a write."""
+
+LAST_MOMENTS = 0.4
+"""Seconds before the end of its process in which an owner tries no more to hand its shard over."""
+
+LEAVE_BOUND = 0.3
+"""Seconds of those for which it waits for the end of its lease."""
 
 GIVE_WAY_BOUND = 3.0
 """Seconds for which an owner tries to hand its shard to a stronger entry, which asks that long."""
@@ -65,6 +75,8 @@
         self._stopping = anyio.Event()
         self._candidacy = anyio.CancelScope()
         self._challenge_scope = anyio.CancelScope()
+        self._handing_on = anyio.Lock()
+        """A stop may be asked for while the shard is being handed to a stronger entry."""
 
     def refresh_telemetry(self) -> None:
         """Bring figures up to date that are kept elsewhere."""
@@ -105,7 +117,9 @@
                 continue
             fields = {"shard": SHARD, "token": term.token, "weakness": self._candidate.me.weakness}
             log.info("giving way", extra={**fields, "to": stronger.name})
-            await self._hand_on(term, owner, GIVE_WAY_BOUND)
+            handed_on = await self._hand_on(term, owner, GIVE_WAY_BOUND)
+            if not handed_on and term.is_closed:
+                await self._leave(term, owner)
 
     async def _own(self) -> None:
         while not self._stopping.is_set():
@@ -133,11 +147,17 @@
             # another entry takes the shard over once the lease has ended.
             log.exception("shard dropped", extra={"shard": SHARD, "token": term.token})
 
+    @property
+    def stop_lasts(self) -> float:
+        """Return the seconds between the request to stop and the end of the process."""
+        return STOP_NOTICE + self._settings.bounds.grace_s / 4
+
     async def hand_over(self) -> None:
         """Stop owning, so that another entry takes over at once, and take nothing over any more.
 
         In a restart of all entries the owner hands over while others are stopping, too. One of
-        those would take the shard for a second or two and leave it to its lease.
+        those would take the shard for a second or two and leave it to its lease. An owner that
+        can't hand over goes on until its process ends.
         """
         self._stopping.set()
         self._candidacy.cancel()
@@ -145,27 +165,56 @@
         term, owner = self._term, self._owner
         if term is None or owner is None:
             return
-        owner.stop_placing()
-        await self._hand_on(term, owner, HANDOVER_BOUND)
+        if not await self._hand_on(term, owner, self.stop_lasts - LAST_MOMENTS):
+            await self._leave(term, owner)
 
-    async def _hand_on(self, term: Term, owner: ShardOwner, bound: float) -> None:
-        """Store within `bound` seconds what a successor has to know, then end the lease.
+    async def _hand_on(self, term: Term, owner: ShardOwner, bound: float) -> bool:
+        """Hand the shard on within `bound` seconds; tells whether it is no longer this entry's.
 
-        If that can't be stored the shard stays where it is for as long as its lease is renewed.
+        What a successor has to know is stored first. As long as that fails the shard stays where
+        it is, and between two tries its owner decides as ever: nobody else does.
         """
+        until = clock.read() + bound
+        with anyio.move_on_after(bound):
+            async with self._handing_on:
+                while self._term is term or term.is_closed:
+                    if await self._try_to_hand_on(term, owner, until):
+                        return True
+                    await anyio.sleep(HANDOVER_PAUSE)
+                return True
+        return False
+
+    async def _try_to_hand_on(self, term: Term, owner: ShardOwner, until: float) -> bool:
+        """Try once to store what a successor has to know and to end the lease."""
         fields = {"shard": SHARD, "token": term.token}
-        stored = False
         try:
-            with anyio.move_on_after(bound):
-                stored = await owner.store_last_bounds()
-            if not stored:
-                log.warning("shard left to its lease", extra={**fields, "why": "bounds not stored"})
-                return
-            with anyio.fail_after(HANDOVER_BOUND):
+            if not await owner.store_last_word(until):
+                log.warning("shard not handed over", extra={**fields, "why": "bounds not stored"})
+                return False
+            with anyio.fail_after(GIVE_UP_BOUND):
+                await term.give_up()
+        except (StoreError, TimeoutError) as error:
+            log.warning("shard not handed over", extra={**fields, "why": str(error)})
+            return False
+        except TermLostError:
+            return True  # another entry owns it already
+        log.info("shard given up", extra={**fields, "last_word": True})
+        return True
+
+    async def _leave(self, term: Term, owner: ShardOwner) -> None:
+        """End the lease of a shard that could not be handed over, since nobody decides on it soon.
+
+        What a successor finds is true without a last word, too: runs are in their records before
+        they start, no lease is extended once a last word may be stored, and executors of which
+        nothing is stored are taken to hold the longest leases.
+        """
+        fields = {"shard": SHARD, "token": term.token}
+        owner.stop_placing()
+        try:
+            with anyio.fail_after(LEAVE_BOUND):
                 await term.give_up()
         except (StoreError, TimeoutError) as error:
             log.warning("shard left to its lease", extra={**fields, "why": str(error)})
             return
-        except TermLostError:
-            return  # another entry owns it already
-        log.info("shard given up", extra=fields)
+        log.info("shard given up", extra={**fields, "last_word": term.is_closed})
+        term.close()
--- a/vanillawell/platform/process.py
+++ b/vanillawell/platform/process.py
@@ -101,7 +101,7 @@
         await anyio.sleep(STOP_NOTICE)
         for item in listening:
             item.server.should_exit = True
-        await anyio.sleep(settings.bounds.grace_s / 4)
+        await anyio.sleep(node.stop_lasts - STOP_NOTICE)
         log.info("stopped", extra={"instance": settings.instance})
         tasks.cancel_scope.cancel()
 
--- a/vanillawell/tests/weak_owner_tests.py
+++ b/vanillawell/tests/weak_owner_tests.py
@@ -16,6 +16,7 @@
 from vanillawell import clock
 from vanillawell.coordination import challenger
 from vanillawell.coordination.holder_watch import HolderWatch
+from vanillawell.node import GIVE_WAY_BOUND
 from vanillawell.platform.http import HttpClient
 from vanillawell.platform.store import PlatformStore
 from vanillawell.protocol.work_documents import Contender, WorkKeys
@@ -29,6 +30,7 @@
     until_state,
     with_cluster,
 )
+from vanillawell.tests.stopping_owner_tests import LastWordsLost, lasting_task, wait_for_start
 
 if TYPE_CHECKING:
     from vanillawell.tests.scheduler_cluster import Cluster, Member
@@ -141,6 +143,25 @@
     await until_state(weak, next_id, "completed", 2.0)
 
 
+@with_cluster(members=1)
+async def test_jobs_start_while_an_owner_fails_to_hand_over(built: Cluster) -> None:
+    """An owner gives way, and no last word of it is ever confirmed. For the three seconds in which
+    it tries it alone decides, and what it starts needs leases that it may extend."""
+    weak = await weak_owner(built)
+    task, before = await lasting_task(built, weak), token(built)
+    lost = LastWordsLost(weak, carried_out=True, delay=0.5)
+    built.store.put_document(WorkKeys().bid("all"), asdict(Contender("stronger/0", 0.0)))
+    await until(lambda: lost.tries > 0)
+    waits: list[float] = []
+    while lost.tries < 3:
+        await wait_for_start(built, weak, waits)
+    assert max(waits) < 1.5
+    await anyio.sleep(GIVE_WAY_BOUND)
+    assert token(built) == before
+    assert set(built.audit.started.values()) == {1}
+    assert any(task in life.running for life in built.lives)
+
+
 def test_a_damaged_holder_counts_as_one_that_can_carry_the_shard() -> None:
     """The holder's key has a form that this version can't read. Taken for a weak owner it would be
     asked for the shard again and again."""
