--- a/vanillawell/coordination/term.py
+++ b/vanillawell/coordination/term.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import math
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
@@ -71,7 +72,7 @@
 
     def is_held(self, now: float) -> bool:
         """Tell whether nobody else can have been given the shard yet, by this process's clock."""
-        return self._lease.is_held(now)
+        return not self._closed and self._lease.is_held(now)
 
     def lapsed_for(self, now: float) -> float:
         """Return the seconds since the lease may have ended; negative while it holds."""
@@ -100,9 +101,13 @@
             await self._wait_if_closed()
             return await self._write([*puts, *prepare()], deletes)
 
-    async def write_if_reachable(self, prepare: Callable[[], Sequence[Put]]) -> float:
+    async def write_if_reachable(
+        self, prepare: Callable[[], Sequence[Put]], until: float = math.inf
+    ) -> float:
         """Write what `prepare` returns, without trying again after a failure.
 
+        Once under way it can't be broken off, but by `until`, on the clock of decisions.
+
         Raises:
             StoreUnavailableError: Nothing was written, nor will be.
             StoreOutcomeUnknownError: It may have been written, or may be yet.
@@ -111,11 +116,13 @@
         async with self._writing:
             stored_at: float | None = None
             # Broken off, a try that does nothing could not be told from one that is carried out.
-            with anyio.CancelScope(shield=True):
+            bound = anyio.current_time() + until - clock.read()
+            with anyio.CancelScope(shield=True, deadline=bound):
                 document, puts = self._next_document(), prepare()
                 while stored_at is None:
                     stored_at = await self._try(document, puts, ())
-            assert stored_at is not None
+            if stored_at is None:
+                raise StoreOutcomeUnknownError("no answer while there was time for it")
             return stored_at
 
     async def _write(self, puts: Sequence[Put], deletes: Sequence[str]) -> float:
@@ -168,6 +175,11 @@
             return False
         return (found.token, found.holder) == (self._document.token, self._document.holder)
 
+    @property
+    def is_closed(self) -> bool:
+        """Tell whether nothing more is written in the name of the term."""
+        return self._closed
+
     def close(self) -> None:
         """Write nothing more in the name of the term.
 
