Pass on a shard that a stopping entry was just taking

An entry that was asked to stop while the store gave it the shard left it to the lease: nobody owned the shard for 1.5 s, and the bounds of leases that its predecessor had left were gone, so a lasting task of a silent executor did not run again within 9 s.

The request to stop broke the take off between the write and its answer. The entry did not know whether it had the shard, and its write had replaced the bounds, of which those of a planned hand-over hold for one successor only.

The claim is no longer broken off: it is settled first, which is bounded to two seconds (and half a second more to end its lease if it failed). If the shard was taken, the entry stores once more all that it found, without having extended any lease, and ends its own. If it can't store that, the lease is renewed no more.

--- a/vanillawell/coordination/candidate.py
+++ b/vanillawell/coordination/candidate.py
@@ -125,7 +125,10 @@
         return wait + self._me.weakness * HEAD_START + (PRECEDENCE if bid else 0.0)
 
     async def win(self) -> Term:
-        """Wait until the shard is free and take it."""
+        """Wait until the shard is free and take it.
+
+        Cancelled while the store is asked for it, this still returns what was taken, if it was.
+        """
         while True:
             changed = self._watch.changed
             if not self._watch.is_free():
@@ -175,7 +178,9 @@
             ],
         )
         try:
-            result = await ShardClaim(self._store, lease, transaction, proof).settle()
+            # Broken off, the entry would not know whether it has the shard, nor pass it on.
+            with anyio.CancelScope(shield=True):
+                result = await ShardClaim(self._store, lease, transaction, proof).settle()
         except StoreOutcomeUnknownError:
             await self._end(lease)
             raise
@@ -191,7 +196,7 @@
 
     async def _end(self, lease: KeptLease) -> None:
         """End the lease of a claim that failed, so that no try of it takes effect any more."""
-        with anyio.move_on_after(END_BOUND) as bound:
+        with anyio.move_on_after(END_BOUND, shield=True) as bound:
             try:
                 await self._store.revoke(lease.number)
             except StoreError as error:
--- a/vanillawell/node.py
+++ b/vanillawell/node.py
@@ -115,14 +115,24 @@
                 self._term = await self._candidate.win()
             if self._term is None:
                 return
-            await self._own_one_term(self._term)
+            if self._stopping.is_set():
+                await self._pass_on(self._term)
+            else:
+                await self._own_one_term(self._term)
             self._term = self._owner = None
 
-    async def _own_one_term(self, term: Term) -> None:
-        owner = ShardOwner(
+    def _new_owner(self, term: Term) -> ShardOwner:
+        return ShardOwner(
             SHARD, term, self._ports, self._keys, self._settings, self._policies, self.telemetry
         )
-        self._owner = owner
+
+    async def _pass_on(self, term: Term) -> None:
+        """Hand on a shard that this entry was taking as it was asked to stop."""
+        log.info("shard taken while stopping", extra={"shard": SHARD, "token": term.token})
+        await self._hand_on(term, self._new_owner(term), HANDOVER_BOUND)
+
+    async def _own_one_term(self, term: Term) -> None:
+        self._owner = owner = self._new_owner(term)
         try:
             await owner.run()
         except* (TermLostError, DeposedError) as group:
--- a/vanillawell/tests/shard_claim_tests.py
+++ b/vanillawell/tests/shard_claim_tests.py
@@ -18,7 +18,7 @@
 from vanillawell.protocol.store import Put
 from vanillawell.protocol.work_documents import WorkKeys
 from vanillawell.standins.scheduler.store import StandInStore
-from vanillawell.tests.scheduler_cluster import listen, until
+from vanillawell.tests.scheduler_cluster import Cluster, listen, until, with_cluster
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -169,3 +169,54 @@
             tasks.cancel_scope.cancel()
 
     _with_store(check)
+
+
+def test_an_entry_that_is_stopped_while_its_claim_gets_no_answer_ends_the_lease() -> None:
+    """Its claim was carried out. Left to its lease, the shard would have no owner for as long."""
+
+    async def check(stand_in: StandInStore, store: PlatformStore) -> None:
+        stand_in.faults.lose_answers = TRIES
+        candidate = Candidate(store, KEYS, "all", "entry-0")
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(candidate.follow)
+            tasks.start_soon(candidate.win)
+            await until(lambda: HOLDER in stand_in.items)
+            tasks.cancel_scope.cancel()
+        assert HOLDER not in stand_in.items
+
+    _with_store(check)
+
+
+@with_cluster(members=2)
+async def test_an_entry_that_is_stopped_as_it_takes_the_shard_ends_its_lease(
+    built: Cluster,
+) -> None:
+    """It hears that it has the shard after it was asked to stop. Nobody starts a task until the
+    shard is given up."""
+    owner = await built.owner()
+    taker = next(member for member in built.members if member is not owner)
+    taker.store.answer_time = 0.1
+    await owner.node.hand_over()
+    await built.kill(owner)
+    await until(lambda: HOLDER in built.store.items)
+    await taker.node.hand_over()
+    await until(lambda: HOLDER not in built.store.items, LEASE / 2)
+    assert not taker.owns
+
+
+@with_cluster(members=2)
+async def test_a_shard_that_a_stopping_entry_can_not_pass_on_is_left_to_its_lease(
+    built: Cluster,
+) -> None:
+    """The store refuses all it asks from then on. Kept up, the lease would hold the shard until the
+    process has ended."""
+    owner = await built.owner()
+    taker = next(member for member in built.members if member is not owner)
+    taker.store.answer_time = 0.1
+    await owner.node.hand_over()
+    await built.kill(owner)
+    await until(lambda: HOLDER in built.store.items)
+    await taker.node.hand_over()
+    taker.store.cut = True
+    await until(lambda: HOLDER not in built.store.items, LEASE + 0.3)
+    assert taker.node.term is None or not taker.node.term.is_held(clock.read())
