--- a/vanillawell/node.py
+++ b/vanillawell/node.py
@@ -36,6 +36,9 @@
 GIVE_UP_BOUND = 1.0
 """Seconds for which an owner that has said its last word waits for the end of its lease."""
 
+PASS_ON_BOUND = 1.0
+"""Seconds for which a stopping entry tries to pass on a shard that it was just taking."""
+
 HANDOVER_PAUSE = 0.6
 """Seconds between two tries to hand a shard over. The owner settles the first one, decides and
 stores a turn in between; a slow store takes 0.4 s for a write."""
@@ -128,14 +131,26 @@
                 self._term = await self._candidate.win()
             if self._term is None:
                 return
-            await self._own_one_term(self._term)
+            if self._stopping.is_set():
+                await self._pass_on(self._term)
+            else:
+                await self._own_one_term(self._term)
             self._term = self._owner = None
 
-    async def _own_one_term(self, term: Term) -> None:
-        owner = ShardOwner(
+    def _new_owner(self, term: Term) -> ShardOwner:
+        return ShardOwner(
             SHARD, term, self._ports, self._keys, self._settings, self._policies, self.telemetry
         )
-        self._owner = owner
+
+    async def _pass_on(self, term: Term) -> None:
+        """Hand on a shard that this entry was taking as it was asked to stop."""
+        log.info("shard taken while stopping", extra={"shard": SHARD, "token": term.token})
+        owner = self._new_owner(term)
+        if not await self._hand_on(term, owner, PASS_ON_BOUND):
+            await self._leave(term, owner)
+
+    async def _own_one_term(self, term: Term) -> None:
+        self._owner = owner = self._new_owner(term)
         try:
             await owner.run()
         except* (TermLostError, DeposedError) as group:
