Store on which machine an executor out of touch lives

What callers saw: a lasting task whose executor had left, entry and all, waited until its lease was surely over if the owner was replaced meanwhile, though the next executor on the same machine proved that the former had ended.

Cause: a new owner knows an executor without an entry only from the runs in the records, which do not tell its machine. Knowledge that decides died with its owner.

Now the machine and the start time of the executor's latest known life stand beside its bound in the document of lease bounds, which outlives owners, and the ledger recalls an executor with both. Where a run is of a later life than the stored one, the machine is not known. Documents without the fields stay readable, and former versions pass over them.

Not covered: an owner that is killed before it notices that an executor is silent stores neither bound nor machine.

--- a/vanillawell/coordination/lease_keeper.py
+++ b/vanillawell/coordination/lease_keeper.py
@@ -82,7 +82,9 @@
         bound = self._former.of(executor)
         if bound is None:
             return RecalledBound(now + self._longest_doubt, now)
-        return RecalledBound(now + bound.left + ROUNDING, now - bound.known_for)
+        return RecalledBound(
+            now + bound.left + ROUNDING, now - bound.known_for, bound.machine, bound.life
+        )
 
     def count_time_passed(self, executors: Iterable[Executor], now: float) -> None:
         """Shorten former bounds by the time that has surely passed since they were stored."""
@@ -187,4 +189,6 @@
 
 
 def _bound(executor: Executor, now: float) -> ExecutorBound:
-    return ExecutorBound(max(0.0, executor.lease_over - now), now - executor.known_since)
+    facts = executor.facts
+    left, known_for = max(0.0, executor.lease_over - now), now - executor.known_since
+    return ExecutorBound(left, known_for, facts.machine, facts.incarnation)
--- a/vanillawell/protocol/lease_bounds.py
+++ b/vanillawell/protocol/lease_bounds.py
@@ -21,6 +21,12 @@
     known_for: float
     """Seconds for which owners had known the executor's present life."""
 
+    machine: str = ""
+    """Where that life is; empty if it is not known."""
+
+    life: int = 0
+    """Start time of that life, in milliseconds since the epoch; 0 if it is not known."""
+
 
 @dataclass(frozen=True, slots=True)
 class LeaseBounds:
@@ -74,6 +80,11 @@
 
 def _read_bounds(item: Mapping[str, Any]) -> dict[str, ExecutorBound]:
     return {
-        str(name): ExecutorBound(float(bound["left"]), float(bound["known_for"]))
+        str(name): ExecutorBound(
+            float(bound["left"]),
+            float(bound["known_for"]),
+            str(bound.get("machine", "")),
+            int(bound.get("life", 0)),
+        )
         for name, bound in item.items()
     }
--- a/vanillawell/state/ledger.py
+++ b/vanillawell/state/ledger.py
@@ -40,6 +40,11 @@
     """When all leases there are surely over, unless they are extended."""
 
     known_since: float
+    machine: str = ""
+    """Where its latest known life is; empty if that is not known."""
+
+    life: int = 0
+    """Start time of that life, in milliseconds since the epoch; 0 if it is not known."""
 
 
 @dataclass(slots=True)
@@ -220,14 +225,19 @@
         return True
 
     def recall(self, task: Task, run: Run, bound: RecalledBound) -> None:
-        """Charge a run that the store tells of, until its executor says what became of it."""
+        """Charge a run that the store tells of, until its executor says what became of it.
+
+        The entry of the executor may be gone by now. Where it lived still counts: the next executor
+        on that machine proves that it has ended. A run that was decided in an earlier life may have
+        begun in the latest one, so only the end of that one is the end of all.
+        """
         executor = self.executors.get(run.executor)
         if executor is None:
-            facts = ExecutorFacts(
-                run.executor, run.incarnation, "", "", "", "", "", frozenset(), NOTHING, True
-            )
+            facts = _recalled_facts(run.executor, bound.life, bound.machine)
             executor = Executor(facts, bound.known_since, registered=False)
             self.executors[run.executor] = executor
+        if run.incarnation > executor.facts.incarnation:
+            executor.facts = _recalled_facts(run.executor, run.incarnation, "")
         executor.lease_over = max(executor.lease_over, bound.lease_over)
         self.charge(executor, run)
 
@@ -330,3 +340,8 @@
         """Tell whether only a stop order can settle what becomes of a run."""
         lost = run.phase in (RunPhase.UNCERTAIN, RunPhase.RUNNING)
         return lost and sent > run.since and run.stop_confirmed is None
+
+
+def _recalled_facts(name: str, life: int, machine: str) -> ExecutorFacts:
+    """Return all that former terms tell of an executor; its entry tells the rest, if it stands."""
+    return ExecutorFacts(name, life, "", "", "", "", machine, frozenset(), NOTHING, True)
--- a/vanillawell/tests/lease_keeper_tests.py
+++ b/vanillawell/tests/lease_keeper_tests.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+import orjson
 import pytest
 
 from vanillawell.coordination.lease_keeper import CONTACT_BOUND, ROUNDING, LeaseKeeper
@@ -211,6 +212,29 @@
     assert bound.known_since == pytest.approx(493.0)
 
 
+def test_where_an_executor_lived_outlives_its_owners() -> None:
+    """Its entry is gone with it. Another executor on its machine proves that it has ended, which a
+    new owner can see only if it knows the machine, and the life that was there."""
+    bench, first = Bench(), Owner()
+    executor = busy_executor(bench, "i-1")
+    executor.silent_since = bench.now
+    assert first.save([executor], bench.now)
+    second = Owner(first.stored)
+    bound = second.keeper.recalled_bound("i-1", 500.0)
+    assert (bound.machine, bound.life) == ("m-i-1", executor.facts.incarnation)
+    assert second.keeper.recalled_bound("i-2", 500.0).machine == ""
+
+
+def test_a_document_that_does_not_tell_where_executors_lived_stays_readable() -> None:
+    """Entries of two versions own a shard in turn during an update. Bounds that either of them
+    could not read would let the wait for silent executors begin anew."""
+    written = orjson.loads(LeaseBounds(1, {"i-1": ExecutorBound(4.0, 9.0, "m-1", 7)}).to_bytes())
+    assert written["silent"]["i-1"].items() >= {"left": 4.0, "known_for": 9.0}.items()
+    written["silent"]["i-1"] = {"left": 4.0, "known_for": 9.0}
+    read = LeaseBounds.from_bytes(orjson.dumps(written))
+    assert read.silent == {"i-1": ExecutorBound(4.0, 9.0)}
+
+
 def test_executors_that_run_nothing_any_more_are_forgotten_with_the_next_write() -> None:
     """A write of its own for each of them would cost the store more than it helps anybody."""
     bench, owner = Bench(), Owner(bounds({"i-gone": 4.0}))
--- a/vanillawell/tests/owner_memory_tests.py
+++ b/vanillawell/tests/owner_memory_tests.py
@@ -20,18 +20,22 @@
 from vanillawell.tests.scheduler_cluster import PREFIX, Cluster, until, with_cluster
 from vanillawell.tests.scheduler_cluster import job as body_of_job
 from vanillawell.tests.scheduler_cluster import step as step_in_body
-from vanillawell.tests.scheduling_builders import Bench, facts, job
+from vanillawell.tests.scheduling_builders import Bench, facts, job, step
 
 WAVE = 4.0
 """Seconds in which each machine of a wave is to have its upkeep."""
 
 
-def succeed(bench: Bench, *names: str) -> Bench:
-    """Return the shard of a new owner, with the same executors and what the store holds."""
+def succeed(bench: Bench, *names: str, machine: str = "", life: int = 0) -> Bench:
+    """Return the shard of a new owner, with the same executors and what the store holds.
+
+    The others lived on a `machine`, in a `life`, as far as the store tells.
+    """
     after = Bench(*(facts(name) for name in names))
+    bound = RecalledBound(after.now + 9.0, after.now, machine, life)
     for record in bench.shard.board.jobs.values():
         read, runs = read_record(record.job, write_record(record), after.now, after.now)
-        after.shard.restore(read, runs, lambda _: RecalledBound(after.now + 9.0, after.now))
+        after.shard.restore(read, runs, lambda _: bound)
     assert isinstance(after.shard, Shard)
     return after
 
@@ -192,3 +196,33 @@
     await anyio.sleep(0.5)
     await _replace_a_silent_executor(built, "i-after")
     await until(lambda: built.audit.started[task] == 2, 3.0)
+
+
+def _with_a_lasting_run() -> Bench:
+    bench = Bench(facts("i-1", incarnation=5))
+    bench.admit(job(step(long_running=True)))
+    assert len(bench.place()) == 1
+    return bench
+
+
+def test_the_next_executor_on_the_machine_of_one_that_is_gone_ends_its_runs() -> None:
+    after = succeed(_with_a_lasting_run(), machine="m-1", life=5)
+    after.register(facts("i-2", incarnation=6, machine="m-1"))
+    assert [run.executor for run in after.place()] == ["i-2"]
+
+
+def test_an_executor_that_lived_on_the_machine_before_proves_nothing() -> None:
+    """The executor started again on another machine, and a run that was decided before may have
+    begun in the new life. The entry of the one that lived there earlier still stands; it registered
+    after the former life and before the new one. Believed, the task would run twice."""
+    after = succeed(_with_a_lasting_run(), machine="m-2", life=20)
+    after.register(facts("i-2", incarnation=10, machine="m-2"))
+    assert after.place() == []
+    assert len(after.shard.ledger.executors["i-1"].runs) == 1
+
+
+def test_a_run_of_a_life_that_began_later_is_not_on_the_machine_of_the_former() -> None:
+    """What is stored of the machine is older than the run."""
+    after = succeed(_with_a_lasting_run(), machine="m-1", life=4)
+    after.register(facts("i-2", incarnation=6, machine="m-1"))
+    assert after.place() == []
