Move a task that needs advice only once it is known who may run it, and ask ahead

What callers saw: a lasting task of a queue that needs advice was stopped seconds before its executor left or its machine was taken down, though none of the executors that may run it had room, and stayed away.

Cause: whether another executor has a place was asked with the tickets of the step. They expire within seconds, were asked for only while a task waits, and begin anew with each owner; without any, each executor counted as one that may run the task.

Now no executor counts as a place without tickets, and the desk asks ahead for steps with lasting tasks on executors that leave or are closed. With the first half alone such tasks would move in the last moment only and waves run out of patience first. As a step whose pool has no usable executor comes first in each look, being late by nature, the desk passes over such steps: others must not wait for them.

--- a/vanillawell/coordination/advice_desk.py
+++ b/vanillawell/coordination/advice_desk.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 import anyio
@@ -14,9 +15,10 @@
 from vanillawell.state.placement import load
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterable, Sequence
 
     from vanillawell.protocol.machine_calls import AdviceCalls
+    from vanillawell.state.executors import Executor
     from vanillawell.state.shard import Shard
     from vanillawell.state.work import StepProgress
     from vanillawell.state.work_policy import AdviceRule
@@ -36,8 +38,21 @@
 """Seconds of a ticket's validity that are kept for storing the decision and sending the order."""
 
 
+@dataclass(frozen=True, slots=True)
+class Question:
+    """What the service is asked for one step."""
+
+    step: StepProgress
+    rule: AdviceRule
+    executors: Sequence[str]
+
+
 class AdviceDesk:
-    """Ask for one step at a time: the service answers one call of each machine after the other."""
+    """Ask for one step at a time: the service answers one call of each machine after the other.
+
+    Asked for are steps with tasks that wait, and those with lasting tasks that have to go
+    elsewhere: these are stopped only once it is known that another executor may run them.
+    """
 
     def __init__(self, shard: Shard, advice: AdviceCalls, wake: Callable[[], None]) -> None:
         self._shard = shard
@@ -49,11 +64,11 @@
         """Ask until cancelled."""
         while True:
             self._drop_expired(clock.read())
-            step = self._next_step()
-            if step is None:
+            question = self._next_question(clock.read())
+            if question is None:
                 await anyio.sleep(LOOK_PAUSE)
                 continue
-            await self._ask(step)
+            await self._ask(question)
 
     def _drop_expired(self, now: float) -> None:
         for key in [key for key, until in self._valid_until.items() if now >= until]:
@@ -64,26 +79,38 @@
         queue = self._shard.queue_of(step.record.job)
         return queue.advice if queue else None
 
-    def _next_step(self) -> StepProgress | None:
-        """Return the step without tickets that has the least time left."""
-        lacking = (
+    def _next_question(self, now: float) -> Question | None:
+        """Return what to ask for the step without tickets that has the least time left.
+
+        Steps of which nobody could run a task now are passed over: others must not wait for them.
+        """
+        without = [
             step
             for step in self._shard.board.open_steps
-            if self._rule(step) and _key(step) not in self._shard.tickets and step.waiting
-        )
-        return min(lacking, key=lambda step: step.record.late_by, default=None)
-
-    async def _ask(self, step: StepProgress) -> None:
-        queue = self._shard.queue_of(step.record.job)
-        rule = self._rule(step)
-        assert queue is not None and rule is not None
-        pool = by_service(self._shard.ledger.executors.values(), queue.service)
-        now = clock.read()
+            if self._rule(step) and _key(step) not in self._shard.tickets
+        ]
+        if not without:
+            return None
+        moved = _steps_to_move(self._shard.ledger.executors.values())
+        lacking = [step for step in without if step.has_waiting or step in moved]
+        usable: dict[str, list[str]] = {}
+        for step in sorted(lacking, key=lambda step: step.record.late_by):
+            queue = self._shard.queue_of(step.record.job)
+            assert queue is not None and queue.advice is not None
+            if queue.service not in usable:
+                usable[queue.service] = self._usable(queue.service, now)
+            if usable[queue.service]:
+                return Question(step, queue.advice, usable[queue.service])
+        return None
+
+    def _usable(self, service: str, now: float) -> list[str]:
+        """Return the executors to ask about, those with least work first."""
+        pool = by_service(self._shard.ledger.executors.values(), service)
         usable = sorted((item for item in pool if item.takes_work(now)), key=load)
-        names = [item.name for item in usable][:MOST_EXECUTORS]
-        if not names:
-            await anyio.sleep(BUSY_PAUSE)
-            return
+        return [item.name for item in usable][:MOST_EXECUTORS]
+
+    async def _ask(self, question: Question) -> None:
+        step, names, now = question.step, question.executors, clock.read()
         try:
             tickets = await self._advice.ask(step.tasks[0].task_id, names)
         except (NotSentError, NoAnswerError, AdviceBusyError) as error:
@@ -92,7 +119,7 @@
             await anyio.sleep(BUSY_PAUSE)
             return
         self._shard.tickets[_key(step)] = tickets
-        self._valid_until[_key(step)] = now + max(0.0, rule.validity - USE_MARGIN)
+        self._valid_until[_key(step)] = now + max(0.0, question.rule.validity - USE_MARGIN)
         log.info(
             "advice taken",
             extra={
@@ -108,3 +135,14 @@
 
 def _key(step: StepProgress) -> tuple[str, int, int]:
     return (step.record.job.job_id, step.occurrence, step.position)
+
+
+def _steps_to_move(executors: Iterable[Executor]) -> set[StepProgress]:
+    """Return the steps with lasting tasks on executors that are emptied."""
+    return {
+        run.task.step
+        for item in executors
+        if item.is_emptied
+        for run in item.runs.values()
+        if run.task.step.spec.long_running
+    }
--- a/vanillawell/state/executors.py
+++ b/vanillawell/state/executors.py
@@ -105,6 +105,11 @@
         """Tell whether nobody can say what runs on it now."""
         return not self.contacted or self.silent_since is not None
 
+    @property
+    def is_emptied(self) -> bool:
+        """Tell whether what lasts here has to go elsewhere, since it leaves or is closed."""
+        return self.cordoned or (self.registered and self.facts.draining)
+
     @property
     def free(self) -> Resources:
         """Return the capacity that nothing is charged for."""
--- a/vanillawell/state/shard.py
+++ b/vanillawell/state/shard.py
@@ -302,16 +302,23 @@
         return self.ledger.usage(organisation).cpu / weight
 
     def has_place(self, run: Run, now: float) -> bool:
-        """Tell whether another executor of its pool has a place for the task of a run."""
+        """Tell whether another executor of its pool has a place for the task of a run.
+
+        None has as long as it is not known which of them may run it.
+        """
         executor = self.ledger.executors[run.executor]
         step = run.task.step
+        queue = self.queue_of(step.record.job)
+        key = (step.record.job.job_id, step.occurrence, step.position)
+        tickets = self.tickets.get(key)
+        if tickets is None and queue is not None and queue.advice:
+            return False
         others = [
             item
             for item in by_service(self.ledger.executors.values(), executor.facts.service)
             if item is not executor and item.takes_work(now)
         ]
-        key = (step.record.job.job_id, step.occurrence, step.position)
-        return StepPlacer(step, others, self.tickets.get(key)).choose(run.task) is not None
+        return StepPlacer(step, others, tickets).choose(run.task) is not None
 
     def plan(self, task: Task, executor: Executor, number: int, ticket: str, now: float) -> Run:
         """Decide on a run; it is charged from this moment."""
