Name executors that leave an owner's last renewal unanswered

An owner that was stopped left its successor the bounds of all leases, among them that of an executor that had fallen silent a second before. The successor was killed as it began, and a lasting task of that executor did not run again within 9 s: the bounds of a hand-over hold for the successor only, since it may extend leases at once.

A stopping owner renews all leases once more and waits 0.3 s for the answers, but what it learned of who did not answer was dropped. Those are now named as silent in its last word: their bounds outlive any number of owners, and nobody extends a lease there before a document without them is stored. All others are renewed by a successor at once, as before. To name all would have made sound work wait for a write while the store is slow.

The cost: a sound executor that takes longer than 0.3 s for that answer is renewed only after a write of the successor, and not at all if the store is lost right then.

--- a/vanillawell/coordination/executor_driver.py
+++ b/vanillawell/coordination/executor_driver.py
@@ -199,13 +199,16 @@
         self._orders.pace(now)
         self._link.wake_owner()
 
-    async def renew(self) -> None:
-        """Renew the leases at once, beside the call that waits for an end."""
+    async def renew(self) -> bool:
+        """Renew the leases at once, beside the call that waits for an end; tells whether the
+        executor has answered."""
         try:
             await self.hold(0.0)
         except (NotSentError, NoAnswerError, OrderRefusedError, WrongIncarnationError) as error:
             fields = {"executor": self._executor.name, "why": str(error)}
             log.info("executor not renewed", extra=fields)
+            return False
+        return True
 
     def _renew(self, now: float) -> float | None:
         """Return the end of a new lease; None to leave the leases as they are.
--- a/vanillawell/coordination/hand_over.py
+++ b/vanillawell/coordination/hand_over.py
@@ -28,27 +28,43 @@
 """Seconds between two tries to store the bounds of leases."""
 
 
-async def renew_once(drivers: Iterable[ExecutorDriver]) -> None:
-    """Renew the leases of all sound work, so that it outlives a slow change of owner."""
+async def renew_once(drivers: Iterable[ExecutorDriver]) -> frozenset[str]:
+    """Renew the leases of all sound work, so that it outlives a slow change of owner.
+
+    Returns the executors that did not answer, which may have fallen silent just before.
+    """
+    sound = [item for item in drivers if item.executor.runs and not item.executor.is_out_of_touch]
+    unanswered = {driver.executor.name for driver in sound}
+
+    async def renew(driver: ExecutorDriver) -> None:
+        if await driver.renew():
+            unanswered.discard(driver.executor.name)
+
     with anyio.move_on_after(RENEWAL_BOUND):
         async with anyio.create_task_group() as renewals:
-            for driver in drivers:
-                if driver.executor.runs and not driver.executor.is_out_of_touch:
-                    renewals.start_soon(driver.renew)
+            for driver in sound:
+                renewals.start_soon(renew, driver)
+    return frozenset(unanswered)
 
 
 async def store_last_bounds(
-    term: Term, leases: LeaseKeeper, executors: Mapping[str, Executor]
+    term: Term,
+    leases: LeaseKeeper,
+    executors: Mapping[str, Executor],
+    unanswered: frozenset[str] = frozenset(),
 ) -> bool:
     """Store the last word of an owner on leases, trying while its own lease holds; tells whether
     that was done.
 
+    It names executors that left the last renewal `unanswered` as silent, so that their bounds
+    outlive a successor that is lost before it has noticed anything.
+
     While the store is away nobody can take over, and what runs is better renewed: a try that did
     nothing for certain is taken back.
     """
 
     def draft() -> list[Put]:
-        put = leases.draft(executors.values(), clock.read(), last=True)
+        put = leases.draft(executors.values(), clock.read(), True, unanswered)
         return [] if put is None else [put]
 
     while term.is_held(clock.read()):
--- a/vanillawell/coordination/lease_keeper.py
+++ b/vanillawell/coordination/lease_keeper.py
@@ -119,9 +119,16 @@
         regained = any(item.name in self._stored - silent for item in charged)
         return regained or not silent <= self._stored
 
-    def draft(self, executors: Iterable[Executor], now: float, last: bool = False) -> Put | None:
+    def draft(
+        self,
+        executors: Iterable[Executor],
+        now: float,
+        last: bool = False,
+        unanswered: frozenset[str] = frozenset(),
+    ) -> Put | None:
         """Return what the next write has to contain; None if the stored document is right.
 
+        Executors that left a call `unanswered` are named as silent though it may be too early.
         There must be one write at a time; `confirm` follows once it is stored.
         """
         if self._handed_over:
@@ -129,7 +136,11 @@
         if self._began is None:
             return self._pass_on() if last else None
         charged = [item for item in executors if item.runs]
-        silent = {item.name: _bound(item, now) for item in charged if self._is_silent(item, now)}
+        silent = {
+            item.name: _bound(item, now)
+            for item in charged
+            if item.name in unanswered or self._is_silent(item, now)
+        }
         if not last and not self._drafts and self._stored == silent.keys():
             return None
         others = {item.name: _bound(item, now) for item in charged if item.name not in silent}
--- a/vanillawell/coordination/shard_owner.py
+++ b/vanillawell/coordination/shard_owner.py
@@ -111,8 +111,9 @@
 
     async def store_last_bounds(self) -> bool:
         """Extend no lease any more, and store for the next owner how long each may still hold."""
-        await renew_once(self._drivers.values())
-        return await store_last_bounds(self._term, self._leases, self._shard.ledger.executors)
+        unanswered = await renew_once(self._drivers.values())
+        executors = self._shard.ledger.executors
+        return await store_last_bounds(self._term, self._leases, executors, unanswered)
 
     def _draft_bounds(self) -> list[Put]:
         """Return the write of the bounds of leases, if there is one."""
--- a/vanillawell/tests/lease_keeper_tests.py
+++ b/vanillawell/tests/lease_keeper_tests.py
@@ -148,6 +148,23 @@
     assert after.lease_over == bench.now + LONGEST_DOUBT
 
 
+def test_a_last_word_names_executors_that_left_the_last_renewal_unanswered() -> None:
+    """They may have fallen silent just before, and the successor may be killed before it notices.
+    What it could have extended has to be stored first, so the bound outlives any number of owners.
+    """
+    bench, owner = Bench(), Owner()
+    sound, doubtful = busy_executor(bench, "i-1"), busy_executor(Bench(), "i-2")
+    sound.lease_over = doubtful.lease_over = bench.now + 4
+    put = owner.keeper.draft([sound, doubtful], bench.now, True, frozenset({"i-2"}))
+    assert put is not None
+    signed = LeaseBounds.from_bytes(put.value).signed(3)
+    successor = Owner(signed)
+    assert successor.keeper.may_extend("i-1")
+    assert not successor.keeper.may_extend("i-2")
+    bound = successor.keeper.recalled_bound("i-2", bench.now)
+    assert bound.lease_over == pytest.approx(bench.now + 4 + ROUNDING)
+
+
 def test_executors_get_a_moment_to_report_to_a_new_owner_before_they_are_named() -> None:
     """Named at once, each sound executor would be renewed only after two writes."""
     bench, owner = Bench(), Owner()
