--- a/vanillawell/coordination/shard_owner.py
+++ b/vanillawell/coordination/shard_owner.py
@@ -124,9 +124,9 @@
             return True
         self.stop_placing()
         try:
-            await renew_once(self._drivers.values())
+            unanswered = await renew_once(self._drivers.values())
             executors = self._shard.ledger.executors
-            return await store_last_bounds(self._term, self._leases, executors, until)
+            return await store_last_bounds(self._term, self._leases, executors, until, unanswered)
         finally:
             self._placing = not self._leases.is_handed_over
             self.wake()
