Pass found bounds on with their clocks while no executor has reported

What callers saw: nothing that is on record. An owner that took seconds to load the shard and was stopped before any executor had reported wrote the bounds that it had found anew, without clocks: the time that had passed since they were stored was forgotten, and the wait of the next owner began where they were at the take-over.

Change: while no executor has reported, no lease was extended either, so the document found is left as it was, with its clocks. An executor of which nothing was found is left out, and waited for from the successor's own start: written under older clocks its wait would come out too short.

--- a/vanillawell/coordination/lease_keeper.py
+++ b/vanillawell/coordination/lease_keeper.py
@@ -142,7 +142,10 @@
             return None
         if self._began is None:
             return self._pass_on() if last else None
-        charged = [item for item in executors if item.runs]
+        known = list(executors)
+        if last and not any(item.contacted for item in known):
+            return self._pass_on()
+        charged = [item for item in known if item.runs]
         silent = {
             item.name: _bound(item, now)
             for item in charged
@@ -156,7 +159,11 @@
         return self._begin_write(document, last)
 
     def _pass_on(self) -> Put:
-        """Return what an owner leaves that has extended no lease: all that it found itself."""
+        """Return what an owner leaves that has extended no lease: all that it found itself.
+
+        That goes for one to which no executor has reported, too. Bounds written anew without clocks would
+        begin again where they were as it took over.
+        """
         found = self._former
         document = LeaseBounds(self._token, found.silent, found.handed_over, found.clocks)
         return self._begin_write(document, last=True)
