Place nothing on machines that a former owner may be sending away

What callers saw: a lasting task started just after a change of owner and ended within a second, with its machine.

Cause: the announcement of orders (machines/SHARD) kept a successor from ordering these machines, not from placing tasks on them; it was not even read before the first placement.

Why it works: the announcement is read beside the inbox, and nothing is placed before both are read, so the take-over takes no further round trip in series. Machines whose order may take effect yet are withheld until the moment from which they may be ordered again; then each executor there is asked, and only an answer to a call that was sent later lets it take work, since the entry of one that the order ended stands for seconds. Machines withheld are kept apart from those that upkeep closes. Their room counts in sizing. The announcement names the pool that a machine is moved to: an executor in that pool came by the order and takes work at once. An announcement without pools (a former version's) withholds all its machines; one that can't be read withholds none, as nothing tells which. Moves, upkeep and drains wait for the reading, too.

Found on the way, not mended: an owner that sizes a pool before its executors have first answered (some 10 ms after it has read the registry) takes them for no room for lasting tasks that wait, and calls a machine in vain ("pool sized" with wanted 4 of 2, 5 ms before "executor contacted").

Left: a machine that is back from upkeep within the time of its withholding waits for the rest of it (the announcement can't tell a new life from one before the order).

--- a/vanillawell/coordination/executor_driver.py
+++ b/vanillawell/coordination/executor_driver.py
@@ -100,6 +100,7 @@
             return False
         return (
             executor.is_out_of_touch
+            or executor.asked_from is not None
             or any(run.phase is not RunPhase.PLANNED for run in executor.runs.values())
             or self._ends_to_confirm() > self._confirmed_end
             or bool(executor.unsaved_ends)
@@ -153,6 +154,8 @@
         """Return the seconds that the next hold may wait for an end."""
         if not self._executor.contacted or self._executor.silent_since is not None:
             return 0.0
+        if self._executor.asked_from is not None:
+            return 0.0
         if not self._link.may_extend_lease():
             return SHORT_HOLD
         runs = self._executor.runs.values()
--- a/vanillawell/coordination/machine_orders.py
+++ b/vanillawell/coordination/machine_orders.py
@@ -26,7 +26,7 @@
 from vanillawell.protocol.store import Put
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Mapping
 
     from vanillawell.coordination.leases import ExecutorClocks
     from vanillawell.coordination.ports import Ports
@@ -81,12 +81,16 @@
         self._former: dict[str, float] | None = None
         """Machines of a former owner's latest orders, with the age of each when it was stored."""
 
+        self._former_pools: dict[str, str] = {}
+        """The pools that these go to; other orders have none."""
+
         self._former_clocks: dict[str, float] = {}
         self._freshness = ORDER_FRESHNESS
         self._former_freshness = ORDER_FRESHNESS
         self._all_free_at = float("-inf")
         self._fresh_until = float("-inf")
         self._lately: dict[str, float] = {}
+        self._pools: dict[str, str] = {}
         self._claims: dict[str, Purpose] = {}
         self.duty = MachineDuty(holder, term.token)
 
@@ -107,12 +111,15 @@
         except (ValueError, TypeError, KeyError, AttributeError) as error:
             # Damaged, or of an earlier version: any machine may have been ordered just now.
             log.error("former orders unreadable", extra={"why": repr(error)})
+            self._former_pools = {}
             self._former, self._all_free_at = {}, self._began + self._pause + LONGEST_FRESHNESS
         return True
 
     def _take_former(self, value: bytes) -> None:
         """Read a former owner's announcement; raises what its parts being of other types does."""
         document = orjson.loads(value)
+        pools = document.get("pools", {}).items()  # former versions did not store them
+        self._former_pools = {str(name): str(pool) for name, pool in pools}
         self._former = {str(name): float(age) for name, age in document["machines"].items()}
         self._former_freshness = float(document.get("freshness", LONGEST_FRESHNESS))
         clocks = document["clocks"].items()
@@ -122,11 +129,27 @@
         """Tell whether no former owner can have given an order for the machine just now."""
         if self._former is None or not self._term.is_held(now) or now < self._all_free_at:
             return False
-        age = self._former.get(machine)
+        return self.is_over(machine, now)
+
+    def is_over(self, machine: str, now: float) -> bool:
+        """Tell whether no order of a former owner for the machine can take effect any more."""
+        age = (self._former or {}).get(machine)
         if age is None:
             return True
         return age + self._since_former(now) > self._pause + self._former_freshness
 
+    def pending_of_former(self, now: float) -> dict[str, str]:
+        """Return the machines for which orders of a former owner may take effect yet.
+
+        Each with the pool that it goes to; "" if the order does not change its pool, or an earlier
+        version gave it.
+        """
+        return {
+            name: self._former_pools.get(name, "")
+            for name in self._former or {}
+            if not self.is_over(name, now)
+        }
+
     def ordered_by_former(self, now: float) -> set[str]:
         """Return the machines of a former owner's latest orders that may still be on their way."""
         passed = self._since_former(now)
@@ -159,18 +182,24 @@
         """Tell whether an order that was just announced may still be sent."""
         return now <= self._fresh_until
 
-    async def announce(self, machines: Iterable[str]) -> None:
-        """Store that orders for these machines are about to go out; raises TermLostError."""
+    async def announce(self, machines: Mapping[str, str]) -> None:
+        """Store that orders for these machines are about to go out; raises TermLostError.
+
+        They are given with the pool that each goes to; "" for orders that do not change it.
+        """
         now = clock.read()
         recent = {
             name: moment for name, moment in self._lately.items() if moment > now - self._kept
         }
         self._lately = {**recent, **dict.fromkeys(machines, now)}
         ages = {name: now - moment for name, moment in self._lately.items()}
+        self._pools.update(machines)
+        pools = {**self._former_pools, **self._pools}
         clocks = dict(itertools.islice(self._clocks.at_most(now).items(), REFERENCE_CLOCKS))
         former = self._ages_of_former(now)
         document = {
             "machines": {**former, **ages},
+            "pools": {name: pools[name] for name in former | ages if pools.get(name)},
             "clocks": clocks,
             "freshness": max(self._freshness, self._former_freshness if former else 0.0),
         }
--- a/vanillawell/coordination/pool_demand.py
+++ b/vanillawell/coordination/pool_demand.py
@@ -141,7 +141,7 @@
             demanded_cores(own, steps, self._shard.durations),
             self._shard.arrivals.cores(pool, now),
         )
-        sound = [item for item in usable if item.takes_work(now)]
+        sound = [item for item in usable if item.is_sound(now)]
         held = [step for step in steps if step.held_by == HELD_BY_ROOM]
         return PoolDemand(
             pool,
--- a/vanillawell/coordination/pool_runner.py
+++ b/vanillawell/coordination/pool_runner.py
@@ -129,7 +129,7 @@
             return
         for move in moves:
             self._close(move, lives.get(move.machine))
-        await self._orders.announce(move.machine for move in moves)
+        await self._orders.announce({move.machine: move.pool for move in moves})
         announced = clock.read()
         left = await self._send(moves, lives)
         if left:
@@ -172,7 +172,7 @@
         Machines of a zone in which no executor can be reached would come and be of no use.
         """
         zones = {executor.facts.zone for executor in lives.values()}
-        reached = {item.facts.zone for item in lives.values() if item.takes_work(now)}
+        reached = {item.facts.zone for item in lives.values() if item.is_sound(now)}
         spare = [
             item
             for item in self._machines.values()
--- a/vanillawell/coordination/shard_owner.py
+++ b/vanillawell/coordination/shard_owner.py
@@ -18,6 +18,7 @@
 from vanillawell.coordination.executor_driver import ExecutorDriver
 from vanillawell.coordination.executor_link import ExecutorLink
 from vanillawell.coordination.follow import Backoff
+from vanillawell.coordination.former_orders import FormerOrders
 from vanillawell.coordination.hand_over import renew_once, store_last_bounds
 from vanillawell.coordination.inbox import Inbox
 from vanillawell.coordination.lease_keeper import LeaseKeeper
@@ -92,6 +93,7 @@
         self._stopping = False
         self._published: dict[str, int] | None = None
         self._inbox = Inbox(ports.store, keys, self._shard, self.wake)
+        self._former_orders = FormerOrders(self._shard, self.wake)
         self.loaded = False
         """Whether all jobs of former terms have been read."""
 
@@ -164,16 +166,21 @@
         losses = LossWatch(self._shard, self._ports.machines, self.wake)
         tasks.start_soon(losses.run)
         tasks.start_soon(self._inbox.run)
+        tasks.start_soon(self._former_orders.run, orders)
 
         def expects(now: float) -> bool:
             return pools.expects(now) or upkeep.expects(now)
 
+        async def known() -> None:
+            await registry.known()
+            await self._former_orders.known()
+
         tasks.start_soon(registry.run, expects)
         tasks.start_soon(registry.look, expects)
-        tasks.start_soon(_run_after, registry.known, upkeep.run)
-        tasks.start_soon(_run_after, registry.known, pools.run)
+        tasks.start_soon(_run_after, known, upkeep.run)
+        tasks.start_soon(_run_after, known, pools.run)
         drains = DrainRunner(self._shard, self._term, self._bounds.kill_grace_ms / 1000, self.wake)
-        tasks.start_soon(_run_after, registry.known, drains.run)
+        tasks.start_soon(_run_after, known, drains.run)
         if self._ports.advice is not None:
             desk = AdviceDesk(self._shard, self._ports.advice, self.wake)
             tasks.start_soon(desk.run)
@@ -222,13 +229,15 @@
 
         All that happened while a turn was being stored is decided in the next one, so the number
         of writes does not grow with the number of tasks. Nothing starts before the inbox has been
-        read, since it may say that a job was cancelled.
+        read, since it may say that a job was cancelled, nor before it is known which machines a
+        former owner is sending away.
         """
         while True:
             now = clock.read()
             self._leases.count_time_passed(self._shard.ledger.executors.values(), now)
             self._shard.expire(now, time.time())
-            if self._inbox.is_read and not self._stopping:
+            known = self._inbox.is_read and self._former_orders.are_known
+            if known and not self._stopping:
                 self._shard.place(now, time.time())
             self._drive(tasks)
             self._send_stops()
--- a/vanillawell/coordination/upkeep_orders.py
+++ b/vanillawell/coordination/upkeep_orders.py
@@ -97,7 +97,7 @@
             await self._order(progress, due)
 
     async def _order(self, progress: WaveProgress, names: list[str]) -> None:
-        await self._orders.announce(names)
+        await self._orders.announce(dict.fromkeys(names, ""))
         waiting = iter(names)
 
         async def send_next() -> None:
--- a/vanillawell/state/executors.py
+++ b/vanillawell/state/executors.py
@@ -89,6 +89,13 @@
     cordoned: bool = False
     """Whether planned work keeps new tasks away."""
 
+    withheld: bool = False
+    """Whether an order of a former owner for its machine may end it yet, or may have ended it."""
+
+    asked_from: float | None = None
+    """Clock of decisions since which that order can't take effect any more: an answer to a later
+    call shows that it lives on. None while the order may."""
+
     awaits_upkeep: bool = False
     """Whether a wave has yet to take its machine down, which ends all that runs there."""
 
@@ -145,8 +152,18 @@
         self.facts = facts
         self.registered = True
 
+    def note_answer(self, sent: float) -> None:
+        """Take in that it answered a call that was sent at `sent`."""
+        self.contacted = True
+        if self.asked_from is not None and sent >= self.asked_from:
+            self.withheld, self.asked_from = False, None
+
     def takes_work(self, now: float) -> bool:
         """Tell whether new tasks may be placed here."""
+        return self.is_sound(now) and not self.withheld
+
+    def is_sound(self, now: float) -> bool:
+        """Tell whether it takes new tasks, or will once it is no longer withheld."""
         return (
             self.registered
             and self.contacted
--- a/vanillawell/state/ledger.py
+++ b/vanillawell/state/ledger.py
@@ -18,7 +18,7 @@
 from vanillawell.state.work import NOTHING, Ending, Resources, Run, RunPhase, Task, TaskId
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterator
+    from collections.abc import Callable, Iterator, Mapping
 
     from vanillawell.protocol.executor_calls import EndRow, HoldReport, RunningRow
 
@@ -69,6 +69,10 @@
         self._closed: set[str] = set()
         """Machines on which nothing may start, whichever executor lives there."""
 
+        self._withheld: dict[str, str] = {}
+        """Machines that a former owner's order may take away yet, each with the pool that it goes
+        to; empty if it does not change its pool."""
+
     def close_machine(self, machine: str) -> None:
         """Let nothing start on a machine, not even on an executor that is yet to register there."""
         self._closed.add(machine)
@@ -81,6 +85,28 @@
         for executor in self._on_machine(machine):
             executor.cordoned = False
 
+    def withhold(self, machines: Mapping[str, str]) -> None:
+        """Let nothing new start on machines that a former owner's orders may take away yet.
+
+        They are given with the pool that each goes to; "" for other orders. An executor in that
+        pool has come by the order, and is not ended by it.
+        """
+        self._withheld.update(machines)
+        for executor in self.executors.values():
+            self._withhold_if_ordered(executor)
+
+    def let_go(self, machine: str, now: float) -> None:
+        """Let new tasks start on a machine again once its executor has answered a later call."""
+        self._withheld.pop(machine, None)
+        for executor in self._on_machine(machine):
+            if executor.withheld:
+                executor.asked_from = now
+
+    def _withhold_if_ordered(self, executor: Executor) -> None:
+        pool = self._withheld.get(executor.facts.machine)
+        if pool is not None and executor.facts.service != pool:
+            executor.withheld = True
+
     def _on_machine(self, machine: str) -> list[Executor]:
         return [item for item in self.executors.values() if item.facts.machine == machine]
 
@@ -121,10 +147,12 @@
         known = self.executors.get(facts.executor)
         if known is not None:
             self._renew(known, facts, now)
+            self._withhold_if_ordered(known)
             return []
         executor = Executor(facts, now, registered=False)
         executor.take_facts(facts, now)
         executor.cordoned = facts.machine in self._closed
+        self._withhold_if_ordered(executor)
         self.executors[facts.executor] = executor
         if not facts.machine:
             return []
@@ -257,7 +285,7 @@
         if report.incarnation != executor.facts.incarnation:
             executor.facts = replace(executor.facts, incarnation=report.incarnation)
             executor.begin_life(now)
-        executor.contacted = True
+        executor.note_answer(sent)
         for end in report.ended:
             if end.sequence > executor.seen_end:
                 self._take_end(executor, end, outcome, now, find)
--- a/vanillawell/tests/pool_runner_tests.py
+++ b/vanillawell/tests/pool_runner_tests.py
@@ -276,3 +276,42 @@
     await until(lambda: bool(built.machines.moves))
     await anyio.sleep(0.1)
     assert moved_with == []
+
+
+async def _succeed_after_an_announcement(built: Cluster, pool: str) -> None:
+    """Replace an owner that had announced an order for the machine of `i-0` to go to a pool, and
+    was stopped before it was sent; once its successor has heard of both executors, hand in a
+    lasting task for each."""
+    built.machines.machines["spare-1"] = StandInMachine("spare-1", STANDBY, "")
+    configure_standby(built)
+    document = {
+        "machines": {built.hosts["i-0"].machine: 0.0},
+        "pools": {built.hosts["i-0"].machine: pool},
+        "clocks": {},
+        "freshness": 1.0,
+    }
+    built.store.put_document(WorkKeys().machine_orders(SHARD), document)
+    await stop(built, await built.owner())
+    successor, lasting = await built.owner(), step(2, longRunning=True, maxPerServer=1)
+    await anyio.sleep(0.3)
+    await successor.call("POST", PREFIX + built.new_id(), job(lasting, spec={"seconds": 60}))
+    await until(lambda: bool(built.hosts["i-1"].life.running))
+
+
+@with_cluster(members=2, executors=2)
+async def test_a_machine_whose_order_never_went_out_is_used_again(built: Cluster) -> None:
+    """An owner is stopped before it sends an order that it announced. The machine stays where it
+    is; if it were kept from work for good, or its room counted as lost, its pool would shrink."""
+    await _succeed_after_an_announcement(built, STANDBY)
+    await anyio.sleep(0.3)
+    assert not built.hosts["i-0"].life.running
+    await until(lambda: bool(built.hosts["i-0"].life.running), 3.0)
+    assert built.machines.moves == []
+
+
+@with_cluster(members=2, executors=2)
+async def test_a_machine_that_has_come_by_a_former_order_is_used_at_once(built: Cluster) -> None:
+    """A machine arrives in the pool that a former owner sent it to, in the middle of a peak. Kept
+    from work until no order can come, each change of owner would cost the pool seconds."""
+    await _succeed_after_an_announcement(built, POOL)
+    await until(lambda: bool(built.hosts["i-0"].life.running), 1.0)
--- a/vanillawell/tests/term_tests.py
+++ b/vanillawell/tests/term_tests.py
@@ -90,7 +90,7 @@
             former_term = await _take(store, "entry-0")
             former = MachineOrders(former_term, ports, KEYS, "all", "entry-0", 0.5, FixedClocks())
             assert await former.load()
-            await former.announce(["m-1"])
+            await former.announce({"m-1": "pool-1"})
             await former_term.give_up()
             term = await _take(store, "entry-1")
             present = MachineOrders(term, ports, KEYS, "all", "entry-1", 0.5, FixedClocks())
@@ -152,7 +152,7 @@
                 former_term, ports, KEYS, "all", "entry-0", 3.0, FixedClocks({"i-0@1": 50.0})
             )
             assert await former.load()
-            await former.announce(["m-1"])
+            await former.announce({"m-1": "pool-1"})
             await former_term.give_up()
             term = await _take(store, "entry-1")
             for clocks, free in (
@@ -187,7 +187,35 @@
                 orders = MachineOrders(term, ports, KEYS, "all", "entry-0", 0.5, shown)
                 assert await orders.load()
                 assert orders.ordered_by_former(clock.read()) == ordered
-                await orders.announce([f"m-{number}"])
+                await orders.announce({f"m-{number}": "pool-1"})
+                await term.give_up()
+            tasks.cancel_scope.cancel()
+
+    anyio.run(run)
+
+
+def test_successors_know_where_ordered_machines_go_while_orders_may_take_effect() -> None:
+    """Owners follow on each other within a second of an order. The later ones must know as well
+    which machines may be taken away yet, and which pool each goes to."""
+
+    async def run() -> None:
+        async with anyio.create_task_group() as tasks:
+            stand_in = StandInStore()
+            tasks.start_soon(stand_in.tick)
+            store = PlatformStore(HttpClient(), listen(tasks, stand_in))
+            ports = Ports(store, *([None] * 4))  # type: ignore[arg-type]
+            for reading, pending, announced in (
+                (50.0, {}, {"m-1": "pool-1", "m-2": "pool-1"}),
+                (50.2, {"m-1": "pool-1", "m-2": "pool-1"}, {"m-2": ""}),
+                (50.8, {"m-1": "pool-1", "m-2": ""}, {"m-3": "pool-3"}),
+                (51.1, {"m-2": "", "m-3": "pool-3"}, {}),
+            ):
+                term = await _take(store, "entry-0")
+                shown = FixedClocks({"i-0@1": reading})
+                orders = MachineOrders(term, ports, KEYS, "all", "entry-0", 0.5, shown)
+                assert await orders.load()
+                assert orders.pending_of_former(clock.read()) == pending
+                await orders.announce(announced)
                 await term.give_up()
             tasks.cancel_scope.cancel()
 
@@ -236,9 +264,9 @@
             orders = MachineOrders(term, ports, KEYS, "all", "entry-0", 3.0, FixedClocks())
             assert await orders.load()
             stand_in.faults.delay = 0.6
-            await orders.announce(["m-1"])
+            await orders.announce({"m-1": "pool-1"})
             assert not orders.is_fresh(clock.read())
-            await orders.announce(["m-1"])
+            await orders.announce({"m-1": "pool-1"})
             assert orders.is_fresh(clock.read())
             tasks.cancel_scope.cancel()
 
