--- a/vanillawell/coordination/lease_keeper.py
+++ b/vanillawell/coordination/lease_keeper.py
@@ -161,8 +161,8 @@
     def _pass_on(self) -> Put:
         """Return what an owner leaves that has extended no lease: all that it found itself.
 
-        That goes for one to which no executor has reported, too. Bounds written anew without clocks would
-        begin again where they were as it took over.
+        That goes for one to which no executor has reported, too. Bounds written anew without clocks
+        would begin again where they were as it took over.
         """
         found = self._former
         document = LeaseBounds(self._token, found.silent, found.handed_over, found.clocks)
--- a/vanillawell/coordination/machine_orders.py
+++ b/vanillawell/coordination/machine_orders.py
@@ -26,7 +26,7 @@
 from vanillawell.protocol.store import Put
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Mapping
 
     from vanillawell.coordination.leases import ExecutorClocks
     from vanillawell.coordination.ports import Ports
@@ -41,6 +41,9 @@
 LONGEST_FRESHNESS = 3.0
 """Seconds to which that bound grows while the store is slow."""
 
+ARRIVAL_BOUND = 4.0
+"""Seconds after which a moved machine that has not come is no longer counted on."""
+
 WRITES_ALLOWED = 2
 """Multiple of the time that an announcement took by which the next one may be slower still."""
 
@@ -70,17 +73,24 @@
         self._store = ports.store
         self._key = keys.machine_orders(shard)
         self._pause = pause
+        self._kept = max(pause, ARRIVAL_BOUND)
+        """Seconds for which an order is told to successors."""
+
         self._clocks = clocks
         self._began = clock.read()
         self._former: dict[str, float] | None = None
         """Machines of a former owner's latest orders, with the age of each when it was stored."""
 
+        self._former_pools: dict[str, str] = {}
+        """The pools that these go to; other orders have none."""
+
         self._former_clocks: dict[str, float] = {}
         self._freshness = ORDER_FRESHNESS
         self._former_freshness = ORDER_FRESHNESS
         self._all_free_at = float("-inf")
         self._fresh_until = float("-inf")
         self._lately: dict[str, float] = {}
+        self._pools: dict[str, str] = {}
         self._claims: dict[str, Purpose] = {}
         self.duty = MachineDuty(holder, term.token)
 
@@ -101,12 +111,15 @@
         except (ValueError, TypeError, KeyError, AttributeError) as error:
             # Damaged, or of an earlier version: any machine may have been ordered just now.
             log.error("former orders unreadable", extra={"why": repr(error)})
+            self._former_pools = {}
             self._former, self._all_free_at = {}, self._began + self._pause + LONGEST_FRESHNESS
         return True
 
     def _take_former(self, value: bytes) -> None:
         """Read a former owner's announcement; raises what its parts being of other types does."""
         document = orjson.loads(value)
+        pools = document.get("pools", {}).items()  # former versions did not store them
+        self._former_pools = {str(name): str(pool) for name, pool in pools}
         self._former = {str(name): float(age) for name, age in document["machines"].items()}
         self._former_freshness = float(document.get("freshness", LONGEST_FRESHNESS))
         clocks = document["clocks"].items()
@@ -116,11 +129,33 @@
         """Tell whether no former owner can have given an order for the machine just now."""
         if self._former is None or not self._term.is_held(now) or now < self._all_free_at:
             return False
-        age = self._former.get(machine)
+        return self.is_over(machine, now)
+
+    def is_over(self, machine: str, now: float) -> bool:
+        """Tell whether no order of a former owner for the machine can take effect any more."""
+        age = (self._former or {}).get(machine)
         if age is None:
             return True
         return age + self._since_former(now) > self._pause + self._former_freshness
 
+    def pending_of_former(self, now: float) -> dict[str, str]:
+        """Return the machines for which orders of a former owner may take effect yet.
+
+        Each with the pool that it goes to; "" if the order does not change its pool, or an earlier
+        version gave it.
+        """
+        return {
+            name: self._former_pools.get(name, "")
+            for name in self._former or {}
+            if not self.is_over(name, now)
+        }
+
+    def ordered_by_former(self, now: float) -> set[str]:
+        """Return the machines of a former owner's latest orders that may still be on their way."""
+        passed = self._since_former(now)
+        former = self._former or {}
+        return {name for name, age in former.items() if age + passed <= ARRIVAL_BOUND}
+
     def claim(self, machine: str, purpose: Purpose) -> bool:
         """Take the sole right to order a machine; False while it is claimed for something else.
 
@@ -147,18 +182,24 @@
         """Tell whether an order that was just announced may still be sent."""
         return now <= self._fresh_until
 
-    async def announce(self, machines: Iterable[str]) -> None:
-        """Store that orders for these machines are about to go out; raises TermLostError."""
+    async def announce(self, machines: Mapping[str, str]) -> None:
+        """Store that orders for these machines are about to go out; raises TermLostError.
+
+        They are given with the pool that each goes to; "" for orders that do not change it.
+        """
         now = clock.read()
         recent = {
-            name: moment for name, moment in self._lately.items() if moment > now - self._pause
+            name: moment for name, moment in self._lately.items() if moment > now - self._kept
         }
         self._lately = {**recent, **dict.fromkeys(machines, now)}
         ages = {name: now - moment for name, moment in self._lately.items()}
+        self._pools.update(machines)
+        pools = {**self._former_pools, **self._pools}
         clocks = dict(itertools.islice(self._clocks.at_most(now).items(), REFERENCE_CLOCKS))
         former = self._ages_of_former(now)
         document = {
             "machines": {**former, **ages},
+            "pools": {name: pools[name] for name in former | ages if pools.get(name)},
             "clocks": clocks,
             "freshness": max(self._freshness, self._former_freshness if former else 0.0),
         }
@@ -178,8 +219,8 @@
             log.info("orders get more time", extra={"freshness": round(wanted, 3)})
 
     def _ages_of_former(self, now: float) -> dict[str, float]:
-        """Return the former owner's machines that have to be left alone still, with their ages."""
+        """Return the former owner's machines that successors have to know of, with their ages."""
         passed = self._since_former(now)
         ages = {name: age + passed for name, age in (self._former or {}).items()}
-        bound = self._pause + self._former_freshness
+        bound = max(self._kept, self._pause + self._former_freshness)
         return {name: age for name, age in ages.items() if age <= bound}
--- a/vanillawell/state/losses.py
+++ b/vanillawell/state/losses.py
@@ -49,7 +49,7 @@
     """
     living = set(carried.values())
     found = Losses()
-    if not _is_believed(executors, living, asked):
+    if not is_believed(executors, living, asked):
         return found
     for executor in in_doubt(executors, asked):
         if executor.name in living:
@@ -59,7 +59,7 @@
     return found
 
 
-def _is_believed(executors: Iterable[Executor], living: Collection[str], asked: float) -> bool:
+def is_believed(executors: Iterable[Executor], living: Collection[str], asked: float) -> bool:
     """Tell whether a list names most of the executors that do answer.
 
     Those that have come since the list may have been made speak neither for nor against it, unless
