Take a start that was refused for a former life for one that never began

Its leases are renewed for that very run, so its task would have been away for as long as the new life and the owner lived.

Change: whoever answers 421 did nothing, so the run is given back.

--- a/vanillawell/coordination/run_orders.py
+++ b/vanillawell/coordination/run_orders.py
@@ -108,6 +108,7 @@
             await self._settle_uncertain(run, str(error))
         except WrongIncarnationError:
             self._link.note_dead(target, "another executor lives at the address")
+            self._never_began(run, "meant for a former life")
         except OrderRefusedError as error:
             if error.reason is Refused.UNHEALTHY:
                 self._link.take_back(extension)
