Let no late answer of a former life bring it back

What callers saw: nothing that is on record. An answer to a call that was sent before an executor began a new life under its id, and that comes after the new life has reported, was taken for the present life; the next refusal for it would have ended what the new life runs, which then starts elsewhere as well.

Change: an answer of an earlier life counts for nothing if its call was sent before the newer life was heard of. One to a later call is still believed, or an entry that names a life which never was would keep an executor out for good (a test of that passes before and after).

--- a/vanillawell/coordination/executor_driver.py
+++ b/vanillawell/coordination/executor_driver.py
@@ -189,6 +189,10 @@
             raise
         if not self._is_needed():
             return
+        if self._executor.is_of_former_life(report.incarnation, sent):
+            fields = {"executor": self._executor.name, "incarnation": report.incarnation}
+            log.info("report of a former life", extra=fields)
+            return
         now = clock.read()
         if not self._enter_life(report.incarnation):
             self._confirmed_end = max(self._confirmed_end, saved)
--- a/vanillawell/state/executors.py
+++ b/vanillawell/state/executors.py
@@ -147,6 +147,13 @@
         self.began_at = now
         self.known_since = now
 
+    def is_of_former_life(self, incarnation: int, sent: float) -> bool:
+        """Tell whether an answer to a call that was sent at `sent` is of a life that is over.
+
+        One that answers a later call is believed: then the entry that told of a new life was wrong.
+        """
+        return incarnation < self.facts.incarnation and sent < self.began_at
+
     def take_facts(self, facts: ExecutorFacts, now: float) -> None:
         """Take in what it says of itself.
 
--- a/vanillawell/state/ledger.py
+++ b/vanillawell/state/ledger.py
@@ -301,6 +301,8 @@
     ) -> ReportOutcome:
         """Take in what an executor reported on a call that was sent at `sent`."""
         outcome = ReportOutcome()
+        if executor.is_of_former_life(report.incarnation, sent):
+            return outcome
         if report.incarnation != executor.facts.incarnation:
             executor.facts = replace(executor.facts, incarnation=report.incarnation)
             executor.begin_life(now)
--- a/vanillawell/tests/late_refusal_tests.py
+++ b/vanillawell/tests/late_refusal_tests.py
@@ -8,7 +8,7 @@
 
 from vanillawell.coordination.executor_link import ExecutorLink
 from vanillawell.coordination.run_orders import RunOrders
-from vanillawell.protocol.executor_calls import WrongIncarnationError
+from vanillawell.protocol.executor_calls import HoldReport, WrongIncarnationError
 from vanillawell.state.work import RunPhase
 from vanillawell.tests.scheduling_builders import Bench, facts, job
 
@@ -87,3 +87,26 @@
     anyio.run(start)
     assert not bench.shard.ledger.executors["i-0"].runs
     assert run.task.run is None
+
+
+def test_a_late_answer_of_a_former_life_does_not_bring_it_back() -> None:
+    """The new life has reported when an answer of the former one arrives. Taken for the present
+    life, it would let the refusal of the next call end what the new one runs."""
+    bench = Bench(facts("i-0"))
+    sent = bench.now - 1.0
+    executor = bench.register(facts("i-0", incarnation=2))
+    bench.shard.take_report(executor, HoldReport(0.0, 2, [], []), bench.now, bench.now, bench.now)
+    bench.admit(job())
+    (run,) = bench.place()
+    bench.shard.take_report(executor, HoldReport(0.0, 1, [], []), sent, bench.now, bench.now)
+    assert executor.facts.incarnation == 2
+    assert run.task.run is run
+
+
+def test_a_report_on_a_later_call_is_believed_of_the_life() -> None:
+    """An entry that names a life which never was must not make all reports count for nothing."""
+    bench = Bench(facts("i-0"))
+    executor = bench.register(facts("i-0", incarnation=9))
+    bench.now += 1.0
+    bench.shard.take_report(executor, HoldReport(0.0, 1, [], []), bench.now, bench.now, bench.now)
+    assert executor.facts.incarnation == 1
