Let an executor that comes back on another machine take work

What callers saw: nothing that is on record; whether an executor may come back under its id on another machine is not on the users' pages. The mark of a machine that a former owner may be sending away stayed on it, and nobody let it go.

Change: the mark is set anew with each entry.

--- a/vanillawell/state/ledger.py
+++ b/vanillawell/state/ledger.py
@@ -120,6 +120,8 @@
         pool = self._withheld.get(executor.facts.machine)
         if pool is not None and executor.facts.service != pool:
             executor.withheld = True
+        elif executor.asked_from is None:
+            executor.withheld = False
 
     def _on_machine(self, machine: str) -> list[Executor]:
         return [item for item in self.executors.values() if item.facts.machine == machine]
--- a/vanillawell/tests/former_orders_tests.py
+++ b/vanillawell/tests/former_orders_tests.py
@@ -49,3 +49,14 @@
     executor.note_answer(bench.now + 0.1)
     assert executor.takes_work(bench.now)
     assert executor.asked_from is None
+
+
+def test_an_executor_that_comes_back_elsewhere_under_its_id_takes_work() -> None:
+    """It starts again on another machine while its former one is withheld. Nobody would let it go
+    with that one."""
+    bench = Bench(facts("i-1", machine="m1"))
+    ledger_of(bench).withhold({"m1": "standby"})
+    executor = bench.register(facts("i-1", machine="m2", incarnation=2))
+    ledger_of(bench).let_go("m1", bench.now)
+    executor.note_answer(bench.now + 0.1)
+    assert executor.takes_work(bench.now + 0.2)
