Let found bounds of leases not grow with each owner

What callers saw: nothing that is on record. Each owner added a tenth of a second for rounding to the bound that it had found of an executor out of touch, and stored the sum: 0.5 s more after five owners in series, near a bound of nine seconds.

Change: what is stored of an executor that has not reported is the bound found, and 0.01 s for clocks that are read in whole milliseconds.

--- a/vanillawell/coordination/lease_keeper.py
+++ b/vanillawell/coordination/lease_keeper.py
@@ -30,6 +30,10 @@
 ROUNDING = 0.1
 """Seconds added to a stored bound."""
 
+PASSED_ON = 0.01
+"""Seconds of these that a bound keeps with each owner that passes it on; clocks are read in whole
+milliseconds."""
+
 CONTACT_BOUND = 0.5
 """Seconds after loading a shard in which executors that live should have reported."""
 
@@ -147,13 +151,13 @@
             return self._pass_on()
         charged = [item for item in known if item.runs]
         silent = {
-            item.name: _bound(item, now)
+            item.name: self._bound(item, now)
             for item in charged
             if item.name in unanswered or self._is_silent(item, now)
         }
         if not last and not self._drafts and self._stored == silent.keys():
             return None
-        others = {item.name: _bound(item, now) for item in charged if item.name not in silent}
+        others = {item.name: self._bound(item, now) for item in charged if item.name not in silent}
         clocks = itertools.islice(self._clocks.at_most(now).items(), REFERENCE_CLOCKS)
         document = LeaseBounds(self._token, silent, others if last else {}, dict(clocks))
         return self._begin_write(document, last)
@@ -210,8 +214,10 @@
         }
         log.info("lease bounds written", extra=fields)
 
-
-def _bound(executor: Executor, now: float) -> ExecutorBound:
-    facts = executor.facts
-    left, known_for = max(0.0, executor.lease_over - now), now - executor.known_since
-    return ExecutorBound(left, known_for, facts.machine, facts.incarnation)
+    def _bound(self, executor: Executor, now: float) -> ExecutorBound:
+        """Return what to store of an executor; a bound that was only found grows no more by it."""
+        facts = executor.facts
+        is_found = not executor.contacted and self._former.of(executor.name) is not None
+        added = ROUNDING - PASSED_ON if is_found else 0.0
+        left, known_for = executor.lease_over - now - added, now - executor.known_since
+        return ExecutorBound(max(0.0, left), known_for, facts.machine, facts.incarnation)
--- a/vanillawell/tests/lease_keeper_tests.py
+++ b/vanillawell/tests/lease_keeper_tests.py
@@ -290,3 +290,17 @@
         assert owner.save([executor], bench.now, last=True)
         stored = owner.stored
     assert stored.silent["i-1"].left <= 4.0 + 2 * ROUNDING
+
+
+def test_bounds_do_not_grow_with_owners_that_other_executors_report_to() -> None:
+    """Each owner reads the clock of a sound executor, and writes the bound of the silent one anew.
+    The wait must not grow by what each adds for rounding."""
+    bench, stored = Bench(), bounds({"i-1": 4.0}, {"i-2@1": 50.0})
+    for _ in range(5):
+        owner = Owner(stored, {"i-2@1": 50.0})
+        silent, sound = unreached(bench, owner, "i-1"), busy_executor(bench, "i-2")
+        owner.keeper.count_time_passed([silent, sound], bench.now)
+        assert owner.save([silent, sound], bench.now, last=True)
+        left = owner.stored.silent.get("i-1") or owner.stored.handed_over["i-1"]
+        stored = LeaseBounds(2, {"i-1": left}, {}, {"i-2@1": 50.0})
+    assert 4.0 <= stored.silent["i-1"].left <= 4.0 + 2 * ROUNDING
