--- a/vanillawell/config/node_settings.py
+++ b/vanillawell/config/node_settings.py
@@ -60,6 +60,9 @@
 
     instance: str
     zone: str
+    zones: tuple[str, ...] = ()
+    """All availability zones; empty if they are not known."""
+
     caller: Address
     """Where callers connect."""
 
--- a/vanillawell/coordination/executor_link.py
+++ b/vanillawell/coordination/executor_link.py
@@ -65,6 +65,9 @@
     kill_grace: float
     """Maximum seconds that the executor takes to kill runs whose lease has expired."""
 
+    count_withdrawn_start: Callable[[], None] = lambda: None
+    """Called for each stored start that is not ordered because of an evacuation."""
+
     clock: ExecutorClock = field(default_factory=ExecutorClock)
     _clock_incarnation: int | None = None
     """Start time of the incarnation whose clock was read, in milliseconds since the epoch."""
--- a/vanillawell/coordination/policy_watch.py
+++ b/vanillawell/coordination/policy_watch.py
@@ -1,4 +1,4 @@
-"""Watch the documents that operators write: the configuration and requests for upkeep."""
+"""Watch the documents that operators write: the configuration, upkeep and evacuations."""
 
 from __future__ import annotations
 
@@ -7,9 +7,10 @@
 
 from vanillawell import clock
 from vanillawell.coordination.prefix_watch import PrefixWatch
+from vanillawell.state.evacuation import EvacuatedZones
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Collection
 
     from vanillawell.coordination.ports import PlatformKeys
     from vanillawell.protocol.store import Changes, Listing, PolledStore
@@ -28,7 +29,10 @@
 
 
 class PolicyWatch:
-    """The newest configuration and waves; the version never decreases within a process."""
+    """The newest configuration, the waves and the evacuated zones.
+
+    The version of the configuration never decreases within a process.
+    """
 
     def __init__(
         self,
@@ -36,10 +40,13 @@
         keys: PlatformKeys,
         read_policy: Callable[[bytes], WorkPolicy],
         read_wave: Callable[[bytes], Wave],
+        known_zones: Collection[str] = (),
     ) -> None:
+        """Initialise the watch; `known_zones` are all availability zones, empty if unknown."""
         self._keys = keys
         self._read_policy = read_policy
         self._read_wave = read_wave
+        self._known_zones = frozenset(known_zones)
         self._watch = PrefixWatch(
             store, keys.operators, WATCH_TIMEOUT, self._apply_listing, self._apply_changes
         )
@@ -49,6 +56,8 @@
         self.waves_first_seen: dict[int, float] = {}
         """Time of `clock.read` at which this entry first read each wave, by number."""
 
+        self.evacuated_zones = EvacuatedZones()
+
     def on_change(self, listener: Callable[[], None]) -> None:
         """Register a listener that is called after each change."""
         self._listeners.append(listener)
@@ -78,12 +87,17 @@
     def _apply_listing(self, listing: Listing) -> None:
         for item in listing.items:
             self._apply(item.key, item.value)
+        listed = {self._evacuated_zone(item.key) for item in listing.items}
+        for zone in self.evacuated_zones.names - listed:
+            self._end_evacuation(zone)
         self._notify()
 
     def _apply_changes(self, changes: Changes) -> None:
         for change in changes.changes:
             if change.value is not None:
                 self._apply(change.key, change.value)
+            else:
+                self._end_evacuation(self._evacuated_zone(change.key))
         self._notify()
 
     def _notify(self) -> None:
@@ -100,6 +114,8 @@
                     log.info("upkeep requested", extra={"wave": wave.number})
                     self.waves_first_seen[wave.number] = clock.read()
                 self.waves[wave.number] = wave
+            elif key.startswith(self._keys.evacuations):
+                self._begin_evacuation(self._evacuated_zone(key))
         except ValueError as error:
             log.error("operators' document unreadable", extra={"key": key, "reason": str(error)})
 
@@ -115,3 +131,34 @@
                 "organisations": len(policy.organisations),
             },
         )
+
+    def _evacuated_zone(self, key: str) -> str:
+        """Return the zone that a key requests to evacuate; empty if it names none."""
+        is_request = key.startswith(self._keys.evacuations)
+        return key.removeprefix(self._keys.evacuations) if is_request else ""
+
+    def _begin_evacuation(self, zone: str) -> None:
+        """Apply a request to evacuate a zone.
+
+        Raises:
+            ValueError: The key names no zone.
+        """
+        if not zone:
+            raise ValueError("the key names no zone")
+        if not self.evacuated_zones.begin(zone, clock.read()):
+            return
+        if not self._known_zones or zone in self._known_zones:
+            log.info("zone evacuated", extra={"zone": zone, **self._freshness()})
+        else:
+            log.warning("evacuated zone not known", extra={"zone": zone, **self._freshness()})
+
+    def _end_evacuation(self, zone: str) -> None:
+        known_for = self.evacuated_zones.end(zone, clock.read())
+        if known_for is not None:
+            fields = {"zone": zone, "seconds": round(known_for, 3)}
+            log.info("zone taken back", extra={**fields, **self._freshness()})
+
+    def _freshness(self) -> dict[str, object]:
+        """Return the age of what is known of the operators' documents, as fields of log lines."""
+        age = self.age(clock.read())
+        return {"age": None if age is None else round(age, 3)}
--- a/vanillawell/coordination/pool_demand.py
+++ b/vanillawell/coordination/pool_demand.py
@@ -10,7 +10,7 @@
 
 from vanillawell.protocol.machine_calls import MachineState
 from vanillawell.state.lost_executors import is_list_credible
-from vanillawell.state.placement_pass import HELD_BY_CAPACITY
+from vanillawell.state.placement_pass import HELD_FOR_CAPACITY
 from vanillawell.state.pool_sizing import PoolDemand, demanded_cores, min_long_running_machines
 from vanillawell.state.trial_placement import count_missing_machines
 from vanillawell.state.work import MILLICORES_PER_CORE, NO_RESOURCES, Resources
@@ -52,6 +52,11 @@
     ordered: Collection[str]
     """Machines for which a previous owner gave recent orders."""
 
+    def zone_of(self, machine: str) -> str:
+        """Return the availability zone of a machine; empty if unknown."""
+        listed = self.listed.get(machine)
+        return listed.zone if listed else ""
+
     def awaiting_registration(self, pool: str) -> list[str]:
         """Return the machines of a pool on which an executor is expected to register.
 
@@ -104,8 +109,9 @@
     ) -> list[PoolDemand]:
         """Return the capacity and demand of each pool except `standby`.
 
-        Unresponsive executors count for neither: when a zone was cut off during a peak, a third of
-        a pool was unusable, and callers waited for capacity that the pool only appeared to have.
+        Executors that are unresponsive or in evacuated zones count for neither: when a zone was
+        cut off during a peak, a third of a pool was unusable, and callers waited for capacity that
+        the pool only appeared to have.
         """
         steps = self._open_steps()
         members: defaultdict[str, list[Executor]] = defaultdict(list)
@@ -142,7 +148,9 @@
         arriving: int,
         now: float,
     ) -> PoolDemand:
-        own = [item for item in members if now >= item.placement_blocked_until]
+        own = [
+            item for item in members if now >= item.placement_blocked_until and not item.evacuated
+        ]
         usable = [item for item in own if not item.facts.draining and not item.cordoned]
         size = self._size(pool)
         wanted = max(
@@ -150,7 +158,7 @@
             self._shard.arrivals.required_cores(pool, now),
         )
         healthy = [item for item in usable if item.is_healthy(now)]
-        held_steps = [step for step in steps if step.held_by == HELD_BY_CAPACITY]
+        held_steps = [step for step in steps if step.held_by in HELD_FOR_CAPACITY]
         return PoolDemand(
             pool,
             len(usable) + arriving,
@@ -169,10 +177,21 @@
         )
 
     def _count_arriving(self, pool: str, snapshot: MachineSnapshot, now: float) -> int:
-        """Return the number of a pool's machines on which no executor is registered yet."""
-        count = sum(target == pool for target in snapshot.arriving.values())
+        """Return the number of a pool's machines on which no executor is registered yet.
+
+        Machines of evacuated zones do not count, since they will get no tasks.
+        """
+        evacuated_zones = self._shard.ledger.evacuated_zones
+        count = sum(
+            target == pool and snapshot.zone_of(name) not in evacuated_zones
+            for name, target in snapshot.arriving.items()
+        )
         early = now < self._term_started_at + REGISTRATION_TIMEOUT
-        expected = snapshot.awaiting_registration(pool) if early else []
+        expected = [
+            name
+            for name in (snapshot.awaiting_registration(pool) if early else ())
+            if snapshot.zone_of(name) not in evacuated_zones
+        ]
         if expected != self._unregistered.get(pool, []):
             self._unregistered[pool] = expected
             fields = {"pool": pool, "machines": len(expected), "some": expected[:MAX_LOGGED_NAMES]}
--- a/vanillawell/coordination/pool_rebalancer.py
+++ b/vanillawell/coordination/pool_rebalancer.py
@@ -177,7 +177,7 @@
         """Return the machines of the standby pool that may be moved, the best ones last.
 
         Machines of a zone in which no executor is reachable come first, since they would be
-        unusable.
+        unusable. Machines of evacuated zones stay where they are.
         """
         zones = {executor.facts.zone for executor in executors.values()}
         reachable_zones = {item.facts.zone for item in executors.values() if item.is_healthy(now)}
@@ -186,6 +186,7 @@
             for item in self._machines.values()
             if item.pool == standby
             and item.state is MachineState.UP
+            and item.zone not in self._shard.ledger.evacuated_zones
             and item.name not in executors
             and not self._orders.is_claimed(item.name)
             and self._orders.may_order(item.name, now)
--- a/vanillawell/coordination/ports.py
+++ b/vanillawell/coordination/ports.py
@@ -29,6 +29,9 @@
     waves: str
     """Prefix of requests for upkeep."""
 
+    evacuations: str
+    """Prefix of requests to evacuate an availability zone, which end when the key is removed."""
+
     executors: str
     """Prefix of the registry of executors."""
 
--- a/vanillawell/coordination/run_orders.py
+++ b/vanillawell/coordination/run_orders.py
@@ -81,6 +81,9 @@
                 await self._link.first_report.wait()
         async with self._slots:
             now = clock.read()
+            if self._link.executor.evacuated and not run.stop_requested:
+                self._withdraw(run)
+                return
             stale = now - stored_at > MAX_START_AGE and not self._link.term.is_held(now)
             if run.stop_requested or stale or not self._link.has_clock_reading:
                 self._mark_not_started(
@@ -99,6 +102,12 @@
         self._notify()
         self._link.wake_owner()
 
+    def _withdraw(self, run: Run) -> None:
+        """Close a run whose zone was evacuated after its start was decided."""
+        self._mark_not_started(run, "zone evacuated")
+        self._link.shard.stop_gang_of(run)
+        self._link.count_withdrawn_start()
+
     async def _send_start(self, run: Run, now: float) -> None:
         task, extension = run.task, self._link.extend_lease(now)
         order = StartOrder(
--- a/vanillawell/coordination/shard_owner.py
+++ b/vanillawell/coordination/shard_owner.py
@@ -278,6 +278,7 @@
     def _apply_policy(self) -> None:
         if self._policies.policy is not None:
             self._shard.apply_policy(self._policies.policy)
+        self._shard.ledger.evacuate(self._policies.evacuated_zones.names)
         self.wake()
 
     async def _run_cycles(self, tasks: TaskGroup) -> None:
@@ -346,6 +347,7 @@
             time.time,
             self._bounds.lease_most_ms / 1000,
             self._bounds.kill_grace_ms / 1000,
+            lambda: self._telemetry.starts_withdrawn.inc({}),
         )
         driver = ExecutorDriver(link, tasks)
         tasks.start_soon(driver.run)
--- a/vanillawell/node.py
+++ b/vanillawell/node.py
@@ -22,6 +22,7 @@
 if TYPE_CHECKING:
     from vanillawell.config.node_settings import NodeSettings
     from vanillawell.coordination.ports import Ports
+    from vanillawell.state.shard import Shard
 
 log = logging.getLogger(__name__)
 
@@ -64,7 +65,11 @@
         self._keys = WorkKeys()
         self.telemetry = SchedulerTelemetry()
         self._policies = PolicyWatch(
-            ports.store, ports.documents.keys, ports.documents.policy, ports.documents.wave
+            ports.store,
+            ports.documents.keys,
+            ports.documents.policy,
+            ports.documents.wave,
+            settings.zones,
         )
         bounds = settings.bounds
         revoke_bound = bounds.revoke_ms / 1000 if bounds.strict_revoke else None
@@ -88,12 +93,20 @@
         policy = self._policies.policy
         self.telemetry.policy_version.set({}, policy.version if policy else 0)
         self.telemetry.log_lines_dropped.set({}, logs.lines_dropped())
+        self.telemetry.evacuated_zones.set({}, len(self._policies.evacuated_zones.names))
+        shard = self.owned_shard
+        self.telemetry.evacuated_executors.set({}, shard.ledger.count_evacuated() if shard else 0)
 
     @property
     def owns(self) -> bool:
         """Return whether this entry owns the shard, as far as known."""
         return self._owner is not None and self._owner.loaded
 
+    @property
+    def owned_shard(self) -> Shard | None:
+        """Return the scheduling state of the shard; None if this entry does not own it."""
+        return self._owner.shard if self._owner else None
+
     @property
     def term(self) -> Term | None:
         """Return the term in which this entry owns the shard; None if it does not."""
--- a/vanillawell/platform/documents.py
+++ b/vanillawell/platform/documents.py
@@ -29,6 +29,7 @@
     configuration="op/config",
     operators="op/",
     waves="op/wave/",
+    evacuations="op/evacuate/",
     executors="servers/",
     wave_states="status/wave/",
 )
--- a/vanillawell/scheduler_telemetry.py
+++ b/vanillawell/scheduler_telemetry.py
@@ -33,6 +33,21 @@
             "Version of the configuration in force here.",
             registry=self.registry,
         )
+        self.evacuated_zones = Gauge(
+            "vanillawell_evacuated_zones",
+            "Availability zones that this entry knows to be evacuated.",
+            registry=self.registry,
+        )
+        self.evacuated_executors = Gauge(
+            "vanillawell_evacuated_executors",
+            "Executors that get no new tasks because their zone is evacuated; 0 if not the owner.",
+            registry=self.registry,
+        )
+        self.starts_withdrawn = Counter(
+            "vanillawell_starts_withdrawn_total",
+            "Stored starts that were not ordered because their zone was evacuated meanwhile.",
+            registry=self.registry,
+        )
         self.log_lines_dropped = Gauge(
             "vanillawell_log_lines_dropped",
             "Log lines dropped so far, since nobody read them or there were too many of a kind.",
--- a/vanillawell/standins/scheduler/executor.py
+++ b/vanillawell/standins/scheduler/executor.py
@@ -103,6 +103,9 @@
         self.born = born
         self.faults = OrderFaults()
         self.hold_calls = 0
+        self.start_count = 0
+        """Number of runs that this incarnation has started."""
+
         self._audit = audit
         self._executors = executors
         self._started_at = time.monotonic()
@@ -213,6 +216,7 @@
             started_at=started_at,
             saves_progress=spec.get("saves", False),
         )
+        self.start_count += 1
         self._audit.started[task] += 1
         self._audit.resumed_from[task] = checkpoint
         if sum(run.cpu for run in self._active_runs.values()) > self.cpu:
--- a/vanillawell/state/executors.py
+++ b/vanillawell/state/executors.py
@@ -98,6 +98,9 @@
     cordoned: bool = False
     """Whether planned maintenance keeps new tasks off its machine."""
 
+    evacuated: bool = False
+    """Whether operators have evacuated its availability zone, so that no new task may start."""
+
     withheld: bool = False
     """Whether a previous owner's order for its machine may still end it, or may have ended it."""
 
@@ -192,6 +195,7 @@
             and self.contacted
             and not self.facts.draining
             and not self.cordoned
+            and not self.evacuated
             and self.unresponsive_since is None
             and now >= self.placement_blocked_until
         )
--- a/vanillawell/state/ledger.py
+++ b/vanillawell/state/ledger.py
@@ -26,6 +26,7 @@
     by_service,
     may_quarantine,
 )
+from vanillawell.state.placement_restrictions import PlacementRestrictions
 from vanillawell.state.work import NO_RESOURCES, Ending, Resources, Run, RunPhase, Task, TaskId
 
 if TYPE_CHECKING:
@@ -84,51 +85,39 @@
         """Latest terminated incarnation of each executor whose registration may still exist."""
 
         self._usage: defaultdict[str, Resources] = defaultdict(Resources)
-        self._cordoned: set[str] = set()
-        """Machines on which no task may start, whichever executor runs there."""
-
-        self._withheld: dict[str, str] = {}
-        """Machines that an order of a previous owner may still take away, each with the pool that
-        it moves to; empty if it stays in its pool."""
+        self._restrictions = PlacementRestrictions()
 
     def cordon_machine(self, machine: str) -> None:
         """Keep new tasks off a machine, including executors that have yet to register there."""
-        self._cordoned.add(machine)
-        for executor in self._on_machine(machine):
-            executor.cordoned = True
+        self._restrictions.cordon(machine, self.executors.values())
 
     def uncordon_machine(self, machine: str) -> None:
         """Allow new tasks on a machine again."""
-        self._cordoned.discard(machine)
-        for executor in self._on_machine(machine):
-            executor.cordoned = False
+        self._restrictions.uncordon(machine, self.executors.values())
 
     def withhold(self, machines: Mapping[str, str]) -> None:
         """Keep new tasks off machines that a previous owner's orders may still take away.
 
-        `machines` maps each machine to the pool that it moves to, or to "" for other orders. An
-        executor that is already in that pool arrived through the order, which cannot end it.
+        `machines` maps each machine to the pool that it moves to, or to "" for other orders.
         """
-        self._withheld.update(machines)
-        for executor in self.executors.values():
-            self._withhold_if_ordered(executor)
+        self._restrictions.withhold(machines, self.executors.values())
 
     def release_machine(self, machine: str, now: float) -> None:
         """Allow new tasks on a withheld machine once its executor has answered a later call."""
-        self._withheld.pop(machine, None)
-        for executor in self._on_machine(machine):
-            if executor.withheld:
-                executor.order_void_since = now
+        self._restrictions.release(machine, self.executors.values(), now)
+
+    def evacuate(self, zones: frozenset[str]) -> None:
+        """Keep new tasks off the executors of `zones`, including those that register later."""
+        self._restrictions.evacuate(zones, self.executors.values())
 
-    def _withhold_if_ordered(self, executor: Executor) -> None:
-        pool = self._withheld.get(executor.facts.machine)
-        if pool is not None and executor.facts.service != pool:
-            executor.withheld = True
-        elif executor.order_void_since is None:
-            executor.withheld = False
+    @property
+    def evacuated_zones(self) -> frozenset[str]:
+        """Return the zones whose executors get no new tasks."""
+        return self._restrictions.evacuated_zones
 
-    def _on_machine(self, machine: str) -> list[Executor]:
-        return [item for item in self.executors.values() if item.facts.machine == machine]
+    def count_evacuated(self) -> int:
+        """Return the number of registered executors in evacuated zones."""
+        return sum(item.registered and item.evacuated for item in self.executors.values())
 
     def usage(self, organisation: str) -> Resources:
         """Return the resources of all runs charged to an organisation."""
@@ -167,12 +156,11 @@
         tracked = self.executors.get(facts.executor)
         if tracked is not None:
             self._update(tracked, facts, now)
-            self._withhold_if_ordered(tracked)
+            self._restrictions.apply(tracked, is_new=False)
             return []
         executor = Executor(facts, now, registered=False)
         executor.update_facts(facts, now)
-        executor.cordoned = facts.machine in self._cordoned
-        self._withhold_if_ordered(executor)
+        self._restrictions.apply(executor, is_new=True)
         self.executors[facts.executor] = executor
         if not facts.machine:
             return []
--- a/vanillawell/state/placement_pass.py
+++ b/vanillawell/state/placement_pass.py
@@ -20,6 +20,12 @@
 HELD_BY_CAPACITY = "room"
 """Value of `held_by` for a step whose tasks find no executor with free capacity."""
 
+HELD_BY_EVACUATION = "room outside evacuated zones"
+"""The same, while some executors of the pool are in evacuated zones."""
+
+HELD_FOR_CAPACITY = frozenset({HELD_BY_CAPACITY, HELD_BY_EVACUATION})
+"""Values of `held_by` of steps that more machines would help."""
+
 
 class PlacementPass:
     """One pass over all steps that may start."""
@@ -32,13 +38,23 @@
         self._reserved: set[str] = set()
         """Executors that are kept free for long-running tasks."""
         self._pools: dict[str, list[Executor]] = {}
+        """Executors that accept tasks, by service."""
+
+        self._evacuated_pools: set[str] = set()
+        """Services with executors in evacuated zones."""
 
     def _pool(self, service: str) -> list[Executor]:
         if service not in self._pools:
             pool = by_service(self._shard.ledger.executors.values(), service)
             self._pools[service] = [item for item in pool if item.accepts_tasks(self._now)]
+            if any(item.evacuated for item in pool):
+                self._evacuated_pools.add(service)
         return self._pools[service]
 
+    def _lack_of_capacity(self, service: str) -> str:
+        """Return the value of `held_by` for a step that finds no capacity in a pool."""
+        return HELD_BY_EVACUATION if service in self._evacuated_pools else HELD_BY_CAPACITY
+
     def place(self, step: StepProgress) -> None:
         """Place the waiting tasks of a step as far as there is free capacity."""
         job = step.record.job
@@ -47,7 +63,7 @@
             self._set_held_by(step, "no queue")
             return
         if self._failed_placements.rules_out(queue.service, step.spec.reserved):
-            self._set_held_by(step, HELD_BY_CAPACITY)
+            self._set_held_by(step, self._lack_of_capacity(queue.service))
             return
         tickets = None
         if queue.advice:
@@ -139,7 +155,7 @@
         if not self._is_within_limit(step.waiting[0]):
             self._set_held_by(step, "maximum of the organisation")
             return
-        self._set_held_by(step, HELD_BY_CAPACITY)
+        self._set_held_by(step, self._lack_of_capacity(queue.service))
         if spec.long_running:
             least_utilised = placer.least_utilised()
             if least_utilised:
--- a/vanillawell/state/shard.py
+++ b/vanillawell/state/shard.py
@@ -312,6 +312,15 @@
         if self.ledger.close(run):
             self._apply_end(EndedRun(run, Ending.LOST), now, wall)
 
+    def stop_gang_of(self, run: Run) -> None:
+        """Stop the other members of a gang that one member does not join, so that they start
+        together elsewhere instead of waiting for it."""
+        step = run.task.step
+        if not step.spec.gang:
+            return
+        for member in (task.run for task in step.tasks if task.run is not None):
+            self.request_stop(member)
+
     def place(self, now: float, wall: float) -> None:
         """Decide which waiting tasks start now, and on which executors."""
         if self._policy is None:
--- a/vanillawell/tests/scheduler_cluster.py
+++ b/vanillawell/tests/scheduler_cluster.py
@@ -143,6 +143,7 @@
     address: str
     machine: str
     rack: str
+    zone: str = "a"
 
     async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
         await self.executor(scope, receive, send)
@@ -230,11 +231,12 @@
         rack: str = "r1",
         machine: str = "",
         born: int = 1_000,
+        zone: str = "a",
     ) -> Host:
         """Start and register an executor, on a machine of its own unless `machine` is given."""
         executor = StandInExecutor(name, self.audit, self.executors, cpu, born)
         self.executors.append(executor)
-        host = Host(executor, "", machine or f"machine-of-{name}", rack)
+        host = Host(executor, "", machine or f"machine-of-{name}", rack, zone)
         host.address = listen(self.tasks, host)
         self.hosts[name] = host
         self.tasks.start_soon(executor.tick)
@@ -248,7 +250,7 @@
         document = {
             "service": POOL,
             "address": host.address,
-            "zone": "a",
+            "zone": host.zone,
             "version": "v1",
             "slots": 8,
             "state": "ready",
@@ -264,6 +266,14 @@
         """Register an executor as draining, to leave after `seconds` at the earliest."""
         self.register(name, state="draining", remainingMs=seconds * 1000)
 
+    def evacuate(self, zone: str) -> None:
+        """Request that nothing more starts in a zone, as an operator."""
+        self.store.put_document(f"op/evacuate/{zone}", {})
+
+    def take_back(self, zone: str) -> None:
+        """End the evacuation of a zone, as an operator."""
+        self.store.delete(f"op/evacuate/{zone}")
+
     def leave(self, name: str) -> None:
         """Terminate an executor: all its runs end, and it no longer answers."""
         self.hosts[name].executor.leave()
--- a/vanillawell/tests/scheduling_builders.py
+++ b/vanillawell/tests/scheduling_builders.py
@@ -105,14 +105,28 @@
         for item in jobs:
             self.shard.admit(item, self.now)
 
-    def place(self) -> list[Run]:
-        """Run one scheduling cycle and start all planned runs."""
+    def plan(self) -> list[Run]:
+        """Run one scheduling cycle and return the runs that it planned."""
         self.shard.place(self.now, self.now)
         runs, self.shard.outbox.planned = self.shard.outbox.planned, []
-        for run in runs:
+        return runs
+
+    def order(self, planned: list[Run]) -> list[Run]:
+        """Start planned runs and return them, without those that are withdrawn instead."""
+        started = []
+        for run in planned:
+            if self.shard.ledger.executors[run.executor].evacuated or run.stop_requested:
+                self.shard.mark_not_started(run, self.now, self.now)
+                self.shard.stop_gang_of(run)
+                continue
             run.enter_phase(RunPhase.RUNNING, self.now)
             run.started = self.now
-        return runs
+            started.append(run)
+        return started
+
+    def place(self) -> list[Run]:
+        """Run one scheduling cycle and start all planned runs."""
+        return self.order(self.plan())
 
     def end(self, run: Run, ending: Ending = Ending.DONE) -> None:
         """Let an executor report the end of a run."""
--- a/vanillawell/tests/shard_invariants_tests.py
+++ b/vanillawell/tests/shard_invariants_tests.py
@@ -1,7 +1,8 @@
 """Apply random events to a shard and check its invariants after each of them.
 
 Jobs are admitted and cancelled; runs end in every way; executors crash, restart under their id,
-become unresponsive until their lease expires, and return; orders stay unanswered.
+become unresponsive until their lease expires, and return; orders stay unanswered; availability
+zones are evacuated and taken back, also between a decision and its order.
 """
 
 from __future__ import annotations
@@ -14,6 +15,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
 
 from vanillawell.protocol.executor_calls import HoldReport, ReportedRun
+from vanillawell.state.executors import ExecutorFacts
 from vanillawell.state.work import NO_RESOURCES, Ending, JobState, Resources, Run, RunPhase, Step
 from vanillawell.state.work_policy import OrganisationLimits
 from vanillawell.tests.scheduling_builders import ShardHarness, facts, job
@@ -25,6 +27,11 @@
 LEASE_DURATION = 5.0
 """Seconds for which executors continue their runs without a renewal."""
 
+ZONES = {"i-0": "a", "i-1": "b", "i-2": "b"}
+"""Availability zone of each executor."""
+
+EVACUATIONS = st.sets(st.sampled_from(("a", "b"))).map(frozenset)
+
 STEPS = st.lists(
     st.builds(
         Step,
@@ -56,12 +63,10 @@
             "north": OrganisationLimits("north", 1, Resources(ORGANISATION_MAXIMUM_CPU)),
             "south": OrganisationLimits("south", 1, NO_RESOURCES),
         }
-        names = ("i-0", "i-1", "i-2")
-        self.harness = ShardHarness(
-            *(facts(name, EXECUTOR_CPU) for name in names), organisations=limits
-        )
+        self.incarnations = Counter(dict.fromkeys(ZONES, 1))
+        self.harness = ShardHarness(*map(self._facts, ZONES), organisations=limits)
         self.shard = self.harness.shard
-        self.incarnations = Counter(dict.fromkeys(names, 1))
+        self.evacuated: frozenset[str] = frozenset()
         self.starts: list[Run] = []
         self.done: set[object] = set()
         self.unconfirmed: set[Run] = set()
@@ -78,6 +83,10 @@
         ]
         self.harness.admit(job(*linked, organisation=organisation))
 
+    def _facts(self, name: str) -> ExecutorFacts:
+        incarnation = self.incarnations[name]
+        return facts(name, EXECUTOR_CPU, incarnation=incarnation, zone=ZONES[name])
+
     @rule(seconds=st.floats(0.01, 3.0))
     def place(self, seconds: float) -> None:
         self.harness.now += seconds
@@ -88,6 +97,25 @@
             self.starts.append(run)
         assert not self._runs(RunPhase.PLANNED)
 
+    @rule(zones=EVACUATIONS)
+    def evacuate(self, zones: frozenset[str]) -> None:
+        """Evacuate these zones and take all others back."""
+        self.evacuated = zones
+        self.shard.ledger.evacuate(zones)
+
+    @rule(zones=EVACUATIONS)
+    def evacuate_before_orders(self, zones: frozenset[str]) -> None:
+        """Evacuate zones after starts were decided and before they are ordered."""
+        planned = self.harness.plan()
+        self.evacuate(zones)
+        for run in self.harness.order(planned):
+            self._check_zone(run)
+            self.starts.append(run)
+        assert not self._runs(RunPhase.PLANNED)
+
+    def _check_zone(self, run: Run) -> None:
+        assert ZONES[run.executor] not in self.evacuated
+
     def _check_start(self, run: Run) -> None:
         task, step = run.task, run.task.step
         record = step.record
@@ -101,6 +129,7 @@
             assert task.failures < ATTEMPTS
         executor = self.shard.ledger.executors[run.executor]
         assert executor.registered and not executor.facts.draining
+        self._check_zone(run)
         if step.spec.gang:
             assert all(other.run and other.run.number == run.number for other in step.tasks)
 
@@ -152,9 +181,7 @@
         """Crash an executor; its next incarnation reports no runs."""
         self.incarnations[name] += 1
         self._discard_unconfirmed(name)
-        executor = self.harness.register(
-            facts(name, EXECUTOR_CPU, incarnation=self.incarnations[name])
-        )
+        executor = self.harness.register(self._facts(name))
         now = self.harness.now = self.harness.now + 0.1
         self.shard.apply_report(
             executor, HoldReport(0.0, self.incarnations[name], [], []), now + 0.01, now + 0.02, now
@@ -210,7 +237,7 @@
 
     @rule(name=st.sampled_from(("i-0", "i-1", "i-2")))
     def register_again(self, name: str) -> None:
-        self.harness.register(facts(name, EXECUTOR_CPU, incarnation=self.incarnations[name]))
+        self.harness.register(self._facts(name))
 
     @precondition(lambda self: self.shard.job_table.jobs)
     @rule(data=st.data())
