--- a/vanillawell/tests/evacuation_tests.py
+++ b/vanillawell/tests/evacuation_tests.py
@@ -60,11 +60,11 @@
     return job_id
 
 
-async def _add_zone(built: Cluster, zone: str, executors: int = 2, **facts: object) -> None:
-    """Add executors of another zone and wait until tasks can be placed on them."""
-    names = [f"{zone}-{number}" for number in range(executors)]
+async def _add_zone(built: Cluster, zone: str, cpu: int = 8_000) -> None:
+    """Add two executors of another zone and wait until tasks can be placed on them."""
+    names = [f"{zone}-{number}" for number in range(2)]
     for name in names:
-        await built.add_executor(name, zone=zone, **facts)
+        await built.add_executor(name, cpu, zone=zone)
     await until(lambda: all(built.hosts[name].executor.hold_calls for name in names))
 
 
@@ -103,7 +103,9 @@
     await anyio.sleep(IN_FORCE_BOUND)
     job_id = await _submit(built, step(2))
     await anyio.sleep(0.5)
-    record = (await built.owner()).node.owned_shard.job_table.jobs[job_id]
+    shard = (await built.owner()).node.owned_shard
+    assert shard is not None
+    record = shard.job_table.jobs[job_id]
     assert [item.held_by for item in record.occurrences[0]] == ["room outside evacuated zones"]
     assert not built.audit.started
     built.take_back("a")
