--- a/vanillawell/cli.py
+++ b/vanillawell/cli.py
@@ -20,6 +20,7 @@
 maintenance_app = typer.Typer(no_args_is_help=True, help="Run maintenance waves.")
 pool_app = typer.Typer(no_args_is_help=True, help="Move instances between pools.")
 job_app = typer.Typer(no_args_is_help=True, help="Submit and list deferrable jobs.")
+zone_app = typer.Typer(no_args_is_help=True, help="Evacuate availability zones.")
 report_app = typer.Typer(no_args_is_help=True, help="Report on service levels.")
 settings_app = typer.Typer(no_args_is_help=True, help="Check daemon settings.")
 app.add_typer(config_app, name="config")
@@ -28,6 +29,7 @@
 app.add_typer(maintenance_app, name="maintenance")
 app.add_typer(pool_app, name="pool")
 app.add_typer(job_app, name="job")
+app.add_typer(zone_app, name="zone")
 app.add_typer(report_app, name="report")
 app.add_typer(settings_app, name="settings")
 
@@ -343,6 +345,52 @@
     show(context.obj)
 
 
+@zone_app.command("evacuate")
+def zone_evacuate(
+    context: typer.Context,
+    zone: str,
+    reason: Annotated[str, typer.Option(help="Why, kept with the evacuation.")] = "",
+    wait: WaitOption = False,
+    dry_run: DryRunOption = False,
+) -> None:
+    """Send nothing more to a zone's instances. Example: zone evacuate riga-a --reason cooling."""
+    from vanillawell.commands.config import PushOptions
+    from vanillawell.commands.zones import evacuate
+
+    evacuate(context.obj, zone, PushOptions(note=reason, wait=wait, dry_run=dry_run))
+
+
+@zone_app.command("take-back")
+def zone_take_back(
+    context: typer.Context,
+    zone: str,
+    reason: NoteOption = "",
+    wait: WaitOption = False,
+    dry_run: DryRunOption = False,
+) -> None:
+    """End the evacuation of a zone."""
+    from vanillawell.commands.config import PushOptions
+    from vanillawell.commands.zones import take_back
+
+    take_back(context.obj, zone, PushOptions(note=reason, wait=wait, dry_run=dry_run))
+
+
+@zone_app.command("list")
+def zone_list(context: typer.Context) -> None:
+    """Show evacuated zones: who, why, since when, and the requests that still run there."""
+    from vanillawell.commands.zones import show
+
+    show(context.obj)
+
+
+@zone_app.command("wait")
+def zone_wait(context: typer.Context, zone: str, within: WaitBoundOption = 30.0) -> None:
+    """Wait until nothing runs in an evacuated zone."""
+    from vanillawell.commands.zones import wait_until_idle
+
+    wait_until_idle(context.obj, zone, within)
+
+
 @pool_app.command("add")
 def pool_add(
     context: typer.Context,
--- a/vanillawell/commands/context.py
+++ b/vanillawell/commands/context.py
@@ -86,6 +86,11 @@
         async with RetryingStore(self.store_settings()) as store:
             yield store
 
+    @property
+    def author(self) -> str:
+        """Return the author of changes: the store's user, or else the system's."""
+        return self.user or getpass.getuser()
+
     def editor(self, store: RetryingStore) -> ConfigurationEditor:
-        """Return an editor that records the store's user, or else the system's, as the author."""
-        return ConfigurationEditor(store, self.keys, self.user or getpass.getuser())
+        """Return an editor of the configuration."""
+        return ConfigurationEditor(store, self.keys, self.author)
--- a/vanillawell/commands/status.py
+++ b/vanillawell/commands/status.py
@@ -23,13 +23,25 @@
     anyio.run(_show_status, context)
 
 
-async def _show_status(context: CommandContext) -> None:
+async def fetch_statuses(context: CommandContext) -> dict[str, dict[str, Any]]:
+    """Return the status of each entry that answers, by the entry's name."""
     async with context.connect() as store:
         entries = await list_entries(store, context.keys)
+    return await _fetch_all(context.access, entries)
+
+
+async def _fetch_all(access: AdminAccess, entries: list[Presence]) -> dict[str, dict[str, Any]]:
     statuses: dict[str, dict[str, Any]] = {}
     async with anyio.create_task_group() as tasks:
         for entry in entries:
-            tasks.start_soon(_fetch_status, context.access, entry, statuses)
+            tasks.start_soon(_fetch_status, access, entry, statuses)
+    return statuses
+
+
+async def _show_status(context: CommandContext) -> None:
+    async with context.connect() as store:
+        entries = await list_entries(store, context.keys)
+    statuses = await _fetch_all(context.access, entries)
     if context.output is OutputFormat.JSON:
         print_document(statuses)
         return
@@ -58,6 +70,7 @@
         "version": status.get("version", "-"),
         "configuration_age": round(status.get("fresh_age", -1.0), 1),
         "unfinished": status.get("unfinished", "-"),
+        "evacuated_zones": sorted(status.get("evacuated_zones", ())),
     }
 
 
--- a/vanillawell/config/tree.py
+++ b/vanillawell/config/tree.py
@@ -147,6 +147,19 @@
     """Instances of a pool by name."""
 
 
+class Evacuation(StrictModel):
+    """An availability zone that was taken out of use."""
+
+    author: str
+    """User who requested it."""
+
+    since: float
+    """When it was requested, in seconds since the epoch."""
+
+    reason: str = ""
+    """Why it was requested."""
+
+
 class OperatorTree(StrictModel):
     """The operators' whole configuration."""
 
@@ -156,6 +169,15 @@
     nodes: dict[Name, Node]
     """All nodes by name."""
 
+    evacuations: dict[Name, Evacuation] = {}
+    """Availability zones whose instances get no new requests, by name."""
+
+    def zones(self) -> set[str]:
+        """Return the availability zones of all instances."""
+        return {
+            instance.zone for node in self.nodes.values() for instance in node.instances.values()
+        }
+
     def ancestry(self, name: str) -> list[str]:
         """Return a node and its ancestors, nearest first, up to a cycle or a missing parent."""
         names: list[str] = []
--- a/vanillawell/config/validation.py
+++ b/vanillawell/config/validation.py
@@ -47,6 +47,7 @@
         *_check_budgets(tree),
         *_check_services(tree),
         *_check_keys(tree),
+        *_check_evacuations(tree),
     )
     return Findings(errors, tuple(_find_warnings(tree)))
 
@@ -120,6 +121,11 @@
             yield Finding("nodes", f"{count} keys share the hash {digest[:12]}…")
 
 
+def _check_evacuations(tree: OperatorTree) -> Iterator[Finding]:
+    for zone in sorted(tree.evacuations.keys() - tree.zones()):
+        yield Finding(f"evacuations.{zone}", "no instance stands in this availability zone")
+
+
 def _find_warnings(tree: OperatorTree) -> Iterator[Finding]:
     for name, node in tree.of_kind("organisation").items():
         if not any(not key.withdrawn for key in node.keys.values()):
@@ -128,3 +134,5 @@
             yield Finding(
                 f"nodes.{name}.settings.limit", "is 0, so nothing of the organisation runs"
             )
+    if tree.evacuations and tree.evacuations.keys() >= tree.zones():
+        yield Finding("evacuations", "all availability zones are evacuated, so nothing runs")
--- a/vanillawell/coordination/configuration.py
+++ b/vanillawell/coordination/configuration.py
@@ -58,4 +58,7 @@
         self._tree = configuration.tree
         self._telemetry.configuration_version.set({}, configuration.version)
         self._telemetry.log_state("configuration", f"version {configuration.version}")
+        evacuated = sorted(self._policy.evacuated_zones)
+        self._telemetry.evacuated_zones.set({}, len(evacuated))
+        self._telemetry.log_state("evacuated zones", ", ".join(evacuated) or "none")
         return True
--- a/vanillawell/coordination/dispatch.py
+++ b/vanillawell/coordination/dispatch.py
@@ -109,6 +109,10 @@
         running = sum(pool.running() for pool in self._pools.values())
         return running + sum(len(pool.queue) for pool in self._pools.values())
 
+    def running_in_zone(self, zone: str) -> int:
+        """Return the number of attempts in progress at the executors of a zone."""
+        return sum(pool.running_in_zone(zone) for pool in self._pools.values())
+
     def configure(self, policy: Policy, entries: tuple[str, ...]) -> None:
         """Apply a configuration and the list of the fleet's entries."""
         self._policy = policy
--- a/vanillawell/coordination/planner.py
+++ b/vanillawell/coordination/planner.py
@@ -173,7 +173,11 @@
         """Return how many borrowed instances each pool needs for its demand."""
         now = clock.read()
         demand = self._demand()
-        own = Counter(home.pool for name, home in view.homes.items() if name in view.live)
+        own = Counter(
+            home.pool
+            for name, home in view.homes.items()
+            if name in view.live and not view.is_evacuated(name)
+        )
         return {
             name: self._lending.need(
                 name, Lending(pool.lending), demand.get(name, 0), own[name], pool.slots, now
@@ -296,4 +300,5 @@
         spare_pools=frozenset(name for name, pool in policy.pools.items() if not pool.service),
         live=instance_list.live,
         assignment=assignment,
+        evacuated_zones=policy.evacuated_zones,
     )
--- a/vanillawell/coordination/pool_runtime.py
+++ b/vanillawell/coordination/pool_runtime.py
@@ -91,8 +91,16 @@
 
     def running_at(self, executor: str) -> int:
         """Return the number of attempts in progress at one executor."""
-        links = (*self.links.values(), *self.retired)
-        return sum(len(link.attempts) for link in links if link.executor.name == executor)
+        return sum(len(link.attempts) for link in self._all_links if link.executor.name == executor)
+
+    def running_in_zone(self, zone: str) -> int:
+        """Return the number of attempts in progress at the executors of a zone."""
+        return sum(len(link.attempts) for link in self._all_links if link.executor.zone == zone)
+
+    @property
+    def _all_links(self) -> tuple[BackendLink, ...]:
+        """Return all links, including removed ones whose attempts are still in progress."""
+        return (*self.links.values(), *self.retired)
 
     def adjust_slots_used(self, organisation: str, delta: int, now: float) -> None:
         """Add `delta` to the slots that an organisation uses; a negative value frees slots."""
--- a/vanillawell/state/policy.py
+++ b/vanillawell/state/policy.py
@@ -83,6 +83,9 @@
     keys: dict[str, KeyOwner]
     """Valid keys by their hash."""
 
+    evacuated_zones: frozenset[str] = frozenset()
+    """Availability zones whose instances get no new requests."""
+
     @cached_property
     def services(self) -> dict[str, PoolPolicy]:
         """Return the pool that runs each service."""
@@ -98,10 +101,17 @@
 
 
 def place_executors(policy: Policy, assignment: Assignment) -> Policy:
-    """Return the policy with each instance in the pool that it serves now."""
+    """Return the policy with each instance in the pool that it serves now.
+
+    Instances in evacuated zones are in no pool, so they count for no slots and get no requests.
+    """
     executors = {item.name: item for pool in policy.pools.values() for item in pool.executors}
     homes = {item.name: pool.name for pool in policy.pools.values() for item in pool.executors}
-    serving = current_pools(homes, assignment)
+    serving = {
+        name: pool
+        for name, pool in current_pools(homes, assignment).items()
+        if executors[name].zone not in policy.evacuated_zones
+    }
     pools = {
         name: replace(
             pool, executors=tuple(executors[key] for key in sorted(serving) if serving[key] == name)
@@ -126,7 +136,7 @@
         for key_id, key in node.keys.items()
         if not key.withdrawn
     }
-    return Policy(version, organisations, pools, keys)
+    return Policy(version, organisations, pools, keys, frozenset(tree.evacuations))
 
 
 def _organisation(
--- a/vanillawell/state/pool_steps.py
+++ b/vanillawell/state/pool_steps.py
@@ -35,9 +35,11 @@
 def _next_step(view: FleetView, pool: str, now: float) -> Step | None:
     if pool in view.spare_pools or view.moving(pool):
         return None
+    candidate = _next_in_wave(view, pool)
+    if candidate is not None and view.is_evacuated(candidate):
+        return Step(candidate, Placement(pool, Phase.LEAVING, "", now), "maintenance")
     if view.margin_without(pool) < 0 and len(view.members(pool)) < view.size(pool):
         return _lend(view, pool, now, "replaces a lost instance")
-    candidate = _next_in_wave(view, pool)
     if candidate is None:
         return _return_lent(view, pool, now)
     if view.margin_without(pool, candidate) >= 0:
@@ -46,15 +48,21 @@
 
 
 def _next_in_wave(view: FleetView, pool: str) -> str | None:
-    """Return the next instance of the wave in a pool; racks are handled one after another."""
+    """Return the next instance of the wave in a pool; racks are handled one after another.
+
+    Instances in evacuated zones come first: the pool does without them already.
+    """
     waiting = (
         name
-        for name in view.members(pool)
+        for name in view.assigned(pool)
         if view.awaits_maintenance(name) and view.homes[name].pool == pool
     )
-    return min(
-        waiting, key=lambda name: (view.homes[name].zone, view.homes[name].rack, name), default=None
-    )
+    return min(waiting, key=lambda name: _wave_order(view, name), default=None)
+
+
+def _wave_order(view: FleetView, instance: str) -> tuple[bool, str, str, str]:
+    home = view.homes[instance]
+    return (not view.is_evacuated(instance), home.zone, home.rack, instance)
 
 
 def _lend(view: FleetView, pool: str, now: float, reason: str) -> Step | None:
--- a/vanillawell/state/pools.py
+++ b/vanillawell/state/pools.py
@@ -165,12 +165,15 @@
     needs: Mapping[str, PoolNeed] = field(default_factory=dict)
     """Instances that pools need beyond their own to serve their demand."""
 
+    evacuated_zones: frozenset[str] = frozenset()
+    """Availability zones whose instances get no new requests."""
+
     def need(self, pool: str) -> PoolNeed:
         """Return the instances that a pool needs beyond its own."""
         return self.needs.get(pool, NO_NEED)
 
     @cached_property
-    def _members(self) -> Mapping[str, tuple[str, ...]]:
+    def _serving(self) -> Mapping[str, tuple[str, ...]]:
         found: dict[str, list[str]] = defaultdict(list)
         for name in self.homes:
             placement = self.placement(name)
@@ -178,6 +181,13 @@
                 found[placement.pool].append(name)
         return {pool: tuple(names) for pool, names in found.items()}
 
+    @cached_property
+    def _members(self) -> Mapping[str, tuple[str, ...]]:
+        return {
+            pool: tuple(name for name in names if not self.is_evacuated(name))
+            for pool, names in self._serving.items()
+        }
+
     @cached_property
     def _sizes(self) -> Counter[str]:
         return Counter(home.pool for home in self.homes.values())
@@ -220,10 +230,18 @@
         """Return the placement of an instance; its home pool if nothing else is stored."""
         return self.assignment.placements.get(instance, Placement(self.homes[instance].pool))
 
+    def is_evacuated(self, instance: str) -> bool:
+        """Return whether an instance gets no new requests because its zone is evacuated."""
+        return self.homes[instance].zone in self.evacuated_zones
+
     def members(self, pool: str) -> tuple[str, ...]:
-        """Return the live instances that serve in a pool."""
+        """Return the live instances that serve in a pool, without those in evacuated zones."""
         return self._members.get(pool, ())
 
+    def assigned(self, pool: str) -> tuple[str, ...]:
+        """Return the live instances that serve in a pool, including those in evacuated zones."""
+        return self._serving.get(pool, ())
+
     def margin_without(self, pool: str, instance: str = "") -> int:
         """Return the margin of a pool above its budget if an instance leaves and a rack fails.
 
--- a/vanillawell/telemetry.py
+++ b/vanillawell/telemetry.py
@@ -58,6 +58,10 @@
         self.configuration_version = self._gauge(
             "vanillawell_configuration_version", "Configuration version in force here."
         )
+        self.evacuated_zones = self._gauge(
+            "vanillawell_evacuated_zones",
+            "Availability zones whose instances get no new requests from this entry.",
+        )
         self.configuration_age = self._gauge(
             "vanillawell_configuration_age_seconds",
             "Seconds since the configuration was last confirmed as the newest one.",
--- a/vanillawell/transport/admin.py
+++ b/vanillawell/transport/admin.py
@@ -71,6 +71,8 @@
     store_calls: int
     organisations: dict[str, OrganisationStatus]
     pools: dict[str, PoolStatus]
+    evacuated_zones: dict[str, int]
+    """Requests of this entry that still run in each evacuated zone."""
 
 
 class AdminApp:
@@ -178,6 +180,10 @@
                 for name, organisation in organisations.items()
             },
             pools=self._pool_statuses(now),
+            evacuated_zones={
+                zone: self._dispatcher.running_in_zone(zone)
+                for zone in sorted(policy.evacuated_zones if policy else ())
+            },
         )
 
     def _organisation_status(self, name: str, limit: int, now: float) -> OrganisationStatus:
