--- /dev/null
+++ b/vanillawell/standins/experiment/__init__.py
@@ -0,0 +1,1 @@
+"""Compare scheduling decisions on simulated days, without processes or network."""
--- a/vanillawell/tests/rotating_peaks_tests.py
+++ b/vanillawell/tests/rotating_peaks_tests.py
@@ -1,18 +1,26 @@
 """Test that callers are served in time while peaks rotate between pools, with few machines.
 
-The pattern and its figures are those of the users' sheets (see `rotating_load.py`). The objectives:
+The pattern and its figures are in `examples/experiments/rotating-peaks.jsonc`. The objectives:
 nearly all work of an undisturbed day is in time, and nine tenths in its worst seconds, with fewer
 machines than if each pool kept what its peak needs.
 """
 
 from __future__ import annotations
 
-import random
 import statistics
+from pathlib import Path
 
 import pytest
 
-from vanillawell.tests.rotating_load import DAY_SECONDS, DayOutcome, SimulatedDay
+from vanillawell.config.loader import load_model
+from vanillawell.standins.experiment.simulation import DayOutcome, SimulatedDay
+from vanillawell.standins.experiment.workload import Workload
+
+WORKLOAD = load_model(
+    Path(__file__).parents[2] / "examples" / "experiments" / "rotating-peaks.jsonc", Workload
+)
+
+DAY_SECONDS = WORKLOAD.day_seconds
 
 SEEDS = range(8)
 
@@ -22,7 +30,7 @@
 
 @pytest.fixture(scope="module")
 def days() -> list[DayOutcome]:
-    return [SimulatedDay(random.Random(seed)).simulate() for seed in SEEDS]
+    return [SimulatedDay(WORKLOAD, seed).simulate() for seed in SEEDS]
 
 
 def _worst_window(day: DayOutcome) -> float:
