--- a/vanillawell/cli.py
+++ b/vanillawell/cli.py
@@ -128,15 +128,20 @@
     day: Annotated[
         bool, typer.Option("--day", help="Count jobs by cause instead of explaining one.")
     ] = False,
+    stages: Annotated[
+        bool, typer.Option("--stages", help="Show the time that jobs spend in each stage.")
+    ] = False,
 ) -> None:
     """Show from logs why a job was refused, finished late or lost time."""
     from vanillawell.commands.explain import explain as explain_one
-    from vanillawell.commands.explain import explain_all
+    from vanillawell.commands.explain import explain_all, explain_stages
 
-    if day == bool(request):
-        raise typer.BadParameter("exactly one of --id and --day is required")
+    if bool(request) + day + stages != 1:
+        raise typer.BadParameter("exactly one of --id, --day and --stages is required")
     if day:
         explain_all(files, context.obj.output)
+    elif stages:
+        explain_stages(files, context.obj.output)
     else:
         explain_one(request, files, context.obj.output)
 
--- a/vanillawell/commands/explain.py
+++ b/vanillawell/commands/explain.py
@@ -15,6 +15,7 @@
     read_lines,
     summarise,
 )
+from vanillawell.state.stages import stage_rows
 
 if TYPE_CHECKING:
     from collections.abc import Iterator, Sequence
@@ -54,6 +55,15 @@
     print_rows(rows, output, "jobs that were not served in time")
 
 
+def explain_stages(files: Sequence[Path], output: OutputFormat) -> None:
+    """Print how long completed jobs spent in each stage from acceptance to their end."""
+    rows = stage_rows(group_by_job(read_lines(_raw_lines(files))).values())
+    if not rows:
+        print_line("no completed job in these logs")
+        return
+    print_rows(rows, output, "seconds of completed jobs by stage")
+
+
 def _raw_lines(files: Sequence[Path]) -> Iterator[str]:
     for path in files:
         try:
--- a/vanillawell/platform/documents.py
+++ b/vanillawell/platform/documents.py
@@ -120,6 +120,8 @@
     machine: str = ""
     remainingMs: Milliseconds | None = None  # noqa: N815
     """Minimum time left to a draining executor."""
+    coldRemainingMs: Milliseconds = 0  # noqa: N815
+    """Time for which an executor remains slow after its start."""
     born: int = 0
     capacity: _Amounts
     labels: list[str] = []
@@ -256,6 +258,7 @@
         labels=frozenset(registration.labels),
         capacity=registration.capacity.decode(),
         draining=registration.state == "draining",
+        cold_remaining=registration.coldRemainingMs / 1000,
         remaining=None if registration.remainingMs is None else registration.remainingMs / 1000,
     )
 
--- a/vanillawell/standins/experiment/simulation.py
+++ b/vanillawell/standins/experiment/simulation.py
@@ -149,9 +149,9 @@
         """Return the result of the day; traffic ends before the day's last jobs do."""
         workload = self.workload
         self.shard.apply_policy(_policy(len(workload.kinds)))
+        self._began = self.now
         self._place_machines()
         self.earliest = [[] for _ in workload.kinds]
-        self._began = self.now
         for _ in range(int((workload.day_seconds + FINISH_SECONDS) / TICK)):
             at = self.now - self._began
             self._submit_long_running(at)
@@ -190,6 +190,7 @@
             labels=frozenset({rack}),
             capacity=Resources(workload.cores * MILLICORES_PER_CORE, workload.memory_mb),
             draining=False,
+            cold_remaining=workload.cold_seconds if self.now > self._began else 0.0,
         )
         self.shard.register(facts, self.now, self.now)
         self.shard.ledger.executors[facts.executor].contacted = True
@@ -268,6 +269,8 @@
                 continue
             own = self.seconds[step.record.job.job_id, step.position]
             factor = self._run_rng.uniform(1 - RUN_TIME_SPREAD, 1 + RUN_TIME_SPREAD)
+            if self.shard.ledger.executors[run.executor].is_cold(self.now):
+                factor *= self.workload.cold_factor
             ends_at = self.now + START_DELAY + own * factor
             heapq.heappush(self.running, (ends_at, next(self._numbers), run))
 
--- a/vanillawell/standins/experiment/workload.py
+++ b/vanillawell/standins/experiment/workload.py
@@ -91,6 +91,12 @@
 
     rack_size: Count = 4
     day_seconds: Seconds = 41.0
+    cold_seconds: Amount = 0.0
+    """Seconds for which a machine is slow after it has joined a pool."""
+
+    cold_factor: Amount = 1.0
+    """Multiple of their run time that tasks take if they start on such a machine."""
+
     kinds: list[JobKind]
     """The jobs of each queue; each queue has a pool of its own."""
 
--- a/vanillawell/state/executors.py
+++ b/vanillawell/state/executors.py
@@ -55,6 +55,9 @@
     remaining: float | None = None
     """Minimum seconds from this write until it leaves; None if not stated."""
 
+    cold_remaining: float = 0.0
+    """Seconds from this write for which it remains slow after its start."""
+
 
 @dataclass(slots=True, eq=False)
 class Executor:
@@ -88,6 +91,9 @@
     earliest_departure: float | None = None
     """Time until which it has announced to keep running; None while it is not leaving."""
 
+    cold_until: float = 0.0
+    """Time until which it has announced to be slow after its start."""
+
     departure_reported_at: float = 0.0
     """When its announced departure was last read."""
 
@@ -175,9 +181,15 @@
             age = 0.0 if self.registered else MAX_REGISTRATION_AGE
             self.earliest_departure = now - age + (facts.remaining or 0.0)
             self.departure_reported_at = now
+        if not self.registered or _cold_statement(facts) != _cold_statement(self.facts):
+            self.cold_until = now + facts.cold_remaining if facts.cold_remaining else 0.0
         self.facts = facts
         self.registered = True
 
+    def is_cold(self, now: float) -> bool:
+        """Return whether it is slow because it has just started."""
+        return now < self.cold_until
+
     def record_answer(self, sent: float) -> None:
         """Record that it answered a call that was sent at `sent`."""
         self.contacted = True
@@ -245,6 +257,11 @@
         self.block_placement(self.quarantined_until)
 
 
+def _cold_statement(facts: ExecutorFacts) -> tuple[int, float]:
+    """Return what identifies a statement of how long an executor remains slow."""
+    return facts.incarnation, facts.cold_remaining
+
+
 def may_quarantine(pool: Sequence[Executor], now: float) -> bool:
     """Return whether one more executor of a pool may be put in quarantine.
 
--- a/vanillawell/state/placement.py
+++ b/vanillawell/state/placement.py
@@ -15,7 +15,7 @@
     from vanillawell.state.work import Step, StepProgress, Task
 
 
-Cost = tuple[bool, bool, bool, int, bool, int, float, str]
+Cost = tuple[bool, bool, bool, bool, int, bool, int, float, str]
 """Cost of placing a task on an executor, most important criterion first; the lowest cost wins."""
 
 
@@ -34,11 +34,16 @@
     """Place the tasks of one step, one after the other, on eligible executors."""
 
     def __init__(
-        self, step: StepProgress, candidates: Sequence[Executor], tickets: Mapping[str, str] | None
+        self,
+        step: StepProgress,
+        candidates: Sequence[Executor],
+        tickets: Mapping[str, str] | None,
+        now: float,
     ) -> None:
         spec = step.spec
         self._spec = spec
         self._tickets = tickets
+        self._now = now
         self._candidates = [item for item in candidates if self._may_run(item)]
         open_runs = [run for task in step.tasks for run in task.open_runs]
         self._on_executor = Counter(run.executor for run in open_runs)
@@ -103,9 +108,10 @@
         do not, since they slow each other down. They are spread over racks to limit the loss when
         a rack fails.
 
-        All other tasks go to the rack of their data, then to the fullest executor with free
-        capacity. After a peak, whole machines then become empty within the run time of a task, and
-        can move to the pool whose peak begins. Short tasks do not slow each other down.
+        All other tasks avoid executors that are slow after their start. They go to the rack of
+        their data, then to the fullest executor with free capacity. After a peak, whole machines
+        then become empty within the run time of a task, and can move to the pool whose peak begins.
+        Short tasks do not slow each other down.
         """
         spec = self._spec
         rack = executor.facts.rack
@@ -117,6 +123,7 @@
         used = cpu_utilisation(executor) if spec.long_running else -cpu_utilisation(executor)
         return (
             executor.name == task.failed_on,
+            not spec.long_running and executor.is_cold(self._now),
             spec.long_running and executor.awaits_upkeep,
             bool(preferred_rack) and rack != preferred_rack,
             same_executor,
--- a/vanillawell/state/placement_pass.py
+++ b/vanillawell/state/placement_pass.py
@@ -71,7 +71,7 @@
             if tickets is None:
                 self._set_held_by(step, "advice")
                 return
-        placer = StepPlacer(step, self._pool(queue.service), tickets)
+        placer = StepPlacer(step, self._pool(queue.service), tickets, self._now)
         if step.spec.gang:
             self._place_gang(step, placer, tickets)
             return
--- a/vanillawell/state/shard.py
+++ b/vanillawell/state/shard.py
@@ -235,7 +235,7 @@
         run, task = item.run, item.run.task
         record = task.step.record
         was_final = record.state.final
-        if item.ending is Ending.DONE and run.started is not None:
+        if item.ending is Ending.DONE and run.started is not None and not run.started_cold:
             self.durations.record(record.job.queue, task.step.spec, now - run.started)
         if item.ending is Ending.FAILED:
             task.failed_on = run.executor
@@ -363,13 +363,14 @@
             for item in by_service(self.ledger.executors.values(), executor.facts.service)
             if item is not executor and item.accepts_tasks(now)
         ]
-        return StepPlacer(step, others, tickets).choose(run.task) is not None
+        return StepPlacer(step, others, tickets, now).choose(run.task) is not None
 
     def plan(self, task: Task, executor: Executor, number: int, ticket: str, now: float) -> Run:
         """Create a planned run and charge it to its executor."""
         task.number = number
         incarnation = executor.facts.incarnation
         run = Run(task, number, executor.name, incarnation, RunPhase.PLANNED, now, ticket=ticket)
+        run.started_cold = executor.is_cold(now)
         self.ledger.charge(executor, run)
         return run
 
--- a/vanillawell/state/stalls.py
+++ b/vanillawell/state/stalls.py
@@ -35,8 +35,11 @@
     """Return the stalled runs of an executor on which no task makes progress, else none.
 
     Recently reported tasks are ignored: they show nothing yet, and new tasks may be placed on a
-    stalled executor at any time.
+    stalled executor at any time. An executor that has announced to be slow after its start is not
+    stalled.
     """
+    if executor.is_cold(now):
+        return []
     runs = [run for run in executor.runs.values() if _should_progress(run)]
     if any(_is_progressing(run, now) for run in runs):
         return []
--- a/vanillawell/state/work.py
+++ b/vanillawell/state/work.py
@@ -238,6 +238,9 @@
     superseded: bool = False
     """Whether a newer run of its task may execute concurrently on another executor."""
 
+    started_cold: bool = False
+    """Whether its executor was slow after its own start, so that its run time teaches nothing."""
+
     ticket: str = ""
     """Ticket that allows the run's step to use this executor, where the queue requires one."""
 
--- a/vanillawell/tests/busy_owner_tests.py
+++ b/vanillawell/tests/busy_owner_tests.py
@@ -65,10 +65,10 @@
     harness = _fleet(random.Random(3))
     pool = list(harness.shard.ledger.executors.values())
     tasks = _wide_step()
-    placer = StepPlacer(tasks[0].step, pool, None)
+    placer = StepPlacer(tasks[0].step, pool, None, 0.0)
     previous: Executor | None = None
     for task in tasks:
-        best = StepPlacer(task.step, pool, None).choose(task)
+        best = StepPlacer(task.step, pool, None, 0.0).choose(task)
         chosen = placer.choose(task)
         assert chosen is not None
         stays = previous is not None and task.step.spec.reserved.fits(previous.free)
@@ -90,7 +90,7 @@
             return super()._cost(executor, task)
 
     tasks = _wide_step()
-    placer = Counting(tasks[0].step, list(harness.shard.ledger.executors.values()), None)
+    placer = Counting(tasks[0].step, list(harness.shard.ledger.executors.values()), None, 0.0)
     for task in tasks:
         chosen = placer.choose(task)
         assert chosen is not None
--- a/vanillawell/tests/explain_tests.py
+++ b/vanillawell/tests/explain_tests.py
@@ -24,6 +24,7 @@
         ("explain-late", ("--id", "00000000000000a1.0.0.1")),
         ("explain-refused", ("--id", "00000000000000b2")),
         ("explain-day", ("--day",)),
+        ("explain-stages", ("--stages",)),
     ],
 )
 def test_an_explanation_matches_its_golden_file(name: str, arguments: tuple[str, ...]) -> None:
