--- a/vanillawell/coordination/shard_owner.py
+++ b/vanillawell/coordination/shard_owner.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import functools
 import logging
 import time
 from typing import TYPE_CHECKING
@@ -26,14 +25,12 @@
 from vanillawell.coordination.loss_detector import LossDetector, log_unreached_executors
 from vanillawell.coordination.machine_orders import MachineOrders
 from vanillawell.coordination.pool_rebalancer import PoolRebalancer
-from vanillawell.coordination.prefix_watch import Backoff
 from vanillawell.coordination.registry import RegistryWatch
+from vanillawell.coordination.shard_loader import ShardLoader
 from vanillawell.coordination.stop_sender import StopSender
 from vanillawell.coordination.upkeep_runner import UpkeepRunner
-from vanillawell.exceptions import StoreError
-from vanillawell.protocol.queue_documents import read_queues, write_queues
+from vanillawell.protocol.queue_documents import write_queues
 from vanillawell.protocol.store import Put
-from vanillawell.protocol.work_documents import read_job, read_record
 from vanillawell.state.shard import Shard
 
 if TYPE_CHECKING:
@@ -45,7 +42,6 @@
     from vanillawell.coordination.policy_watch import PolicyWatch
     from vanillawell.coordination.ports import Ports
     from vanillawell.coordination.term import Term
-    from vanillawell.protocol.store import Listing
     from vanillawell.protocol.work_documents import WorkKeys
     from vanillawell.scheduler_telemetry import SchedulerTelemetry
     from vanillawell.state.executors import Executor
@@ -160,7 +156,9 @@
         try:
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(self._term.renew_until_lost)
-                await self._load()
+                await ShardLoader(
+                    self._name, self._term, self._ports.store, self._keys, self._shard, self._leases
+                ).load()
                 self._leases.begin(clock.read())
                 self.loaded = True
                 self._start_tasks(tasks)
@@ -218,63 +216,6 @@
             advice_requester = AdviceRequester(self._shard, self._ports.advice, self.wake)
             tasks.start_soon(advice_requester.run)
 
-    async def _load(self) -> None:
-        """Read all jobs and job records that previous owners stored."""
-        backoff = Backoff()
-        while True:
-            try:
-                orders = await self._ports.store.list(self._keys.submitted_jobs)
-                records = await self._ports.store.list(self._keys.records)
-                break
-            except StoreError as error:
-                log.warning("shard not loaded", extra={"why": str(error)})
-                await backoff.wait()
-        self._restore(orders, records)
-        if self._shard.lacks_queue_rules():
-            await self._restore_queue_rules()
-
-    async def _restore_queue_rules(self) -> None:
-        """Read the stored rules of queues that have jobs but are no longer configured."""
-        backoff = Backoff()
-        while True:
-            try:
-                stored = await self._ports.store.get(self._keys.queues(self._name))
-                break
-            except StoreError as error:
-                log.warning("rules of queues not read", extra={"why": str(error)})
-                await backoff.wait()
-        if stored is None:
-            log.warning("no rules of queues stored", extra={"token": self._term.token})
-            return
-        try:
-            queues = read_queues(stored.value)
-        except ValueError as error:
-            log.error("rules of queues unreadable", extra={"why": str(error)})
-            return
-        log.info("rules of queues recalled", extra={"queues": len(queues)})
-        self._shard.restore_queue_rules(queues)
-
-    def _restore(self, orders: Listing, records: Listing) -> None:
-        now = clock.read()
-        values = {item.key: item.value for item in records.items}
-        inherited_runs = 0
-        for item in orders.items:
-            job_id = item.key.removeprefix(self._keys.submitted_jobs)
-            data = values.get(self._keys.record(job_id))
-            if data is None:
-                continue  # the job is still in the inbox, which is read next
-            try:
-                record, runs = read_record(read_job(item.value), data, now, time.time())
-            except ValueError as error:
-                log.error("job document unreadable", extra={"job": job_id, "reason": str(error)})
-                continue
-            inherited_runs += len(runs)
-            bound = functools.partial(self._leases.inherited_bound, now=now)
-            self._shard.restore(record, runs, bound)
-        jobs = len(self._shard.job_table.jobs)
-        fields = {"shard": self._name, "token": self._term.token}
-        log.info("shard loaded", extra={**fields, "jobs": jobs, "runs": inherited_runs})
-
     def _apply_policy(self) -> None:
         if self._policies.policy is not None:
             self._shard.apply_policy(self._policies.policy)
--- a/vanillawell/state/job_table.py
+++ b/vanillawell/state/job_table.py
@@ -82,13 +82,10 @@
             record.state = JobState.RUNNING
         self.changed[record.job.job_id] = record
 
-    def record_end(
-        self, task: Task, ending: Ending, checkpoint: str, now: float, wall: float
-    ) -> None:
+    def record_end(self, task: Task, ending: Ending, checkpoint: str, wall: float) -> None:
         """Record how a run of a task ended, and update its job."""
         record = task.step.record
         self.changed[record.job.job_id] = record
-        task.last_ended_at = now
         if checkpoint:
             self._set_checkpoint(task, checkpoint)
         if record.state.final or task.done:
--- a/vanillawell/state/shard.py
+++ b/vanillawell/state/shard.py
@@ -224,7 +224,7 @@
             return
         if task.run is not None:
             self.request_stop(task.run)
-        self.job_table.record_end(task, Ending.DONE, end.checkpoint, now, wall)
+        self.job_table.record_end(task, Ending.DONE, end.checkpoint, wall)
 
     def _apply_ends(self, ended: Iterable[EndedRun], now: float, wall: float) -> None:
         """Update the jobs of ended runs."""
@@ -239,7 +239,7 @@
             self.durations.record(record.job.queue, task.step.spec, now - run.started)
         if item.ending is Ending.FAILED:
             task.failed_on = run.executor
-        self.job_table.record_end(task, item.ending, item.checkpoint, now, wall)
+        self.job_table.record_end(task, item.ending, item.checkpoint, wall)
         self._log_end(item, now)
         if task.done:
             self._stop_copies(task)
--- a/vanillawell/state/work.py
+++ b/vanillawell/state/work.py
@@ -274,9 +274,6 @@
     failed_on: str = ""
     """Executor of the most recent failed run."""
 
-    last_ended_at: float = 0.0
-    """When its latest run ended."""
-
     @property
     def open_runs(self) -> list[Run]:
         """Return the runs that are not confirmed to have ended."""
