--- a/vanillawell/standins/experiment/simulation.py
+++ b/vanillawell/standins/experiment/simulation.py
@@ -226,7 +226,7 @@
                 int(MILLICORES_PER_CORE * self._draw(kind.cores, 0.45)),
                 int(self.workload.task_memory_mb),
             )
-            estimate = seconds[-1] * math.exp(self._arrival_rng.gauss(0, 0.5))
+            estimate = seconds[-1] * math.exp(self._arrival_rng.gauss(0, kind.estimate_spread))
             width = max(1, round(self._draw(kind.width, 0.6)))
             after = (position - 1,) if position else ()
             image = f"i{queue}-{self._arrival_rng.randrange(6)}"
--- a/vanillawell/standins/experiment/workload.py
+++ b/vanillawell/standins/experiment/workload.py
@@ -31,6 +31,9 @@
     cores: Amount
     """Cores of a task."""
 
+    estimate_spread: Amount = 0.5
+    """Standard deviation of the logarithm of a declared run time, relative to the actual one."""
+
 
 class LongRunningJob(StrictModel):
     """A job whose tasks run until the end of the day, submitted to each pool."""
--- a/vanillawell/state/arrivals.py
+++ b/vanillawell/state/arrivals.py
@@ -22,20 +22,20 @@
 long enough that a single large job does not look like one."""
 
 BASE_MARGIN = 1.1
-"""Multiple of the arriving work for which capacity is always provided."""
+"""Multiple of the expected arrivals for which capacity is always provided."""
 
-SMALL_SAMPLE_MARGIN = 1.5
-"""Additional margin, divided by the square root of the number of counted jobs: a few jobs say
-little about how many follow."""
+MIN_CHANGE = 1.0
+"""Difference between the counts of two windows that counts as a change of the load, in standard
+deviations of a difference that is due to chance alone."""
 
-PRIOR_JOBS = 3
-"""Jobs added to the counts of both windows, so that a few more jobs do not look like a peak."""
+LEAD_WINDOWS = 2.3
+"""Windows by which a growing load is extrapolated: until a requested machine is ready."""
 
-TREND_EXPONENT = 0.6
-"""Exponent of the ratio of two windows that gives the growth until a requested machine is ready."""
+MAX_GROWTH = 6.0
+"""Maximum of the expected arrivals, as a multiple of those in the last window."""
 
-MAX_GROWTH = 3.0
-"""Maximum growth for which capacity is provided, as a multiple of current arrivals."""
+COUNT_MARGIN = 0.7
+"""Standard deviations of the expected number of jobs that are added to it."""
 
 MIN_JOB_WEIGHT = 0.03
 """Weight of a new job in the moving mean of its service's work, after the first thirty or so."""
@@ -115,9 +115,24 @@
 def expected_growth(recent: int, previous: int) -> float:
     """Return the multiple of the current arrivals for which capacity should be provided.
 
-    It is derived from the number of jobs in the last window and in the window before it: a
-    beginning peak grows threefold while a machine moves, a peak at its height does not grow.
+    Args:
+        recent: Jobs in the last window; at least one.
+        previous: Jobs in the window before it.
     """
-    ratio = (recent + PRIOR_JOBS) / (previous + PRIOR_JOBS)
-    trend = min(MAX_GROWTH, max(1.0, math.pow(ratio, TREND_EXPONENT)))
-    return trend * (BASE_MARGIN + SMALL_SAMPLE_MARGIN / math.sqrt(recent + 1))
+    expected = expected_arrivals(recent, previous)
+    return max(1.0, BASE_MARGIN * (expected + COUNT_MARGIN * math.sqrt(expected + 1)) / recent)
+
+
+def expected_arrivals(recent: int, previous: int) -> float:
+    """Return the jobs expected in a window by the time a requested machine is ready.
+
+    The counts of two windows differ by chance even if the load does not change. Unless they differ
+    by more than that, the load is taken for steady, and both windows count. A load that grows is
+    extrapolated, one that falls is taken as it is now.
+    """
+    change = recent - previous
+    if abs(change) <= MIN_CHANGE * math.sqrt(recent + previous):
+        return (recent + previous) / 2 if previous else recent
+    if change < 0:
+        return recent
+    return min(MAX_GROWTH * recent, recent + LEAD_WINDOWS * change)
--- a/vanillawell/tests/arrivals_tests.py
+++ b/vanillawell/tests/arrivals_tests.py
@@ -6,7 +6,9 @@
 
 from __future__ import annotations
 
-from vanillawell.state.arrivals import ArrivalMeter, expected_growth
+import pytest
+
+from vanillawell.state.arrivals import ArrivalMeter, expected_arrivals, expected_growth
 from vanillawell.state.durations import DurationStatistics
 from vanillawell.tests.scheduling_builders import POOL, ShardHarness, facts, job, step
 
@@ -60,3 +62,27 @@
     before = meter.required_cores("a", 5.9)
     meter.record("a", job(step(4, seconds=40.0)), durations, 5.95)
     assert meter.required_cores("a", 6.0) < 3 * before
+
+
+@pytest.mark.parametrize(
+    ("recent", "previous", "expected"),
+    [
+        (20, 16, 18.0),  # differs by less than chance explains: both windows count
+        (16, 20, 18.0),
+        (20, 10, 20 + 2.3 * 10),  # grows: extrapolated until a requested machine is ready
+        (10, 20, 10.0),  # falls: taken as it is now
+        (8, 1, 8 + 2.3 * 7),
+        (4, 0, 4 + 2.3 * 4),
+    ],
+)
+def test_load_changes_only_if_chance_does_not_explain_it(
+    recent: int, previous: int, expected: float
+) -> None:
+    """Counts of a steady load differ from window to window. Each difference that was taken for a
+    peak called machines that were sent away a second later."""
+    assert expected_arrivals(recent, previous) == pytest.approx(expected)
+
+
+def test_lone_job_is_no_beginning_peak() -> None:
+    """Between peaks a job arrives now and then. Extrapolated, each would call machines for four."""
+    assert expected_arrivals(1, 0) == 1
