--- a/vanillawell/state/ledger.py
+++ b/vanillawell/state/ledger.py
@@ -27,6 +27,7 @@
     may_quarantine,
 )
 from vanillawell.state.placement_restrictions import PlacementRestrictions
+from vanillawell.state.reported_runs import has_ended, may_still_start, update_run
 from vanillawell.state.work import NO_RESOURCES, Ending, Resources, Run, RunPhase, Task, TaskId
 
 if TYPE_CHECKING:
@@ -318,13 +319,13 @@
         for run in list(executor.runs.values()):
             row = rows_by_run.pop((run.task.task_id, run.number), None)
             if row is not None:
-                self._update_run(run, row, now)
+                update_run(run, row, now)
                 if run.superseded and run.task.run is None and not run.task.done:
                     self._reinstate(run)
-            elif self._has_ended(executor, run, sent):
+            elif has_ended(executor, run, sent):
                 self._discharge(executor, run)
                 outcome.ended.append(EndedRun(run, Ending.LOST))
-            elif self._may_still_start(run, sent):
+            elif may_still_start(run, sent):
                 outcome.unconfirmed.append(run)
         outcome.orphans.extend(rows_by_run.values())
         self._remove_if_unused(executor)
@@ -362,38 +363,6 @@
         self._discharge(executor, run)
         outcome.ended.append(EndedRun(run, end.ending, end.checkpoint))
 
-    @staticmethod
-    def _update_run(run: Run, row: ReportedRun, now: float) -> None:
-        if run.phase is not RunPhase.RUNNING:
-            run.enter_phase(RunPhase.RUNNING, now)
-        if run.started is None:
-            run.started = now
-        run.is_available = row.percent >= 100
-        if run.first_reported_at is None:
-            run.first_reported_at, run.first_reported_percent = now, row.percent
-        if run.progressed_at is None or row.percent > run.percent:
-            run.percent, run.progressed_at = row.percent, now
-        if row.checkpoint:
-            run.task.checkpoint = row.checkpoint
-        if run.task.step.spec.tail_target:
-            run.tail = row.measure / 1000
-
-    @staticmethod
-    def _has_ended(executor: Executor, run: Run, sent: float) -> bool:
-        """Return whether a run missing from a report is neither running nor able to start."""
-        if run.phase is RunPhase.INHERITED:
-            return True
-        if run.phase is RunPhase.RUNNING and executor.restarted_at >= run.phase_since:
-            return sent > run.phase_since
-        stopped = run.stop_confirmed
-        return stopped is not None and sent >= stopped
-
-    @staticmethod
-    def _may_still_start(run: Run, sent: float) -> bool:
-        """Return whether a run missing from a report can only be resolved by a stop order."""
-        is_open = run.phase in (RunPhase.UNCERTAIN, RunPhase.RUNNING)
-        return is_open and sent > run.phase_since and run.stop_confirmed is None
-
 
 def _inherited_facts(name: str, incarnation: int, machine: str) -> ExecutorFacts:
     """Return the facts known from previous terms; the registration supplies the rest."""
--- a/vanillawell/state/shard.py
+++ b/vanillawell/state/shard.py
@@ -23,6 +23,7 @@
 from vanillawell.state.placement import StepPlacer
 from vanillawell.state.placement_pass import PlacementPass
 from vanillawell.state.ranking import rank_of
+from vanillawell.state.shard_log import log_job_ended, log_run_ended, log_task_copied
 from vanillawell.state.shares import order_by_share
 from vanillawell.state.stalls import stalled_runs
 from vanillawell.state.work import (
@@ -245,15 +246,7 @@
             self._stop_copies(task)
         if record.state.final and not was_final:
             self._stop_runs(record)
-            log.info(
-                "job ended",
-                extra={
-                    "job": record.job.job_id,
-                    "state": record.state,
-                    "seconds": round(now - record.seen_at, 3),
-                    "late_by": round(now - record.deadline, 3),
-                },
-            )
+            log_job_ended(record, now)
 
     def _stop_copies(self, task: Task) -> None:
         """Stop the remaining runs of a done task.
@@ -271,16 +264,7 @@
             self.ledger.supersede(run)
             self.job_table.changed[record.job.job_id] = record
             unresponsive_since = self.ledger.executors[run.executor].unresponsive_since or now
-            log.info(
-                "task copied",
-                extra={
-                    "job": record.job.job_id,
-                    "task": run.task.task_id[1:],
-                    "run": run.number,
-                    "executor": run.executor,
-                    "silent": round(now - unresponsive_since, 3),
-                },
-            )
+            log_task_copied(run, now - unresponsive_since)
 
     def _log_end(self, item: EndedRun, now: float) -> None:
         """Log the end of a run.
@@ -294,18 +278,7 @@
                 CompletedTask(run.task.task_id, run.number, run.executor, seconds)
             )
             return
-        log.info(
-            "run ended",
-            extra={
-                "job": run.task.task_id.job_id,
-                "task": run.task.task_id[1:],
-                "run": run.number,
-                "executor": run.executor,
-                "ending": item.ending,
-                "failures": run.task.failures,
-                "seconds": seconds,
-            },
-        )
+        log_run_ended(item, seconds)
 
     def mark_not_started(self, run: Run, now: float, wall: float) -> None:
         """Close a run that is confirmed not to have started and cannot start any more."""
