--- a/vanillawell/coordination/run_orders.py
+++ b/vanillawell/coordination/run_orders.py
@@ -107,6 +107,7 @@
         self._mark_not_started(run, "zone evacuated")
         self._link.shard.stop_gang_of(run)
         self._link.count_withdrawn_start()
+        self._link.wake_owner()
 
     async def _send_start(self, run: Run, now: float) -> None:
         task, extension = run.task, self._link.extend_lease(now)
