--- a/vanillawell/standins/experiment/least.py
+++ b/vanillawell/standins/experiment/least.py
@@ -13,6 +13,15 @@
     from vanillawell.standins.experiment.workload import Prices
 
 
+@dataclass(frozen=True, slots=True)
+class StepDemand:
+    """Cores that a step uses while it runs, by seconds from the start of the day."""
+
+    begin: float
+    end: float
+    cores: float
+
+
 @dataclass(frozen=True, slots=True)
 class LeastHolding:
     """Machine-seconds and moves of the cheapest plan."""
@@ -50,16 +59,11 @@
     return LeastHolding(len(times) * tick + sum(held), 2 + 2 * left)
 
 
-def earliest_demand(
-    starts: Iterable[tuple[float, float, float]], ticks: int, tick: float
-) -> list[float]:
-    """Return the cores in use by tick if every task runs as early as it can.
-
-    `starts` holds the begin, the end and the cores of each step, in seconds.
-    """
+def earliest_demand(steps: Iterable[StepDemand], ticks: int, tick: float) -> list[float]:
+    """Return the cores in use by tick if every task runs as early as it can."""
     demand = [0.0] * ticks
-    for begin, end, cores in starts:
-        last = ticks if math.isinf(end) else min(ticks, math.ceil(end / tick))
-        for number in range(int(begin / tick), last):
-            demand[number] += cores
+    for step in steps:
+        last = ticks if math.isinf(step.end) else min(ticks, math.ceil(step.end / tick))
+        for number in range(int(step.begin / tick), last):
+            demand[number] += step.cores
     return demand
--- a/vanillawell/standins/experiment/play.py
+++ b/vanillawell/standins/experiment/play.py
@@ -8,11 +8,12 @@
 from typing import TYPE_CHECKING
 
 from vanillawell.standins.experiment.least import earliest_demand, least_holding
-from vanillawell.standins.experiment.simulation import TICK, DayOutcome, SimulatedDay
+from vanillawell.standins.experiment.simulation import TICK, SimulatedDay
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
+    from vanillawell.standins.experiment.outcome import DayOutcome
     from vanillawell.standins.experiment.workload import Workload
 
 WINDOW = 2.0
--- a/vanillawell/standins/experiment/simulation.py
+++ b/vanillawell/standins/experiment/simulation.py
@@ -10,11 +10,12 @@
 import itertools
 import math
 import random
-import statistics
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 from vanillawell.protocol.executor_calls import HoldReport, ReportedEnd
+from vanillawell.standins.experiment.least import StepDemand
+from vanillawell.standins.experiment.outcome import DayOutcome, SubmittedJob
 from vanillawell.state.executors import ExecutorFacts
 from vanillawell.state.pool_sizing import (
     PoolDemand,
@@ -68,49 +69,6 @@
 ORGANISATION = "north"
 
 
-@dataclass(slots=True)
-class SubmittedJob:
-    """One submitted job, and when it was completed."""
-
-    at: float
-    queue: int
-    work: float
-    """Core-seconds."""
-
-    objective: float
-    """Seconds."""
-
-    done: float | None = None
-
-    @property
-    def in_time(self) -> bool:
-        """Return whether the job was completed within its objective."""
-        return self.done is not None and self.done <= self.at + self.objective
-
-
-@dataclass(slots=True)
-class DayOutcome:
-    """The result of a day."""
-
-    jobs: list[SubmittedJob]
-    machine_seconds: float
-    moves: int
-    earliest: list[list[tuple[float, float, float]]]
-    """For each queue, begin, end and cores of each step if it runs as early as it can."""
-
-    def in_time(self, begin: float = 0.0, end: float = math.inf, queue: int | None = None) -> float:
-        """Return the share of work in time, for the jobs submitted between two times."""
-        jobs = [job for job in self.jobs if begin <= job.at < end and queue in (None, job.queue)]
-        submitted = sum(job.work for job in jobs)
-        return sum(job.work for job in jobs if job.in_time) / submitted if jobs else 1.0
-
-    def worst_windows(self, seconds: float, day_seconds: float) -> float:
-        """Return the share of the work in time, as a mean of the day's two worst windows."""
-        begins = [number * seconds for number in range(int(day_seconds / seconds))]
-        shares = sorted(self.in_time(begin, begin + seconds) for begin in begins)
-        return statistics.mean(shares[:2])
-
-
 @dataclass(slots=True)
 class SimulatedDay:
     """Simulate one day of a workload."""
@@ -133,7 +91,7 @@
 
     moves: int = 0
     machine_seconds: float = 0.0
-    earliest: list[list[tuple[float, float, float]]] = field(default_factory=list)
+    earliest: list[list[StepDemand]] = field(default_factory=list)
     _arrival_rng: random.Random = field(init=False)
     _run_rng: random.Random = field(init=False)
     """Source of run times; separate, so that other decisions don't change the arrivals."""
@@ -203,7 +161,7 @@
             for queue in range(len(self.workload.kinds)):
                 if 0 <= at - kind.at - queue * kind.offset < TICK:
                     job = self._make_job(queue, (_long_running_step(kind),))
-                    self.earliest[queue].append((at, math.inf, kind.tasks * kind.cores))
+                    self.earliest[queue].append(StepDemand(at, math.inf, kind.tasks * kind.cores))
                     self.shard.admit(job, self.now)
 
     def _submit_jobs(self, at: float) -> None:
@@ -240,7 +198,7 @@
         self.jobs[job.job_id] = SubmittedJob(at, queue, work, objective)
         begins = itertools.accumulate(seconds, initial=at)
         self.earliest[queue].extend(
-            (begin, begin + own, step.count * step.need.cpu / MILLICORES_PER_CORE)
+            StepDemand(begin, begin + own, step.count * step.need.cpu / MILLICORES_PER_CORE)
             for begin, own, step in zip(begins, seconds, steps, strict=False)
         )
         self.seconds.update({(job.job_id, number): own for number, own in enumerate(seconds)})
--- a/vanillawell/tests/experiment_tests.py
+++ b/vanillawell/tests/experiment_tests.py
@@ -7,7 +7,7 @@
 import pytest
 
 from vanillawell.config.loader import load_model
-from vanillawell.standins.experiment.least import earliest_demand, least_holding
+from vanillawell.standins.experiment.least import StepDemand, earliest_demand, least_holding
 from vanillawell.standins.experiment.play import play_day
 from vanillawell.standins.experiment.workload import Prices, Workload
 
@@ -49,5 +49,5 @@
 
 
 def test_demand_adds_up_steps_that_overlap() -> None:
-    steps = [(0.0, 2.0, 3.0), (1.0, 9.0, 1.0)]
+    steps = [StepDemand(0.0, 2.0, 3.0), StepDemand(1.0, 9.0, 1.0)]
     assert earliest_demand(steps, 4, 1.0) == [3.0, 4.0, 1.0, 1.0]
--- a/vanillawell/tests/rotating_peaks_tests.py
+++ b/vanillawell/tests/rotating_peaks_tests.py
@@ -13,7 +13,8 @@
 import pytest
 
 from vanillawell.config.loader import load_model
-from vanillawell.standins.experiment.simulation import DayOutcome, SimulatedDay
+from vanillawell.standins.experiment.outcome import DayOutcome
+from vanillawell.standins.experiment.simulation import SimulatedDay
 from vanillawell.standins.experiment.workload import Workload
 
 WORKLOAD = load_model(
