--- a/vanillawell/tests/scheduler_cluster.py
+++ b/vanillawell/tests/scheduler_cluster.py
@@ -13,7 +13,6 @@
 import orjson
 
 from vanillawell.config.node_settings import NodeSettings
-from vanillawell.exceptions import StoreOutcomeUnknownError, StoreUnavailableError
 from vanillawell.node import Node
 from vanillawell.platform.callers import CallerApp
 from vanillawell.platform.http import HttpClient
@@ -21,6 +20,7 @@
 from vanillawell.standins.scheduler.executor import Audit, StandInExecutor
 from vanillawell.standins.scheduler.machines import StandInMachine, StandInMachines
 from vanillawell.standins.scheduler.store import StandInStore
+from vanillawell.tests.interruptible_store import InterruptibleStore
 from vanillawell.transport.asgi import bind, server
 
 if TYPE_CHECKING:
@@ -28,14 +28,6 @@
 
     from anyio.abc import TaskGroup
 
-    from vanillawell.protocol.store import (
-        Changes,
-        KeyValue,
-        Listing,
-        PolledStore,
-        Transaction,
-        TransactionResult,
-    )
 
 HOST = "jobs.example"
 PREFIX = "/jobs/"
@@ -79,62 +71,6 @@
     return orjson.dumps(document)
 
 
-@dataclass(slots=True)
-class InterruptibleStore:
-    """Store wrapper of one scheduler whose path to the store can be cut or slowed down."""
-
-    inner: PolledStore
-    cut: bool = False
-    listing_time: float = 0.0
-    """Seconds by which listings are delayed."""
-    slow_prefix: str = ""
-    """Only listings of prefixes that begin with this are delayed."""
-    answer_time: float = 0.0
-    """Seconds by which the answer to a write is delayed after the write was carried out."""
-    listed: list[str] = field(default_factory=list)
-    """Prefixes of all requested listings."""
-
-    def _check(self) -> None:
-        if self.cut:
-            raise StoreUnavailableError("cut by the test")
-
-    async def get(self, key: str) -> KeyValue | None:
-        self._check()
-        return await self.inner.get(key)
-
-    async def list(self, prefix: str) -> Listing:
-        self._check()
-        self.listed.append(prefix)
-        if prefix.startswith(self.slow_prefix):
-            await anyio.sleep(self.listing_time)
-        return await self.inner.list(prefix)
-
-    async def transact(self, transaction: Transaction) -> TransactionResult:
-        self._check()
-        result = await self.inner.transact(transaction)
-        await anyio.sleep(self.answer_time)
-        return result
-
-    async def grant_lease(self, ttl: float) -> int:
-        self._check()
-        return await self.inner.grant_lease(ttl)
-
-    async def keep_alive(self, lease: int, fresh: bool = False) -> bool:
-        self._check()
-        return await self.inner.keep_alive(lease, fresh)
-
-    async def revoke(self, lease: int) -> None:
-        self._check()
-        await self.inner.revoke(lease)
-
-    async def changes(self, prefix: str, after: int, wait: float) -> Changes:
-        self._check()
-        result = await self.inner.changes(prefix, after, wait)
-        if self.cut:
-            raise StoreOutcomeUnknownError("cut by the test")
-        return result
-
-
 @dataclass(slots=True)
 class Host:
     """Host of an executor, whose current incarnation can be replaced."""
