--- a/vanillawell/state/placement.py
+++ b/vanillawell/state/placement.py
@@ -9,13 +9,13 @@
 from vanillawell.state.work import NO_RESOURCES, Resources
 
 if TYPE_CHECKING:
-    from collections.abc import Collection, Mapping, Sequence
+    from collections.abc import Collection, Iterable, Mapping, Sequence
 
     from vanillawell.state.executors import Executor
     from vanillawell.state.work import Step, StepProgress, Task
 
 
-Cost = tuple[bool, bool, bool, bool, int, bool, int, float, str]
+Cost = tuple[bool, bool, bool, bool, bool, bool, int, bool, int, float, str]
 """Cost of placing a task on an executor, most important criterion first; the lowest cost wins."""
 
 
@@ -50,6 +50,11 @@
         racks = {item.name: item.facts.rack for item in candidates}
         self._on_rack = Counter(racks.get(run.executor, "") for run in open_runs)
         self._rack = self._best_rack() if spec.same_rack else ""
+        zones = {item.name: item.facts.zone for item in candidates}
+        self._home_zone = self._choose_zone(zones.get(run.executor, "") for run in open_runs)
+        self._home_rack = ""
+        """Rack of the task that was placed last."""
+
         self._packed: Executor | None = None
         """Executor of the last task, reused for the next one while it has free capacity."""
 
@@ -67,6 +72,22 @@
         best = fitting.most_common(1)
         return best[0][0] if best else ""
 
+    def _choose_zone(self, zones_in_use: Iterable[str]) -> str:
+        """Return the zone in which the short tasks of the step are kept together.
+
+        Spread over all zones, most jobs would have a task in each and be late if any zone is cut
+        off. Kept in one, only the jobs of that zone are.
+        """
+        if self._spec.long_running:
+            return ""
+        in_use = Counter(zone for zone in zones_in_use if zone).most_common(1)
+        if in_use:
+            return in_use[0][0]
+        capacity: Counter[str] = Counter()
+        for executor in self._candidates:
+            capacity[executor.facts.zone] += count_fitting_tasks(self._spec, executor)
+        return max(capacity, key=lambda zone: (capacity[zone], zone), default="")
+
     def choose(self, task: Task, excluded: Collection[str] = ()) -> Executor | None:
         """Return the executor for a task; None if no executor outside `excluded` has capacity."""
         packed = self._packed
@@ -109,9 +130,10 @@
         a rack fails.
 
         All other tasks avoid executors that are slow after their start. They go to the rack of
-        their data, then to the fullest executor with free capacity. After a peak, whole machines
-        then become empty within the run time of a task, and can move to the pool whose peak begins.
-        Short tasks do not slow each other down.
+        their data, then to the zone and the rack of the other tasks of their step, then to the
+        fullest executor with free capacity. After a peak, whole machines then become empty within
+        the run time of a task, and can move to the pool whose peak begins. Short tasks do not slow
+        each other down.
         """
         spec = self._spec
         rack = executor.facts.rack
@@ -126,6 +148,8 @@
             not spec.long_running and executor.is_cold(self._now),
             spec.long_running and executor.awaits_upkeep,
             bool(preferred_rack) and rack != preferred_rack,
+            bool(self._home_zone) and executor.facts.zone != self._home_zone,
+            bool(self._home_rack) and rack != self._home_rack,
             same_executor,
             spec.long_running and not spec.tail_target and not has_long_running(executor),
             same_rack,
@@ -137,6 +161,8 @@
         """Count a task that was placed on an executor."""
         self._on_executor[executor.name] += 1
         self._on_rack[executor.facts.rack] += 1
+        if not self._spec.long_running:
+            self._home_rack = executor.facts.rack
 
     def least_utilised(self) -> Executor | None:
         """Return the least utilised eligible executor, to be reserved for the step."""
