--- a/vanillawell/state/placement.py
+++ b/vanillawell/state/placement.py
@@ -51,7 +51,11 @@
         self._on_rack = Counter(racks.get(run.executor, "") for run in open_runs)
         self._rack = self._best_rack() if spec.same_rack else ""
         zones = {item.name: item.facts.zone for item in candidates}
-        self._home_zone = self._choose_zone(zones.get(run.executor, "") for run in open_runs)
+        self._zones_in_use = Counter(zones[item] for item in self._on_executor if item in zones)
+        self._home_zone: str | None = "" if spec.long_running else None
+        """Zone in which the tasks are kept together; None until one can be placed, empty if they
+        are spread."""
+
         self._home_rack = ""
         """Rack of the task that was placed last."""
 
@@ -72,21 +76,18 @@
         best = fitting.most_common(1)
         return best[0][0] if best else ""
 
-    def _choose_zone(self, zones_in_use: Iterable[str]) -> str:
+    def _choose_zone(self, fitting: Iterable[Executor]) -> str:
         """Return the zone in which the short tasks of the step are kept together.
 
         Spread over all zones, most jobs would have a task in each and be late if any zone is cut
         off. Kept in one, only the jobs of that zone are.
         """
-        if self._spec.long_running:
-            return ""
-        in_use = Counter(zone for zone in zones_in_use if zone).most_common(1)
-        if in_use:
-            return in_use[0][0]
+        if self._zones_in_use:
+            return self._zones_in_use.most_common(1)[0][0]
         capacity: Counter[str] = Counter()
-        for executor in self._candidates:
+        for executor in fitting:
             capacity[executor.facts.zone] += count_fitting_tasks(self._spec, executor)
-        return max(capacity, key=lambda zone: (capacity[zone], zone), default="")
+        return max(capacity, key=lambda zone: (capacity[zone], zone))
 
     def choose(self, task: Task, excluded: Collection[str] = ()) -> Executor | None:
         """Return the executor for a task; None if no executor outside `excluded` has capacity."""
@@ -114,6 +115,8 @@
         fitting = [item for item in self._candidates if self._has_capacity(item, excluded)]
         if not fitting:
             return None
+        if self._home_zone is None:
+            self._home_zone = self._choose_zone(fitting)
         return min(fitting, key=lambda item: self._cost(item, task))
 
     def _is_at_step_limit(self, executor: Executor) -> bool:
