Never restore the default action of a signal at the end of a planned stop

The receiver of the event loop restores the default action as it closes, and SIG_IGN was set only by the next line. Change: handlers are set with signal.signal and replaced by SIG_IGN directly. Measured: the new test fails before (the action that SIG_IGN replaces is the default one) and passes after; stop_signal_tests 9 of 9.

--- a/vanillawell/signals.py
+++ b/vanillawell/signals.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import asyncio
 import logging
+import math
 import signal
 from typing import TYPE_CHECKING
 
@@ -11,6 +13,8 @@
 from vanillawell import clock
 
 if TYPE_CHECKING:
+    from types import FrameType
+
     from anyio.abc import TaskStatus
 
 log = logging.getLogger(__name__)
@@ -26,15 +30,27 @@
 
     A stopping process serves for some seconds more, during which further signals may arrive.
     Once this task is cancelled the process only has to exit, so signals are ignored from then on.
+
+    The handlers are installed with `signal.signal` and replaced directly by `SIG_IGN`. A receiver
+    of the event loop would restore the default action as it closes, and a signal that arrives
+    before the next line would terminate the process.
     """
-    try:
-        with anyio.open_signal_receiver(*HANDLED_SIGNALS) as signals:
+    loop = asyncio.get_running_loop()
+    arrived, signals = anyio.create_memory_object_stream[signal.Signals](math.inf)
+
+    def forward(number: int, _frame: FrameType | None) -> None:
+        loop.call_soon_threadsafe(arrived.send_nowait, signal.Signals(number))
+
+    for handled in HANDLED_SIGNALS:
+        signal.signal(handled, forward)
+    with arrived, signals:
+        try:
             task_status.started()
             async for received in signals:
                 _handle(received, stop)
-    finally:
-        for handled in HANDLED_SIGNALS:
-            signal.signal(handled, signal.SIG_IGN)
+        finally:
+            for handled in HANDLED_SIGNALS:
+                signal.signal(handled, signal.SIG_IGN)
 
 
 def _handle(received: signal.Signals, stop: anyio.Event) -> None:
--- a/vanillawell/tests/stop_signal_tests.py
+++ b/vanillawell/tests/stop_signal_tests.py
@@ -9,10 +9,12 @@
 import signal
 import threading
 import time
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
+import anyio
 import pytest
 
+from vanillawell import signals
 from vanillawell.standins.processes import wait_until
 from vanillawell.tests.caller import Call
 from vanillawell.tests.fleet_base import running_fleet, send_one
@@ -99,6 +101,37 @@
         assert process.has_logged("already stopping")
 
 
+def test_the_default_action_is_not_restored_at_the_end_of_a_planned_stop(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A process that stops handles no more signals, and one arrives at that moment. If its default
+    action were in force between the two settings, the signal would terminate the process."""
+    before = {number: signal.getsignal(number) for number in signals.HANDLED_SIGNALS}
+    set_action = signal.signal
+    replaced = []
+
+    def record(number: int, action: Any) -> Any:
+        previous = set_action(number, action)
+        if action is signal.SIG_IGN:
+            replaced.append(previous)
+        return previous
+
+    async def handle_until_cancelled() -> None:
+        async with anyio.create_task_group() as tasks:
+            await tasks.start(signals.handle_signals, anyio.Event())
+            monkeypatch.setattr(signal, "signal", record)
+            tasks.cancel_scope.cancel()
+
+    try:
+        anyio.run(handle_until_cancelled)
+    finally:
+        monkeypatch.undo()
+        for number, action in before.items():
+            signal.signal(number, action)
+    assert len(replaced) == len(signals.HANDLED_SIGNALS)
+    assert not {signal.SIG_DFL, signal.default_int_handler}.intersection(replaced)
+
+
 @pytest.mark.parametrize("second", STOPPING_SIGNALS, ids=lambda item: item.name)
 def test_a_signal_during_the_daemons_planned_stop_aborts_no_request(
     tmp_path: Path, second: signal.Signals
