Store first what callers wait for while the store is slow

Each cycle stored the records of all changed jobs one transaction after the other, most of them arrivals without room and ends of single tasks, while 109 to 150 machines stood ready and callers waited 4 to 7.5 s for a first start. Ruled out: machines (registered from second 12), ranks (nothing was ranked meanwhile). Change: jobs with a planned start, ended ones and those postponed for a second are stored first; the rest only within the first 0.1 s of a cycle, else in the next one, keeping their inbox keys and unconfirmed ends. An end is confirmed with the record of its own job.

--- a/vanillawell/coordination/shard_owner.py
+++ b/vanillawell/coordination/shard_owner.py
@@ -31,6 +31,7 @@
 from vanillawell.coordination.upkeep_runner import UpkeepRunner
 from vanillawell.protocol.queue_documents import write_queues
 from vanillawell.protocol.store import Put
+from vanillawell.state.contention.write_order import PostponedChanges
 from vanillawell.state.shard import Shard
 
 if TYPE_CHECKING:
@@ -54,6 +55,9 @@
 """Maximum seconds between two scheduling cycles without a wake-up, to handle expired leases and due
 times."""
 
+MAX_POSTPONABLE_TIME = 0.1
+"""Seconds of a scheduling cycle after which it stores only what callers wait for."""
+
 SLOW_CYCLE_THRESHOLD = 0.3
 """Seconds from which a scheduling cycle is logged as slow; callers wait that long for its
 decisions."""
@@ -95,6 +99,7 @@
         )
         self._wake_event = anyio.Event()
         self._placing = True
+        self._postponed = PostponedChanges()
         self._published_pending: dict[str, int] | None = None
         self._stored_queues: dict[str, Queue] = {}
         self._inbox = Inbox(ports.store, keys, self._shard, self.wake)
@@ -295,8 +300,13 @@
         return driver
 
     async def _store_cycle(self) -> None:
-        """Store the changes of this cycle, then send its starts and confirm its ended runs."""
-        batch = CycleBatch.collect(self._shard, self._keys, time.time())
+        """Store the changes of this cycle, send its starts and confirm its ended runs.
+
+        While the store is slow, changes that no caller waits for are left for a later cycle: no
+        start is decided before the present cycle is over.
+        """
+        began = clock.read()
+        batch = CycleBatch.collect(self._shard, self._keys, self._postponed, began, time.time())
         pending = (
             self._shard.job_table.pending() if self._inbox.is_read else self._published_pending
         )
@@ -310,8 +320,14 @@
         if not due and not self._leases.needs_write(executors, clock.read()):
             return
         extra = [*self._pending_puts(pending), *self._queue_puts(queues)]
+        stored: set[str] = set()
+        deleted: set[str] = set()
         for part in batch.parts(extra):
+            if not part.is_urgent and stored and clock.read() > began + MAX_POSTPONABLE_TIME:
+                break
             stored_at = await self._term.write(part.puts, part.deletes, self._draft_bounds)
+            stored.update(part.jobs)
+            deleted.update(part.deletes)
             if self._leases.confirm():
                 self._notify(self._drivers)
             self._telemetry.store_writes.inc({"kind": "turn"})
@@ -322,6 +338,11 @@
                 self._submit(run, stored_at)
             self._notify(end.executor.name for end in part.ends)
         self._published_pending, self._stored_queues = pending, queues
+        left = batch.postpone(stored, deleted, self._shard)
+        self._postponed.update(left, began)
+        self._telemetry.postponed_changes.set({}, len(left))
+        if left:
+            log.info("changes postponed", extra={"stored": len(stored), "left": len(left)})
 
     def _submit(self, run: Run, stored_at: float) -> None:
         driver = self._drivers.get(run.executor)
--- a/vanillawell/scheduler_telemetry.py
+++ b/vanillawell/scheduler_telemetry.py
@@ -28,6 +28,11 @@
             "Transactions written in the store, by kind.",
             registry=self.registry,
         )
+        self.postponed_changes = Gauge(
+            "vanillawell_postponed_changes",
+            "Changed jobs that the latest scheduling cycle has left for a later one.",
+            registry=self.registry,
+        )
         self.policy_version = Gauge(
             "vanillawell_policy_version",
             "Version of the configuration in force here.",
--- a/vanillawell/state/outbox.py
+++ b/vanillawell/state/outbox.py
@@ -27,6 +27,8 @@
 
     executor: Executor
     sequence: int
+    job_id: str
+    """Job whose record has to be stored before."""
 
 
 class CompletedTask(NamedTuple):
@@ -57,6 +59,9 @@
     accepted_requests: dict[str, set[str]] = field(default_factory=dict)
     """Inbox keys of accepted callers' requests, by the job that they concern."""
 
+    deletes: list[str] = field(default_factory=list)
+    """Keys that a former cycle has left to be deleted."""
+
     on_stop: Callable[[], None] = _ignore_stop
     """Called when a stop is requested; unlike other effects, stops are not delayed until the next
     scheduling cycle."""
--- a/vanillawell/state/shard.py
+++ b/vanillawell/state/shard.py
@@ -188,8 +188,11 @@
     ) -> None:
         """Apply an executor's report, the answer to a call that was sent at `sent`."""
         outcome = self.ledger.apply_report(executor, report, sent, now, self.job_table.find)
-        numbers = [end.sequence for end in report.ended if end.sequence in executor.unsaved_ends]
-        self.outbox.ends.extend(EndConfirmation(executor, number) for number in numbers)
+        self.outbox.ends.extend(
+            EndConfirmation(executor, end.sequence, end.task_id.job_id if end.task_id else "")
+            for end in report.ended
+            if end.sequence in executor.unsaved_ends
+        )
         self._apply_ends(outcome.ended, now, wall)
         for end in outcome.late_ends:
             self._apply_late_end(end, now, wall)
--- a/vanillawell/tests/narrow_link_tests.py
+++ b/vanillawell/tests/narrow_link_tests.py
@@ -31,7 +31,7 @@
 """Parts in which an answer arrives."""
 
 PART_INTERVAL = 0.3
-"""Seconds between two parts; far below the timeout, since a busy machine also delays the stand-in."""
+"""Seconds between two parts; far below the timeout, since a busy machine delays the stand-in."""
 
 CALL_TIMEOUT = 1.0
 """Seconds that the caller waits for an answer; shorter than all parts take together."""
