Rank surplus behind agreed work, and divide machines when they are scarce

Change: a token bucket an organisation, by the agreed rate of its configuration and the times of acceptance, marks jobs as surplus; these rank behind all others of their pool and call no machines by forecast. Restored jobs pass the buckets in the order of their acceptance, so that a next owner judges alike without anything stored. When pools want more machines than there are, each gets its floor, then the same part of what its required work lacks, then of the rest; what a pool holds beyond gets no new tasks and leaves as it becomes idle, but nothing that its required work needed within a second.

--- a/vanillawell/coordination/inbox.py
+++ b/vanillawell/coordination/inbox.py
@@ -29,6 +29,9 @@
 """Seconds without a change of the inbox after which it is listed; about four listings a second
 while it is idle."""
 
+MAX_JOB_AGE = 5.0
+"""Seconds of a job's age that are believed, since the clocks of entries differ."""
+
 
 class Inbox:
     """Watch the inbox of a shard for one term."""
@@ -109,7 +112,8 @@
         except ValueError as error:
             log.error("job document unreadable", extra={"job": job_id, "reason": str(error)})
             return
-        record = self._shard.admit(job, clock.read(), is_backlog=not self.is_read)
+        age = min(MAX_JOB_AGE, max(0.0, time.time() - job.accepted_at))
+        record = self._shard.admit(job, clock.read(), is_backlog=not self.is_read, age=age)
         if record is not None:
             log.info(
                 "job admitted",
@@ -117,6 +121,7 @@
                     "job": job_id,
                     "queue": job.queue,
                     "organisation": job.organisation,
+                    "surplus": record.surplus,
                     "tasks": sum(step.count for step in job.steps),
                     "objective": round(record.deadline - record.seen_at, 3),
                     "waited": round(time.time() - job.accepted_at, 3),
--- a/vanillawell/coordination/pool_demand.py
+++ b/vanillawell/coordination/pool_demand.py
@@ -11,7 +11,12 @@
 from vanillawell.protocol.machine_calls import MachineState
 from vanillawell.state.lost_executors import is_list_credible
 from vanillawell.state.placement_pass import HELD_FOR_CAPACITY
-from vanillawell.state.pool_sizing import PoolDemand, demanded_cores, min_long_running_machines
+from vanillawell.state.pool_sizing import (
+    PoolDemand,
+    demanded_cores,
+    min_long_running_machines,
+    optional_cores,
+)
 from vanillawell.state.trial_placement import count_missing_machines
 from vanillawell.state.work import MILLICORES_PER_CORE, NO_RESOURCES, Resources
 
@@ -105,10 +110,14 @@
         policy: WorkPolicy,
         standby: str,
         snapshot: MachineSnapshot,
+        spare: int,
         now: float,
     ) -> list[PoolDemand]:
         """Return the capacity and demand of each pool except `standby`.
 
+        If the pools want more machines than they and the `spare` ones on standby are, it is also
+        determined how much of the demand is optional.
+
         Executors that are unresponsive or in evacuated zones count for neither: when a zone was
         cut off during a peak, a third of a pool was unusable, and callers waited for capacity that
         the pool only appeared to have.
@@ -119,8 +128,8 @@
             members[executor.facts.service].append(executor)
         self._record_sizes(snapshot.executors)
         used = {queue.service for queue in policy.queues.values()}
-        pools = [name for name in policy.services if name != standby and name in used]
-        return [
+        names = [name for name in policy.services if name != standby and name in used]
+        pools = [
             self._measure_pool(
                 pool,
                 members[pool],
@@ -128,8 +137,14 @@
                 self._count_arriving(pool, snapshot, now),
                 now,
             )
-            for pool in pools
+            for pool in names
         ]
+        if sum(pool.wanted for pool in pools) > sum(pool.machines for pool in pools) + spare:
+            for pool in pools:
+                runs = (run for item in members[pool.service] for run in item.runs.values())
+                optional = optional_cores(runs, steps[pool.service], self._shard.durations, now)
+                pool.optional_cores = optional
+        return pools
 
     def _open_steps(self) -> defaultdict[str, list[StepProgress]]:
         """Return the steps that may run now, by pool."""
@@ -153,10 +168,8 @@
         ]
         usable = [item for item in own if not item.facts.draining and not item.cordoned]
         size = self._size(pool)
-        wanted = max(
-            demanded_cores(own, steps, self._shard.durations),
-            self._shard.arrivals.required_cores(pool, now),
-        )
+        arriving_cores = self._shard.arrivals.required_cores(pool, now)
+        wanted = max(demanded_cores(own, steps, self._shard.durations), arriving_cores)
         healthy = [item for item in usable if item.is_healthy(now)]
         held_steps = [step for step in steps if step.held_by in HELD_FOR_CAPACITY]
         return PoolDemand(
@@ -164,8 +177,9 @@
             len(usable) + arriving,
             size.cpu / MILLICORES_PER_CORE,
             wanted,
-            min_long_running_machines(steps),
-            count_missing_machines(healthy, arriving, size, held_steps),
+            arriving_cores=arriving_cores,
+            floor=min_long_running_machines(steps),
+            shortfall=count_missing_machines(healthy, arriving, size, held_steps),
         )
 
     def _size(self, pool: str) -> Resources:
--- a/vanillawell/coordination/shard_loader.py
+++ b/vanillawell/coordination/shard_loader.py
@@ -19,6 +19,7 @@
     from vanillawell.protocol.store import Listing, PolledStore
     from vanillawell.protocol.work_documents import WorkKeys
     from vanillawell.state.shard import Shard
+    from vanillawell.state.work import JobRecord, Run
 
 log = logging.getLogger(__name__)
 
@@ -81,7 +82,7 @@
     def _restore(self, orders: Listing, records: Listing) -> None:
         now = clock.read()
         values = {item.key: item.value for item in records.items}
-        inherited_runs = 0
+        loaded: list[tuple[JobRecord, list[Run]]] = []
         for item in orders.items:
             job_id = item.key.removeprefix(self._keys.submitted_jobs)
             data = values.get(self._keys.record(job_id))
@@ -92,9 +93,11 @@
             except ValueError as error:
                 log.error("job document unreadable", extra={"job": job_id, "reason": str(error)})
                 continue
-            inherited_runs += len(runs)
-            bound = functools.partial(self._leases.inherited_bound, now=now)
+            loaded.append((record, runs))
+        bound = functools.partial(self._leases.inherited_bound, now=now)
+        for record, runs in sorted(loaded, key=lambda item: item[0].seen_at):
             self._shard.restore(record, runs, bound)
+        inherited_runs = sum(len(runs) for _, runs in loaded)
         jobs = len(self._shard.job_table.jobs)
         fields = {"shard": self._name, "token": self._term.token}
         log.info("shard loaded", extra={**fields, "jobs": jobs, "runs": inherited_runs})
--- a/vanillawell/node.py
+++ b/vanillawell/node.py
@@ -96,6 +96,7 @@
         self.telemetry.evacuated_zones.set({}, len(self._policies.evacuated_zones.names))
         shard = self.owned_shard
         self.telemetry.evacuated_executors.set({}, shard.ledger.count_evacuated() if shard else 0)
+        self.telemetry.surplus_jobs.set({}, shard.surplus_jobs if shard else 0)
 
     @property
     def owns(self) -> bool:
--- a/vanillawell/platform/documents.py
+++ b/vanillawell/platform/documents.py
@@ -225,7 +225,9 @@
             for item in config.services
         },
         organisations={
-            item.name: OrganisationLimits(item.name, item.weight, item.maximum.decode())
+            item.name: OrganisationLimits(
+                item.name, item.weight, item.maximum.decode(), item.weight or None
+            )
             for item in config.tenants
         },
         key_owners={key_digest(key): item.name for item in config.tenants for key in item.apiKeys},
--- a/vanillawell/scheduler_telemetry.py
+++ b/vanillawell/scheduler_telemetry.py
@@ -53,6 +53,12 @@
             "Stored starts that were not ordered because their zone was evacuated meanwhile.",
             registry=self.registry,
         )
+        self.surplus_jobs = Gauge(
+            "vanillawell_surplus_jobs",
+            "Jobs beyond their organisation's agreed rate that this owner has tracked; 0 if not the"
+            " owner.",
+            registry=self.registry,
+        )
         self.log_lines_dropped = Gauge(
             "vanillawell_log_lines_dropped",
             "Log lines dropped so far, since nobody read them or there were too many of a kind.",
--- a/vanillawell/standins/experiment/simulation.py
+++ b/vanillawell/standins/experiment/simulation.py
@@ -261,7 +261,7 @@
         for name, executor in executors.items():
             if not executor.runs:
                 idle.setdefault(executor.facts.service, []).append(name)
-        for move in self.sizer.plan(pools, STANDBY, spare, idle, now):
+        for move in self.sizer.plan(pools, STANDBY, spare, idle, now).moves:
             self.moves += 1
             if move.machine in executors:
                 previous = executors[move.machine].facts
--- a/vanillawell/state/executors.py
+++ b/vanillawell/state/executors.py
@@ -107,6 +107,9 @@
     evacuated: bool = False
     """Whether operators have evacuated its availability zone, so that no new task may start."""
 
+    vacating: bool = False
+    """Whether it gets no new tasks so that another pool can have its machine."""
+
     withheld: bool = False
     """Whether a previous owner's order for its machine may still end it, or may have ended it."""
 
@@ -198,10 +201,10 @@
 
     def accepts_tasks(self, now: float) -> bool:
         """Return whether new tasks may be placed on it."""
-        return self.is_healthy(now) and not self.withheld
+        return self.is_healthy(now) and not self.withheld and not self.vacating
 
     def is_healthy(self, now: float) -> bool:
-        """Return whether it accepts new tasks, or will once it is no longer withheld."""
+        """Return whether it accepts new tasks, but for being withheld or vacating."""
         return (
             self.registered
             and self.contacted
--- a/vanillawell/state/explain.py
+++ b/vanillawell/state/explain.py
@@ -109,6 +109,8 @@
         if len(tokens) > 1:
             causes["the shard changed its owner"] += 3 * (len(tokens) - 1)
         accepted, admitted = self.first("job accepted"), self.first("job admitted")
+        if admitted and admitted.fields.get("surplus"):
+            causes[f"surplus of {admitted.fields['organisation']}"] += 4
         if accepted and admitted and admitted.at - accepted.at > MIN_HOLD_TIME:
             causes["the owner heard of it late"] += 2
 
--- a/vanillawell/state/ranking.py
+++ b/vanillawell/state/ranking.py
@@ -1,11 +1,12 @@
-"""Rank waiting steps: long-running tasks first, then by priority and chance to be in time."""
+"""Rank waiting steps: long-running tasks first, then jobs within their organisation's agreed rate,
+by priority and chance to be in time."""
 
 from __future__ import annotations
 
 from typing import TYPE_CHECKING, NamedTuple
 
 if TYPE_CHECKING:
-    from vanillawell.state.work import StepProgress
+    from vanillawell.state.work import JobRecord, StepProgress
 
 MAX_LATENESS = 3.0
 """Multiple of its objective after which a job has no value to its caller and is served last.
@@ -25,6 +26,9 @@
     terminates: bool
     """Whether its tasks end by themselves."""
 
+    surplus: bool
+    """Whether its job exceeds the agreed rate of its organisation."""
+
     priority: int
     """Priority of its queue."""
 
@@ -50,7 +54,25 @@
     deadlines, all of them would be late. Jobs that can no longer be in time therefore wait for the
     others, and started jobs are served before jobs that have not started.
     """
-    return Rank(not step.spec.long_running, priority, _lateness(step, now), not _has_started(step))
+    terminates = not step.spec.long_running
+    surplus = terminates and step.record.surplus
+    return Rank(terminates, surplus, priority, _lateness(step, now), not _has_started(step))
+
+
+def has_lost_value(record: JobRecord, now: float) -> bool:
+    """Return whether a job is so late that its caller has no use for it."""
+    return now > record.seen_at + MAX_LATENESS * (record.deadline - record.seen_at)
+
+
+def is_optional(step: StepProgress, now: float) -> bool:
+    """Return whether no caller within an agreed rate still profits from a step.
+
+    Such work is done with what others leave; a pool does not hold machines for it while another
+    pool lacks some.
+    """
+    if step.spec.long_running:
+        return False
+    return step.record.surplus or has_lost_value(step.record, now)
 
 
 def _lateness(step: StepProgress, now: float) -> int:
@@ -60,7 +82,7 @@
     deadline: the work already spent on it would be wasted otherwise.
     """
     record = step.record
-    if now > record.seen_at + MAX_LATENESS * (record.deadline - record.seen_at):
+    if has_lost_value(record, now):
         return 2
     started = any(task.done or task.run for task in step.tasks)
     remaining = 0.0 if started else REMAINING_WORK_MARGIN * record.critical_paths[step.position]
--- a/vanillawell/state/shard.py
+++ b/vanillawell/state/shard.py
@@ -14,6 +14,7 @@
 from typing import TYPE_CHECKING
 
 from vanillawell.state.arrivals import ArrivalMeter
+from vanillawell.state.contention.agreed_rates import AgreedRates
 from vanillawell.state.copies import runs_to_copy
 from vanillawell.state.durations import DurationStatistics
 from vanillawell.state.executors import QUARANTINE_TIME, Executor, by_service
@@ -61,6 +62,10 @@
         self.job_table = JobTable(self._attempts, retention)
         self.durations = DurationStatistics()
         self.arrivals = ArrivalMeter()
+        self.agreed_rates = AgreedRates()
+        self.surplus_jobs = 0
+        """Jobs beyond the agreed rate of their organisation, among all that were tracked so far."""
+
         self.outbox = Outbox()
         self.tickets: dict[tuple[str, int, int], Mapping[str, str]] = {}
         """Tickets by executor, for steps of queues that require advice."""
@@ -103,24 +108,40 @@
         """Return the rules of a job's queue; None if they are unavailable."""
         return self._queues.get(job.queue)
 
-    def admit(self, job: Job, now: float, is_backlog: bool = False) -> JobRecord | None:
+    def admit(
+        self, job: Job, now: float, is_backlog: bool = False, age: float = 0.0
+    ) -> JobRecord | None:
         """Start tracking an accepted job; return None if it is already tracked.
 
-        `is_backlog` marks a job that was accepted before this process owned the shard. It does not
-        count as an arrival.
+        Args:
+            job: The job.
+            now: Present time.
+            is_backlog: Whether it was accepted before this process owned the shard. It does not
+                count as an arrival then.
+            age: Seconds since its acceptance.
         """
         if job.job_id in self.job_table.jobs:
             return None
         record = JobRecord(job, now)
         self._queues_used.add(job.queue)
         self._set_objective(record)
+        self._count_against_rate(record, now - age)
         self.job_table.add(record)
         self.job_table.changed[job.job_id] = record
         queue = self.queue_of(job)
-        if queue is not None and not is_backlog:
+        if queue is not None and not is_backlog and not record.surplus:
             self.arrivals.record(queue.service, job, self.durations, now)
         return record
 
+    def _count_against_rate(self, record: JobRecord, accepted: float) -> None:
+        """Determine whether a job that was accepted at the given time is surplus."""
+        organisation = record.job.organisation
+        limits = self._policy.organisations.get(organisation) if self._policy else None
+        rate = limits.agreed_rate if limits else None
+        record.surplus = self.agreed_rates.is_surplus(organisation, rate, accepted)
+        if record.surplus:
+            self.surplus_jobs += 1
+
     def _set_objective(self, record: JobRecord) -> None:
         queue = self.queue_of(record.job)
         record.critical_paths = self.durations.critical_paths(record.job)
@@ -133,13 +154,14 @@
     def restore(
         self, record: JobRecord, runs: Iterable[Run], bound: Callable[[str], InheritedLeaseBound]
     ) -> None:
-        """Restore a stored job with its open runs.
+        """Restore a stored job with its open runs; jobs are restored in the order of acceptance.
 
         `bound` returns the inherited lease bound of an executor by its id.
         """
         if not record.state.final:
             self._queues_used.add(record.job.queue)
         self._set_objective(record)
+        self._count_against_rate(record, record.seen_at)
         self.job_table.add(record)
         for run in runs:
             self.ledger.restore(run.task, run, bound(run.executor))
--- a/vanillawell/state/work.py
+++ b/vanillawell/state/work.py
@@ -339,6 +339,9 @@
     """When the job reached a final state, in seconds since the epoch."""
 
     open_runs: int = 0
+    surplus: bool = False
+    """Whether it exceeds the agreed rate of its organisation."""
+
     deadline: float = 0.0
     """Time by which the job should be completed to meet its objective."""
 
--- a/vanillawell/state/work_policy.py
+++ b/vanillawell/state/work_policy.py
@@ -75,6 +75,9 @@
     maximum: Resources
     """Maximum resources of its running tasks in all pools; 0 for no limit of that dimension."""
 
+    agreed_rate: float | None = None
+    """Jobs a second that were agreed with it; None if it may send any number."""
+
     def allows(self, running: Resources, additional: Resources) -> bool:
         """Return whether `additional` keeps the organisation within its maximum."""
         total = running + additional
--- a/vanillawell/tests/pool_sizing_tests.py
+++ b/vanillawell/tests/pool_sizing_tests.py
@@ -20,15 +20,17 @@
 
 
 def test_all_machines_needed_for_a_peak_are_moved_at_once() -> None:
-    moves = PoolSizer().plan(
-        [_demand("a", 280.0), _demand("b", 10.0)], "standby", list("uvwxyz"), {}, 0.0
+    moves = (
+        PoolSizer()
+        .plan([_demand("a", 280.0), _demand("b", 10.0)], "standby", list("uvwxyz"), {}, 0.0)
+        .moves
     )
     assert [(move.pool, move.reason) for move in moves] == [("a", "demand")] * 4
 
 
 def test_a_pool_takes_surplus_machines_of_another_pool() -> None:
     pools = [_demand("a", 280.0), _demand("b", 10.0, machines=10)]
-    moves = PoolSizer().plan(pools, "standby", ["u"], {"b": ["k", "l"]}, 0.0)
+    moves = PoolSizer().plan(pools, "standby", ["u"], {"b": ["k", "l"]}, 0.0).moves
     assert {(move.machine, move.pool) for move in moves} == {("u", "a"), ("k", "a"), ("l", "a")}
     assert [move.machine for move in moves][-1] == "u"
 
@@ -36,10 +38,10 @@
 def test_a_machine_returns_to_standby_only_after_the_hold_time() -> None:
     sizer = PoolSizer()
     high, low = _demand("a", 280.0, machines=10), _demand("a", 10.0, machines=10)
-    assert sizer.plan([high], "standby", [], {}, 0.0) == []
+    assert sizer.plan([high], "standby", [], {}, 0.0).moves == []
     idle = {"a": ["k", "l", "m", "n", "o", "p", "q", "r", "s", "t"]}
-    assert sizer.plan([low], "standby", [], idle, 0.9) == []
-    left = sizer.plan([low], "standby", [], idle, 2.0)
+    assert sizer.plan([low], "standby", [], idle, 0.9).moves == []
+    left = sizer.plan([low], "standby", [], idle, 2.0).moves
     assert len(left) == 4
     assert {move.pool for move in left} == {"standby"}
 
@@ -48,11 +50,11 @@
     """After a change of owner the demand of the last seconds is unknown. Machines that were moved
     in for a peak must not be sent back in the middle of it."""
     low = _demand("a", 10.0, machines=10)
-    assert PoolSizer().plan([low], "standby", [], {"a": ["k", "l"]}, 0.0) == []
+    assert PoolSizer().plan([low], "standby", [], {"a": ["k", "l"]}, 0.0).moves == []
 
 
 def test_machines_with_running_tasks_are_not_moved() -> None:
-    assert PoolSizer().plan([_demand("a", 1.0, machines=10)], "standby", [], {}, 9.0) == []
+    assert PoolSizer().plan([_demand("a", 1.0, machines=10)], "standby", [], {}, 9.0).moves == []
 
 
 def test_a_pool_keeps_the_machines_that_its_long_running_tasks_need() -> None:
@@ -78,7 +80,7 @@
             for service in "abcd"
             if service != peak
         }
-        for move in sizer.plan(pools, "standby", [str(item) for item in spare], idle, now):
+        for move in sizer.plan(pools, "standby", [str(item) for item in spare], idle, now).moves:
             moves += 1
             if move.pool == "standby":
                 machines[move.machine[0]] -= 1
