Keep the tasks of a step in the fullest zone that has room for them

The zone with the most room was chosen, so that small steps filled all zones alike and none was left with room for a wide step or with machines that become empty. Change: of the zones with room for all waiting tasks the fullest is chosen, else the one with the most room as before.

--- a/vanillawell/state/placement.py
+++ b/vanillawell/state/placement.py
@@ -44,6 +44,7 @@
         self._spec = spec
         self._tickets = tickets
         self._now = now
+        self._waiting = len(step.waiting)
         self._candidates = [item for item in candidates if self._may_run(item)]
         open_runs = [run for task in step.tasks for run in task.open_runs]
         self._on_executor = Counter(run.executor for run in open_runs)
@@ -80,13 +81,17 @@
         """Return the zone in which the short tasks of the step are kept together.
 
         Spread over all zones, most jobs would have a task in each and be late if any zone is cut
-        off. Kept in one, only the jobs of that zone are.
+        off. Kept in one, only the jobs of that zone are. Of the zones with room for all of them
+        the fullest is chosen, so that large gaps remain for wide steps and large tasks.
         """
         if self._zones_in_use:
             return self._zones_in_use.most_common(1)[0][0]
         capacity: Counter[str] = Counter()
         for executor in fitting:
             capacity[executor.facts.zone] += count_fitting_tasks(self._spec, executor)
+        sufficient = [zone for zone, places in capacity.items() if places >= self._waiting]
+        if sufficient:
+            return min(sufficient, key=lambda zone: (capacity[zone], zone))
         return max(capacity, key=lambda zone: (capacity[zone], zone))
 
     def choose(self, task: Task, excluded: Collection[str] = ()) -> Executor | None:
--- a/vanillawell/tests/zone_locality_tests.py
+++ b/vanillawell/tests/zone_locality_tests.py
@@ -50,6 +50,20 @@
     )
 
 
+def test_small_steps_share_a_zone_so_that_a_wide_one_still_fits() -> None:
+    """Three small jobs are running when a wide one comes. If each small one had taken the emptiest
+    zone, no zone would have room for the wide one, and it would depend on all of them."""
+    harness = _pool()
+    for _ in range(3):
+        harness.admit(job(step(2)))
+        harness.place()
+    assert len(_zones(harness)) == 1
+    harness.admit(job(step(16)))
+    wide = harness.place()
+    executors = harness.shard.ledger.executors
+    assert len({executors[run.executor].facts.zone for run in wide}) == 1
+
+
 def test_step_that_fits_in_no_zone_uses_all() -> None:
     """Keeping it together must not make callers wait for capacity that exists."""
     harness = _pool()
