Judge executors by a sequential test of their runs, and penalise repeated restarts

Cause: quarantine needed five failed runs without one success between them, so an executor that fails four runs in ten was never found, and one that comes and goes each second was new each time. Change: each run adds the logarithm of how much likelier its outcome is at a faulty executor than at a sound one of its pool (CUSUM); a failure counts for nothing where the same step has failed elsewhere, and two jobs have to be concerned. An executor that is tried again keeps half of the evidence. Two restarts within ten seconds cost two seconds without new tasks, each further one twice as many, eight at most. Weighed: a window of outcomes with a fixed ratio (as health.py of the proxying entries has): needs a minimum sample, and takes where all fail alike for faulty executors.

--- a/vanillawell/state/executors.py
+++ b/vanillawell/state/executors.py
@@ -5,24 +5,23 @@
 
 from __future__ import annotations
 
+import logging
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from vanillawell.state.reliability.failure_evidence import FailureEvidence
+from vanillawell.state.reliability.restart_penalty import RestartHistory
 from vanillawell.state.work import NO_RESOURCES, Ending, Resources, Run, TaskId
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Sequence
 
-UNREACHABLE_BLOCK_TIME = 1.0
-"""Seconds for which an unreachable executor gets no new tasks."""
+    from vanillawell.state.reliability.failure_evidence import PoolFailureRate
 
-MAX_CONSECUTIVE_FAILURES = 5
-"""Failed runs without a success between them after which an executor counts as unhealthy.
+log = logging.getLogger(__name__)
 
-Single tasks rarely fail by themselves, so this many in a row are not a coincidence."""
-
-MIN_FAILED_JOBS = 2
-"""Distinct jobs that these failures must come from; otherwise the job itself is at fault."""
+UNREACHABLE_BLOCK_TIME = 1.0
+"""Seconds for which an unreachable executor gets no new tasks."""
 
 MAX_REGISTRATION_AGE = 1.5
 """Maximum seconds between two writes of an executor's registration."""
@@ -120,8 +119,10 @@
     awaits_upkeep: bool = False
     """Whether a maintenance wave has yet to take its machine down, which ends all runs there."""
 
-    failures: list[str] = field(default_factory=list)
-    """Job ids of the failed runs since the last success."""
+    evidence: FailureEvidence = field(default_factory=FailureEvidence)
+    """Evidence that it fails its work."""
+
+    restarts: RestartHistory = field(default_factory=RestartHistory)
 
     @property
     def name(self) -> str:
@@ -157,10 +158,14 @@
         self.contacted = False
         self.last_applied_end = 0
         self.unsaved_ends.clear()
-        self.failures.clear()
+        self.evidence = FailureEvidence()
         self.earliest_departure = None
         self.restarted_at = now
         self.tracked_since = now
+        penalty = self.restarts.record(now)
+        if penalty:
+            self.block_placement(now + penalty)
+            log.warning("executor restarts", extra={"executor": self.name, "penalty": penalty})
 
     def is_from_earlier_incarnation(self, incarnation: int, sent: float) -> bool:
         """Return whether the answer to a call sent at `sent` is from a terminated incarnation.
@@ -238,28 +243,32 @@
         for run in self.runs.values():
             run.is_available = False
 
-    def record_ending(self, run: Run, ending: Ending) -> bool:
-        """Record how a run ended; return whether the executor now counts as unhealthy.
+    def record_ending(self, run: Run, ending: Ending, pool: PoolFailureRate) -> bool:
+        """Record how a run ended; return whether the executor is now judged faulty.
 
-        An executor that fails every run looks idle, and would attract more and more tasks.
+        An executor that fails its runs looks idle, and would attract more and more tasks. A failure
+        is no evidence if the same step has failed elsewhere: then the job itself is at fault.
         """
-        if ending is Ending.DONE:
-            self.failures.clear()
-        if ending is not Ending.FAILED:
+        if ending not in (Ending.DONE, Ending.FAILED):
             return False
-        self.failures.append(run.task.task_id.job_id)
-        recent = self.failures[-MAX_CONSECUTIVE_FAILURES:]
-        if len(recent) < MAX_CONSECUTIVE_FAILURES or len(set(recent)) < MIN_FAILED_JOBS:
+        failed = ending is Ending.FAILED
+        if failed and _has_failed_elsewhere(run, self.name):
             return False
-        del self.failures[:-2]
-        return True
+        pool.record(failed)
+        return self.evidence.record(failed, run.task.task_id.job_id, pool.rate)
 
     def quarantine(self, now: float) -> None:
         """Place no new tasks on it for the quarantine time, since its runs fail."""
+        self.evidence.begin_trial()
         self.quarantined_until = now + QUARANTINE_TIME
         self.block_placement(self.quarantined_until)
 
 
+def _has_failed_elsewhere(run: Run, executor: str) -> bool:
+    """Return whether a task of the run's step has failed on another executor."""
+    return any(task.failed_on not in ("", executor) for task in run.task.step.tasks)
+
+
 def _cold_statement(facts: ExecutorFacts) -> tuple[int, float]:
     """Return what identifies a statement of how long an executor remains slow."""
     return facts.incarnation, facts.cold_remaining
--- a/vanillawell/state/ledger.py
+++ b/vanillawell/state/ledger.py
@@ -27,6 +27,7 @@
     may_quarantine,
 )
 from vanillawell.state.placement_restrictions import PlacementRestrictions
+from vanillawell.state.reliability.failure_evidence import PoolFailureRate
 from vanillawell.state.reported_runs import has_ended, may_still_start, update_run
 from vanillawell.state.work import NO_RESOURCES, Ending, Resources, Run, RunPhase, Task, TaskId
 
@@ -87,6 +88,8 @@
 
         self._usage: defaultdict[str, Resources] = defaultdict(Resources)
         self._restrictions = PlacementRestrictions()
+        self._failure_rates: defaultdict[str, PoolFailureRate] = defaultdict(PoolFailureRate)
+        """Failure rate of each service's executors."""
 
     def cordon_machine(self, machine: str) -> None:
         """Keep new tasks off a machine, including executors that have yet to register there."""
@@ -335,7 +338,13 @@
         """Quarantine an executor whose tasks fail, unless too much of its pool is quarantined."""
         registered = [item for item in self.executors.values() if item.registered]
         is_allowed = may_quarantine(by_service(registered, executor.facts.service), now)
-        fields = {"executor": executor.name, "quarantine": QUARANTINE_TIME if is_allowed else 0.0}
+        fields = {
+            "executor": executor.name,
+            "score": round(executor.evidence.score, 2),
+            "jobs": len(executor.evidence.failed_jobs),
+            "pool_rate": round(self._failure_rates[executor.facts.service].rate, 4),
+            "quarantine": QUARANTINE_TIME if is_allowed else 0.0,
+        }
         log.warning("executor fails its work", extra=fields)
         if is_allowed:
             executor.quarantine(now)
@@ -358,7 +367,8 @@
                 outcome.late_ends.append(end)
             return
         executor.unsaved_ends.add(end.sequence)
-        if executor.record_ending(run, end.ending):
+        rate = self._failure_rates[executor.facts.service]
+        if executor.record_ending(run, end.ending, rate):
             self._quarantine_if_allowed(executor, now)
         self._discharge(executor, run)
         outcome.ended.append(EndedRun(run, end.ending, end.checkpoint))
