Measure the bulk of run times apart from their tail

Cause: one moving mean, a new run weighing a tenth, so that a task seven times as long as the others raised it by more than half, and with it the sizes of pools, objectives and ranks. Weighed: a quantile sketch (DDSketch, t-digest): the decisions use a mean, and none of the libraries fades old runs.

--- a/vanillawell/state/arrivals.py
+++ b/vanillawell/state/arrivals.py
@@ -85,8 +85,7 @@
         steps = [step for step in job.steps if not step.long_running]
         sizes = [step.count * step.reserved.cpu / MILLICORES_PER_CORE for step in steps]
         work = sum(
-            size * durations.expected(job.queue, step)
-            for size, step in zip(sizes, steps, strict=True)
+            size * durations.mean(job.queue, step) for size, step in zip(sizes, steps, strict=True)
         )
         if not work:
             return
--- a/vanillawell/state/pool_sizing.py
+++ b/vanillawell/state/pool_sizing.py
@@ -283,5 +283,5 @@
     places = len(step.waiting) * step.spec.reserved.cpu / MILLICORES_PER_CORE
     if step.spec.long_running:
         return places
-    seconds = durations.expected(step.record.job.queue, step.spec)
+    seconds = durations.mean(step.record.job.queue, step.spec)
     return places * min(1.0, seconds / BACKLOG_DRAIN_TIME)
