--- a/vanillawell/standins/experiment/simulation.py
+++ b/vanillawell/standins/experiment/simulation.py
@@ -62,9 +62,6 @@
 OBJECTIVE = 0.6
 """Seconds that the objective allows in addition."""
 
-RUN_TIME_SPREAD = 0.15
-"""Largest relative difference of a task's run time from the mean of its step."""
-
 STANDBY = "standby"
 ORGANISATION = "north"
 
@@ -226,7 +223,10 @@
             if step.spec.long_running:
                 continue
             own = self.seconds[step.record.job.job_id, step.position]
-            factor = self._run_rng.uniform(1 - RUN_TIME_SPREAD, 1 + RUN_TIME_SPREAD)
+            spread = self.workload.run_time_spread
+            factor = self._run_rng.uniform(1 - spread, 1 + spread)
+            if self.workload.tail_share and self._run_rng.random() < self.workload.tail_share:
+                factor *= self.workload.tail_factor
             if self.shard.ledger.executors[run.executor].is_cold(self.now):
                 factor *= self.workload.cold_factor
             ends_at = self.now + START_DELAY + own * factor
--- a/vanillawell/standins/experiment/workload.py
+++ b/vanillawell/standins/experiment/workload.py
@@ -94,6 +94,15 @@
 
     rack_size: Count = 4
     day_seconds: Seconds = 41.0
+    run_time_spread: Annotated[float, Field(ge=0, lt=1)] = 0.15
+    """Largest relative difference of a task's run time from the mean of its step."""
+
+    tail_share: Annotated[float, Field(ge=0, le=1)] = 0.0
+    """Part of the tasks that take several times as long."""
+
+    tail_factor: Amount = 7.0
+    """Multiple of its run time that such a task takes."""
+
     cold_seconds: Amount = 0.0
     """Seconds for which a machine is slow after it has joined a pool."""
 
