Let entries that can't serve callers leave rotation at once, and return gradually

Change: an entry whose calls to the store fail for 0.7 s, or whose event loop is 0.5 s late, is not ready; it refuses with Connection: close, and returns 0.5 to 1.5 s after the last cause, each entry at its own moment. The loop's lag is watched on every entry, not on the owner only. write_beside raises TermLostError itself, so that the log names the reason.

--- a/vanillawell/coordination/job_service.py
+++ b/vanillawell/coordination/job_service.py
@@ -23,6 +23,7 @@
     from vanillawell.coordination.policy_watch import PolicyWatch
     from vanillawell.protocol.store import PolledStore
     from vanillawell.protocol.work_documents import WorkKeys
+    from vanillawell.state.contention.entry_readiness import EntryReadiness
     from vanillawell.state.work import Job
     from vanillawell.state.work_policy import Queue
 
@@ -70,6 +71,7 @@
         shard: str,
         policies: PolicyWatch,
         revoke_bound: float | None,
+        readiness: EntryReadiness,
     ) -> None:
         self._store = store
         self._keys = keys
@@ -79,6 +81,7 @@
         """Seconds after which a withdrawn key must be refused; None if that only applies while the
         store is reachable."""
 
+        self._readiness = readiness
         self._store_health = StoreHealth()
         policies.on_outcome(self._record_outcome)
 
@@ -88,6 +91,7 @@
         Otherwise the first job of each entry would be written while the store is unreachable, and
         its caller could not be told that the job has not run.
         """
+        self._readiness.record_store(answered, clock.read())
         if answered:
             self._store_health.record_answer(clock.read())
         else:
@@ -109,7 +113,7 @@
     def is_ready(self, now: float) -> bool:
         """Return whether this entry should receive callers."""
         age = self._policies.age(now)
-        return age is not None and age < MAX_READY_AGE
+        return age is not None and age < MAX_READY_AGE and self._readiness.is_ready(now)
 
     def _is_fresh(self, now: float) -> bool:
         age = self._policies.age(now)
@@ -158,6 +162,7 @@
                 try:
                     result = await self._store.transact(create)
                 except StoreUnavailableError as error:
+                    self._readiness.record_store(False, clock.read())
                     if not unknown:
                         log.warning("job refused", extra={"job": job.job_id, "why": str(error)})
                         return _refuse(Reason.STORE_DOWN, retry_after=STORE_RETRY_AFTER)
@@ -168,6 +173,7 @@
                     log.warning("job not confirmed", extra={"job": job.job_id, "why": str(error)})
                 else:
                     self._store_health.record_answer(clock.read())
+                    self._readiness.record_store(True, clock.read())
                     self._log_submitted(job, result.succeeded)
                     return None
                 await backoff.wait()
--- a/vanillawell/coordination/shard_owner.py
+++ b/vanillawell/coordination/shard_owner.py
@@ -9,7 +9,7 @@
 import anyio
 
 from vanillawell import clock
-from vanillawell.coordination import cycle_log, loop_lag
+from vanillawell.coordination import cycle_log
 from vanillawell.coordination.advice_requester import AdviceRequester
 from vanillawell.coordination.cycle_store import CycleStore
 from vanillawell.coordination.drain_runner import DrainRunner
@@ -159,7 +159,6 @@
 
     def _start_tasks(self, tasks: TaskGroup) -> None:
         tasks.start_soon(log_unreached_executors, self._shard, self._term.token)
-        tasks.start_soon(loop_lag.monitor, "owner")
         registry = RegistryWatch(
             self._ports, self._ports.documents.keys.executors, self._shard, self.wake
         )
--- a/vanillawell/coordination/term.py
+++ b/vanillawell/coordination/term.py
@@ -149,19 +149,32 @@
             TermLostError: Another entry has taken the shard over; some writes may be stored.
         """
         waiting = iter(writes)
+        is_lost = False
 
         async def write_next() -> None:
+            nonlocal is_lost
             for item in waiting:
-                on_stored(item, await self._write_at_revision(item))
+                stored_at = await self._write_at_revision(item)
+                if stored_at is None:
+                    is_lost = True
+                    writers.cancel_scope.cancel()
+                    return
+                on_stored(item, stored_at)
 
         async with self._writing:
             await self._wait_if_closed()
             async with anyio.create_task_group() as writers:
                 for _ in range(MAX_CONCURRENT_WRITES):
                     writers.start_soon(write_next)
+        if is_lost:
+            raise TermLostError("another entry has written the term document")
+
+    async def _write_at_revision(self, item: Write) -> float | None:
+        """Repeat a write until its outcome is known.
 
-    async def _write_at_revision(self, item: Write) -> float:
-        """Repeat a write until its outcome is known; return a time at which the term was held."""
+        Returns:
+            A time at which the term was held; None if another entry has taken the shard over.
+        """
         backoff = Backoff()
         transaction = Transaction(
             compares=[Compare(self._key, self._revision)], puts=item.puts, deletes=item.deletes
@@ -174,9 +187,7 @@
                 log.warning("write of the term not confirmed", extra={"why": str(error)})
                 await backoff.wait()
                 continue
-            if not result.succeeded:
-                raise TermLostError("another entry has written the term document")
-            return sent
+            return sent if result.succeeded else None
 
     async def write_without_retry(
         self, prepare: Callable[[], Sequence[Put]], until: float = math.inf
--- a/vanillawell/node.py
+++ b/vanillawell/node.py
@@ -8,6 +8,7 @@
 import anyio
 
 from vanillawell import clock, logs
+from vanillawell.coordination import loop_lag
 from vanillawell.coordination.candidate import Candidate
 from vanillawell.coordination.challenger import Challenger
 from vanillawell.coordination.executor_link import DeposedError
@@ -18,6 +19,7 @@
 from vanillawell.exceptions import StoreError
 from vanillawell.protocol.work_documents import WorkKeys
 from vanillawell.scheduler_telemetry import SchedulerTelemetry
+from vanillawell.state.contention.entry_readiness import EntryReadiness
 
 if TYPE_CHECKING:
     from vanillawell.config.node_settings import NodeSettings
@@ -73,7 +75,10 @@
         )
         bounds = settings.bounds
         revoke_bound = bounds.revoke_ms / 1000 if bounds.strict_revoke else None
-        self.job_service = JobService(ports.store, self._keys, SHARD, self._policies, revoke_bound)
+        self._readiness = EntryReadiness(settings.instance)
+        self.job_service = JobService(
+            ports.store, self._keys, SHARD, self._policies, revoke_bound, self._readiness
+        )
         self._candidate = Candidate(
             ports.store, self._keys, SHARD, settings.instance, settings.capacity
         )
@@ -116,6 +121,7 @@
     async def run(self) -> None:
         """Watch the configuration, compete for the shard and own it whenever it is acquired."""
         async with anyio.create_task_group() as tasks:
+            tasks.start_soon(loop_lag.monitor, "entry", self._readiness.record_lag)
             tasks.start_soon(self._policies.run)
             tasks.start_soon(self._candidate.watch_holder)
             tasks.start_soon(self._own)
--- a/vanillawell/platform/callers.py
+++ b/vanillawell/platform/callers.py
@@ -116,7 +116,11 @@
                     **self._job_service.configuration_fields(started_at),
                 },
             )
-            await send_bytes(send, status, answer.body(), answer.headers())
+            headers = answer.headers()
+            if not self._job_service.is_ready(clock.read()):
+                # The load balancer sends the caller's next connection to another entry.
+                headers.append((b"connection", b"close"))
+            await send_bytes(send, status, answer.body(), headers)
         else:
             await send_json(send, answer)
 
--- a/vanillawell/tests/term_tests.py
+++ b/vanillawell/tests/term_tests.py
@@ -136,9 +136,8 @@
             await previous.release()
             await _take(store, "entry-1")
             writes = [CycleTransaction(puts=[Put(f"value/{number}", b"x")]) for number in range(3)]
-            with pytest.raises(ExceptionGroup) as raised:
+            with pytest.raises(TermLostError):
                 await previous.write_beside(writes, lambda item, _: None)
-            assert raised.group_contains(TermLostError)
             assert not any(key.startswith("value/") for key in stand_in.items)
             tasks.cancel_scope.cancel()
 
