Let zones with many free executors take turns again, pack steps only where few have room

What the deposits gain by packing comes from pools of six machines, two a zone. Change: a zone in which at least four executors have room is chosen by the most room, as before; where none has, the fullest that takes all tasks.

--- a/vanillawell/state/placement.py
+++ b/vanillawell/state/placement.py
@@ -19,6 +19,10 @@
 """Cost of placing a task on an executor, most important criterion first; the lowest cost wins."""
 
 
+MIN_EXECUTORS_TO_SPREAD = 4
+"""Executors with room in a zone from which a step that goes there leaves enough room for others."""
+
+
 def cpu_utilisation(executor: Executor) -> float:
     """Return the charged part of an executor's processors, from 0 to 1."""
     capacity = executor.facts.capacity.cpu
@@ -81,15 +85,21 @@
         """Return the zone in which the short tasks of the step are kept together.
 
         Spread over all zones, most jobs would have a task in each and be late if any zone is cut
-        off. Kept in one, only the jobs of that zone are. Of the zones with room for all of them
-        the fullest is chosen, so that large gaps remain for wide steps and large tasks.
+        off. Kept in one, only the jobs of that zone are. Zones in which many executors have room
+        take turns, so that a cut hits its part of the jobs. Where only few have room, the fullest
+        zone that can take all tasks is chosen, so that gaps remain for wide steps and large tasks.
         """
         if self._zones_in_use:
             return self._zones_in_use.most_common(1)[0][0]
         capacity: Counter[str] = Counter()
+        executors: Counter[str] = Counter()
         for executor in fitting:
             capacity[executor.facts.zone] += count_fitting_tasks(self._spec, executor)
+            executors[executor.facts.zone] += 1
         sufficient = [zone for zone, places in capacity.items() if places >= self._waiting]
+        ample = [zone for zone in sufficient if executors[zone] >= MIN_EXECUTORS_TO_SPREAD]
+        if ample:
+            return max(ample, key=lambda zone: (capacity[zone], zone))
         if sufficient:
             return min(sufficient, key=lambda zone: (capacity[zone], zone))
         return max(capacity, key=lambda zone: (capacity[zone], zone))
--- a/vanillawell/tests/zone_locality_tests.py
+++ b/vanillawell/tests/zone_locality_tests.py
@@ -64,6 +64,16 @@
     assert len({executors[run.executor].facts.zone for run in wide}) == 1
 
 
+def test_zones_with_many_free_executors_take_turns() -> None:
+    """A pool has many machines in each zone. If all jobs were packed into one zone, a cut of that
+    zone would hit all of them at once."""
+    harness = _pool(executors_per_zone=6)
+    for _ in range(6):
+        harness.admit(job(step(8)))
+        harness.place()
+    assert _zones(harness) == dict.fromkeys(ZONES, 16)
+
+
 def test_step_that_fits_in_no_zone_uses_all() -> None:
     """Keeping it together must not make callers wait for capacity that exists."""
     harness = _pool()
