Let tasks wait for the rack of their data as long as a run elsewhere would cost

Change: a step waits for its rack for at most the time by which its runs would be prolonged (1.5 s at most), so that a wait in vain costs no more than once that time; behind a queue that takes longer nobody waits. Switched on by remote_factor (settings; 1 by default). Long-running tasks, gangs and pools without the rack are as before.

--- a/vanillawell/config/node_settings.py
+++ b/vanillawell/config/node_settings.py
@@ -36,6 +36,10 @@
     drain_ms: int = Field(ge=0)
     """Time for which a leaving executor still serves."""
 
+    remote_factor: float = Field(default=1.0, ge=1)
+    """Multiple of its run time that a task takes away from the rack of its data; 1 if racks don't
+    matter."""
+
 
 class EntryCapacity(StrictModel):
     """What one entry may use of its machine."""
--- a/vanillawell/coordination/shard_owner.py
+++ b/vanillawell/coordination/shard_owner.py
@@ -75,7 +75,7 @@
         self._policies = policies
         self._telemetry = telemetry
         self._bounds = settings.bounds
-        self._shard = Shard(self._bounds.state_kept_s)
+        self._shard = Shard(self._bounds.state_kept_s, self._bounds.remote_factor)
         self._drivers: dict[str, ExecutorDriver] = {}
         self._clocks = DriverClocks(self._drivers)
         self._stops = StopSender(self._shard, term, self._drivers)
--- a/vanillawell/state/placement_pass.py
+++ b/vanillawell/state/placement_pass.py
@@ -5,6 +5,7 @@
 import logging
 from typing import TYPE_CHECKING
 
+from vanillawell.state.contention.rack_wait import RackQueues, places_on_rack
 from vanillawell.state.executors import Executor, by_service
 from vanillawell.state.placement import FailedPlacements, StepPlacer
 
@@ -23,6 +24,9 @@
 HELD_BY_EVACUATION = "room outside evacuated zones"
 """The same, while some executors of the pool are in evacuated zones."""
 
+HELD_BY_RACK = "room on the rack of its data"
+"""The same for a step whose tasks would take longer on another rack than the wait."""
+
 HELD_FOR_CAPACITY = frozenset({HELD_BY_CAPACITY, HELD_BY_EVACUATION})
 """Values of `held_by` of steps that more machines would help."""
 
@@ -40,6 +44,7 @@
         self._pools: dict[str, list[Executor]] = {}
         """Executors that accept tasks, by service."""
 
+        self._rack_queues = RackQueues(shard.remote_factor)
         self._evacuated_pools: set[str] = set()
         """Services with executors in evacuated zones."""
 
@@ -76,6 +81,9 @@
             self._place_gang(step, placer, tickets)
             return
         for task in step.waiting:
+            if self._waits_for_rack(step, task, placer, queue):
+                self._set_held_by(step, HELD_BY_RACK)
+                return
             run = self._place_task(task, placer, tickets, task.number + 1)
             if run is None:
                 self._record_unplaced(step, queue, placer)
@@ -83,6 +91,20 @@
             self._shard.commit_plan(run)
         step.held_by = ""
 
+    def _waits_for_rack(
+        self, step: StepProgress, task: Task, placer: StepPlacer, queue: Queue
+    ) -> bool:
+        """Return whether a task waits, since only executors on other racks have capacity."""
+        spec = step.spec
+        if not spec.data_rack or spec.long_running or self._shard.remote_factor <= 1.0:
+            return False
+        executor = placer.choose(task, self._reserved)
+        if executor is None or executor.facts.rack == spec.data_rack:
+            return False
+        places = places_on_rack(step, self._pool(queue.service))
+        seconds = self._shard.durations.expected(queue.name, spec)
+        return self._rack_queues.waits(step, places, seconds, self._now)
+
     def _set_held_by(self, step: StepProgress, reason: str) -> None:
         """Record why a step's tasks cannot start; log each change with the figures behind it."""
         if step.held_by == reason:
--- a/vanillawell/state/shard.py
+++ b/vanillawell/state/shard.py
@@ -54,10 +54,12 @@
 class Shard:
     """Scheduling state of one shard.
 
-    `retention` is the time in seconds for which final jobs can be queried.
+    `retention` is the time in seconds for which final jobs can be queried, `remote_factor` the
+    multiple of its run time that a task takes away from its data.
     """
 
-    def __init__(self, retention: float) -> None:
+    def __init__(self, retention: float, remote_factor: float = 1.0) -> None:
+        self.remote_factor = remote_factor
         self.ledger = Ledger()
         self.job_table = JobTable(self._attempts, retention)
         self.durations = DurationStatistics()
--- a/vanillawell/state/work.py
+++ b/vanillawell/state/work.py
@@ -298,6 +298,9 @@
     failed_number: int = 0
     """Run number of the latest failed gang run; all members of a gang run share it."""
 
+    rack_wait_since: float | None = None
+    """Since when its tasks have waited for a place on the rack of their data."""
+
     held_by: str = ""
     """Reason why its waiting tasks cannot start, as last logged; empty if they can."""
 
