--- a/vanillawell/coordination/pool_demand.py
+++ b/vanillawell/coordination/pool_demand.py
@@ -171,6 +171,7 @@
         arriving_cores = self._shard.arrivals.required_cores(pool, now)
         wanted = max(demanded_cores(own, steps, self._shard.durations), arriving_cores)
         healthy = [item for item in usable if item.is_healthy(now)]
+        emptied = [item for item in own if item.must_drain]
         held_steps = [step for step in steps if step.held_by in HELD_FOR_CAPACITY]
         return PoolDemand(
             pool,
@@ -179,7 +180,7 @@
             wanted,
             arriving_cores=arriving_cores,
             floor=min_long_running_machines(steps),
-            shortfall=count_missing_machines(healthy, arriving, size, held_steps),
+            shortfall=count_missing_machines(healthy, arriving, size, held_steps, emptied),
         )
 
     def _size(self, pool: str) -> Resources:
--- a/vanillawell/state/trial_placement.py
+++ b/vanillawell/state/trial_placement.py
@@ -43,25 +43,43 @@
     return bin_
 
 
+def _tasks_to_move(emptied: Iterable[Executor]) -> Counter[StepProgress]:
+    """Return how many tasks of each step have to leave executors next, as its limit allows."""
+    tasks = Counter(
+        run.task.step
+        for executor in emptied
+        for run in executor.runs.values()
+        if run.task.step.spec.long_running
+    )
+    limits = {step: step.spec.most_away or count for step, count in tasks.items()}
+    return Counter({step: min(count, limits[step]) for step, count in tasks.items()})
+
+
 def count_missing_machines(
     executors: Iterable[Executor],
     arriving: int,
     capacity: Resources,
     steps: Sequence[StepProgress],
+    emptied: Iterable[Executor] = (),
 ) -> int:
-    """Return how many more machines the waiting long-running tasks of `steps` need.
+    """Return how many more machines the waiting long-running tasks of `steps` need, and those that
+    have to leave `emptied` executors next.
+
+    A task leaves only once it has a place elsewhere. If no machine was called for it before, each
+    move would wait for one, and the tasks of a step move one after the other.
 
     The result counts machines of the given `capacity`, beyond the `executors` and the machines that
     are `arriving`. Memory and the per-executor limits of steps are considered as well as
     processors. Labels and other constraints on single executors are not: more machines would not
     help there.
     """
-    waiting = [(step, len(step.waiting)) for step in steps if step.spec.long_running]
-    if not any(count for _, count in waiting):
+    needed = _tasks_to_move(emptied)
+    needed.update({step: len(step.waiting) for step in steps if step.spec.long_running})
+    if not needed.total():
         return 0
     bins = [_bin_of(item) for item in executors] + [_Bin(capacity) for _ in range(arriving)]
     existing = len(bins)
-    for step, count in waiting:
+    for step, count in needed.items():
         if not step.spec.reserved.fits(capacity):
             continue
         for _ in range(count):
--- a/vanillawell/tests/trial_placement_tests.py
+++ b/vanillawell/tests/trial_placement_tests.py
@@ -37,3 +37,19 @@
     harness.place()
     size = facts("i-0").capacity
     assert count_missing_machines([], 0, size, list(harness.shard.job_table.open_steps)) == 0
+
+
+def test_machines_are_called_for_the_next_tasks_that_have_to_leave() -> None:
+    """A machine is emptied for its upkeep, and no other has room for its tasks. If a machine was
+    called only once a task is stopped, each move would take a second longer, and the tasks of a
+    step move one after the other: the wave would be late."""
+    harness = ShardHarness(facts("i-0"), facts("i-1"))
+    limited = Step(8, Resources(2_000, 10), 1.0, long_running=True, most_away=2)
+    harness.admit(job(limited))
+    harness.place()
+    emptied, other = harness.shard.ledger.executors.values()
+    assert len(emptied.runs) == len(other.runs) == 4
+    size = emptied.facts.capacity
+    assert count_missing_machines([other], 0, size, [], [emptied]) == 1
+    assert count_missing_machines([other], 1, size, [], [emptied]) == 0
+    assert count_missing_machines([other], 0, size, [], []) == 0
