--- a/vanillawell/tests/upkeep_tests.py
+++ b/vanillawell/tests/upkeep_tests.py
@@ -77,8 +77,8 @@
 
 
 def test_the_step_with_most_moves_is_begun_first() -> None:
-    """The tasks of a step may move one at a time only, and one machine holds four of them. If it was
-    emptied last, since it holds most, these moves would outlast the wave."""
+    """The tasks of a step may move one at a time only, and one machine holds four of them. If that
+    machine was emptied last, since it holds most, these moves would outlast the wave."""
     harness = ShardHarness(facts("i-0"))
     harness.admit(job(step(4, long_running=True, most_away=1)))
     harness.place()
