--- a/vanillawell/coordination/cycle_store.py
+++ b/vanillawell/coordination/cycle_store.py
@@ -78,7 +78,7 @@
         pending = (
             self._shard.job_table.pending() if self._inbox.is_read else self._published_pending
         )
-        queues = self._shard.queues_in_use()
+        queues = self._shard.queues.in_use()
         is_published = pending == self._published_pending and queues == self._stored_queues
         executors = self._shard.ledger.executors.values()
         is_due = not batch.is_empty or not is_published
--- a/vanillawell/coordination/pool_rebalancer.py
+++ b/vanillawell/coordination/pool_rebalancer.py
@@ -11,17 +11,16 @@
 import anyio
 
 from vanillawell import clock
+from vanillawell.coordination.machine_division import MachineDivision
 from vanillawell.coordination.machine_orders import ARRIVAL_TIMEOUT, ClaimPurpose
 from vanillawell.coordination.pool_demand import DemandMeter, MachineSnapshot
 from vanillawell.protocol.call_errors import NoAnswerError, NotSentError
 from vanillawell.protocol.machine_calls import MachineState, UpkeepRefusedError
-from vanillawell.state.contention.machine_division import choose_vacated
-from vanillawell.state.executors import by_service
-from vanillawell.state.pool_sizing import MachineMove, MovePlan, PoolDemand, PoolSizer
+from vanillawell.state.pool_sizing import MachineMove, PoolDemand, PoolSizer
 from vanillawell.state.upkeep import LIST_LAG
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Mapping
+    from collections.abc import Callable
 
     from vanillawell.coordination.machine_orders import MachineOrders
     from vanillawell.coordination.ports import Ports
@@ -85,9 +84,7 @@
         """Moving machines, each with its target pool and the time when the move was ordered or
         first seen."""
 
-        self._division_logged_at: float | None = None
-        """When it was logged that machines are scarce; None while they are not."""
-
+        self._division = MachineDivision()
         self._logged_figures: dict[str, tuple[int, int]] = {}
         """Machines and required machines of each pool, as last logged."""
 
@@ -101,7 +98,7 @@
                     await self._check(policy, standby)
                 except (NotSentError, NoAnswerError) as error:
                     log.warning("machine moves postponed", extra={"why": str(error)})
-                    self._vacate({}, self._shard.ledger.by_machine(), clock.read())
+                    self._division.suspend(self._shard.ledger.by_machine())
             await anyio.sleep(POLL_INTERVAL)
 
     def expects(self, now: float) -> bool:
@@ -132,8 +129,7 @@
         self._log_needs(pools)
         idle = self._idle_machines(executors, now)
         plan = self._sizer.plan(pools, standby, spare, idle, now)
-        self._log_division(plan, len(spare))
-        self._vacate(plan.vacated, executors, now)
+        self._division.apply(plan, len(spare), executors, now)
         moves = plan.moves
         coming = Counter(move.pool for move in moves)
         self._lacks_machines = any(
@@ -153,32 +149,6 @@
             }
             log.info("moves left", extra={"planned": len(moves), "left": unsent, **took})
 
-    def _log_division(self, plan: MovePlan, spare: int) -> None:
-        """Log when machines begin to be scarce and how they are divided, and when that is over."""
-        if (plan.shares is None) == (self._division_logged_at is None):
-            return
-        now = clock.read()
-        if plan.shares is None:
-            seconds = round(now - (self._division_logged_at or now), 3)
-            log.info("machines suffice again", extra={"seconds": seconds})
-            self._division_logged_at = None
-            return
-        fields = {"shares": plan.shares, "spare": spare, "vacated": plan.vacated}
-        log.info("machines divided", extra=fields)
-        self._division_logged_at = now
-
-    def _vacate(
-        self, counts: Mapping[str, int], executors: Mapping[str, Executor], now: float
-    ) -> None:
-        """Keep new tasks off as many machines of each pool as it has to leave to others."""
-        chosen = {
-            executor.name
-            for pool, count in counts.items()
-            for executor in choose_vacated(by_service(executors.values(), pool), count, now)
-        }
-        for executor in executors.values():
-            executor.vacating = executor.name in chosen
-
     def _list_interval(self, standby: str) -> float:
         """Return the seconds between two reads of the machine list."""
         is_any_moving = any(
--- a/vanillawell/state/durations.py
+++ b/vanillawell/state/durations.py
@@ -11,7 +11,8 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from vanillawell.state.work import Job, Step
+    from vanillawell.state.work import Job, JobRecord, Step
+    from vanillawell.state.work_policy import Queue
 
 MIN_MEASURED_RUNS = 3
 """Measured runs after which the measured mean replaces the caller's estimate."""
@@ -81,3 +82,13 @@
                     critical_paths[earlier], own + critical_paths[position]
                 )
         return tuple(critical_paths)
+
+
+def set_objective(record: JobRecord, queue: Queue | None, durations: DurationStatistics) -> None:
+    """Set the time by which a job should be completed, by the rules of its queue if available."""
+    record.critical_paths = durations.critical_paths(record.job)
+    if queue is None:
+        record.deadline = record.seen_at
+        return
+    path = max(record.critical_paths, default=0.0)
+    record.deadline = record.seen_at + queue.slack_factor * path + queue.objective
--- a/vanillawell/state/placement_pass.py
+++ b/vanillawell/state/placement_pass.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import logging
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Protocol
 
 from vanillawell.state.contention.rack_wait import RackQueues, places_on_rack
 from vanillawell.state.executors import Executor, by_service
@@ -12,8 +12,9 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
-    from vanillawell.state.shard import Shard
-    from vanillawell.state.work import Run, StepProgress, Task
+    from vanillawell.state.durations import DurationStatistics
+    from vanillawell.state.ledger import Ledger
+    from vanillawell.state.work import Job, Run, StepProgress, Task
     from vanillawell.state.work_policy import Queue, WorkPolicy
 
 log = logging.getLogger(__name__)
@@ -31,10 +32,31 @@
 """Values of `held_by` of steps that more machines would help."""
 
 
+class PlacementTarget(Protocol):
+    """What a pass needs of the shard whose tasks it places."""
+
+    remote_factor: float
+    ledger: Ledger
+    durations: DurationStatistics
+    tickets: dict[tuple[str, int, int], Mapping[str, str]]
+
+    def queue_of(self, job: Job) -> Queue | None:
+        """Return the rules of a job's queue; None if they are unavailable."""
+
+    def plan(self, task: Task, executor: Executor, number: int, ticket: str, now: float) -> Run:
+        """Create a planned run and charge it to its executor."""
+
+    def commit_plan(self, run: Run) -> None:
+        """Put a planned run into the outbox."""
+
+    def discard_plan(self, run: Run) -> None:
+        """Discard a planned run that was not committed."""
+
+
 class PlacementPass:
     """One pass over all steps that may start."""
 
-    def __init__(self, shard: Shard, policy: WorkPolicy, now: float) -> None:
+    def __init__(self, shard: PlacementTarget, policy: WorkPolicy, now: float) -> None:
         self._shard = shard
         self._policy = policy
         self._now = now
--- a/vanillawell/state/shard.py
+++ b/vanillawell/state/shard.py
@@ -16,15 +16,16 @@
 from vanillawell.state.arrivals import ArrivalMeter
 from vanillawell.state.contention.agreed_rates import AgreedRates
 from vanillawell.state.copies import runs_to_copy
-from vanillawell.state.durations import DurationStatistics
+from vanillawell.state.durations import DurationStatistics, set_objective
 from vanillawell.state.executors import QUARANTINE_TIME, Executor, by_service
 from vanillawell.state.job_table import JobTable
 from vanillawell.state.ledger import EndedRun, InheritedLeaseBound, Ledger
-from vanillawell.state.outbox import CompletedTask, EndConfirmation, OrphanedRun, Outbox
+from vanillawell.state.outbox import EndConfirmation, OrphanedRun, Outbox
 from vanillawell.state.placement import StepPlacer
 from vanillawell.state.placement_pass import PlacementPass
+from vanillawell.state.queue_rules import QueueRules
 from vanillawell.state.ranking import rank_of
-from vanillawell.state.shard_log import log_job_ended, log_run_ended, log_task_copied
+from vanillawell.state.shard_log import log_end, log_job_ended, log_task_copied
 from vanillawell.state.shares import order_by_share
 from vanillawell.state.stalls import stalled_runs
 from vanillawell.state.work import (
@@ -47,9 +48,6 @@
 
 log = logging.getLogger(__name__)
 
-DEFAULT_ATTEMPTS = 3
-"""Failed runs of a task after which its job fails, if the job's queue is no longer configured."""
-
 
 class Shard:
     """Scheduling state of one shard.
@@ -61,7 +59,8 @@
     def __init__(self, retention: float, remote_factor: float = 1.0) -> None:
         self.remote_factor = remote_factor
         self.ledger = Ledger()
-        self.job_table = JobTable(self._attempts, retention)
+        self.queues = QueueRules()
+        self.job_table = JobTable(self.queues.attempts, retention)
         self.durations = DurationStatistics()
         self.arrivals = ArrivalMeter()
         self.agreed_rates = AgreedRates()
@@ -72,13 +71,6 @@
         self.tickets: dict[tuple[str, int, int], Mapping[str, str]] = {}
         """Tickets by executor, for steps of queues that require advice."""
         self._policy: WorkPolicy | None = None
-        self._queues: dict[str, Queue] = {}
-        self._queues_used: set[str] = set()
-        """Names of the queues of all jobs that were tracked so far."""
-
-    def _attempts(self, queue: str) -> int:
-        rules = self._queues.get(queue)
-        return rules.attempts if rules else DEFAULT_ATTEMPTS
 
     @property
     def policy(self) -> WorkPolicy | None:
@@ -88,27 +80,17 @@
     def apply_policy(self, policy: WorkPolicy) -> None:
         """Apply a newer configuration; queues that it drops keep their last rules."""
         self._policy = policy
-        self._queues.update(policy.queues)
-
-    def queues_in_use(self) -> dict[str, Queue]:
-        """Return the available rules of the queues of all jobs tracked so far."""
-        return {
-            name: self._queues[name] for name in sorted(self._queues_used) if name in self._queues
-        }
-
-    def lacks_queue_rules(self) -> bool:
-        """Return whether the rules of the queue of any job tracked so far are unavailable."""
-        return not self._queues_used <= self._queues.keys()
+        self.queues.apply(policy.queues)
 
     def restore_queue_rules(self, queues: Mapping[str, Queue]) -> None:
         """Add stored rules of queues that the configuration no longer contains."""
-        self._queues = {**queues, **self._queues}
+        self.queues.restore(queues)
         for record in self.job_table.jobs.values():
             self._set_objective(record)
 
     def queue_of(self, job: Job) -> Queue | None:
         """Return the rules of a job's queue; None if they are unavailable."""
-        return self._queues.get(job.queue)
+        return self.queues.get(job.queue)
 
     def admit(
         self, job: Job, now: float, is_backlog: bool = False, age: float = 0.0
@@ -125,7 +107,7 @@
         if job.job_id in self.job_table.jobs:
             return None
         record = JobRecord(job, now)
-        self._queues_used.add(job.queue)
+        self.queues.record_use(job.queue)
         self._set_objective(record)
         self._count_against_rate(record, now - age)
         self.job_table.add(record)
@@ -145,13 +127,7 @@
             self.surplus_jobs += 1
 
     def _set_objective(self, record: JobRecord) -> None:
-        queue = self.queue_of(record.job)
-        record.critical_paths = self.durations.critical_paths(record.job)
-        if queue is None:
-            record.deadline = record.seen_at
-            return
-        path = max(record.critical_paths, default=0.0)
-        record.deadline = record.seen_at + queue.slack_factor * path + queue.objective
+        set_objective(record, self.queue_of(record.job), self.durations)
 
     def restore(
         self, record: JobRecord, runs: Iterable[Run], bound: Callable[[str], InheritedLeaseBound]
@@ -161,7 +137,7 @@
         `bound` returns the inherited lease bound of an executor by its id.
         """
         if not record.state.final:
-            self._queues_used.add(record.job.queue)
+            self.queues.record_use(record.job.queue)
         self._set_objective(record)
         self._count_against_rate(record, record.seen_at)
         self.job_table.add(record)
@@ -268,7 +244,7 @@
         if item.ending is Ending.FAILED:
             task.failed_on = run.executor
         self.job_table.record_end(task, item.ending, item.checkpoint, wall)
-        self._log_end(item, now)
+        log_end(item, self.outbox, now)
         if task.done:
             self._stop_copies(task)
         if record.state.final and not was_final:
@@ -293,20 +269,6 @@
             unresponsive_since = self.ledger.executors[run.executor].unresponsive_since or now
             log_task_copied(run, now - unresponsive_since)
 
-    def _log_end(self, item: EndedRun, now: float) -> None:
-        """Log the end of a run.
-
-        Completed tasks are logged together in the next scheduling cycle, other ends immediately.
-        """
-        run, step = item.run, item.run.task.step
-        seconds = round(now - run.started, 3) if run.started else None
-        if item.ending is Ending.DONE and not step.spec.long_running:
-            self.outbox.done.append(
-                CompletedTask(run.task.task_id, run.number, run.executor, seconds)
-            )
-            return
-        log_run_ended(item, seconds)
-
     def mark_not_started(self, run: Run, now: float, wall: float) -> None:
         """Close a run that is confirmed not to have started and cannot start any more."""
         if self.ledger.close(run):
--- a/vanillawell/state/shard_log.py
+++ b/vanillawell/state/shard_log.py
@@ -5,8 +5,12 @@
 import logging
 from typing import TYPE_CHECKING
 
+from vanillawell.state.outbox import CompletedTask
+from vanillawell.state.work import Ending
+
 if TYPE_CHECKING:
     from vanillawell.state.ledger import EndedRun
+    from vanillawell.state.outbox import Outbox
     from vanillawell.state.work import JobRecord, Run
 
 log = logging.getLogger(__name__)
@@ -54,3 +58,16 @@
             "seconds": seconds,
         },
     )
+
+
+def log_end(item: EndedRun, outbox: Outbox, now: float) -> None:
+    """Log the end of a run.
+
+    Completed tasks are logged together in the next scheduling cycle, other ends immediately.
+    """
+    run, step = item.run, item.run.task.step
+    seconds = round(now - run.started, 3) if run.started else None
+    if item.ending is Ending.DONE and not step.spec.long_running:
+        outbox.done.append(CompletedTask(run.task.task_id, run.number, run.executor, seconds))
+        return
+    log_run_ended(item, seconds)
--- a/vanillawell/tests/handover_outcome_tests.py
+++ b/vanillawell/tests/handover_outcome_tests.py
@@ -28,7 +28,7 @@
     with_cluster,
 )
 from vanillawell.tests.scheduling_builders import ShardHarness, facts
-from vanillawell.tests.term_tests import _take
+from vanillawell.tests.term_tests import take
 
 if TYPE_CHECKING:
     from vanillawell.protocol.store import Transaction, TransactionResult
@@ -52,7 +52,7 @@
         async with anyio.create_task_group() as tasks:
             stand_in = StandInStore()
             store = PlatformStore(HttpClient(), listen(tasks, stand_in))
-            term = await _take(store, "entry-0")
+            term = await take(store, "entry-0")
             stand_in.faults.lose_answers = 1
             with anyio.move_on_after(0.3):
                 await term.write([Put("value/bounds", b"x")])
--- a/vanillawell/tests/machine_division_tests.py
+++ b/vanillawell/tests/machine_division_tests.py
@@ -5,8 +5,15 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from vanillawell.coordination.machine_division import MachineDivision
 from vanillawell.state.contention.machine_division import choose_vacated, divide_machines
-from vanillawell.state.pool_sizing import MIN_POOL_SIZE, PoolDemand, PoolSizer, optional_cores
+from vanillawell.state.pool_sizing import (
+    MIN_POOL_SIZE,
+    MovePlan,
+    PoolDemand,
+    PoolSizer,
+    optional_cores,
+)
 from vanillawell.tests.scheduling_builders import ShardHarness, facts, job, step
 
 CORES = 10.0
@@ -107,3 +114,15 @@
     assert optional(harness.now) == 4.0
     record.surplus = False
     assert optional(harness.now + 60.0) == 4.0
+
+
+def test_marks_are_taken_back_while_no_plan_can_be_made() -> None:
+    """The machines' service stops answering while executors are vacated for another pool. Left
+    marked, they would be idle for the length of the outage."""
+    harness = ShardHarness(facts("e1", cpu=2_000), facts("e2", cpu=2_000))
+    executors = harness.shard.ledger.by_machine()
+    division = MachineDivision()
+    division.apply(MovePlan([], {"pool": 1}, {"pool": 1}), 0, executors, harness.now)
+    assert sum(item.vacating for item in executors.values()) == 1
+    division.suspend(executors)
+    assert not any(item.vacating for item in executors.values())
--- a/vanillawell/tests/stopping_owner_tests.py
+++ b/vanillawell/tests/stopping_owner_tests.py
@@ -25,7 +25,7 @@
     until_state,
     with_cluster,
 )
-from vanillawell.tests.term_tests import _take
+from vanillawell.tests.term_tests import take
 
 if TYPE_CHECKING:
     from vanillawell.protocol.store import Transaction, TransactionResult
@@ -228,7 +228,7 @@
         async with anyio.create_task_group() as tasks:
             stand_in = StandInStore()
             store = PlatformStore(HttpClient(), listen(tasks, stand_in))
-            term = await _take(store, "entry-0")
+            term = await take(store, "entry-0")
             stand_in.faults.lose_answers = 1
             began = clock.read()
             with pytest.raises(StoreOutcomeUnknownError):
@@ -248,7 +248,7 @@
     async def run() -> None:
         async with anyio.create_task_group() as tasks:
             store = PlatformStore(HttpClient(), listen(tasks, StandInStore()))
-            term = await _take(store, "entry-0")
+            term = await take(store, "entry-0")
             assert term.is_held(clock.read())
             term.close()
             assert not term.is_held(clock.read())
--- a/vanillawell/tests/term_tests.py
+++ b/vanillawell/tests/term_tests.py
@@ -9,7 +9,6 @@
 from vanillawell.config.node_settings import EntryCapacity
 from vanillawell.coordination import candidate as candidate_module
 from vanillawell.coordination.candidate import Candidate
-from vanillawell.coordination.cycle_batch import CycleTransaction
 from vanillawell.coordination.machine_orders import (
     MAX_ORDER_FRESHNESS,
     ORDER_FRESHNESS,
@@ -22,14 +21,13 @@
 from vanillawell.protocol.store import PolledStore, Put
 from vanillawell.protocol.work_documents import WorkKeys
 from vanillawell.standins.scheduler.store import StandInStore
-from vanillawell.tests.interruptible_store import InterruptibleStore, RecordingStore
 from vanillawell.tests.scheduler_cluster import listen
 from vanillawell.tests.scheduling_builders import FixedClocks
 
 KEYS = WorkKeys()
 
 
-async def _take(store: PolledStore, name: str) -> Term:
+async def take(store: PolledStore, name: str) -> Term:
     candidate = Candidate(store, KEYS, "all", name)
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(candidate.watch_holder)
@@ -46,7 +44,7 @@
         async with anyio.create_task_group() as tasks:
             stand_in = StandInStore()
             store = PlatformStore(HttpClient(), listen(tasks, stand_in))
-            term = await _take(store, "entry-0")
+            term = await take(store, "entry-0")
             async with anyio.create_task_group() as writers:
                 for number in range(5):
                     writers.start_soon(term.write, [Put(f"value/{number}", b"x")])
@@ -65,9 +63,9 @@
             stand_in = StandInStore()
             tasks.start_soon(stand_in.tick)
             store = PlatformStore(HttpClient(), listen(tasks, stand_in))
-            previous = await _take(store, "entry-0")
+            previous = await take(store, "entry-0")
             await previous.release()
-            current = await _take(store, "entry-1")
+            current = await take(store, "entry-1")
             assert current.token > previous.token
             with pytest.raises(TermLostError):
                 await previous.write([Put("value/0", b"x")])
@@ -79,71 +77,6 @@
     anyio.run(run)
 
 
-def test_writes_beside_each_other_take_the_time_of_a_few() -> None:
-    """The store is slow and hundreds of jobs have changed. One after the other, their records would
-    take seconds, in which callers get no start."""
-
-    async def run() -> None:
-        async with anyio.create_task_group() as tasks:
-            stand_in = StandInStore()
-            store = InterruptibleStore(PlatformStore(HttpClient(), listen(tasks, stand_in)))
-            term = await _take(store, "entry-0")
-            store.answer_time = 0.1
-            writes = [CycleTransaction(puts=[Put(f"value/{number}", b"x")]) for number in range(16)]
-            stored: list[CycleTransaction] = []
-            began = clock.read()
-            await term.write_beside(writes, lambda item, _: stored.append(item))
-            assert clock.read() - began < 16 * store.answer_time / 2
-            assert len(stored) == len(writes)
-            assert all(f"value/{number}" in stand_in.items for number in range(16))
-            tasks.cancel_scope.cancel()
-
-    anyio.run(run)
-
-
-def test_a_write_beside_others_has_no_effect_after_the_next_write() -> None:
-    """The answer to a write is lost, so it is sent again, and the first one arrives seconds later.
-    It would replace a newer record with an older one."""
-
-    async def run() -> None:
-        async with anyio.create_task_group() as tasks:
-            stand_in = StandInStore()
-            store = RecordingStore(PlatformStore(HttpClient(), listen(tasks, stand_in)))
-            term = await _take(store, "entry-0")
-            old = CycleTransaction(puts=[Put("value/0", b"old")])
-            await term.write_beside([old], lambda item, _: None)
-            late = store.sent[-1]
-            assert (await store.inner.transact(late)).succeeded
-            await term.write([Put("value/0", b"new")])
-            assert not (await store.inner.transact(late)).succeeded
-            stored = await store.get("value/0")
-            assert stored is not None
-            assert stored.value == b"new"
-            tasks.cancel_scope.cancel()
-
-    anyio.run(run)
-
-
-def test_writes_of_a_previous_owner_beside_each_other_have_no_effect() -> None:
-    """An owner is suspended until another one has taken over, and resumes between two writes."""
-
-    async def run() -> None:
-        async with anyio.create_task_group() as tasks:
-            stand_in = StandInStore()
-            tasks.start_soon(stand_in.tick)
-            store = PlatformStore(HttpClient(), listen(tasks, stand_in))
-            previous = await _take(store, "entry-0")
-            await previous.release()
-            await _take(store, "entry-1")
-            writes = [CycleTransaction(puts=[Put(f"value/{number}", b"x")]) for number in range(3)]
-            with pytest.raises(TermLostError):
-                await previous.write_beside(writes, lambda item, _: None)
-            assert not any(key.startswith("value/") for key in stand_in.items)
-            tasks.cancel_scope.cancel()
-
-    anyio.run(run)
-
-
 def test_new_owner_withholds_only_recently_ordered_machines() -> None:
     """An owner orders a machine and is replaced at once. The new owner must not order that machine
     as well, but may need all others in the next second."""
@@ -154,14 +87,14 @@
             tasks.start_soon(stand_in.tick)
             store = PlatformStore(HttpClient(), listen(tasks, stand_in))
             ports = Ports(store, *([None] * 4))  # type: ignore[arg-type]
-            previous_term = await _take(store, "entry-0")
+            previous_term = await take(store, "entry-0")
             previous = MachineOrders(
                 previous_term, ports, KEYS, "all", "entry-0", 0.5, FixedClocks()
             )
             assert await previous.load()
             await previous.announce({"m-1": "pool-1"})
             await previous_term.release()
-            term = await _take(store, "entry-1")
+            term = await take(store, "entry-1")
             current = MachineOrders(term, ports, KEYS, "all", "entry-1", 0.5, FixedClocks())
             now = clock.read()
             assert not current.may_order("m-2", now)
@@ -189,7 +122,7 @@
             store = PlatformStore(HttpClient(), listen(tasks, stand_in))
             ports = Ports(store, *([None] * 4))  # type: ignore[arg-type]
             for value in (b'["m-1"]', b'{"machines": [], "clocks": {}}', b"{"):
-                term = await _take(store, "entry-0")
+                term = await take(store, "entry-0")
                 await term.write([Put(KEYS.machine_orders("all"), value)])
                 current = MachineOrders(term, ports, KEYS, "all", "entry-0", 0.5, FixedClocks())
                 assert await current.load()
@@ -216,14 +149,14 @@
             tasks.start_soon(stand_in.tick)
             store = PlatformStore(HttpClient(), listen(tasks, stand_in))
             ports = Ports(store, *([None] * 4))  # type: ignore[arg-type]
-            previous_term = await _take(store, "entry-0")
+            previous_term = await take(store, "entry-0")
             previous = MachineOrders(
                 previous_term, ports, KEYS, "all", "entry-0", 3.0, FixedClocks({"i-0@1": 50.0})
             )
             assert await previous.load()
             await previous.announce({"m-1": "pool-1"})
             await previous_term.release()
-            term = await _take(store, "entry-1")
+            term = await take(store, "entry-1")
             for clocks, free in (
                 ({"i-0@1": 50.0 + 3.1 + ORDER_FRESHNESS}, True),
                 ({"i-0@1": 50.0 + 2.9 + ORDER_FRESHNESS}, False),
@@ -252,7 +185,7 @@
             for number, (reading, ordered) in enumerate(
                 ((50.0, set()), (51.0, {"m-0"}), (53.9, {"m-0", "m-1"}), (55.1, {"m-2"}))
             ):
-                term = await _take(store, "entry-0")
+                term = await take(store, "entry-0")
                 shown = FixedClocks({"i-0@1": reading})
                 orders = MachineOrders(term, ports, KEYS, "all", "entry-0", 0.5, shown)
                 assert await orders.load()
@@ -280,7 +213,7 @@
                 (50.8, {"m-1": "pool-1", "m-2": ""}, {"m-3": "pool-3"}),
                 (51.1, {"m-2": "", "m-3": "pool-3"}, {}),
             ):
-                term = await _take(store, "entry-0")
+                term = await take(store, "entry-0")
                 shown = FixedClocks({"i-0@1": reading})
                 orders = MachineOrders(term, ports, KEYS, "all", "entry-0", 0.5, shown)
                 assert await orders.load()
@@ -302,7 +235,7 @@
             stand_in = StandInStore()
             tasks.start_soon(stand_in.tick)
             store = PlatformStore(HttpClient(), listen(tasks, stand_in))
-            await _take(store, "entry-0")
+            await take(store, "entry-0")
             candidate = Candidate(store, KEYS, "all", "entry-1")
             tasks.start_soon(candidate.watch_holder)
             await anyio.sleep(0.3)
@@ -330,7 +263,7 @@
             tasks.start_soon(stand_in.tick)
             store = PlatformStore(HttpClient(), listen(tasks, stand_in))
             ports = Ports(store, *([None] * 4))  # type: ignore[arg-type]
-            term = await _take(store, "entry-0")
+            term = await take(store, "entry-0")
             orders = MachineOrders(term, ports, KEYS, "all", "entry-0", 3.0, FixedClocks())
             assert await orders.load()
             stand_in.faults.delay = 0.6
@@ -398,7 +331,7 @@
             stand_in = StandInStore()
             tasks.start_soon(stand_in.tick)
             store = PlatformStore(HttpClient(), listen(tasks, stand_in))
-            previous = await _take(store, "entry-0")
+            previous = await take(store, "entry-0")
             await previous.release()
             candidate = Candidate(store, KEYS, "all", "entry-1")
             grant = store.grant_lease
