Learn sooner that a moved task is at work, so that the next one may move

A task's start-up takes about 0.9 s, and the owner learned of its end up to 0.5 s later. Change: while a task starts of whose step only some may be away, its executor is asked each 0.2 s.

--- a/vanillawell/coordination/executor_driver.py
+++ b/vanillawell/coordination/executor_driver.py
@@ -29,6 +29,10 @@
 """Seconds a hold call waits for a run to end; the maximum that executors allow. Calls are priced,
 so long waits are cheaper."""
 
+START_UP_HOLD_WAIT = 0.2
+"""Seconds a hold call waits while a task starts of whose step only some may be away: the next one
+may move as soon as it is known to be at work, and the moves of a step follow each other."""
+
 SHORT_HOLD_WAIT = 0.5
 """Seconds a hold call waits while short tasks may end, or while start-ups or response-time tails
 have to be monitored.
@@ -171,6 +175,8 @@
         if not self._link.may_extend_lease():
             return SHORT_HOLD_WAIT
         runs = self._executor.runs.values()
+        if any(_delays_next_move(run) for run in runs):
+            return START_UP_HOLD_WAIT
         if any(self._needs_short_hold(run) for run in runs):
             return SHORT_HOLD_WAIT
         return LONG_HOLD_WAIT
@@ -284,3 +290,9 @@
             }
             log.warning("dependency lost", extra=fields)
             self._link.wake_owner()
+
+
+def _delays_next_move(run: Run) -> bool:
+    """Return whether another task of a run's step may move once the run is at work."""
+    spec = run.task.step.spec
+    return spec.long_running and bool(spec.most_away) and not run.is_available
