--- a/vanillawell/state/upkeep.py
+++ b/vanillawell/state/upkeep.py
@@ -17,7 +17,7 @@
 from vanillawell.state.availability import has_long_running, may_interrupt, may_interrupt_all
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Collection, Iterable, Mapping
+    from collections.abc import Callable, Collection, Mapping
 
     from vanillawell.state.executors import Executor
     from vanillawell.state.work import Run, StepProgress
@@ -150,9 +150,8 @@
     """Return the machines that should be closed and emptied now.
 
     Long-running tasks are moved one after the other as their steps allow, which determines the
-    duration of a wave. So machines that hold them are emptied from the start, first those of the
-    steps that take most moves and of which no task is being moved, along with those with the least
-    work. Machines that are down for other reasons are left for later.
+    duration of a wave. So machines that hold them are emptied from the start, along with those with
+    the least work. Machines that are down for other reasons are left for later.
     """
     wave = progress.wave
     free_places = (
@@ -163,10 +162,7 @@
         for name in wave.machines
         if name not in progress.decided and name not in progress.closed and name in executors
     ]
-    chains = _MoveChains.measure(
-        [executors[name] for name in (*waiting, *progress.closed) if name in executors],
-        [executors[name] for name in progress.closed if name in executors],
-    )
+    waiting.sort(key=lambda name: (len(executors[name].runs), executors[name].used.cpu, name))
     kinds = {name: _emptying_kind(executors[name]) for name in executors}
     sizes = Counter(service for service, _ in kinds.values())
     closed = Counter(kinds[name] for name in progress.closed if name in kinds)
@@ -179,60 +175,14 @@
         for service, long_running in left
     }
     chosen: list[str] = []
-    while len(chosen) < free_places:
-        allowed = [name for name in waiting if closed[kinds[name]] < limits[kinds[name]]]
-        if not allowed:
-            break
-        name = min(allowed, key=lambda name: (*chains.cost(executors[name]), name))
-        waiting.remove(name)
-        chosen.append(name)
-        closed[kinds[name]] += 1
-        chains.begin(executors[name])
+    for name in waiting:
+        kind = kinds[name]
+        if len(chosen) < free_places and closed[kind] < limits[kind]:
+            chosen.append(name)
+            closed[kind] += 1
     return chosen
 
 
-@dataclass(slots=True)
-class _MoveChains:
-    """How many moves of long-running tasks have to follow each other, by step."""
-
-    moves: Counter[StepProgress]
-    """Moves left, for steps that limit how many of their tasks may be away at once."""
-
-    begun: set[StepProgress]
-    """Steps of which a task is on a machine that is being emptied."""
-
-    @classmethod
-    def measure(cls, left: Iterable[Executor], emptied: Iterable[Executor]) -> _MoveChains:
-        """Count the moves from the machines that are left, some of them being emptied."""
-        moves = Counter(step for executor in left for step in _limited_steps(executor))
-        chains = cls(moves, set())
-        for executor in emptied:
-            chains.begin(executor)
-        return chains
-
-    def begin(self, executor: Executor) -> None:
-        """Record that a machine is being emptied."""
-        self.begun.update(_limited_steps(executor))
-
-    def cost(self, executor: Executor) -> tuple[float, int, int]:
-        """Return how late a machine should be emptied; the lowest comes first."""
-        longest = max(
-            (
-                self.moves[step] / step.spec.most_away
-                for step in _limited_steps(executor)
-                if step not in self.begun
-            ),
-            default=0.0,
-        )
-        return -longest, len(executor.runs), executor.used.cpu
-
-
-def _limited_steps(executor: Executor) -> list[StepProgress]:
-    """Return the step of each task on an executor of which only some may be away at once."""
-    steps = [run.task.step for run in executor.runs.values()]
-    return [step for step in steps if step.spec.long_running and step.spec.most_away]
-
-
 def _emptying_kind(executor: Executor) -> tuple[str, bool]:
     """Return the service, and whether long-running tasks have to be moved away."""
     return executor.facts.service, has_long_running(executor)
