Shorten an owner's lease to 1 s where the store answers quickly

Change: 1.0 s, renewed four times in it, where the read before the claim is answered within 0.25 s, else 1.5 s as before; a store that takes 0.8 s an answer can't be held with 1.0 s (test_shard_taken_on_a_slow_store failed with it, and waits for two of the longer leases as before). Renewals, claims, hand-overs, successive, weak and short owners: tests pass.

--- a/vanillawell/coordination/candidate.py
+++ b/vanillawell/coordination/candidate.py
@@ -14,7 +14,7 @@
 from vanillawell.coordination.holder_watch import HolderWatch
 from vanillawell.coordination.renewed_lease import RenewedLease
 from vanillawell.coordination.shard_claim import ShardClaim
-from vanillawell.coordination.term import OWNERSHIP_LEASE, Term
+from vanillawell.coordination.term import Term, ownership_lease
 from vanillawell.exceptions import StoreError, StoreOutcomeUnknownError
 from vanillawell.protocol.lease_bounds import LeaseBounds
 from vanillawell.protocol.store import Compare, Put, Transaction
@@ -164,14 +164,16 @@
         return None
 
     async def _claim(self) -> Term | None:
+        asked = clock.read()
         stored = await self._store.get(self._term_key)
+        ttl = ownership_lease(clock.read() - asked)
         before = TermDocument.from_bytes(stored.value) if stored else TermDocument(0, "")
         self._claim_count += 1
         document = TermDocument(before.token + 1, self._contender.name, self._claim_count)
         bounds = await self._read_bounds(before.token)
         sent = clock.read()
-        number = await self._store.grant_lease(OWNERSHIP_LEASE)
-        lease = RenewedLease(self._store, number, OWNERSHIP_LEASE, sent)
+        number = await self._store.grant_lease(ttl)
+        lease = RenewedLease(self._store, number, ttl, sent)
         marker = Put(self._term_key, document.to_bytes())
         transaction = Transaction(
             compares=[
@@ -198,7 +200,12 @@
             if holder is None or not holder.mod_revision:
                 raise _TermChangedError
             return None
-        fields = {"shard": self._shard, "token": document.token, "before": before.holder}
+        fields = {
+            "shard": self._shard,
+            "token": document.token,
+            "before": before.holder,
+            "ttl": ttl,
+        }
         log.info("shard taken", extra={**fields, "weakness": round(self._contender.weakness, 3)})
         return Term(self._store, self._term_key, document, result.revision, lease, bounds)
 
--- a/vanillawell/coordination/renewed_lease.py
+++ b/vanillawell/coordination/renewed_lease.py
@@ -17,7 +17,7 @@
 
 log = logging.getLogger(__name__)
 
-RENEWALS_PER_TTL = 3
+RENEWALS_PER_TTL = 4
 """Renewals sent within the duration of one lease."""
 
 RENEWAL_RETRY_DELAY = 0.3
--- a/vanillawell/coordination/term.py
+++ b/vanillawell/coordination/term.py
@@ -24,11 +24,26 @@
 
 log = logging.getLogger(__name__)
 
-OWNERSHIP_LEASE = 1.5
-"""Seconds that ownership lasts after the last renewal.
+OWNERSHIP_LEASE = 1.0
+"""Seconds that ownership lasts after the last renewal; the shortest lease that stores grant.
 
-The loss of an owner is detected after this time at most. Detection and take-over together have to
-take much less time than the leases of running tasks, so that the tasks outlive their owner."""
+The loss of an owner is detected after this time at most. Meanwhile nothing starts, and callers
+allow little more for their whole job. The store may turn the owner away and serve all others."""
+
+SLOW_STORE_LEASE = 1.5
+"""The same for an owner that takes the shard while the store is slow: renewals take long, too."""
+
+SLOW_ANSWER_TIME = 0.25
+"""Seconds from which an answer of the store counts as slow."""
+
+
+def ownership_lease(answer_time: float) -> float:
+    """Return the seconds for which ownership should last after a renewal.
+
+    Args:
+        answer_time: Seconds that the store took to answer the candidate's latest call.
+    """
+    return OWNERSHIP_LEASE if answer_time < SLOW_ANSWER_TIME else SLOW_STORE_LEASE
 
 
 MAX_CONCURRENT_WRITES = 8
