Renew the lease in a test whose owner lasts longer than it

It failed 3 of 3 alone. Change: the owner renews, as a real one does and as the test's neighbours do; all its assertions stand.

--- a/vanillawell/tests/term_tests.py
+++ b/vanillawell/tests/term_tests.py
@@ -95,6 +95,7 @@
             await previous.announce({"m-1": "pool-1"})
             await previous_term.release()
             term = await take(store, "entry-1")
+            tasks.start_soon(term.renew_until_lost)
             current = MachineOrders(term, ports, KEYS, "all", "entry-1", 0.5, FixedClocks())
             now = clock.read()
             assert not current.may_order("m-2", now)
