Begin only as many writers as there are writes, and log how many jobs were stored

Cause: reading the whole diff: each cycle of one transaction began eight tasks that had nothing to write, and 'changes postponed' told all changed jobs as stored. Change: a writer for each write, up to eight; the log line tells what was stored. Measured: write_beside, write_order and scheduler_path tests pass.

--- a/vanillawell/coordination/cycle_store.py
+++ b/vanillawell/coordination/cycle_store.py
@@ -91,7 +91,8 @@
         self._postponed.update(left, began)
         self._telemetry.postponed_changes.set({}, len(left))
         if left:
-            log.info("changes postponed", extra={"stored": len(batch.records), "left": len(left)})
+            figures = {"stored": len(batch.records) - len(left), "left": len(left)}
+            log.info("changes postponed", extra=figures)
 
     async def _store_parts(
         self, parts: Iterable[CycleTransaction], began: float
--- a/vanillawell/coordination/term.py
+++ b/vanillawell/coordination/term.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 import logging
 import math
 from dataclasses import replace
@@ -166,9 +167,9 @@
         waiting = iter(writes)
         is_lost = False
 
-        async def write_next() -> None:
+        async def write_from(first: AnyWrite) -> None:
             nonlocal is_lost
-            for item in waiting:
+            for item in itertools.chain([first], waiting):
                 stored_at = await self._write_at_revision(item)
                 if stored_at is None:
                     is_lost = True
@@ -179,8 +180,8 @@
         async with self._writing:
             await self._wait_if_closed()
             async with anyio.create_task_group() as writers:
-                for _ in range(MAX_CONCURRENT_WRITES):
-                    writers.start_soon(write_next)
+                for item in itertools.islice(waiting, MAX_CONCURRENT_WRITES):
+                    writers.start_soon(write_from, item)
         if is_lost:
             raise TermLostError("another entry has written the term document")
 
