--- a/review/2/case.py
+++ b/review/2/case.py
@@ -10,9 +10,9 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[2]))
 
-from review.standin.executor import Log  # noqa: E402
-from review.standin.installation import Installation, finish, job, run  # noqa: E402
-from review.standin.twice import started_twice  # noqa: E402
+from review.standin_executor import Log  # noqa: E402
+from review.standin_installation import Installation, finish, job, run  # noqa: E402
+from review.standin_twice import started_twice  # noqa: E402
 
 FOLDER = Path(__file__).resolve().parent
 JOBS, WIDTH = 26, 24
--- a/review/standin/twice.py
+++ b/review/standin_twice.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from review.standin.executor import Log, RunLog
+from review.standin_executor import Log, RunLog
 
 
 def started_twice(log: Log) -> list[str]:
