Log what proves that a run has ended, and starts that leave late

Change: EndProof names each way in which a run is closed; 'run ended' carries it with the executor's life, 'executor restarted' the new life and the runs charged; 'start order delayed' tells how long an order waited, whether its run is still charged and which life the executor has by then; the metric vanillawell_runs_closed counts by proof. No decision changes.

--- a/vanillawell/coordination/executor_driver.py
+++ b/vanillawell/coordination/executor_driver.py
@@ -145,7 +145,7 @@
             self._link.handle_refusal(error)
             await anyio.sleep(RETRY_DELAY)
         except WrongIncarnationError:
-            self._link.record_termination(target, "another executor answers at the address")
+            self._link.record_termination(target)
 
     async def _await_lease_extension(self) -> None:
         """Wait briefly until leases may be extended again.
@@ -232,7 +232,8 @@
         if not self._link.begin_incarnation(incarnation):
             return False
         self._confirmed_end = 0
-        log.info("executor restarted", extra={"executor": self._executor.name})
+        fields = {"executor": self._executor.name, "life": incarnation}
+        log.info("executor restarted", extra={**fields, "runs": len(self._executor.runs)})
         return True
 
     async def renew(self) -> bool:
--- a/vanillawell/coordination/executor_link.py
+++ b/vanillawell/coordination/executor_link.py
@@ -11,6 +11,7 @@
 from vanillawell import clock
 from vanillawell.coordination.leases import LEASE_MARGIN, TASK_LEASE, ExecutorClock
 from vanillawell.protocol.executor_calls import OrderRefusal, Target
+from vanillawell.state.end_proofs import EndProof
 from vanillawell.state.executors import UNREACHABLE_BLOCK_TIME
 
 if TYPE_CHECKING:
@@ -157,16 +158,19 @@
         fields = {"executor": self.executor.name, "reason": error.reason.value}
         log.warning("hold call refused", extra=fields)
 
-    def record_termination(self, target: Target, reason: str) -> None:
+    def record_termination(self, target: Target) -> None:
         """Record the proof that the incarnation a call was addressed to has terminated.
 
         By the time of the answer the executor may have a new incarnation at another address, of
         which the answer says nothing.
         """
         is_current = target.incarnation == self.executor.facts.incarnation
-        fields = {"executor": target.executor, "reason": reason, "is_present": is_current}
+        proof = EndProof.OTHER_EXECUTOR
+        fields = {"executor": target.executor, "reason": proof, "is_present": is_current}
         log.warning("executor gone", extra={**fields, "runs": len(self.executor.runs)})
-        self.shard.mark_terminated(target.executor, target.incarnation, clock.read(), self.wall())
+        self.shard.mark_terminated(
+            target.executor, target.incarnation, proof, clock.read(), self.wall()
+        )
         self.wake_owner()
 
     def describe(self, run: Run) -> dict[str, object]:
--- a/vanillawell/coordination/loss_detector.py
+++ b/vanillawell/coordination/loss_detector.py
@@ -11,6 +11,7 @@
 from vanillawell import clock
 from vanillawell.protocol.call_errors import NoAnswerError, NotSentError
 from vanillawell.protocol.machine_calls import MachineState
+from vanillawell.state.end_proofs import EndProof
 from vanillawell.state.lost_executors import find_lost_executors, unconfirmed_executors
 from vanillawell.state.upkeep import incarnation_id
 
@@ -80,16 +81,18 @@
             incarnation_id(item) for item in result.missing if item not in missing_twice
         }
         for executor in result.terminated:
-            self._record_termination(executor, "another state of its machine", requested_at)
+            self._record_termination(executor, EndProof.MACHINE_LIST, requested_at)
         for executor in missing_twice:
-            self._record_termination(executor, "on no machine, twice", requested_at)
+            self._record_termination(executor, EndProof.NOT_LISTED, requested_at)
 
-    def _record_termination(self, executor: Executor, reason: str, requested_at: float) -> None:
+    def _record_termination(self, executor: Executor, proof: EndProof, requested_at: float) -> None:
         now = clock.read()
-        fields = {"executor": executor.name, "machine": executor.facts.machine, "reason": reason}
+        fields = {"executor": executor.name, "machine": executor.facts.machine, "reason": proof}
         figures = {"runs": len(executor.runs), "age": round(now - requested_at, 3)}
         log.warning("executor has ended", extra={**fields, **figures})
-        self._shard.mark_terminated(executor.name, executor.facts.incarnation, now, time.time())
+        self._shard.mark_terminated(
+            executor.name, executor.facts.incarnation, proof, now, time.time()
+        )
         self._wake()
 
 
--- a/vanillawell/coordination/pool_rebalancer.py
+++ b/vanillawell/coordination/pool_rebalancer.py
@@ -16,6 +16,7 @@
 from vanillawell.coordination.pool_demand import DemandMeter, MachineSnapshot
 from vanillawell.protocol.call_errors import NoAnswerError, NotSentError
 from vanillawell.protocol.machine_calls import MachineState, UpkeepRefusedError
+from vanillawell.state.end_proofs import EndProof
 from vanillawell.state.pool_sizing import MachineMove, PoolDemand, PoolSizer
 from vanillawell.state.upkeep import LIST_LAG
 
@@ -292,7 +293,13 @@
         """Record that a machine has changed its pool, which terminates the executor on it at
         once."""
         facts = executor.facts
-        self._shard.mark_terminated(facts.executor, facts.incarnation, clock.read(), time.time())
+        self._shard.mark_terminated(
+            facts.executor,
+            facts.incarnation,
+            EndProof.MACHINE_ORDERED,
+            clock.read(),
+            time.time(),
+        )
 
     def _idle_machines(self, executors: dict[str, Executor], now: float) -> dict[str, list[str]]:
         """Return the machines that could leave their pool now, by pool."""
--- a/vanillawell/coordination/run_orders.py
+++ b/vanillawell/coordination/run_orders.py
@@ -42,6 +42,9 @@
 """Attempts to fetch a report at once to learn the outcome of an order; after that, the next hold
 call delivers it."""
 
+DELAYED_START_TIME = 0.25
+"""Seconds from storing a start decision to its order from which the delay is logged."""
+
 MAX_CONCURRENT_ORDERS = 4
 """Maximum concurrent orders to one executor; each occupies a connection."""
 
@@ -98,10 +101,26 @@
             if not self._link.may_extend_lease():
                 self._mark_not_started(run, "lease extension not permitted")
                 return
+            self._log_if_delayed(run, now - stored_at)
             await self._send_start(run, now)
         self._notify()
         self._link.wake_owner()
 
+    def _log_if_delayed(self, run: Run, waited: float) -> None:
+        """Log a start order that leaves late, and what the run and its executor are by then."""
+        if waited < DELAYED_START_TIME:
+            return
+        executor = self._link.executor
+        current = self._link.shard.ledger.executors.get(run.executor)
+        fields = {
+            **self._link.describe(run),
+            "waited": round(waited, 3),
+            "charged": (run.task.task_id, run.number) in executor.runs,
+            "life": run.incarnation,
+            "life_now": None if current is None else current.facts.incarnation,
+        }
+        log.info("start order delayed", extra=fields)
+
     def _withdraw(self, run: Run) -> None:
         """Close a run whose zone was evacuated after its start was decided."""
         self._mark_not_started(run, "zone evacuated")
@@ -132,7 +151,7 @@
             self._link.block_if_unresponsive(now)
             await self._resolve_uncertain(run, str(error))
         except WrongIncarnationError:
-            self._link.record_termination(target, "another executor answers at the address")
+            self._link.record_termination(target)
             self._mark_not_started(run, "addressed to a previous incarnation")
         except OrderRefusedError as error:
             if error.reason is OrderRefusal.UNHEALTHY:
@@ -209,7 +228,7 @@
                 self._link.handle_refusal(error)
                 return
             except WrongIncarnationError:
-                self._link.record_termination(target, "another executor answers at the address")
+                self._link.record_termination(target)
                 return
             else:
                 return
@@ -238,7 +257,7 @@
             self._link.block_if_unresponsive(sent)
             return False
         except WrongIncarnationError:
-            self._link.record_termination(target, "another executor answers at the address")
+            self._link.record_termination(target)
             return False
         except OrderRefusedError as error:
             if error.reason is OrderRefusal.STALE_TOKEN:
--- a/vanillawell/coordination/upkeep_orders.py
+++ b/vanillawell/coordination/upkeep_orders.py
@@ -13,6 +13,7 @@
 from vanillawell.protocol.call_errors import NoAnswerError, NotSentError
 from vanillawell.protocol.machine_calls import UpkeepRefusal, UpkeepRefusedError
 from vanillawell.state.availability import mark_runs_away, may_interrupt_all
+from vanillawell.state.end_proofs import EndProof
 from vanillawell.state.upkeep import UNKNOWN_INCARNATION, incarnation_id
 
 if TYPE_CHECKING:
@@ -148,7 +149,11 @@
         if executor is not None and progress.away.get(name) == incarnation_id(executor):
             facts = executor.facts
             self._shard.mark_terminated(
-                facts.executor, facts.incarnation, clock.read(), time.time()
+                facts.executor,
+                facts.incarnation,
+                EndProof.MACHINE_ORDERED,
+                clock.read(),
+                time.time(),
             )
         self._release(name)
         self._wake()
--- a/vanillawell/node.py
+++ b/vanillawell/node.py
@@ -20,6 +20,7 @@
 from vanillawell.protocol.work_documents import WorkKeys
 from vanillawell.scheduler_telemetry import SchedulerTelemetry
 from vanillawell.state.contention.entry_readiness import EntryReadiness
+from vanillawell.state.end_proofs import EndProof
 
 if TYPE_CHECKING:
     from vanillawell.config.node_settings import NodeSettings
@@ -102,6 +103,9 @@
         shard = self.owned_shard
         self.telemetry.evacuated_executors.set({}, shard.ledger.count_evacuated() if shard else 0)
         self.telemetry.surplus_jobs.set({}, shard.surplus_jobs if shard else 0)
+        for proof in EndProof:
+            closed = shard.closed_runs[proof] if shard else 0
+            self.telemetry.runs_closed.set({"proof": proof.value}, closed)
 
     @property
     def owns(self) -> bool:
--- a/vanillawell/scheduler_telemetry.py
+++ b/vanillawell/scheduler_telemetry.py
@@ -59,6 +59,11 @@
             " owner.",
             registry=self.registry,
         )
+        self.runs_closed = Gauge(
+            "vanillawell_runs_closed",
+            "Runs that this owner has closed, by what proved their end; 0 if not the owner.",
+            registry=self.registry,
+        )
         self.log_lines_dropped = Gauge(
             "vanillawell_log_lines_dropped",
             "Log lines dropped so far, since nobody read them or there were too many of a kind.",
--- a/vanillawell/standins/experiment/simulation.py
+++ b/vanillawell/standins/experiment/simulation.py
@@ -16,6 +16,7 @@
 from vanillawell.protocol.executor_calls import HoldReport, ReportedEnd
 from vanillawell.standins.experiment.least import StepDemand
 from vanillawell.standins.experiment.outcome import DayOutcome, SubmittedJob
+from vanillawell.state.end_proofs import EndProof
 from vanillawell.state.executors import ExecutorFacts
 from vanillawell.state.pool_sizing import (
     PoolDemand,
@@ -265,7 +266,9 @@
             self.moves += 1
             if move.machine in executors:
                 previous = executors[move.machine].facts
-                shard.mark_terminated(previous.executor, previous.incarnation, now, now)
+                shard.mark_terminated(
+                    previous.executor, previous.incarnation, EndProof.MACHINE_ORDERED, now, now
+                )
             self.pools[move.machine] = move.pool
             self.arrivals[move.machine] = now + MOVE_SECONDS
 
--- a/vanillawell/state/ledger.py
+++ b/vanillawell/state/ledger.py
@@ -19,6 +19,7 @@
 from dataclasses import dataclass, field, replace
 from typing import TYPE_CHECKING
 
+from vanillawell.state.end_proofs import EndProof
 from vanillawell.state.executors import (
     QUARANTINE_TIME,
     Executor,
@@ -45,6 +46,7 @@
 
     run: Run
     ending: Ending
+    proof: EndProof
     checkpoint: str = ""
 
 
@@ -176,7 +178,9 @@
         return [
             ended
             for item in earlier
-            for ended in self.mark_terminated(item.name, item.facts.incarnation)
+            for ended in self.mark_terminated(
+                item.name, item.facts.incarnation, EndProof.NEXT_ON_MACHINE
+            )
         ]
 
     @staticmethod
@@ -187,11 +191,11 @@
             tracked.begin_incarnation(now)
         tracked.update_facts(facts, now)
 
-    def _close_all(self, executor: Executor) -> list[EndedRun]:
+    def _close_all(self, executor: Executor, proof: EndProof) -> list[EndedRun]:
         runs = list(executor.runs.values())
         for run in runs:
             self._discharge(executor, run)
-        return [EndedRun(run, Ending.LOST) for run in runs]
+        return [EndedRun(run, Ending.LOST, proof) for run in runs]
 
     def unregister(self, name: str) -> None:
         """Mark an executor as unregistered: it gets no new tasks, and its runs stay charged."""
@@ -202,14 +206,14 @@
         executor.registered = False
         self._remove_if_unused(executor)
 
-    def mark_terminated(self, name: str, incarnation: int) -> list[EndedRun]:
+    def mark_terminated(self, name: str, incarnation: int, proof: EndProof) -> list[EndedRun]:
         """Record that an incarnation has terminated; return its runs, which ended with it."""
         self._terminated[name] = max(incarnation, self._terminated.get(name, incarnation))
         executor = self.executors.get(name)
         if executor is None or executor.facts.incarnation != incarnation:
             return []
         executor.registered = False
-        ended = self._close_all(executor)
+        ended = self._close_all(executor, proof)
         self._remove_if_unused(executor)
         return ended
 
@@ -290,7 +294,7 @@
             expired = [run for run in executor.runs.values() if run.phase is not RunPhase.PLANNED]
             for run in expired:
                 self._discharge(executor, run)
-                ended.append(EndedRun(run, Ending.LEASE_EXPIRED))
+                ended.append(EndedRun(run, Ending.LEASE_EXPIRED, EndProof.LEASE_EXPIRED))
             self._remove_if_unused(executor)
         return ended
 
@@ -327,7 +331,7 @@
                     self._reinstate(run)
             elif has_ended(executor, run, sent):
                 self._discharge(executor, run)
-                outcome.ended.append(EndedRun(run, Ending.LOST))
+                outcome.ended.append(EndedRun(run, Ending.LOST, EndProof.ABSENT))
             elif may_still_start(run, sent):
                 outcome.unconfirmed.append(run)
         outcome.orphans.extend(rows_by_run.values())
@@ -371,7 +375,7 @@
         if executor.record_ending(run, end.ending, rate):
             self._quarantine_if_allowed(executor, now)
         self._discharge(executor, run)
-        outcome.ended.append(EndedRun(run, end.ending, end.checkpoint))
+        outcome.ended.append(EndedRun(run, end.ending, EndProof.REPORTED, end.checkpoint))
 
 
 def _inherited_facts(name: str, incarnation: int, machine: str) -> ExecutorFacts:
--- a/vanillawell/state/shard.py
+++ b/vanillawell/state/shard.py
@@ -17,6 +17,7 @@
 from vanillawell.state.contention.agreed_rates import AgreedRates
 from vanillawell.state.copies import runs_to_copy
 from vanillawell.state.durations import DurationStatistics, set_objective
+from vanillawell.state.end_proofs import EndProof
 from vanillawell.state.executors import QUARANTINE_TIME, Executor, by_service
 from vanillawell.state.job_table import JobTable
 from vanillawell.state.ledger import EndedRun, InheritedLeaseBound, Ledger
@@ -67,6 +68,9 @@
         self.surplus_jobs = 0
         """Jobs beyond the agreed rate of their organisation, among all that were tracked so far."""
 
+        self.closed_runs: Counter[EndProof] = Counter()
+        """Runs that were closed so far, by what proved their end."""
+
         self.outbox = Outbox()
         self.tickets: dict[tuple[str, int, int], Mapping[str, str]] = {}
         """Tickets by executor, for steps of queues that require advice."""
@@ -172,9 +176,11 @@
         """Apply an executor's registration."""
         self._apply_ends(self.ledger.register(facts, now), now, wall)
 
-    def mark_terminated(self, name: str, incarnation: int, now: float, wall: float) -> None:
+    def mark_terminated(
+        self, name: str, incarnation: int, proof: EndProof, now: float, wall: float
+    ) -> None:
         """Close the runs of an incarnation that is confirmed to have terminated."""
-        self._apply_ends(self.ledger.mark_terminated(name, incarnation), now, wall)
+        self._apply_ends(self.ledger.mark_terminated(name, incarnation, proof), now, wall)
 
     def expire(self, now: float, wall: float) -> None:
         """Close runs whose lease has expired for certain."""
@@ -239,6 +245,7 @@
         run, task = item.run, item.run.task
         record = task.step.record
         was_final = record.state.final
+        self.closed_runs[item.proof] += 1
         if item.ending is Ending.DONE and run.started is not None and not run.started_cold:
             self.durations.record(record.job.queue, task.step.spec, now - run.started)
         if item.ending is Ending.FAILED:
@@ -272,7 +279,7 @@
     def mark_not_started(self, run: Run, now: float, wall: float) -> None:
         """Close a run that is confirmed not to have started and cannot start any more."""
         if self.ledger.close(run):
-            self._apply_end(EndedRun(run, Ending.LOST), now, wall)
+            self._apply_end(EndedRun(run, Ending.LOST, EndProof.NOT_STARTED), now, wall)
 
     def stop_gang_of(self, run: Run) -> None:
         """Stop the other members of a gang that one member does not join, so that they start
--- a/vanillawell/state/shard_log.py
+++ b/vanillawell/state/shard_log.py
@@ -54,6 +54,8 @@
             "run": run.number,
             "executor": run.executor,
             "ending": item.ending,
+            "proof": item.proof,
+            "life": run.incarnation,
             "failures": run.task.failures,
             "seconds": seconds,
         },
--- a/vanillawell/tests/ledger_tests.py
+++ b/vanillawell/tests/ledger_tests.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from vanillawell.protocol.executor_calls import HoldReport, ReportedEnd
+from vanillawell.state.end_proofs import EndProof
 from vanillawell.state.work import Ending, Resources, RunPhase
 from vanillawell.tests.scheduling_builders import ShardHarness, facts, job, step
 
@@ -45,7 +46,7 @@
     No task may be placed there. A new incarnation under the same id is used once it registers.
     """
     harness = ShardHarness(facts("i-0"))
-    harness.shard.mark_terminated("i-0", 1, harness.now, harness.now)
+    harness.shard.mark_terminated("i-0", 1, EndProof.MACHINE_ORDERED, harness.now, harness.now)
     harness.shard.register(facts("i-0"), harness.now, harness.now)
     assert not harness.shard.ledger.executors
     harness.register(facts("i-0", incarnation=2))
