Reproduce the incident's two rules: orders that wait reach an executor's next life (failing)

What callers saw: LIMIT and TWICE on one executor, from orders that are not among those carried out late. Evidence for hypothesis 1, on the code as it is: an executor goes down with its machine while 12 starts are due there. Four are sent and get no answer; eight wait for a place. The list of machines proves the end, all twelve runs are closed, their tasks are done elsewhere and that is confirmed. The executor starts again under its id, and the eight orders are sent to it: eight tasks run a second time after their end was noted (TWICE), and beside other work they exceed its capacity (LIMIT).

--- /dev/null
+++ b/vanillawell/tests/delayed_starts_tests.py
@@ -0,0 +1,87 @@
+"""Test that a start order that had to wait is not sent once its run has been closed."""
+
+from __future__ import annotations
+
+import anyio
+
+from vanillawell.standins.scheduler.executor import StandInExecutor
+from vanillawell.tests.scheduler_cluster import (
+    PREFIX,
+    Cluster,
+    Member,
+    job,
+    step,
+    until,
+    until_state,
+    with_cluster,
+)
+
+LISTED_AFTER = 2.2
+"""Seconds after which the list of machines is believed to name a running executor."""
+
+ORDERS_DRAINED = 4.0
+"""Seconds within which all orders to a silent executor have been sent or abandoned."""
+
+TASKS = 12
+TASK_CPU = 600
+"""Millicores; all tasks together fit on one executor."""
+
+RUN_SECONDS = 0.3
+
+
+async def fall_silent(built: Cluster, name: str) -> None:
+    """Let a machine go down with its executor, and the list of machines show it."""
+    owner, job_id = await built.owner(), built.new_id()
+    await owner.call("POST", PREFIX + job_id, job())
+    await until_state(owner, job_id, "completed")
+    await anyio.sleep(LISTED_AFTER)
+    built.hosts[name].executor.faults.unresponsive = True
+    built.machines.machines[built.hosts[name].machine].state = "down"
+
+
+def return_under_its_id(built: Cluster, name: str) -> StandInExecutor:
+    """Start the executor again under its id, on the same machine; return its new life."""
+    built.restart(name)
+    built.machines.machines[built.hosts[name].machine].state = "up"
+    built.register(name)
+    return built.hosts[name].executor
+
+
+async def submit(built: Cluster, owner: Member, seconds: float) -> str:
+    """Submit a job that fills most of one executor; return its id."""
+    job_id = built.new_id()
+    spec = {"seconds": seconds, "cpu": TASK_CPU}
+    body = job(step(TASKS, cpu=TASK_CPU), spec=spec)
+    await owner.call("POST", PREFIX + job_id, body)
+    return job_id
+
+
+# Guards against orders to a dead executor that wait for a place and reach its next life, while
+# their tasks have been done elsewhere.
+@with_cluster(executors=1)
+async def test_delayed_start_is_not_sent_after_its_task_was_done_elsewhere(built: Cluster) -> None:
+    await fall_silent(built, "i-0")
+    owner = await built.owner()
+    job_id = await submit(built, owner, RUN_SECONDS)
+    await built.add_executor("i-1")
+    await until_state(owner, job_id, "completed")
+    returned = return_under_its_id(built, "i-0")
+    await anyio.sleep(ORDERS_DRAINED)
+    assert returned.start_count == 0
+
+
+# Guards against the same orders filling an executor beyond its capacity beside the work that its
+# next life has been given.
+@with_cluster(executors=1)
+async def test_delayed_starts_do_not_exceed_the_capacity_of_the_next_life(built: Cluster) -> None:
+    await fall_silent(built, "i-0")
+    owner = await built.owner()
+    first = await submit(built, owner, RUN_SECONDS)
+    await built.add_executor("i-1")
+    await until_state(owner, first, "completed")
+    built.leave("i-1")
+    returned = return_under_its_id(built, "i-0")
+    second = await submit(built, owner, ORDERS_DRAINED)
+    await until(lambda: f"{second}.0.0.0" in returned.running)
+    await anyio.sleep(ORDERS_DRAINED)
+    assert not [text for text in built.audit.violations if "capacity" in text]
