Send a start only while its run is charged to the life that it was planned for

Cause: a start order waits for the first report of its executor and for one of four places, which silent calls hold for up to 2.6 s each. Meanwhile the executor's end may be proved; that closes all its runs, planned ones too, and their tasks start elsewhere. The order asked only whether a stop was requested, and went to whatever answered under that id next. Class: a decision that waits is carried out on what was believed when it was made. Change: right before the order goes out, its run must still be charged (Ledger.is_charged, shared with the sender of stops) and the executor's life be the one that it was planned for; else it is closed as not started, and the owner decides anew. Why it works: a run that is closed never becomes charged again, and nothing is awaited between the check and the call. What remains: the call itself (0.5 s at most, in which a connection may be opened), for the work on lives under one id.

--- a/vanillawell/coordination/run_orders.py
+++ b/vanillawell/coordination/run_orders.py
@@ -84,28 +84,34 @@
                 await self._link.first_report.wait()
         async with self._slots:
             now = clock.read()
+            self._log_if_delayed(run, now - stored_at)
             if self._link.executor.evacuated and not run.stop_requested:
                 self._withdraw(run)
                 return
-            stale = now - stored_at > MAX_START_AGE and not self._link.term.is_held(now)
-            if run.stop_requested or stale or not self._link.has_clock_reading:
-                self._mark_not_started(
-                    run,
-                    (
-                        "stop requested before start"
-                        if run.stop_requested
-                        else "decision too old or executor clock unknown"
-                    ),
-                )
-                return
-            if not self._link.may_extend_lease():
-                self._mark_not_started(run, "lease extension not permitted")
+            reason = self._reason_not_to_start(run, stored_at, now)
+            if reason:
+                self._mark_not_started(run, reason)
+                self._link.wake_owner()
                 return
-            self._log_if_delayed(run, now - stored_at)
             await self._send_start(run, now)
         self._notify()
         self._link.wake_owner()
 
+    def _reason_not_to_start(self, run: Run, stored_at: float, now: float) -> str:
+        """Return why a stored start decision must not be sent any more; empty if it may be."""
+        if run.stop_requested:
+            return "stop requested before start"
+        if not self._link.shard.ledger.is_charged(run):
+            return "closed before its order was sent"
+        if run.incarnation != self._link.executor.facts.incarnation:
+            return "planned for a previous incarnation"
+        stale = now - stored_at > MAX_START_AGE and not self._link.term.is_held(now)
+        if stale or not self._link.has_clock_reading:
+            return "decision too old or executor clock unknown"
+        if not self._link.may_extend_lease():
+            return "lease extension not permitted"
+        return ""
+
     def _log_if_delayed(self, run: Run, waited: float) -> None:
         """Log a start order that leaves late, and what the run and its executor are by then."""
         if waited < DELAYED_START_TIME:
--- a/vanillawell/coordination/stop_sender.py
+++ b/vanillawell/coordination/stop_sender.py
@@ -63,7 +63,7 @@
         stops, outbox.stops = outbox.stops, []
         waiting = {run.executor: "" for run in stops}
         for run in stops:
-            if not self._is_charged(run):
+            if not self._shard.ledger.is_charged(run):
                 log.info("stop not needed: run has ended", extra=_describe(run))
             elif reason := self._blocking_reason(run, now):
                 waiting[run.executor] = reason
@@ -75,10 +75,6 @@
         for orphan in orphans:
             self._stop_orphan(orphan)
 
-    def _is_charged(self, run: Run) -> bool:
-        executor = self._shard.ledger.executors.get(run.executor)
-        return executor is not None and (run.task.task_id, run.number) in executor.runs
-
     def _blocking_reason(self, run: Run, now: float) -> str:
         """Return the reason why a stop cannot be sent now, or an empty string.
 
--- a/vanillawell/state/ledger.py
+++ b/vanillawell/state/ledger.py
@@ -258,10 +258,15 @@
         run.superseded = False
         run.task.run = run
 
+    def is_charged(self, run: Run) -> bool:
+        """Return whether a run is still charged to its executor."""
+        executor = self.executors.get(run.executor)
+        return executor is not None and executor.runs.get((run.task.task_id, run.number)) is run
+
     def close(self, run: Run) -> bool:
         """Stop charging a run; return False if it was closed before."""
         executor = self.executors.get(run.executor)
-        if executor is None or (run.task.task_id, run.number) not in executor.runs:
+        if executor is None or not self.is_charged(run):
             return False
         self._discharge(executor, run)
         self._remove_if_unused(executor)
