Place nothing on an incarnation before its own registration states its capacity

What callers saw: an executor that starts again under its id as a smaller kind is given more than it has room for (LIMIT), until it registers. Cause: a report of the new incarnation replaced its number only; the former one's capacity stayed, and the report counted as contact. Class: what belongs to one incarnation reaches the next one. Change: Incarnation (state/incarnations.py) holds what belongs to one life, beginning with the numbers of its ends and whether its own registration has been read; a new one replaces it as a whole. Only an executor whose present incarnation has registered gets tasks. Beside it: a cold time that equals the predecessor's is taken for a statement of its own. The stand-in can crash as a process does: connections end or stay silent, another kind in the next life, a late registration. Why it works: capacity is read from registrations only, and facts of another incarnation no longer count as its own. What remains: orders that were on their way when the new incarnation began.

--- a/vanillawell/standins/scheduler/executor.py
+++ b/vanillawell/standins/scheduler/executor.py
@@ -127,11 +127,18 @@
         """Return the milliseconds since this incarnation started."""
         return int((time.monotonic() - self._started_at) * 1000)
 
-    def crash(self) -> StandInExecutor:
-        """End this incarnation; return the next one, which keeps no state of it."""
+    def crash(self, cpu: int | None = None) -> StandInExecutor:
+        """End this incarnation; return the next one, which keeps no state of it.
+
+        The next one has as many millicores as this one unless `cpu` is given.
+        """
         self._active_runs.clear()
         successor = StandInExecutor(
-            self.name, self._audit, self._executors, self.cpu, self.born + 5_000
+            self.name,
+            self._audit,
+            self._executors,
+            self.cpu if cpu is None else cpu,
+            self.born + 5_000,
         )
         self._executors[self._executors.index(self)] = successor
         return successor
--- a/vanillawell/state/executors.py
+++ b/vanillawell/state/executors.py
@@ -6,9 +6,10 @@
 from __future__ import annotations
 
 import logging
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import TYPE_CHECKING
 
+from vanillawell.state.incarnations import Incarnation
 from vanillawell.state.reliability.failure_evidence import FailureEvidence
 from vanillawell.state.reliability.restart_penalty import RestartHistory
 from vanillawell.state.work import NO_RESOURCES, Ending, Resources, Run, TaskId
@@ -72,11 +73,8 @@
 
     runs: dict[tuple[TaskId, int], Run] = field(default_factory=dict)
     used: Resources = NO_RESOURCES
-    last_applied_end: int = 0
-    """Highest sequence number of an end that was applied from its reports."""
-
-    unsaved_ends: set[int] = field(default_factory=set)
-    """Sequence numbers of ends whose effect is not stored yet."""
+    incarnation: Incarnation = field(init=False)
+    """Its current incarnation, with what belongs to that one only."""
 
     lease_expires_at: float = 0.0
     """Time after which all its runs have ended for certain, unless its lease is renewed."""
@@ -124,11 +122,27 @@
 
     restarts: RestartHistory = field(default_factory=RestartHistory)
 
+    def __post_init__(self) -> None:
+        """Track the incarnation that the facts are about."""
+        self.incarnation = Incarnation(
+            self.facts.executor, self.facts.incarnation, is_registered=self.registered
+        )
+
     @property
     def name(self) -> str:
         """Return the id of the executor."""
         return self.facts.executor
 
+    @property
+    def last_applied_end(self) -> int:
+        """Return the highest sequence number of an end that was applied from its reports."""
+        return self.incarnation.last_applied_end
+
+    @property
+    def unsaved_ends(self) -> set[int]:
+        """Return the sequence numbers of ends whose effect is not stored yet."""
+        return self.incarnation.unsaved_ends
+
     @property
     def is_unconfirmed(self) -> bool:
         """Return whether its runs are unconfirmed: it has not reported yet, or is unresponsive."""
@@ -147,17 +161,18 @@
     @property
     def saved_end(self) -> int:
         """Return the highest sequence number up to which all ends are stored."""
-        return min(self.unsaved_ends) - 1 if self.unsaved_ends else self.last_applied_end
+        return self.incarnation.saved_end
 
-    def begin_incarnation(self, now: float) -> None:
-        """Reset its state after a restart under the same id.
+    def begin_incarnation(self, started: int, now: float) -> None:
+        """Track the incarnation that has `started` under the same id, in milliseconds since the
+        epoch.
 
         The new incarnation has no state of the earlier one, so only its next report shows which
         runs it has: an order that was just sent may already have reached the new incarnation.
         """
+        self.facts = replace(self.facts, incarnation=started)
+        self.incarnation = Incarnation(self.facts.executor, started)
         self.contacted = False
-        self.last_applied_end = 0
-        self.unsaved_ends.clear()
         self.evidence = FailureEvidence()
         self.earliest_departure = None
         self.restarted_at = now
@@ -189,10 +204,12 @@
             age = 0.0 if self.registered else MAX_REGISTRATION_AGE
             self.earliest_departure = now - age + (facts.remaining or 0.0)
             self.departure_reported_at = now
-        if not self.registered or _cold_statement(facts) != _cold_statement(self.facts):
+        is_first = not self.registered or not self.incarnation.is_registered
+        if is_first or _cold_statement(facts) != _cold_statement(self.facts):
             self.cold_until = now + facts.cold_remaining if facts.cold_remaining else 0.0
         self.facts = facts
         self.registered = True
+        self.incarnation.is_registered = True
 
     def is_cold(self, now: float) -> bool:
         """Return whether it is slow because it has just started."""
@@ -212,6 +229,7 @@
         """Return whether it accepts new tasks, but for being withheld or vacating."""
         return (
             self.registered
+            and self.incarnation.is_registered
             and self.contacted
             and not self.facts.draining
             and not self.cordoned
--- /dev/null
+++ b/vanillawell/state/incarnations.py
@@ -0,0 +1,38 @@
+"""Keep what belongs to one incarnation of an executor, so that none of it reaches the next one.
+
+An executor that starts again under its id knows nothing of before, may be of another kind and
+counts its ends from 1 again. Numbers, confirmations and capacity are therefore those of one
+incarnation: whoever holds them holds the incarnation, not the executor.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+
+@dataclass(slots=True, eq=False)
+class Incarnation:
+    """One incarnation of an executor."""
+
+    executor: str
+    """Id of the executor."""
+
+    started: int
+    """Start time, in milliseconds since the epoch."""
+
+    is_registered: bool = False
+    """Whether its own registration has been read, which states its kind and its capacity."""
+
+    last_applied_end: int = 0
+    """Highest sequence number of an end that was applied from its reports."""
+
+    unsaved_ends: set[int] = field(default_factory=set)
+    """Sequence numbers of ends whose effect is not stored yet."""
+
+    confirmed_end: int = 0
+    """Highest sequence number that it has been told to forget."""
+
+    @property
+    def saved_end(self) -> int:
+        """Return the highest sequence number up to which all ends are stored."""
+        return min(self.unsaved_ends) - 1 if self.unsaved_ends else self.last_applied_end
--- a/vanillawell/state/ledger.py
+++ b/vanillawell/state/ledger.py
@@ -16,7 +16,7 @@
 import itertools
 import logging
 from collections import defaultdict
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 from vanillawell.state.end_proofs import EndProof
@@ -27,6 +27,7 @@
     by_service,
     may_quarantine,
 )
+from vanillawell.state.incarnations import Incarnation
 from vanillawell.state.placement_restrictions import PlacementRestrictions
 from vanillawell.state.reliability.failure_evidence import PoolFailureRate
 from vanillawell.state.reported_runs import has_ended, may_still_start, update_run
@@ -188,7 +189,7 @@
         if facts.incarnation < tracked.facts.incarnation:
             return
         if facts.incarnation > tracked.facts.incarnation:
-            tracked.begin_incarnation(now)
+            tracked.begin_incarnation(facts.incarnation, now)
         tracked.update_facts(facts, now)
 
     def _close_all(self, executor: Executor, proof: EndProof) -> list[EndedRun]:
@@ -287,6 +288,7 @@
             self.executors[run.executor] = executor
         if run.incarnation > executor.facts.incarnation:
             executor.facts = _inherited_facts(run.executor, run.incarnation, "")
+            executor.incarnation = Incarnation(run.executor, run.incarnation)
         executor.lease_expires_at = max(executor.lease_expires_at, bound.lease_expires_at)
         self.charge(executor, run)
 
@@ -319,8 +321,7 @@
         if executor.is_from_earlier_incarnation(report.incarnation, sent):
             return outcome
         if report.incarnation != executor.facts.incarnation:
-            executor.facts = replace(executor.facts, incarnation=report.incarnation)
-            executor.begin_incarnation(now)
+            executor.begin_incarnation(report.incarnation, now)
         executor.record_answer(sent)
         for end in report.ended:
             if end.sequence > executor.last_applied_end:
@@ -366,7 +367,7 @@
         now: float,
         find: Callable[[TaskId], Task | None],
     ) -> None:
-        executor.last_applied_end = end.sequence
+        executor.incarnation.last_applied_end = end.sequence
         if end.task_id is None:
             return
         run = executor.runs.get((end.task_id, end.run))
--- /dev/null
+++ b/vanillawell/tests/executor_crash_tests.py
@@ -0,0 +1,49 @@
+"""Test crashes of executors that start again under their ids while they are busy."""
+
+from __future__ import annotations
+
+import anyio
+
+from vanillawell.tests.scheduler_cluster import (
+    PREFIX,
+    Cluster,
+    Crash,
+    job,
+    step,
+    until_state,
+    with_cluster,
+)
+
+BUSY_TIME = 0.8
+"""Seconds of work before the crash."""
+
+JOBS = 24
+TASKS = 10
+"""Tasks of one job, of one core and 0.2 s each, which keep both executors full."""
+
+SUBMIT_INTERVAL = 0.1
+"""Seconds between two jobs."""
+
+
+async def play(built: Cluster, crash: Crash) -> None:
+    """Crash an executor while jobs arrive, and wait until all have completed."""
+    owner = await built.owner()
+    job_ids = [built.new_id() for _ in range(JOBS)]
+
+    async def submit() -> None:
+        for job_id in job_ids:
+            await owner.call("POST", PREFIX + job_id, job(step(TASKS)))
+            await anyio.sleep(SUBMIT_INTERVAL)
+
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(submit)
+        await anyio.sleep(BUSY_TIME)
+        await built.crash("i-0", crash)
+    for job_id in job_ids:
+        await until_state(owner, job_id, "completed", 15.0)
+
+
+# Guards against filling a smaller incarnation, which registers late, as if it were its predecessor.
+@with_cluster()
+async def test_incarnation_of_a_smaller_kind_is_not_overfilled(built: Cluster) -> None:
+    await play(built, Crash(down_for=0.05, registered_after=2.5, cpu=2_000))
--- a/vanillawell/tests/lost_executors_tests.py
+++ b/vanillawell/tests/lost_executors_tests.py
@@ -78,7 +78,7 @@
 def test_a_list_older_than_an_incarnation_does_not_terminate_it() -> None:
     """An executor has restarted under the same id and does not answer yet."""
     harness, executors = harness_with("i-1", "i-2")
-    executors[0].begin_incarnation(harness.now + AFTER_LIST_LAG)
+    executors[0].begin_incarnation(2, harness.now + AFTER_LIST_LAG)
     listed = machine_list("i-2", down=("i-1",))
     assert (
         find_lost_executors(executors, listed, harness.now + AFTER_LIST_LAG + MAX_LIST_LAG / 2)
--- a/vanillawell/tests/scheduler_cluster.py
+++ b/vanillawell/tests/scheduler_cluster.py
@@ -7,7 +7,7 @@
 import socket
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, cast
 
 import anyio
 import orjson
@@ -80,11 +80,59 @@
     machine: str
     rack: str
     zone: str = "a"
+    endpoint: Endpoint | None = None
+    """Where the present incarnation listens."""
 
     async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
         await self.executor(scope, receive, send)
 
 
+class Endpoint:
+    """A listening address, and the connections that were opened to it."""
+
+    def __init__(self, app: Any, port: int = 0) -> None:
+        self._app = app
+        self._listener = bind("127.0.0.1", port, "test")
+        self._server = server(self, stop_timeout=0)
+        self.port: int = self._listener.getsockname()[1]
+
+    async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
+        await self._app(scope, receive, send)
+
+    async def serve(self) -> None:
+        """Serve until cancelled."""
+        await self._server.serve([self._listener])
+
+    def close(self, app: Any, silent: bool) -> None:
+        """Accept no more connections; those that are open end now, or stay with `app` if `silent`.
+
+        Connections are refused from then on.
+        """
+        self._app = app
+        for listening in self._server.servers:
+            listening.close()
+        if not silent:
+            for protocol in list(self._server.server_state.connections):
+                cast("Any", protocol).transport.abort()
+
+
+@dataclass(frozen=True, slots=True)
+class Crash:
+    """How an executor crashes and starts again under its id."""
+
+    silent: bool = False
+    """Whether open connections stay without an answer, rather than end."""
+
+    down_for: float = 0.0
+    """Seconds until its next incarnation listens."""
+
+    registered_after: float = 0.0
+    """Seconds from then until that incarnation registers."""
+
+    cpu: int | None = None
+    """Millicores of that incarnation; None for as many as before."""
+
+
 @dataclass(slots=True)
 class Reply:
     """Response to a caller."""
@@ -173,7 +221,9 @@
         executor = StandInExecutor(name, self.audit, self.executors, cpu, born)
         self.executors.append(executor)
         host = Host(executor, "", machine or f"machine-of-{name}", rack, zone)
-        host.address = listen(self.tasks, host)
+        host.endpoint = Endpoint(host)
+        host.address = f"127.0.0.1:{host.endpoint.port}"
+        self.tasks.start_soon(host.endpoint.serve)
         self.hosts[name] = host
         self.tasks.start_soon(executor.tick)
         self.register(name)
@@ -221,6 +271,21 @@
         host.executor = host.executor.crash()
         self.tasks.start_soon(host.executor.tick)
 
+    async def crash(self, name: str, crash: Crash) -> None:
+        """Crash an executor, as a process does, and start it again under its id."""
+        host = self.hosts[name]
+        former, endpoint = host.executor, host.endpoint
+        assert endpoint is not None
+        former.leave()
+        endpoint.close(former, crash.silent)
+        await anyio.sleep(crash.down_for)
+        host.executor = former.crash(crash.cpu)
+        self.tasks.start_soon(host.executor.tick)
+        host.endpoint = Endpoint(host, endpoint.port)
+        self.tasks.start_soon(host.endpoint.serve)
+        await anyio.sleep(crash.registered_after)
+        self.register(name)
+
     def add_member(self, instance: str, capacity: dict[str, float] | None = None) -> Member:
         """Start a scheduler with the given capacity of its machine."""
         settings = NodeSettings.model_validate(
