Stand-ins: find changes after a revision without a scan, and let upkeeps take as long as asked

Cause: a watch scanned the whole history at each change, which a play of many processes can't bear; upkeeps always took 0.5 s. Change: the history is searched by revision; upkeep_seconds, 0.5 by default; read_document beside put_document.

--- a/vanillawell/standins/scheduler/machines.py
+++ b/vanillawell/standins/scheduler/machines.py
@@ -19,7 +19,7 @@
 """Bytes of a request body that are read at most."""
 
 UPKEEP_DURATION = 0.5
-"""Seconds that the upkeep of a machine takes in the stand-in."""
+"""Seconds that the upkeep of a machine takes in the stand-in by default."""
 
 
 @dataclass(slots=True)
@@ -53,6 +53,9 @@
     upkeep_answer_seconds: float = 0.0
     """Seconds until an order for upkeep is carried out and answered."""
 
+    upkeep_seconds: float = UPKEEP_DURATION
+    """Seconds that the upkeep of a machine takes."""
+
     advice_calls: int = 0
     on_move: Callable[[StandInMachine], Awaitable[None]] | None = None
     """Called after a machine has changed its pool."""
@@ -119,7 +122,7 @@
         await send_json(send, {})
 
     async def _finish_upkeep(self, machine: StandInMachine) -> None:
-        await anyio.sleep(UPKEEP_DURATION)
+        await anyio.sleep(self.upkeep_seconds)
         machine.state = "up"
         if self.on_upkeep:
             await self.on_upkeep(machine)
--- a/vanillawell/standins/scheduler/store.py
+++ b/vanillawell/standins/scheduler/store.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import base64
+import bisect
 import itertools
 import time
 from dataclasses import dataclass, field
@@ -132,11 +133,9 @@
         """Return the changes after a revision that a watch call reports."""
         if self.faults.withhold_changes:
             return []
-        return [
-            event
-            for event in self._history
-            if event["revision"] > after and event["key"].startswith(prefix)
-        ]
+        first = bisect.bisect_right(self._history, after, key=lambda event: event["revision"])
+        later = itertools.islice(self._history, first, None)
+        return [event for event in later if event["key"].startswith(prefix)]
 
     async def _write(self, path: str, body: bytes) -> tuple[int, dict[str, Any]]:
         faults = self.faults
@@ -206,6 +205,10 @@
         """Write a JSON document, encoded in base64."""
         self.put(key, base64.b64encode(orjson.dumps(document)).decode())
 
+    def read_document(self, key: str) -> Any:
+        """Return the JSON document of a key that exists."""
+        return orjson.loads(base64.b64decode(self.items[key].value))
+
     def delete(self, key: str) -> None:
         """Delete a key."""
         self._revision += 1
