--- /dev/null
+++ b/vanillawell/standins/soak/callers.py
@@ -0,0 +1,168 @@
+"""Callers that submit, follow and cancel jobs over connections that they keep open."""
+
+from __future__ import annotations
+
+import random
+import time
+from collections import Counter
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Any
+
+import anyio
+import orjson
+
+from vanillawell.platform.http import HttpClient
+from vanillawell.protocol.call_errors import NoAnswerError, NotSentError
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from vanillawell.standins.soak.entries import Entry
+
+HOST = "127.0.0.1"
+"""Host of all queues, which is that of the entries' addresses."""
+
+KEY = "key"
+"""API key of all callers."""
+
+CALL_TIMEOUT = 3.0
+"""Seconds that a caller waits for an answer."""
+
+ATTEMPTS = 5
+"""Attempts of a call, each at another entry."""
+
+RETRY_DELAY = 0.3
+"""Seconds between two attempts."""
+
+POLL_INTERVAL = 0.8
+"""Seconds between two questions for the state of a job."""
+
+PEAK_SECONDS = 6.0
+"""Seconds for which one queue asks more than the others."""
+
+PEAK_FACTOR = 4.0
+OFF_PEAK_FACTOR = 0.4
+
+CANCEL_SHARE = 0.1
+"""Share of the short jobs that are cancelled."""
+
+TASKS_PER_SERVING_JOB = 8
+"""Executors for each task of a long-running job."""
+
+LONG_RUNNING_SECONDS = (8.0, 20.0)
+"""Seconds after which a long-running job is cancelled."""
+
+
+@dataclass(frozen=True, slots=True)
+class JobKind:
+    """Jobs that are alike."""
+
+    name: str
+    steps: int
+    tasks: int
+    cpu: int
+    memory: int
+    seconds: float
+    """Mean run time of a task; 0 for tasks that run until they are cancelled."""
+
+    def core_seconds(self) -> float:
+        """Return the work of a job; a long-running one counts for its usual life."""
+        seconds = self.seconds or sum(LONG_RUNNING_SECONDS) / 2
+        return self.steps * self.tasks * self.cpu / 1000 * seconds
+
+    def body(self, chance: random.Random) -> dict[str, Any]:
+        """Return the body of a job."""
+        seconds = self.seconds * chance.uniform(0.6, 1.5)
+        cost = {"cpu": self.cpu, "memory": self.memory}
+        step: dict[str, Any] = {"count": self.tasks, "cpu": self.cpu, "memMb": self.memory}
+        step["estimateMs"] = round(seconds * 1000) or 900
+        if not self.seconds:
+            step |= {"longRunning": True, "maxUnavailable": max(1, self.tasks // 10)}
+        steps = [
+            {**step, "after": [number - 1]} if number else step for number in range(self.steps)
+        ]
+        spec = orjson.dumps({"seconds": seconds, **cost}).decode()
+        return {"spec": spec, "steps": steps}
+
+
+PRICE = JobKind("price", 2, 8, 1_500, 2_800, 0.64)
+MATCH = JobKind("match", 2, 8, 3_300, 6_200, 1.3)
+
+
+def job_kinds(executors: int) -> list[tuple[JobKind, float]]:
+    """Return the kinds of jobs and their shares of the work, for some number of executors."""
+    serve = JobKind("serve", 1, max(2, executors // TASKS_PER_SERVING_JOB), 2_000, 1_500, 0)
+    return [(PRICE, 0.6), (MATCH, 0.3), (serve, 0.1)]
+
+
+@dataclass(slots=True)
+class Callers:
+    """All callers of a play."""
+
+    entries: Sequence[Entry]
+    pools: Sequence[str]
+    kinds: Sequence[tuple[JobKind, float]]
+    cores: float
+    """Cores of work that the callers ask for on average."""
+
+    chance: random.Random
+    outcomes: Counter[str] = field(default_factory=Counter)
+    _http: HttpClient = field(default_factory=HttpClient)
+    stopping: bool = False
+
+    async def run(self) -> None:
+        """Submit jobs until told to stop."""
+        async with anyio.create_task_group() as tasks:
+            for kind, share in self.kinds:
+                for index in range(len(self.pools)):
+                    tasks.start_soon(self._submit_all, tasks, kind, share, index)
+
+    async def _submit_all(self, tasks: Any, kind: JobKind, share: float, index: int) -> None:
+        mean_interval = kind.core_seconds() * len(self.pools) / (self.cores * share)
+        while not self.stopping:
+            peak = int(time.monotonic() / PEAK_SECONDS) % len(self.pools) == index
+            factor = PEAK_FACTOR if peak else OFF_PEAK_FACTOR
+            await anyio.sleep(min(PEAK_SECONDS, self.chance.expovariate(factor / mean_interval)))
+            tasks.start_soon(self._follow, kind, self.pools[index])
+
+    async def _follow(self, kind: JobKind, pool: str) -> None:
+        """Submit a job and ask for its state until it has ended; cancel some."""
+        path = f"/{pool}/{self.chance.getrandbits(64):016x}"
+        status, _ = await self._call("POST", path, kind.body(self.chance))
+        self.outcomes[f"{kind.name} submitted {status}"] += 1
+        if status != 200:
+            return
+        ends_at = time.monotonic() + self.chance.uniform(*LONG_RUNNING_SECONDS)
+        cancels = not kind.seconds or self.chance.random() < CANCEL_SHARE
+        while not self.stopping:
+            await anyio.sleep(POLL_INTERVAL)
+            if cancels and (kind.seconds or time.monotonic() > ends_at):
+                status, _ = await self._call("DELETE", path)
+                self.outcomes[f"{kind.name} cancelled {status}"] += 1
+                return
+            status, content = await self._call("GET", path)
+            state = content["state"] if status == 200 else f"status {status}"
+            if state not in ("queued", "running"):
+                self.outcomes[f"{kind.name} {state}"] += 1
+                if not status or status == 410:
+                    continue
+                return
+
+    async def _call(self, method: str, path: str, body: object = None) -> tuple[int, Any]:
+        """Make a call, again at other entries after no answer; status 0 means none came."""
+        headers = {"X-Key": KEY, "X-Deadline-Ms": str(int(CALL_TIMEOUT * 1000))}
+        status = 0
+        for _ in range(ATTEMPTS):
+            entry = self.chance.choice(self.entries)
+            try:
+                answer = await self._http.call(
+                    entry.caller, method, path, body, CALL_TIMEOUT, headers
+                )
+            except (NoAnswerError, NotSentError):
+                status = 0
+            else:
+                status = answer.status
+                if status not in (429, 502, 503, 504):
+                    return status, answer.document() if answer.body else None
+            await anyio.sleep(RETRY_DELAY)
+        return status, None
--- /dev/null
+++ b/vanillawell/standins/soak/play.py
@@ -0,0 +1,320 @@
+"""Play one seed: start the processes, inject the faults of its plan, and check the record."""
+
+from __future__ import annotations
+
+import random
+import signal
+import time
+from collections import Counter
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Any
+
+import anyio
+import orjson
+
+from vanillawell.platform.http import HttpClient
+from vanillawell.protocol.call_errors import NoAnswerError, NotSentError
+from vanillawell.standins.processes import free_port
+from vanillawell.standins.scheduler.machines import MAX_BODY_BYTES, StandInMachines
+from vanillawell.standins.scheduler.store import StandInStore
+from vanillawell.standins.soak.callers import HOST, KEY, Callers, job_kinds
+from vanillawell.standins.soak.checks import find_violations
+from vanillawell.standins.soak.entries import Entry, Place
+from vanillawell.standins.soak.hosts import STANDBY, UPKEEP_SECONDS, Hosts
+from vanillawell.standins.soak.plan import FaultKind, build_plan
+from vanillawell.standins.soak.record import Record
+from vanillawell.transport.asgi import bind, read_body, send_json, server
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+    from anyio.abc import TaskGroup
+
+    from vanillawell.standins.soak.checks import Violation
+    from vanillawell.standins.soak.hosts import Host
+    from vanillawell.standins.soak.plan import Fault
+    from vanillawell.transport.asgi import Receive, Scope, Send
+
+POOLS = ("pool-a", "pool-b", "pool-c", "pool-d")
+ZONES = "abc"
+
+STORE_DELAY = 0.004
+"""Seconds that the store takes to answer."""
+
+STORE_SLOW_DELAY = 0.3
+"""Seconds that a slow store takes to answer."""
+
+ANSWERS_LOST = 5
+"""Answers to writes that the store loses in one fault."""
+
+READY_TIMEOUT = 60.0
+"""Seconds within which all entries take callers."""
+
+SETTLING_SECONDS = 2.0
+"""Seconds from the end of the load to that of the play."""
+
+
+@dataclass(frozen=True, slots=True)
+class PlayOptions:
+    """Shape of a play."""
+
+    seed: int
+    seconds: float
+    entries: int
+    executors: int
+    load: float
+    """Share of the executors' capacity that the callers ask for on average."""
+
+    checkout: Path
+    dependencies: Path
+    folder: Path
+
+
+@dataclass(slots=True)
+class Outcome:
+    """What a play found."""
+
+    runs: int
+    faults: Counter[str]
+    calls: Counter[str]
+    violations: list[Violation]
+
+    def count_violations(self) -> Counter[str]:
+        """Return the violations by rule, those with late orders apart."""
+        return Counter(
+            f"{item.rule}, late orders" if item.late else item.rule for item in self.violations
+        )
+
+
+@dataclass(slots=True)
+class BusyMachines:
+    """Refuses orders for machines that are away, and hands all other calls to the stand-in."""
+
+    machines: StandInMachines
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Answer one call."""
+        if scope["path"] == "/machines":
+            await self.machines(scope, receive, send)
+            return
+        body = await read_body(receive, MAX_BODY_BYTES)
+        if self.machines.machines[orjson.loads(body)["machine"]].state != "up":
+            await send_json(send, {"reason": "busy"}, 409)
+            return
+
+        async def receive_again() -> dict[str, Any]:
+            return {"type": "http.request", "body": body, "more_body": False}
+
+        await self.machines(scope, receive_again, send)
+
+
+@dataclass(slots=True)
+class Play:
+    """One play."""
+
+    options: PlayOptions
+    tasks: TaskGroup
+    store: StandInStore = field(default_factory=StandInStore)
+    machines: StandInMachines = field(default_factory=StandInMachines)
+    record: Record = field(default_factory=Record)
+    entries: list[Entry] = field(default_factory=list)
+    faults: Counter[str] = field(default_factory=Counter)
+    _waves: int = 0
+
+    async def run(self) -> Outcome:
+        """Play the whole seed."""
+        options = self.options
+        chance = random.Random(options.seed)
+        hosts = Hosts(self.store, self.machines, self.record, chance, self.tasks)
+        self._set_up(hosts)
+        for entry in self.entries:
+            entry.start()
+        await self._wait_until_ready()
+        cores = options.load * 16 * options.executors
+        callers = Callers(self.entries, POOLS, job_kinds(options.executors), cores, chance)
+        self.tasks.start_soon(callers.run)
+        began_at = time.monotonic()
+        for fault in build_plan(options.seed, options.seconds):
+            await anyio.sleep(max(0.0, began_at + fault.at - time.monotonic()))
+            self.tasks.start_soon(self._inject, fault, hosts)
+        await anyio.sleep(max(0.0, began_at + options.seconds - time.monotonic()))
+        callers.stopping = True
+        await anyio.sleep(SETTLING_SECONDS)
+        violations = find_violations(self.record.runs)
+        return Outcome(len(self.record.runs), self.faults, callers.outcomes, violations)
+
+    def _set_up(self, hosts: Hosts) -> None:
+        options = self.options
+        self.store.faults.delay = STORE_DELAY
+        self.machines.upkeep_seconds = UPKEEP_SECONDS
+        self.machines.set_task_group(self.tasks)
+        self.store.put_document("op/config", _configuration())
+        pools = (*POOLS, STANDBY)
+        for number in range(options.executors):
+            pool = pools[number % len(pools)]
+            hosts.add(pool, ZONES[number // len(pools) % 3], number, in_use=pool != STANDBY)
+        self.tasks.start_soon(hosts.serve)
+        self.tasks.start_soon(self.store.tick)
+        place = Place(
+            options.checkout,
+            options.dependencies,
+            options.folder,
+            self._listen(self.store),
+            self._listen(BusyMachines(self.machines)),
+        )
+        self.entries = [
+            Entry(f"entry-{number}", ZONES[number % 3], place) for number in range(options.entries)
+        ]
+
+    def _listen(self, app: Any) -> str:
+        port = free_port()
+        self.tasks.start_soon(server(app, stop_timeout=0).serve, [bind("127.0.0.1", port, "soak")])
+        return f"127.0.0.1:{port}"
+
+    async def _wait_until_ready(self) -> None:
+        http = HttpClient()
+        with anyio.fail_after(READY_TIMEOUT):
+            for entry in self.entries:
+                while not await _is_ready(http, entry):
+                    await anyio.sleep(0.1)
+            while self._owner() is None:
+                await anyio.sleep(0.1)
+        await http.close()
+
+    def _owner(self) -> Entry | None:
+        """Return the entry that holds the shard by the store, if any."""
+        for key in [key for key in self.store.items if "/holder/" in key]:
+            if self.store.items[key].lease and not key.endswith("/bid"):
+                name = self.store.read_document(key)["name"].partition("/")[0]
+                return next((entry for entry in self.entries if entry.name == name), None)
+        return None
+
+    async def _inject(self, fault: Fault, hosts: Hosts) -> None:
+        entry = self._owner() if fault.kind in OWNER_FAULTS else None
+        entry = entry or self.entries[fault.targets[0] % len(self.entries)]
+        picked = [hosts.hosts[number % len(hosts.hosts)] for number in fault.targets]
+        names = entry.name if fault.kind in ENTRY_FAULTS else [h.machine.executor for h in picked]
+        self.record.faults.append(
+            f"{time.time():.3f} {time.monotonic():.3f} {fault.kind} {fault.seconds:.3f} s {names}"
+        )
+        self.faults[fault.kind.value] += 1
+        if fault.kind in ENTRY_FAULTS:
+            await self._disturb_entry(fault, entry)
+        elif fault.kind is FaultKind.WAVE:
+            self._order_wave(picked, fault.seconds)
+        elif fault.kind in STORE_FAULTS:
+            await self._disturb_store(fault)
+        else:
+            disturb = {
+                FaultKind.EXECUTORS_RESTARTED: hosts.restart,
+                FaultKind.EXECUTORS_CUT: hosts.cut,
+                FaultKind.EXECUTORS_LATE: hosts.be_late,
+                FaultKind.EXECUTORS_REPLACED: hosts.replace,
+            }[fault.kind]
+            for host in picked:
+                self.tasks.start_soon(disturb, host, fault.seconds)
+
+    async def _disturb_entry(self, fault: Fault, entry: Entry) -> None:
+        entry.signal(ENTRY_FAULTS[fault.kind])
+        await anyio.sleep(fault.seconds)
+        if ENTRY_FAULTS[fault.kind] is signal.SIGSTOP:
+            entry.signal(signal.SIGCONT)
+            return
+        while entry.runs:
+            await anyio.sleep(0.1)
+        entry.start()
+
+    async def _disturb_store(self, fault: Fault) -> None:
+        faults = self.store.faults
+        if fault.kind is FaultKind.STORE_SLOW:
+            faults.delay = STORE_SLOW_DELAY
+        elif fault.kind is FaultKind.STORE_SILENT:
+            faults.down = True
+        else:
+            faults.lose_answers += ANSWERS_LOST
+            faults.lose_renewal_answers += 1
+        await anyio.sleep(fault.seconds)
+        faults.delay, faults.down = STORE_DELAY, False
+
+    def _order_wave(self, picked: list[Host], seconds: float) -> None:
+        self._waves += 1
+        names = sorted({host.machine.name for host in picked})
+        for name in names:
+            self.machines.machines[name].upkeeps = 0
+        wave = {"wave": self._waves, "machines": names, "durationS": seconds, "maximum": 2}
+        self.store.put_document(f"op/wave/{self._waves}", wave)
+
+
+OWNER_FAULTS = (FaultKind.OWNER_KILLED, FaultKind.OWNER_PAUSED, FaultKind.OWNER_STOPPED)
+
+ENTRY_FAULTS = {
+    FaultKind.OWNER_KILLED: signal.SIGKILL,
+    FaultKind.OWNER_PAUSED: signal.SIGSTOP,
+    FaultKind.OWNER_STOPPED: signal.SIGTERM,
+    FaultKind.ENTRY_KILLED: signal.SIGKILL,
+    FaultKind.ENTRY_PAUSED: signal.SIGSTOP,
+}
+
+STORE_FAULTS = (
+    FaultKind.STORE_SLOW,
+    FaultKind.STORE_SILENT,
+    FaultKind.STORE_LOSES_ANSWERS,
+)
+
+
+def _configuration() -> dict[str, Any]:
+    routes = [
+        {
+            "name": f"queue-{pool}",
+            "host": HOST,
+            "prefix": f"/{pool}/",
+            "service": pool,
+            "attempts": 3,
+            "priority": 0,
+            "slackFactor": 1.6,
+            "targetLatencyMs": 600,
+        }
+        for pool in POOLS
+    ]
+    services = [
+        *({"name": pool, "rejectsOverload": False} for pool in POOLS),
+        {"name": STANDBY, "rejectsOverload": False, "standby": True},
+    ]
+    tenants = [{"name": "north", "apiKeys": [KEY], "weight": 1000}]
+    limits = {"maxBodyBytes": 262_144}
+    return {
+        "version": 1,
+        "routes": routes,
+        "services": services,
+        "tenants": tenants,
+        "limits": limits,
+    }
+
+
+async def _is_ready(http: HttpClient, entry: Entry) -> bool:
+    try:
+        return (await http.call(entry.ready, "GET", "/ready")).status == 200
+    except (NoAnswerError, NotSentError):
+        return False
+
+
+async def play(options: PlayOptions) -> Outcome:
+    """Play one seed; end all processes that it started, even if it fails."""
+    async with anyio.create_task_group() as tasks:
+        current = Play(options, tasks)
+        tasks.start_soon(_cancel_on_signal, tasks)
+        try:
+            outcome = await current.run()
+        finally:
+            for entry in current.entries:
+                entry.end()
+            current.record.write(options.folder / "runs.jsonl")
+            (options.folder / "faults.txt").write_text("\n".join(current.record.faults) + "\n")
+        tasks.cancel_scope.cancel()
+    return outcome
+
+
+async def _cancel_on_signal(tasks: TaskGroup) -> None:
+    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as received:
+        async for _ in received:
+            tasks.cancel_scope.cancel()
