--- a/vanillawell/tests/executor_lives_tests.py
+++ b/vanillawell/tests/executor_lives_tests.py
@@ -1,4 +1,4 @@
-"""Test that nothing of one incarnation of an executor is taken for the next one's, on plain data."""
+"""Test that nothing of one incarnation of an executor reaches the next one, on plain data."""
 
 from __future__ import annotations
 
