Conclude nothing from what a report that may be cut leaves out

What callers saw: the owner is killed while more than 500 ends wait on one executor, and the tasks behind the 500th end of the next owner's first report run a second time, though their first ends, done, are confirmed.

Cause: an executor lists 500 unconfirmed ends at a time. The ledger took each charged run that was in neither list of a report for ended without an outcome (inherited runs, confirmed stops, runs of a former life), whether the list of ends was whole or not. An owner in office was no better: a running task in neither list was stopped, and the confirmed stop closed it.

Change: the adapter knows the limit (MAX_REPORTED_ENDS) and says whether a report certainly lists all ends; one with as many as fit may be cut. has_ended and may_still_start conclude nothing from a report that may be. The listed ends are stored and confirmed as ever, and the next call, which doesn't wait then, brings the following ones. For a report that is whole nothing changes.

Why it works: ends are listed in the order of their numbers and forgotten only as they are confirmed, so the pages follow each other without a gap, and a run in neither list of a whole one has no end left to tell.

--- a/vanillawell/coordination/executor_driver.py
+++ b/vanillawell/coordination/executor_driver.py
@@ -172,6 +172,8 @@
             return 0.0
         if self._executor.order_void_since is not None:
             return 0.0
+        if self._executor.incarnation.has_unlisted_ends:
+            return 0.0
         if not self._link.may_extend_lease():
             return SHORT_HOLD_WAIT
         runs = self._executor.runs.values()
--- a/vanillawell/platform/executors.py
+++ b/vanillawell/platform/executors.py
@@ -28,6 +28,9 @@
 HOLD_TIMEOUT_MARGIN = 0.5
 """Seconds to wait for a report beyond the wait that was requested of the executor."""
 
+MAX_REPORTED_ENDS = 500
+"""Number of ends that one report lists at most; one with fewer lists all of them."""
+
 TASK_NAME = re.compile(r"([0-9a-fA-F]{16})\.(\d+)\.(\d+)\.(\d+)")
 
 REFUSAL_REASONS = {
@@ -96,11 +99,13 @@
             document["waitMs"] = round(wait * 1000)
         content = await self._order(target, "/hold", document, HOLD_TIMEOUT_MARGIN + wait)
         try:
+            ended = [_end(row) for row in content["finished"]]
             return HoldReport(
                 _clock(content),
                 int(content.get("born", target.incarnation)),
                 [_running(row) for row in content["running"]],
-                [_end(row) for row in content["finished"]],
+                ended,
+                lists_all_ends=len(ended) < MAX_REPORTED_ENDS,
             )
         except (KeyError, TypeError, ValueError, IndexError) as error:
             raise NoAnswerError(f"/hold: malformed report: {error!r}") from error
--- a/vanillawell/protocol/executor_calls.py
+++ b/vanillawell/protocol/executor_calls.py
@@ -88,7 +88,7 @@
 
 @dataclass(frozen=True, slots=True)
 class HoldReport:
-    """All runs on an executor, and the ended runs whose end is not yet confirmed as stored."""
+    """All active runs on an executor, and ended runs whose end is not yet confirmed as stored."""
 
     clock: float
     """Seconds on the executor's own monotonic clock."""
@@ -98,6 +98,14 @@
 
     running: Sequence[ReportedRun]
     ended: Sequence[ReportedEnd]
+    """The oldest unconfirmed ends, in the order of their numbers."""
+
+    lists_all_ends: bool = True
+    """Whether `ended` certainly contains all unconfirmed ends.
+
+    Otherwise a run in neither list may have ended with an outcome that a later report tells, once
+    the listed ends are confirmed.
+    """
 
 
 class ExecutorCalls(Protocol):
--- a/vanillawell/standins/scheduler/executor.py
+++ b/vanillawell/standins/scheduler/executor.py
@@ -143,6 +143,16 @@
         self._executors[self._executors.index(self)] = successor
         return successor
 
+    @property
+    def unconfirmed_end_count(self) -> int:
+        """Return the number of ended runs whose end is not confirmed."""
+        return len(self._unconfirmed_ends)
+
+    def end_all(self) -> None:
+        """Let all active runs end now."""
+        for run in list(self._active_runs.values()):
+            self._end_run(run, run.outcome)
+
     def leave(self) -> None:
         """End all runs and stop answering calls."""
         self._active_runs.clear()
--- a/vanillawell/state/incarnations.py
+++ b/vanillawell/state/incarnations.py
@@ -26,6 +26,9 @@
     last_applied_end: int = 0
     """Highest sequence number of an end that was applied from its reports."""
 
+    has_unlisted_ends: bool = False
+    """Whether its last report may have left out ends, which it lists once others are confirmed."""
+
     unsaved_ends: set[int] = field(default_factory=set)
     """Sequence numbers of ends whose effect is not stored yet."""
 
--- a/vanillawell/state/ledger.py
+++ b/vanillawell/state/ledger.py
@@ -323,6 +323,7 @@
         if report.incarnation != executor.facts.incarnation:
             executor.begin_incarnation(report.incarnation, now)
         executor.record_answer(sent)
+        executor.incarnation.has_unlisted_ends = not report.lists_all_ends
         for end in report.ended:
             if end.sequence > executor.last_applied_end:
                 self._apply_end(executor, end, outcome, now, find)
@@ -335,10 +336,10 @@
                 update_run(run, row, now)
                 if run.superseded and run.task.run is None and not run.task.done:
                     self._reinstate(run)
-            elif has_ended(executor, run, sent):
+            elif has_ended(executor, run, report, sent):
                 self._discharge(executor, run)
                 outcome.ended.append(EndedRun(run, Ending.LOST, EndProof.ABSENT))
-            elif may_still_start(run, sent):
+            elif may_still_start(run, report, sent):
                 outcome.unconfirmed.append(run)
         outcome.orphans.extend(rows_by_run.values())
         self._remove_if_unused(executor)
--- a/vanillawell/state/reported_runs.py
+++ b/vanillawell/state/reported_runs.py
@@ -7,7 +7,7 @@
 from vanillawell.state.work import RunPhase
 
 if TYPE_CHECKING:
-    from vanillawell.protocol.executor_calls import ReportedRun
+    from vanillawell.protocol.executor_calls import HoldReport, ReportedRun
     from vanillawell.state.executors import Executor
     from vanillawell.state.work import Run
 
@@ -29,8 +29,13 @@
         run.tail = row.measure / 1000
 
 
-def has_ended(executor: Executor, run: Run, sent: float) -> bool:
-    """Return whether a run missing from a report is neither running nor able to start."""
+def has_ended(executor: Executor, run: Run, report: HoldReport, sent: float) -> bool:
+    """Return whether a run missing from a report is neither running nor able to start.
+
+    A report that may leave out ends proves nothing: the run's outcome may be among these.
+    """
+    if not report.lists_all_ends:
+        return False
     if run.phase is RunPhase.INHERITED:
         return True
     if run.phase is RunPhase.RUNNING and executor.restarted_at >= run.phase_since:
@@ -39,7 +44,9 @@
     return stopped is not None and sent >= stopped
 
 
-def may_still_start(run: Run, sent: float) -> bool:
+def may_still_start(run: Run, report: HoldReport, sent: float) -> bool:
     """Return whether a run missing from a report can only be resolved by a stop order."""
+    if not report.lists_all_ends:
+        return False
     is_open = run.phase in (RunPhase.UNCERTAIN, RunPhase.RUNNING)
     return is_open and sent > run.phase_since and run.stop_confirmed is None
--- a/vanillawell/state/shard.py
+++ b/vanillawell/state/shard.py
@@ -194,6 +194,9 @@
     ) -> None:
         """Apply an executor's report, the answer to a call that was sent at `sent`."""
         outcome = self.ledger.apply_report(executor, report, sent, now, self.job_table.find)
+        if executor.incarnation.has_unlisted_ends:
+            figures = {"listed": len(report.ended), "runs": len(executor.runs)}
+            log.info("ends not all listed", extra={"executor": executor.name, **figures})
         self.outbox.ends.extend(
             EndConfirmation(executor, end.sequence, end.task_id.job_id if end.task_id else "")
             for end in report.ended
