--- a/vanillawell/coordination/cycle_batch.py
+++ b/vanillawell/coordination/cycle_batch.py
@@ -74,7 +74,9 @@
             job_id = record.job.job_id
             shard.job_table.remove(job_id)
             changed.pop(job_id, None)
-            deletes.extend((keys.submitted_job(job_id), keys.record(job_id)))
+            deletes.extend(
+                (keys.submitted_job(job_id), keys.job_rules(job_id), keys.record(job_id))
+            )
         accepted_requests, outbox.accepted_requests = outbox.accepted_requests, {}
         deletes.extend(
             key
--- a/vanillawell/coordination/job_service.py
+++ b/vanillawell/coordination/job_service.py
@@ -13,6 +13,7 @@
 from vanillawell.coordination.prefix_watch import Backoff
 from vanillawell.coordination.store_health import PROBE_TIMEOUT, StoreHealth
 from vanillawell.exceptions import StoreError, StoreOutcomeUnknownError, StoreUnavailableError
+from vanillawell.protocol.queue_documents import write_queue
 from vanillawell.protocol.refusals import Reason, Refusal
 from vanillawell.protocol.store import Compare, Put, Transaction
 from vanillawell.protocol.verdict import Verdict
@@ -138,8 +139,10 @@
             return _refuse(Reason.UNAUTHENTICATED)
         return Access(queue, owner)
 
-    async def submit(self, job: Job, time_left: float) -> Refusal | None:
-        """Store a job; return None once it is certainly stored.
+    async def submit(self, job: Job, queue: Queue, time_left: float) -> Refusal | None:
+        """Store a job with the rules of its queue; return None once it is certainly stored.
+
+        The owner that reads the job may know only a configuration without the queue.
 
         A write without an answer may be carried out seconds later. So after one the job is either
         confirmed as stored, or the caller is told that the outcome is unknown; never that the job
@@ -150,7 +153,8 @@
         data = write_job(job)
         order = Put(self._keys.submitted_job(job.job_id), data)
         notice = Put(self._keys.new_job(job.job_id), data)
-        create = Transaction(compares=[Compare(order.key, 0)], puts=[order, notice])
+        rules = Put(self._keys.job_rules(job.job_id), write_queue(queue))
+        create = Transaction(compares=[Compare(order.key, 0)], puts=[order, rules, notice])
         if self._store_health.needs_probe() and not await self._store_answers(order.key):
             log.warning("job refused", extra={"job": job.job_id, "why": "the store is silent"})
             return _refuse(Reason.STORE_DOWN, retry_after=STORE_RETRY_AFTER)
--- a/vanillawell/coordination/shard_loader.py
+++ b/vanillawell/coordination/shard_loader.py
@@ -55,7 +55,7 @@
                 log.warning("shard not loaded", extra={"why": str(error)})
                 await backoff.wait()
         self._restore(orders, records)
-        if self._shard.queues.lacks_any():
+        if self._shard.queues.missing():
             await self._restore_queue_rules()
 
     async def _restore_queue_rules(self) -> None:
--- a/vanillawell/coordination/shard_owner.py
+++ b/vanillawell/coordination/shard_owner.py
@@ -24,6 +24,7 @@
 from vanillawell.coordination.loss_detector import LossDetector, log_unreached_executors
 from vanillawell.coordination.machine_orders import MachineOrders
 from vanillawell.coordination.pool_rebalancer import PoolRebalancer
+from vanillawell.coordination.queue_rules_reader import QueueRulesReader
 from vanillawell.coordination.registry import RegistryWatch
 from vanillawell.coordination.shard_loader import ShardLoader
 from vanillawell.coordination.stop_sender import StopSender
@@ -94,6 +95,7 @@
         self._cycle_store = CycleStore(
             name, self._shard, term, keys, self._leases, self._drivers, self._inbox, telemetry
         )
+        self._rules_reader = QueueRulesReader(ports.store, keys, self._shard, self.wake)
         self._inherited_orders = InheritedOrders(self._shard, self.wake)
         self.loaded = False
         """Whether all jobs of previous terms have been read."""
@@ -186,6 +188,7 @@
         losses = LossDetector(self._shard, self._ports.machines, self.wake)
         tasks.start_soon(losses.run)
         tasks.start_soon(self._inbox.run)
+        tasks.start_soon(self._rules_reader.run)
         tasks.start_soon(self._inherited_orders.run, orders)
 
         def expects_machine(now: float) -> bool:
@@ -228,6 +231,7 @@
             if ready and self._placing:
                 self._shard.place(now, time.time())
             self._update_drivers(tasks)
+            self._rules_reader.wake_if_needed()
             self._stops.send(clock.read())
             done, self._shard.outbox.done = self._shard.outbox.done, []
             cycle_log.log_done_tasks(done, self._term.token)
--- a/vanillawell/platform/callers.py
+++ b/vanillawell/platform/callers.py
@@ -92,7 +92,7 @@
             return _refusal(Reason.TOO_LARGE)
         except UnreadableDocumentError as error:
             return Refusal(Reason.MALFORMED, Verdict.NOT_RUN, str(error))
-        return await self._job_service.submit(job, time_left) or {}
+        return await self._job_service.submit(job, access.queue, time_left) or {}
 
     async def _send(
         self,
--- a/vanillawell/protocol/queue_documents.py
+++ b/vanillawell/protocol/queue_documents.py
@@ -1,4 +1,9 @@
-"""Define the stored rules of queues, for later owners whose configuration lacks the queues."""
+"""Define the stored rules of queues, for owners whose configuration lacks the queues.
+
+The entry that accepts a job stores the rules of the job's queue beside it, under a key of their
+own: earlier versions reject a job with unknown fields. An owner stores the rules of all queues that
+have jobs.
+"""
 
 from __future__ import annotations
 
@@ -12,6 +17,19 @@
     from collections.abc import Mapping
 
 
+def write_queue(queue: Queue) -> bytes:
+    """Serialise the rules of one queue."""
+    return orjson.dumps(queue)
+
+
+def read_queue(data: bytes) -> Queue:
+    """Parse the rules of one queue; raises ValueError if the data is malformed."""
+    try:
+        return _read_queue(orjson.loads(data))
+    except (TypeError, KeyError, AttributeError) as error:
+        raise ValueError(f"malformed queue rules: {error!r}") from error
+
+
 def write_queues(queues: Mapping[str, Queue]) -> bytes:
     """Serialise the rules of queues by name."""
     return orjson.dumps(queues)
--- a/vanillawell/protocol/work_documents.py
+++ b/vanillawell/protocol/work_documents.py
@@ -1,8 +1,9 @@
 """Define the store keys of the scheduler and the formats of jobs and job records.
 
-The store holds two values for each job. The *order* is the job as submitted by the caller; it is
-written once, by the entry that accepted it. The *record* holds the progress of the job; only the
-owner of its shard writes it, in the chain of transactions that `TermDocument` guards.
+The store holds three values for each job. The *order* is the job as submitted by the caller, and
+the *rules* are those that its queue had then (`queue_documents`); both are written once, by the
+entry that accepted it. The *record* holds the progress of the job; only the owner of its shard
+writes it, in the chain of transactions that `TermDocument` guards.
 """
 
 from __future__ import annotations
@@ -68,6 +69,10 @@
         """Return the key of a job's record."""
         return self.records + job_id
 
+    def job_rules(self, job_id: str) -> str:
+        """Return the key of the rules that a job's queue had when the job was accepted."""
+        return f"{self.prefix}rules/{job_id}"
+
     def queues(self, shard: str) -> str:
         """Return the key of the rules of queues that have jobs, stored for later owners."""
         return f"{self.prefix}queues/{shard}"
--- a/vanillawell/state/queue_rules.py
+++ b/vanillawell/state/queue_rules.py
@@ -46,6 +46,6 @@
         """Return the available rules of the queues of all jobs tracked so far."""
         return {name: self._rules[name] for name in sorted(self._used) if name in self._rules}
 
-    def lacks_any(self) -> bool:
-        """Return whether the rules of the queue of any job tracked so far are unavailable."""
-        return not self._used <= self._rules.keys()
+    def missing(self) -> set[str]:
+        """Return the queues of jobs tracked so far whose rules are unavailable."""
+        return self._used - self._rules.keys()
--- a/vanillawell/state/shard.py
+++ b/vanillawell/state/shard.py
@@ -87,10 +87,12 @@
         self.queues.apply(policy.queues)
 
     def restore_queue_rules(self, queues: Mapping[str, Queue]) -> None:
-        """Add stored rules of queues that the configuration no longer contains."""
+        """Add stored rules of queues that the configuration does not contain."""
+        missing = self.queues.missing()
         self.queues.restore(queues)
         for record in self.job_table.jobs.values():
-            self._set_objective(record)
+            if record.job.queue in missing:
+                self._set_objective(record)
 
     def queue_of(self, job: Job) -> Queue | None:
         """Return the rules of a job's queue; None if they are unavailable."""
--- a/vanillawell/tests/interruptible_store.py
+++ b/vanillawell/tests/interruptible_store.py
@@ -8,10 +8,10 @@
 import anyio
 
 from vanillawell.exceptions import StoreOutcomeUnknownError, StoreUnavailableError
+from vanillawell.protocol.store import Changes
 
 if TYPE_CHECKING:
     from vanillawell.protocol.store import (
-        Changes,
         KeyValue,
         Listing,
         PolledStore,
@@ -32,6 +32,8 @@
     """Only listings of prefixes that begin with this are delayed."""
     answer_time: float = 0.0
     """Seconds by which the answer to a write is delayed after the write was carried out."""
+    hidden_prefix: str = ""
+    """Changes of watched prefixes that begin with this are withheld; empty for none."""
     listed: list[str] = field(default_factory=list)
     """Prefixes of all requested listings."""
 
@@ -73,6 +75,9 @@
         result = await self.inner.changes(prefix, after, wait)
         if self.cut:
             raise StoreOutcomeUnknownError("cut by the test")
+        if self.hidden_prefix and prefix.startswith(self.hidden_prefix):
+            await anyio.sleep(wait)
+            return Changes(after, ())
         return result
 
 
--- a/vanillawell/tests/write_order_tests.py
+++ b/vanillawell/tests/write_order_tests.py
@@ -53,6 +53,18 @@
     assert all(len(part.puts) + len(part.deletes) <= MAX_BATCH_ENTRIES for part in parts)
 
 
+def test_all_documents_of_a_job_are_deleted_at_the_end_of_its_retention() -> None:
+    """A key that is left behind for each job fills the store over months."""
+    harness = ShardHarness()
+    harness.admit(job())
+    (record,) = harness.shard.job_table.jobs.values()
+    job_id = record.job.job_id
+    harness.shard.cancel(job_id, 0.0)
+    batch = CycleBatch.collect(harness.shard, KEYS, PostponedChanges(), harness.now, 1_000_000.0)
+    keys = {KEYS.submitted_job(job_id), KEYS.job_rules(job_id), KEYS.record(job_id)}
+    assert {key for part in batch.parts(()) for key in part.deletes} == keys
+
+
 def test_postponed_changes_keep_their_inbox_keys_and_are_stored_later() -> None:
     """A cycle breaks off before the last jobs are stored. If their keys left the inbox or their
     changes were dropped, a next owner would not know these jobs."""
