Keep the shard when a wave arrives while another is being stored

Operators saw nothing; callers waited some two seconds for another entry: an owner on a slow store raised "dictionary changed size during iteration" and dropped its shard when a wave arrived while it stored another one.

Cause: UpkeepRunner._advance_waves walked the live table of waves and awaited the store in between; PolicyWatch adds to that table meanwhile. Change: it walks a copy. A wave that arrives meanwhile is taken up in the next round, 0.1 s later.

Every other loop in coordination/ whose body awaits was found by a script over the syntax trees and read: - candidate, configuration_editor, planner._poll_draining, run_orders, shard_claim: count tries; limit_manager.reconcile: slices a sorted copy. - link_monitor, orphan_claims, planner._advance, membership: walk a copy. - job_runner: three loops over lists that were built for them. - peers._request_newer, pool_rebalancer._send, upkeep_orders._order: local lists, shared by the senders through one iterator. - term.write_beside: walks CycleBatch.parts lazily; the batch has taken its tables out of the shard, which fills new ones. - upkeep_runner, second loop: a list of the waves in progress. No comprehension awaits. So this was the only one.

--- a/vanillawell/coordination/upkeep_runner.py
+++ b/vanillawell/coordination/upkeep_runner.py
@@ -112,7 +112,7 @@
 
     async def _advance_waves(self) -> bool:
         """Advance each wave by one step; return whether any is in progress."""
-        for number, wave in self._policies.waves.items():
+        for number, wave in list(self._policies.waves.items()):  # more may arrive meanwhile
             if number not in self._waves:
                 self._waves[number] = await self._load_wave(wave)
         active = [item for item in self._waves.values() if not item.completed]
--- a/vanillawell/tests/upkeep_runner_tests.py
+++ b/vanillawell/tests/upkeep_runner_tests.py
@@ -28,6 +28,31 @@
     return names
 
 
+def _request_upkeep(built: Cluster, number: int, machine: str) -> None:
+    wave = {"wave": number, "machines": [machine], "durationS": 20, "maximum": 1}
+    built.store.put_document(f"op/wave/{number}", wave)
+
+
+@with_cluster(executors=2)
+async def test_owner_keeps_its_shard_when_a_wave_arrives_while_it_stores_another(
+    built: Cluster,
+) -> None:
+    """Operators request two waves while the store is slow. If the owner failed at a wave that
+    arrives while another is being stored, it would drop its shard, and nothing would start until
+    another entry has taken it over."""
+    simulate_moves(built)
+    owner = await built.owner()
+    term = owner.node.term
+    owner.store.answer_time = 0.3
+    first, second = built.machines.machines
+    _request_upkeep(built, 1, first)
+    await until(lambda: "vanillawell/wave/1" in built.store.items)
+    _request_upkeep(built, 2, second)
+    await until(lambda: "vanillawell/wave/2" in built.store.items)
+    await anyio.sleep(2 * owner.store.answer_time)
+    assert owner.node.term is term
+
+
 @with_cluster(executors=1)
 async def test_machine_that_joined_pool_is_not_taken_down_for_upkeep(built: Cluster) -> None:
     """A wave finds eight machines on standby, and orders take time. A pool whose long-running tasks
