Count shards that an owner drops after an unexpected error

Change: vanillawell_shard_drops_total, 0 from the start of the process and counted where `shard dropped` is logged.

--- a/vanillawell/node.py
+++ b/vanillawell/node.py
@@ -190,6 +190,7 @@
         except* Exception:
             # A bug in the owner's code must not end the process: it still accepts jobs, and another
             # entry takes the shard over once the lease has expired.
+            self.telemetry.shard_drops.inc({})
             log.exception("shard dropped", extra={"shard": SHARD, "token": term.token})
 
     @property
--- a/vanillawell/scheduler_telemetry.py
+++ b/vanillawell/scheduler_telemetry.py
@@ -64,6 +64,12 @@
             "Runs that this owner has closed, by what proved their end; 0 if not the owner.",
             registry=self.registry,
         )
+        self.shard_drops = Counter(
+            "vanillawell_shard_drops_total",
+            "Terms of this entry as owner that an unexpected error has ended.",
+            registry=self.registry,
+        )
+        self.shard_drops.set({}, 0)  # so that the first drop shows as an increase
         self.log_lines_dropped = Gauge(
             "vanillawell_log_lines_dropped",
             "Log lines dropped so far, since nobody read them or there were too many of a kind.",
