Call machines for accepted jobs of a pool whose last queue was dropped

A job was accepted for a pool that has no machine at the moment; if a configuration then dropped the pool's last queue (and kept the service), no machine was called from standby and the job never began.

Cause: DemandMeter.measure took only services that a queue of the configuration names. A service that the configuration drops as well gets no machines, as before: the platform may not know the pool any more.

--- a/vanillawell/coordination/pool_demand.py
+++ b/vanillawell/coordination/pool_demand.py
@@ -127,7 +127,7 @@
         for executor in snapshot.executors.values():
             members[executor.facts.service].append(executor)
         self._record_sizes(snapshot.executors)
-        used = {queue.service for queue in policy.queues.values()}
+        used = {queue.service for queue in policy.queues.values()} | steps.keys()
         names = [name for name in policy.services if name != standby and name in used]
         pools = [
             self._measure_pool(
--- a/vanillawell/tests/pool_demand_tests.py
+++ b/vanillawell/tests/pool_demand_tests.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
-from vanillawell.coordination.pool_demand import MachineSnapshot
+from vanillawell.coordination.pool_demand import DemandMeter, MachineSnapshot
 from vanillawell.protocol.machine_calls import Machine, MachineState
 from vanillawell.state.executors import Executor
-from vanillawell.tests.scheduling_builders import ShardHarness, facts
+from vanillawell.state.work_policy import Service
+from vanillawell.tests.scheduling_builders import ShardHarness, facts, job, policy
 
 POOL = facts("any").service
 
@@ -76,3 +77,19 @@
         registered_executors("i-1"), listing(m1="i-1", m2="i-2"), {"m2": POOL}, set()
     )
     assert arriving.awaiting_registration(POOL) == []
+
+
+def test_pool_without_queues_has_a_demand_while_accepted_jobs_wait_for_it() -> None:
+    """A configuration drops the last queue of a pool that has no machine at the moment. If nobody
+    called one from standby, an accepted job of that queue would never begin."""
+    harness = ShardHarness(facts("i-1", service="other"))
+    harness.admit(job())
+    services = {name: Service(name, False, name == "standby") for name in (POOL, "standby")}
+    newer = policy(version=2, queues={}, services=services)
+    harness.shard.apply_policy(newer)
+    harness.place()
+    meter = DemandMeter(harness.shard, harness.now)
+    empty = MachineSnapshot(harness.shard.ledger.by_machine(), {}, {}, set())
+    (demand,) = meter.measure(newer, "standby", empty, 1, harness.now)
+    assert (demand.service, demand.machines) == (POOL, 0)
+    assert demand.wanted > 0
