Set the pace of inherited background tasks, which is unknown

Callers saw a background task that stood still: its owner had paused it and was lost. The next owner took the pace of every run for 100, so it sent no order where the pace should have been 100, and the task stayed at 0.

Change: the pace of a run read from the store is unknown, and set once. Beside tasks with a target an owner begins at 20 % and raises it by 20 a second while the tails are low: at full pace at once, a task that was paused for good reason would press a tail over its target, which breaks a rule, while a few slow seconds cost little. Cost: one order for each inherited background task and change of owner; none for tasks that this owner started, none on the way of a job. Weighed: to store the pace (a write for each change).

--- a/vanillawell/protocol/work_documents.py
+++ b/vanillawell/protocol/work_documents.py
@@ -316,4 +316,4 @@
 
 def _read_run(task: Task, run_row: list[Any], now: float) -> Run:
     executor, incarnation, number = run_row
-    return Run(task, number, executor, incarnation, RunPhase.INHERITED, now)
+    return Run(task, number, executor, incarnation, RunPhase.INHERITED, now, pace=None)
--- a/vanillawell/state/pacing.py
+++ b/vanillawell/state/pacing.py
@@ -35,6 +35,11 @@
 """Pace in per cent below which a task is paused altogether."""
 
 
+INHERITED_PACE = 20
+"""Pace in per cent with which an owner begins where a previous one may have paced tasks down: their
+full pace could bring tail latencies over their targets at once."""
+
+
 @dataclass(slots=True)
 class Pacer:
     """Decide the pace of the background tasks of one executor."""
@@ -49,11 +54,20 @@
         if not background:
             self.percent = 100
             return
-        self._adjust(runs, now)
+        if any(run.pace is None for run in background):
+            self._begin_carefully(runs, now)
+        else:
+            self._adjust(runs, now)
         for run in background:
             if run.pace != self.percent:
                 yield run, self.percent
 
+    def _begin_carefully(self, runs: list[Run], now: float) -> None:
+        """Limit the pace while that of a run is unknown, if other tasks have a target."""
+        has_targets = any(run.task.step.spec.tail_target for run in runs)
+        if has_targets and self.percent > INHERITED_PACE:
+            self.percent, self.changed_at = INHERITED_PACE, now
+
     def _adjust(self, runs: list[Run], now: float) -> None:
         target_ratios = [
             run.tail / run.task.step.spec.tail_target
--- a/vanillawell/state/work.py
+++ b/vanillawell/state/work.py
@@ -232,8 +232,9 @@
     tail: float = 0.0
     """Last reported tail latency of a task that has a target for it, in seconds."""
 
-    pace: int = 100
-    """Percentage of full pace that was last set for the run."""
+    pace: int | None = 100
+    """Percentage of full pace that was last set for the run; None if it is unknown since a previous
+    owner may have set it."""
 
     superseded: bool = False
     """Whether a newer run of its task may execute concurrently on another executor."""
