Confirm ends only to the incarnation that listed them, and learn of a new one from any answer

What callers saw: tasks that began and ended in an executor's new life, before the owner had noticed it, start again after their end was confirmed (TWICE). Read beside it: a stored end of a former life releases the same number of the next one. Cause: report calls name the executor only. After a call without an answer the next one confirmed the former incarnation's numbers, so the new one forgot ends of its own; the driver of a replaced executor did the same with its last calls; stored ends were plain numbers. Class: a number of one life reaches another. Change: a confirmation carries its incarnation. After any unanswered or refused connection, and after an answer whose clock lies behind the bounds of the known one, the incarnation counts as not known: calls confirm nothing, starts wait for the report that names it (asked for at once), and after such a clock nothing is placed there. A driver whose executor was replaced sends no report call. A new incarnation counts as holding leases of the greatest length, as an end on the former clock may have reached it. Why it works: a number other than 0 is sent only if a report to a later call than the last doubtful one has named its incarnation. What remains: an executor that starts again between that report and the next call, on a connection that outlives its process or is newly opened. Cost: one report call after a call without an answer; none otherwise.

--- a/vanillawell/coordination/cycle_store.py
+++ b/vanillawell/coordination/cycle_store.py
@@ -119,11 +119,11 @@
         """Send the starts and confirm the ends that a stored transaction permits."""
         self._telemetry.store_writes.inc({"kind": "turn"})
         for end in part.ends:
-            end.executor.unsaved_ends.discard(end.sequence)
+            end.incarnation.unsaved_ends.discard(end.sequence)
         cycle_log.log_started_tasks(part.planned, self._term.token)
         for run in part.planned:
             self._submit(run, stored_at)
-        self._notify(end.executor.name for end in part.ends)
+        self._notify(end.incarnation.executor for end in part.ends)
 
     def _submit(self, run: Run, stored_at: float) -> None:
         driver = self._drivers.get(run.executor)
--- a/vanillawell/coordination/executor_driver.py
+++ b/vanillawell/coordination/executor_driver.py
@@ -55,7 +55,7 @@
         """Whether the driver is waiting for work, rather than for a scheduling cycle to be
         stored."""
 
-        self._confirmed_end = 0
+        self._contact_logged = False
         self.finished = False
 
     @property
@@ -115,14 +115,20 @@
             return False
         return (
             executor.is_unconfirmed
+            or not self._link.is_identified
             or executor.order_void_since is not None
             or any(run.phase is not RunPhase.PLANNED for run in executor.runs.values())
-            or self._confirmable_end() > self._confirmed_end
+            or self._confirmable_end() > executor.incarnation.confirmed_end
             or bool(executor.unsaved_ends)
         )
 
     def _confirmable_end(self) -> int:
-        return self._executor.saved_end if self._executor.contacted else 0
+        """Return the number up to which ends may be confirmed by a call that is sent now.
+
+        Another incarnation would forget ends of its own, and their tasks would start again.
+        """
+        is_known = self._executor.contacted and self._link.is_identified
+        return self._executor.incarnation.saved_end if is_known else 0
 
     async def _hold_once(self) -> None:
         """Send one hold call and process its report."""
@@ -168,7 +174,7 @@
 
     def _hold_wait(self) -> float:
         """Return the seconds that the next hold call may wait for a run to end."""
-        if not self._executor.contacted or self._executor.unresponsive_since is not None:
+        if self._executor.is_unconfirmed or not self._link.is_identified:
             return 0.0
         if self._executor.order_void_since is not None:
             return 0.0
@@ -190,17 +196,22 @@
 
     async def hold(self, wait: float) -> None:
         """Renew the lease, confirm the stored ends and process the report."""
+        if not self._is_needed():
+            return
         self._begin_incarnation(self._executor.facts.incarnation)
         sent = clock.read()
-        saved = self._confirmable_end()
+        incarnation, saved = self._executor.incarnation, self._confirmable_end()
         extension = self._new_lease(sent)
         lease_end = None if extension is None else extension.end
         try:
             report = await self._link.calls.hold(
                 self._link.target(), self._link.term.token, saved, lease_end, wait
             )
-        except (NotSentError, OrderRefusedError):
-            self._link.revert_extension(extension)
+        except (NotSentError, NoAnswerError, OrderRefusedError) as error:
+            if not isinstance(error, NoAnswerError):
+                self._link.revert_extension(extension)
+            if not isinstance(error, OrderRefusedError):
+                self._link.doubt_incarnation()
             raise
         if not self._is_needed():
             return
@@ -209,13 +220,15 @@
             log.info("report of a former life", extra=fields)
             return
         now = clock.read()
-        if not self._begin_incarnation(report.incarnation):
-            self._confirmed_end = max(self._confirmed_end, saved)
+        self._begin_incarnation(report.incarnation)
+        if report.incarnation == incarnation.started:
+            incarnation.confirmed_end = max(incarnation.confirmed_end, saved)
         self._link.record_answer(report.incarnation, report.clock, sent, now)
         self._record_contact()
         self._link.shard.apply_report(self._executor, report, sent, now, self._link.wall())
-        if not self._link.first_report.is_set():
-            self._link.first_report.set()
+        self._link.identify_incarnation(sent)
+        if not self._contact_logged:
+            self._contact_logged = True
             log.info(
                 "executor contacted",
                 extra={
@@ -228,15 +241,11 @@
         self._orders.pace(now)
         self._link.wake_owner()
 
-    def _begin_incarnation(self, incarnation: int) -> bool:
-        """Reset the state kept for an incarnation if the executor has a new one; return whether it
-        has."""
-        if not self._link.begin_incarnation(incarnation):
-            return False
-        self._confirmed_end = 0
-        fields = {"executor": self._executor.name, "life": incarnation}
-        log.info("executor restarted", extra={**fields, "runs": len(self._executor.runs)})
-        return True
+    def _begin_incarnation(self, incarnation: int) -> None:
+        """Reset the state kept for an incarnation if the executor has a new one."""
+        if self._link.begin_incarnation(incarnation):
+            fields = {"executor": self._executor.name, "life": incarnation}
+            log.info("executor restarted", extra={**fields, "runs": len(self._executor.runs)})
 
     async def renew(self) -> bool:
         """Renew the leases at once, in parallel with the waiting hold call; return whether the
--- a/vanillawell/coordination/executor_link.py
+++ b/vanillawell/coordination/executor_link.py
@@ -9,7 +9,7 @@
 import anyio
 
 from vanillawell import clock
-from vanillawell.coordination.leases import LEASE_MARGIN, TASK_LEASE, ExecutorClock
+from vanillawell.coordination.leases import CLOCK_DRIFT, LEASE_MARGIN, TASK_LEASE, ExecutorClock
 from vanillawell.protocol.executor_calls import OrderRefusal, Target
 from vanillawell.state.end_proofs import EndProof
 from vanillawell.state.executors import UNREACHABLE_BLOCK_TIME
@@ -76,8 +76,12 @@
     _extensions: int = 0
     """Sequence number of the latest lease that was sent."""
 
-    first_report: anyio.Event = field(default_factory=anyio.Event)
-    """Set once the executor has reported."""
+    identified: anyio.Event = field(default_factory=anyio.Event)
+    """Set while it is known which incarnation answers: a report has named it since the last call
+    that got no answer."""
+
+    _doubted_at: float = float("-inf")
+    """When a call last got no answer, or an answer that another incarnation may have given."""
 
     answered_at: float = float("-inf")
 
@@ -103,8 +107,37 @@
         if previous in (None, incarnation):
             return False
         self.clock.forget()
+        # A lease end on the former clock may have reached the new incarnation, which shortens it to
+        # the maximum.
+        longest = self.max_lease * (1 + CLOCK_DRIFT) + self.kill_grace + LEASE_MARGIN
+        self.executor.lease_expires_at = max(self.executor.lease_expires_at, clock.read() + longest)
         return True
 
+    @property
+    def is_identified(self) -> bool:
+        """Return whether it is known which incarnation answers."""
+        return self.identified.is_set()
+
+    def doubt_incarnation(self) -> None:
+        """Record that another incarnation may answer from now on, until a report names it.
+
+        The executor may have started again. Calls name the executor only, so numbers of the former
+        incarnation, or its room, would be taken for the new one's.
+        """
+        self._doubted_at = clock.read()
+        if self.identified.is_set():
+            self.identified = anyio.Event()
+
+    def identify_incarnation(self, sent: float) -> None:
+        """Record that the answer to a call that was sent at `sent` named the incarnation."""
+        if sent >= self._doubted_at:
+            self.identified.set()
+            self.executor.incarnation.is_doubted = False
+
+    def is_from_next_incarnation(self, reading: float, sent: float) -> bool:
+        """Return whether the clock in an answer shows that another incarnation gave it."""
+        return self.has_clock_reading and self.clock.is_behind(reading, sent)
+
     def may_extend_lease(self) -> bool:
         """Return whether a call may extend the executor's leases now."""
         return self.leases.may_extend(self.executor.name)
--- a/vanillawell/coordination/leases.py
+++ b/vanillawell/coordination/leases.py
@@ -28,6 +28,9 @@
 has to wait this much longer before it counts the tasks of an unreachable executor as lost."""
 
 
+READING_TOLERANCE = 0.01
+"""Seconds by which a reading may be below its bounds, for rounding."""
+
 REFERENCE_CLOCKS = 5
 """Number of executors whose clock readings are stored for the next owner; at least one should still
 be running then."""
@@ -81,6 +84,17 @@
         self.value, self.read_at = value, now
         self._max_offset = min(self._max_offset, value - sent)
 
+    def is_behind(self, value: float, sent: float) -> bool:
+        """Return whether a reading is lower than any of this clock since a call was sent at `sent`.
+
+        Clocks never run backwards, so the reading is of another clock.
+        """
+        if self.value is None:
+            return False
+        elapsed = sent - self.read_at
+        least = self.value + (elapsed * (1 - CLOCK_DRIFT) if elapsed > 0 else elapsed)
+        return value < least - READING_TOLERANCE
+
     def forget(self) -> None:
         """Drop all readings, since the executor's clock has restarted."""
         self.value, self._max_offset = None, float("inf")
--- a/vanillawell/coordination/run_orders.py
+++ b/vanillawell/coordination/run_orders.py
@@ -73,16 +73,15 @@
         self._request_report = request_report
         self._slots = anyio.Semaphore(MAX_CONCURRENT_ORDERS)
         self._pacer = Pacer()
+        self._is_identifying = False
 
     def submit(self, run: Run, stored_at: float) -> None:
         """Send the start order of a stored decision."""
         self._tasks.start_soon(self._start, run, stored_at)
 
     async def _start(self, run: Run, stored_at: float) -> None:
-        if not self._link.first_report.is_set():
-            with anyio.move_on_after(MAX_START_AGE):
-                await self._link.first_report.wait()
         async with self._slots:
+            await self._await_identification()
             now = clock.read()
             self._log_if_delayed(run, now - stored_at)
             if self._link.executor.evacuated and not run.stop_requested:
@@ -97,6 +96,12 @@
         self._notify()
         self._link.wake_owner()
 
+    async def _await_identification(self) -> None:
+        """Wait briefly until it is known which incarnation the order would reach."""
+        with anyio.move_on_after(MAX_START_AGE):
+            while not self._link.is_identified:
+                await self._link.identified.wait()
+
     def _reason_not_to_start(self, run: Run, stored_at: float, now: float) -> str:
         """Return why a stored start decision must not be sent any more; empty if it may be."""
         if run.stop_requested:
@@ -105,6 +110,8 @@
             return "closed before its order was sent"
         if run.incarnation != self._link.executor.facts.incarnation:
             return "planned for a previous incarnation"
+        if not self._link.is_identified:
+            return "incarnation not known"
         stale = now - stored_at > MAX_START_AGE and not self._link.term.is_held(now)
         if stale or not self._link.has_clock_reading:
             return "decision too old or executor clock unknown"
@@ -152,9 +159,11 @@
         except NotSentError as error:
             self._link.revert_extension(extension)
             self._link.block_placement()
+            self._doubt_incarnation()
             self._mark_not_started(run, str(error))
         except NoAnswerError as error:
             self._link.block_if_unresponsive(now)
+            self._doubt_incarnation()
             await self._resolve_uncertain(run, str(error))
         except WrongIncarnationError:
             self._link.record_termination(target)
@@ -168,13 +177,47 @@
 
     def _record_start(self, run: Run, target: Target, value: float, sent: float) -> None:
         now = clock.read()
-        self._link.record_answer(target.incarnation, value, sent, now)
+        if not self._is_from_next_incarnation(target, value, sent):
+            self._link.record_answer(target.incarnation, value, sent, now)
         if run.phase is RunPhase.ORDERED:
             run.enter_phase(RunPhase.RUNNING, now)
         if run.started is None:
             run.started = now
         log.debug("run start confirmed", extra=self._link.describe(run))
 
+    def _is_from_next_incarnation(self, target: Target, reading: float, sent: float) -> bool:
+        """Return whether the clock in an answer shows that another incarnation gave it; place
+        nothing on the executor then until a report has named that one.
+
+        Orders go to whichever incarnation runs at the address, so an answer may be the first sign
+        of a new one.
+        """
+        is_current = target.incarnation == self._link.executor.incarnation.started
+        if not is_current or not self._link.is_from_next_incarnation(reading, sent):
+            return False
+        fields = {"executor": target.executor, "life": target.incarnation, "clock": reading}
+        log.warning("answer of another life", extra=fields)
+        self._link.executor.incarnation.is_doubted = True
+        self._doubt_incarnation()
+        return True
+
+    def _doubt_incarnation(self) -> None:
+        """Learn from a report at once which incarnation answers; the waiting hold call was sent too
+        early to show it."""
+        self._link.doubt_incarnation()
+        self._notify()
+        if not self._is_identifying:
+            self._is_identifying = True
+            self._tasks.start_soon(self._identify)
+
+    async def _identify(self) -> None:
+        try:
+            for _ in range(REPORT_ATTEMPTS):
+                if not self._link.is_identified:
+                    await self._refresh_report()
+        finally:
+            self._is_identifying = False
+
     async def _handle_start_refusal(self, run: Run, error: OrderRefusedError) -> None:
         log.warning(
             "start refused", extra={**self._link.describe(run), "reason": error.reason.value}
@@ -252,7 +295,7 @@
     async def _stop_once(self, task_id: TaskId, run: int) -> bool:
         sent, target = clock.read(), self._link.target()
         try:
-            await self._link.calls.stop(target, task_id, run, self._link.term.token)
+            reading = await self._link.calls.stop(target, task_id, run, self._link.term.token)
         except (NotSentError, NoAnswerError) as error:
             fields = {
                 "executor": self._link.executor.name,
@@ -261,6 +304,7 @@
             }
             log.warning("stop unanswered", extra={**fields, "run": run, "why": str(error)})
             self._link.block_if_unresponsive(sent)
+            self._doubt_incarnation()
             return False
         except WrongIncarnationError:
             self._link.record_termination(target)
@@ -269,6 +313,7 @@
             if error.reason is OrderRefusal.STALE_TOKEN:
                 raise DeposedError(self._link.executor.name) from error
             return error.reason is OrderRefusal.RUN_ENDED
+        self._is_from_next_incarnation(target, reading, sent)
         return True
 
     def pace(self, now: float) -> None:
--- a/vanillawell/state/executors.py
+++ b/vanillawell/state/executors.py
@@ -230,6 +230,7 @@
         return (
             self.registered
             and self.incarnation.is_registered
+            and not self.incarnation.is_doubted
             and self.contacted
             and not self.facts.draining
             and not self.cordoned
--- a/vanillawell/state/incarnations.py
+++ b/vanillawell/state/incarnations.py
@@ -23,6 +23,9 @@
     is_registered: bool = False
     """Whether its own registration has been read, which states its kind and its capacity."""
 
+    is_doubted: bool = False
+    """Whether an answer came from another incarnation, which has yet to report."""
+
     last_applied_end: int = 0
     """Highest sequence number of an end that was applied from its reports."""
 
--- a/vanillawell/state/outbox.py
+++ b/vanillawell/state/outbox.py
@@ -8,7 +8,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from vanillawell.state.executors import Executor
+    from vanillawell.state.incarnations import Incarnation
     from vanillawell.state.work import Run, TaskId
 
 
@@ -23,9 +23,9 @@
 
 @dataclass(frozen=True, slots=True)
 class EndConfirmation:
-    """An end of a run, to be confirmed to its executor once its effect is stored."""
+    """An end of a run, to be confirmed to the incarnation that listed it once it is stored."""
 
-    executor: Executor
+    incarnation: Incarnation
     sequence: int
     job_id: str
     """Job whose record has to be stored before."""
--- a/vanillawell/state/shard.py
+++ b/vanillawell/state/shard.py
@@ -196,13 +196,14 @@
     ) -> None:
         """Apply an executor's report, the answer to a call that was sent at `sent`."""
         outcome = self.ledger.apply_report(executor, report, sent, now, self.job_table.find)
-        if executor.incarnation.has_unlisted_ends:
+        incarnation = executor.incarnation
+        if incarnation.has_unlisted_ends:
             figures = {"listed": len(report.ended), "runs": len(executor.runs)}
             log.info("ends not all listed", extra={"executor": executor.name, **figures})
         self.outbox.ends.extend(
-            EndConfirmation(executor, end.sequence, end.task_id.job_id if end.task_id else "")
+            EndConfirmation(incarnation, end.sequence, end.task_id.job_id if end.task_id else "")
             for end in report.ended
-            if end.sequence in executor.unsaved_ends
+            if end.sequence in incarnation.unsaved_ends
         )
         self._apply_ends(outcome.ended, now, wall)
         for end in outcome.late_ends:
--- a/vanillawell/tests/executor_crash_tests.py
+++ b/vanillawell/tests/executor_crash_tests.py
@@ -7,6 +7,7 @@
 from vanillawell.tests.scheduler_cluster import (
     PREFIX,
     Cluster,
+    Connections,
     Crash,
     job,
     step,
@@ -18,21 +19,24 @@
 """Seconds of work before the crash."""
 
 JOBS = 24
-TASKS = 10
-"""Tasks of one job, of one core and 0.2 s each, which keep both executors full."""
+MANY_TASKS = 10
+"""Tasks of one job, of one core and 0.2 s each, that keep two executors full."""
+
+FEW_TASKS = 2
+"""Tasks of one job that leave most of one executor free, so that orders seldom wait."""
 
 SUBMIT_INTERVAL = 0.1
 """Seconds between two jobs."""
 
 
-async def play(built: Cluster, crash: Crash) -> None:
-    """Crash an executor while jobs arrive, and wait until all have completed."""
+async def play(built: Cluster, crash: Crash, width: int) -> None:
+    """Crash an executor while jobs of `width` tasks arrive, and wait until all have completed."""
     owner = await built.owner()
     job_ids = [built.new_id() for _ in range(JOBS)]
 
     async def submit() -> None:
         for job_id in job_ids:
-            await owner.call("POST", PREFIX + job_id, job(step(TASKS)))
+            await owner.call("POST", PREFIX + job_id, job(step(width)))
             await anyio.sleep(SUBMIT_INTERVAL)
 
     async with anyio.create_task_group() as tasks:
@@ -46,4 +50,13 @@
 # Guards against filling a smaller incarnation, which registers late, as if it were its predecessor.
 @with_cluster()
 async def test_incarnation_of_a_smaller_kind_is_not_overfilled(built: Cluster) -> None:
-    await play(built, Crash(down_for=0.05, registered_after=2.5, cpu=2_000))
+    await play(built, Crash(down_for=0.05, registered_after=2.5, cpu=2_000), MANY_TASKS)
+
+
+# Guards against confirming ends by the former incarnation's numbers, which makes the next one
+# forget its own.
+@with_cluster(executors=1)
+async def test_tasks_that_end_before_a_restart_is_noticed_do_not_start_again(
+    built: Cluster,
+) -> None:
+    await play(built, Crash(Connections.RELAYED, registered_after=2.5), FEW_TASKS)
--- a/vanillawell/tests/scheduler_cluster.py
+++ b/vanillawell/tests/scheduler_cluster.py
@@ -7,6 +7,7 @@
 import socket
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
+from enum import Enum
 from typing import TYPE_CHECKING, Any, cast
 
 import anyio
@@ -116,13 +117,19 @@
                 cast("Any", protocol).transport.abort()
 
 
+class Connections(Enum):
+    """What becomes of an executor's connections when it crashes."""
+
+    END = "they end"
+    SILENT = "they stay open, and no call on them is answered any more"
+    RELAYED = "a relay keeps them open and passes later calls on to the next incarnation"
+
+
 @dataclass(frozen=True, slots=True)
 class Crash:
     """How an executor crashes and starts again under its id."""
 
-    silent: bool = False
-    """Whether open connections stay without an answer, rather than end."""
-
+    connections: Connections = Connections.END
     down_for: float = 0.0
     """Seconds until its next incarnation listens."""
 
@@ -276,13 +283,16 @@
         host = self.hosts[name]
         former, endpoint = host.executor, host.endpoint
         assert endpoint is not None
+        is_relayed = crash.connections is Connections.RELAYED
         former.leave()
-        endpoint.close(former, crash.silent)
+        if not is_relayed:
+            endpoint.close(former, crash.connections is Connections.SILENT)
         await anyio.sleep(crash.down_for)
         host.executor = former.crash(crash.cpu)
         self.tasks.start_soon(host.executor.tick)
-        host.endpoint = Endpoint(host, endpoint.port)
-        self.tasks.start_soon(host.endpoint.serve)
+        if not is_relayed:
+            host.endpoint = Endpoint(host, endpoint.port)
+            self.tasks.start_soon(host.endpoint.serve)
         await anyio.sleep(crash.registered_after)
         self.register(name)
 
