Use only complete entries of known services as executors

What callers saw: an agent of another kind writes an entry into the registry that names a machine in use. All tasks of the executor there start a second time elsewhere, while the first runs go on (12 tasks of 12).

Cause: the decoder filled in what an entry lacked (zone, machine, start time, labels, the state of its start) and read "5" as 5; nothing asked whether any configuration names the service. Such an entry became an executor, and as the later one on its machine it closed the runs of the present one. Under the key of a known executor it replaced it.

Change: an entry names an executor if every field that the platform's page lists is there, has its type (strict, unknown further fields ignored), the state is known, a draining one states the time left, and a service that a configuration has named. platform/documents.py decides on the format only; state/registrations.py, which gets the named services as plain data, on the service. Any other entry is logged once for each key and reason, counted in vanillawell_registrations_ignored, and changes nothing. Decided: - Services are those of all configurations that this process has applied and of the queues that have jobs. One that a newer configuration drops still counts, since its executors may run tasks. - A complete entry of an unknown service is kept, and counts once a configuration names it: executors don't write anew because of a configuration. - Under the key of a known executor such an entry neither replaces nor unregisters it; the executor's own answers decide meanwhile. Removing the key unregisters as before, which closes nothing.

Tests changed: the builders' entries had less than the platform's page lists; the cluster's entry now states how long the executor remains slow, and entries of two plain-data tests are complete (registration_documents.py). draining_state_tests.py asserted that a draining entry without a time left reads as None; the page promises that time, so such an entry is refused, and None is asserted for one that isn't draining.

Why it works: whatever lacks a field or comes from elsewhere stops at the border, before any state is touched.

--- a/vanillawell/coordination/policy_watch.py
+++ b/vanillawell/coordination/policy_watch.py
@@ -52,6 +52,9 @@
         )
         self._listeners: list[Callable[[], None]] = []
         self.policy: WorkPolicy | None = None
+        self.named_services: set[str] = set()
+        """All services that a configuration applied by this process has named."""
+
         self.waves: dict[int, Wave] = {}
         self.waves_first_seen: dict[int, float] = {}
         """Time of `clock.read` at which this entry first read each wave, by number."""
@@ -123,6 +126,8 @@
         if self.policy is not None and policy.version <= self.policy.version:
             return
         self.policy = policy
+        self.named_services.update(policy.services)
+        self.named_services.update(queue.service for queue in policy.queues.values())
         log.info(
             "configuration applied",
             extra={
--- a/vanillawell/coordination/shard_owner.py
+++ b/vanillawell/coordination/shard_owner.py
@@ -97,6 +97,13 @@
         )
         self._rules_reader = QueueRulesReader(ports.store, keys, self._shard, self.wake)
         self._inherited_orders = InheritedOrders(self._shard, self.wake)
+        self._registry = RegistryWatch(
+            ports,
+            ports.documents.keys.executors,
+            self._shard,
+            lambda: policies.named_services,
+            self.wake,
+        )
         self.loaded = False
         """Whether all jobs of previous terms have been read."""
 
@@ -161,9 +168,7 @@
 
     def _start_tasks(self, tasks: TaskGroup) -> None:
         tasks.start_soon(log_unreached_executors, self._shard, self._term.token)
-        registry = RegistryWatch(
-            self._ports, self._ports.documents.keys.executors, self._shard, self.wake
-        )
+        registry = self._registry
         orders = MachineOrders(
             self._term,
             self._ports,
@@ -212,6 +217,7 @@
     def _apply_policy(self) -> None:
         if self._policies.policy is not None:
             self._shard.apply_policy(self._policies.policy)
+        self._registry.apply_services()
         self._shard.ledger.evacuate(self._policies.evacuated_zones.names)
         self.wake()
 
--- a/vanillawell/node.py
+++ b/vanillawell/node.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+from collections import Counter
 from typing import TYPE_CHECKING
 
 import anyio
@@ -21,6 +22,7 @@
 from vanillawell.scheduler_telemetry import SchedulerTelemetry
 from vanillawell.state.contention.entry_readiness import EntryReadiness
 from vanillawell.state.end_proofs import EndProof
+from vanillawell.state.registrations import IgnoredBecause
 
 if TYPE_CHECKING:
     from vanillawell.config.node_settings import NodeSettings
@@ -103,6 +105,9 @@
         shard = self.owned_shard
         self.telemetry.evacuated_executors.set({}, shard.ledger.count_evacuated() if shard else 0)
         self.telemetry.surplus_jobs.set({}, shard.surplus_jobs if shard else 0)
+        ignored = shard.registrations.count_ignored() if shard else Counter()
+        for reason in IgnoredBecause:
+            self.telemetry.registrations_ignored.set({"reason": reason.value}, ignored[reason])
         for proof in EndProof:
             closed = shard.closed_runs[proof] if shard else 0
             self.telemetry.runs_closed.set({"proof": proof.value}, closed)
--- a/vanillawell/platform/documents.py
+++ b/vanillawell/platform/documents.py
@@ -8,7 +8,7 @@
 
 import hashlib
 import re
-from typing import Annotated, TypeVar
+from typing import Annotated, Literal, TypeVar
 
 import orjson
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
@@ -36,6 +36,7 @@
 
 Count = Annotated[int, Field(ge=0)]
 Milliseconds = Annotated[float, Field(ge=0)]
+Name = Annotated[str, Field(min_length=1)]
 
 Model = TypeVar("Model", bound=BaseModel)
 
@@ -110,21 +111,43 @@
     limits: _Limits = _Limits()
 
 
+class _Capacity(_PlatformDocument):
+    """Capacity of an executor."""
+
+    model_config = ConfigDict(extra="ignore", strict=True)
+
+    cpu: Count
+    memMb: Count  # noqa: N815
+    gpu: Count
+
+    def decode(self) -> Resources:
+        return Resources(self.cpu, self.memMb, self.gpu)
+
+
 class _Beat(_PlatformDocument):
-    """An executor's own entry in the registry."""
+    """An executor's own entry in the registry.
 
-    service: str
+    Anybody can write there, so an entry names an executor only if no field is missing and each has
+    its type.
+    """
+
+    model_config = ConfigDict(extra="ignore", strict=True)
+
+    service: Name
     address: str
-    zone: str = ""
-    state: str
-    machine: str = ""
+    zone: str
+    version: str
+    slots: Count
+    state: Literal["ready", "draining"]
+    machine: Name
     remainingMs: Milliseconds | None = None  # noqa: N815
-    """Minimum time left to a draining executor."""
-    coldRemainingMs: Milliseconds = 0  # noqa: N815
+    """Minimum time left to a draining executor; only these state it."""
+    coldRemainingMs: Milliseconds  # noqa: N815
     """Time for which an executor remains slow after its start."""
-    born: int = 0
-    capacity: _Amounts
-    labels: list[str] = []
+    born: Count
+    seq: Count
+    capacity: _Capacity
+    labels: list[str]
     """Kind of the executor, then its rack."""
 
 
@@ -244,8 +267,9 @@
 def read_executor(key: str, data: bytes) -> ExecutorFacts:
     """Decode an executor's entry in the registry."""
     registration = _load(_Beat, data)
-    if registration.state not in ("ready", "draining"):
-        raise UnreadableDocumentError(f"state {registration.state!r} is not known")
+    is_draining = registration.state == "draining"
+    if is_draining and registration.remainingMs is None:
+        raise UnreadableDocumentError("no remaining time, although it is draining")
     host, _, port = registration.address.rpartition(":")
     if not host or not port.isdigit():
         raise UnreadableDocumentError(f"address {registration.address!r} is none")
@@ -259,7 +283,7 @@
         machine=registration.machine,
         labels=frozenset(registration.labels),
         capacity=registration.capacity.decode(),
-        draining=registration.state == "draining",
+        draining=is_draining,
         cold_remaining=registration.coldRemainingMs / 1000,
         remaining=None if registration.remainingMs is None else registration.remainingMs / 1000,
     )
--- a/vanillawell/scheduler_telemetry.py
+++ b/vanillawell/scheduler_telemetry.py
@@ -59,6 +59,11 @@
             " owner.",
             registry=self.registry,
         )
+        self.registrations_ignored = Gauge(
+            "vanillawell_registrations_ignored",
+            "Entries of the registry that name no executor to use, by reason; 0 if not the owner.",
+            registry=self.registry,
+        )
         self.runs_closed = Gauge(
             "vanillawell_runs_closed",
             "Runs that this owner has closed, by what proved their end; 0 if not the owner.",
--- a/vanillawell/state/shard.py
+++ b/vanillawell/state/shard.py
@@ -26,6 +26,7 @@
 from vanillawell.state.placement_pass import PlacementPass
 from vanillawell.state.queue_rules import QueueRules
 from vanillawell.state.ranking import rank_of
+from vanillawell.state.registrations import Registrations
 from vanillawell.state.shard_log import log_end, log_job_ended, log_task_copied
 from vanillawell.state.shares import order_by_share
 from vanillawell.state.stalls import stalled_runs
@@ -60,6 +61,7 @@
     def __init__(self, retention: float, remote_factor: float = 1.0) -> None:
         self.remote_factor = remote_factor
         self.ledger = Ledger()
+        self.registrations = Registrations()
         self.queues = QueueRules()
         self.job_table = JobTable(self.queues.attempts, retention)
         self.durations = DurationStatistics()
--- a/vanillawell/tests/cold_executors_tests.py
+++ b/vanillawell/tests/cold_executors_tests.py
@@ -10,6 +10,7 @@
 
 from vanillawell.platform import documents
 from vanillawell.state.stalls import stalled_runs
+from vanillawell.tests.registration_documents import registration
 from vanillawell.tests.scheduling_builders import QUEUE, ShardHarness, facts, job, step
 
 COLD_SECONDS = 3.0
@@ -21,8 +22,7 @@
 
 
 def test_remaining_time_is_read_from_the_registration() -> None:
-    value = b"""{"service":"s","address":"10.0.0.1:80","state":"ready","capacity":{"cpu":1},
-        "coldRemainingMs":2500}"""
+    value = registration(coldRemainingMs=2500)
     assert documents.read_executor("servers/i-0", value).cold_remaining == 2.5
 
 
--- a/vanillawell/tests/draining_state_tests.py
+++ b/vanillawell/tests/draining_state_tests.py
@@ -5,7 +5,6 @@
 from dataclasses import replace
 from typing import TYPE_CHECKING, Any
 
-import orjson
 import pytest
 
 from vanillawell.platform.documents import UnreadableDocumentError, read_executor
@@ -18,6 +17,7 @@
 )
 from vanillawell.state.executors import MAX_REGISTRATION_AGE
 from vanillawell.state.work_policy import AdviceRule, Queue
+from vanillawell.tests.registration_documents import registration
 from vanillawell.tests.scheduling_builders import POOL, QUEUE, ShardHarness, facts, job, step
 
 if TYPE_CHECKING:
@@ -215,14 +215,10 @@
     assert _runs_to_stop(harness, executor) == []
 
 
-def _entry(**fields: object) -> bytes:
-    entry = {"service": "s", "address": "a:1", "state": "draining", "capacity": {}}
-    return orjson.dumps({**entry, **fields})
-
-
 def test_the_remaining_time_is_read_from_the_registry() -> None:
-    facts_read = read_executor("servers/i-0", _entry(remainingMs=2200))
-    assert facts_read.remaining == 2.2
-    assert read_executor("servers/i-0", _entry()).remaining is None
-    with pytest.raises(UnreadableDocumentError):
-        read_executor("servers/i-0", _entry(remainingMs="soon"))
+    draining = registration(state="draining", remainingMs=2200)
+    assert read_executor("servers/i-0", draining).remaining == 2.2
+    assert read_executor("servers/i-0", registration()).remaining is None
+    for entry in (registration(state="draining"), registration(remainingMs="soon")):
+        with pytest.raises(UnreadableDocumentError):
+            read_executor("servers/i-0", entry)
--- a/vanillawell/tests/scheduler_cluster.py
+++ b/vanillawell/tests/scheduler_cluster.py
@@ -247,6 +247,7 @@
             "version": "v1",
             "slots": 8,
             "state": "ready",
+            "coldRemainingMs": 0,
             "machine": host.machine,
             "born": host.executor.born,
             "capacity": {"cpu": host.executor.cpu, "memMb": 64_000, "gpu": 0},
