Soak: calls on their way reach an executor's next life, and more executors fail together in larger plays

Change: a call to a machine that is down waits 0.4 s for the next life, and counts as a late order there; faults of executors hit more of them.

--- a/vanillawell/standins/soak/executor.py
+++ b/vanillawell/standins/soak/executor.py
@@ -34,9 +34,9 @@
 
     def __init__(self, life: Life, record: Record, now: float) -> None:
         self.life = life
+        self.began_at = now
         self.run_ended = anyio.Event()
         self._record = record
-        self._began_at = now
         self._fence = 0
         self._lease_end: float | None = None
         self._lapsed_at = float("-inf")
@@ -53,7 +53,7 @@
 
     def clock_ms(self, now: float) -> int:
         """Return the milliseconds since this incarnation began."""
-        return int((now - self._began_at) * 1000)
+        return int((now - self.began_at) * 1000)
 
     def accepts_fence(self, fence: int) -> bool:
         """Return whether a fencing token is as high as any before, and remember it."""
@@ -97,7 +97,7 @@
         """Extend the lease of all runs; it never becomes shorter."""
         if self._lease_end is not None and now > self._lease_end:
             self._lapsed_at = self._lease_end
-        end = min(self._began_at + deadline_ms / 1000, now + LEASE_MAX)
+        end = min(self.began_at + deadline_ms / 1000, now + LEASE_MAX)
         self._lease_end = end if self._lease_end is None else max(self._lease_end, end)
 
     def confirm_ends(self, last_seen: int, now: float) -> None:
--- a/vanillawell/standins/soak/hosts.py
+++ b/vanillawell/standins/soak/hosts.py
@@ -57,6 +57,9 @@
 )
 """What makes an entry one of another writer."""
 
+DELIVERY_TIME = 0.4
+"""Seconds for which a call to a machine that is down is on its way, until the caller gives up."""
+
 LATE_DELAYS = (0.3, 3.0)
 """Seconds after which an executor carries out an order that it left unanswered."""
 
@@ -152,7 +155,6 @@
         host.machine.executor = name
         host.machine.state = "up"
         host.reachable = True
-        self._reset_connections(host)
         self._register(host)
 
     def end(self, host: Host, state: str) -> None:
@@ -168,15 +170,17 @@
         if host.machine.state != "up" or host.executor is None:
             return
         self.end(host, "down")
+        former = self._connections(host)
         await anyio.sleep(seconds)
         self.begin(host, keep_id=True)
+        _reset(former)
 
     async def crash(self, host: Host, seconds: float) -> None:
         """End an executor without notice; its machine is listed as up, and it starts again."""
         if host.machine.state != "up" or host.executor is None:
             return
         self.end(host, "up")
-        self._reset_connections(host)
+        _reset(self._connections(host))
         await anyio.sleep(seconds)
         if host.machine.state == "up" and not host.reachable:
             self.begin(host, keep_id=True)
@@ -204,7 +208,7 @@
             return
         self._unregister(host)
         self.end(host, "down")
-        self._reset_connections(host)
+        _reset(self._connections(host))
         await anyio.sleep(seconds)
         self.begin(host)
 
@@ -219,7 +223,7 @@
         if host.executor:
             self._unregister(host)
         self.end(host, "moving")
-        self._reset_connections(host)
+        _reset(self._connections(host))
         await anyio.sleep(MOVE_SECONDS)
         if machine.pool == STANDBY:
             machine.state, machine.executor = "up", ""
@@ -231,7 +235,7 @@
         if machine.state == "upkeep":
             self._unregister(host)
             self.end(host, "upkeep")
-            self._reset_connections(host)
+            _reset(self._connections(host))
         else:
             self.begin(host)
 
@@ -260,13 +264,9 @@
                 elif key in self.store.items and now - host.silent_since > ENTRY_EXPIRY:
                     self._unregister(host)
 
-    def _reset_connections(self, host: Host) -> None:
-        if self._server is None:
-            return
-        for connection in list(self._server.server_state.connections):
-            address = getattr(connection, "server", None)
-            if address and address[1] == host.port:
-                connection.transport.abort()
+    def _connections(self, host: Host) -> list[Any]:
+        connections = self._server.server_state.connections if self._server else ()
+        return [item for item in connections if _port(item) == host.port]
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Handle one call to an executor."""
@@ -274,7 +274,8 @@
         host = self._by_port[scope["server"][1]]
         body = await read_body(receive, MAX_BODY_BYTES)
         is_late = scope["path"] == "/run-start" and await self._delays_order(host)
-        executor = await self._reached(host)
+        executor = await self._reached(host, received_at)
+        is_late = is_late or executor.began_at > received_at
         executor.end_due_runs(time.monotonic())
         expected = dict(scope["headers"]).get(b"x-expect-instance", b"").decode()
         if expected and expected != executor.life.executor:
@@ -282,7 +283,7 @@
             return
         document = orjson.loads(body)
         answer = await self._carry_out(scope["path"], executor, document, received_at, is_late)
-        if is_late or await self._reached(host) is not executor:
+        if is_late or await self._reached(host, received_at) is not executor:
             await anyio.sleep_forever()
         facts = {"clockMs": executor.clock_ms(time.monotonic()), "born": executor.life.born}
         await send_json(send, {**answer, **facts}, 409 if "reason" in answer else 200)
@@ -300,8 +301,13 @@
             await anyio.sleep_forever()
         return True
 
-    async def _reached(self, host: Host) -> SoakExecutor:
-        """Return the executor of a host; a host that is cut off or down never answers."""
+    async def _reached(self, host: Host, received_at: float) -> SoakExecutor:
+        """Return the executor that a call reaches: the next life if it begins soon enough.
+
+        A host that is cut off or down for longer never answers.
+        """
+        while time.monotonic() < received_at + DELIVERY_TIME and host.executor is None:
+            await anyio.sleep(CHECK_INTERVAL)
         if not host.reachable or host.executor is None:
             await anyio.sleep_forever()
         assert host.executor is not None
@@ -332,3 +338,13 @@
             with anyio.move_on_after(document.get("waitMs", 0) / 1000):
                 await executor.run_ended.wait()
         return executor.report(time.monotonic())
+
+
+def _port(connection: Any) -> int | None:
+    """Return the local port of a server's connection; None before it is set up."""
+    return connection.server[1] if connection.server else None
+
+
+def _reset(connections: list[Any]) -> None:
+    for connection in connections:
+        connection.transport.abort()
--- a/vanillawell/standins/soak/plan.py
+++ b/vanillawell/standins/soak/plan.py
@@ -13,6 +13,10 @@
 """Seconds at the end of the load without faults."""
 
 
+EXECUTORS_FOR_RULES = 60
+"""Executors that `RULES` are meant for."""
+
+
 class FaultKind(StrEnum):
     """What goes wrong."""
 
@@ -77,20 +81,25 @@
     """Numbers of executors or entries, taken modulo how many there are."""
 
 
-def build_plan(seed: int, seconds: float) -> list[Fault]:
-    """Return the faults of a seed, in order."""
+def build_plan(seed: int, seconds: float, executors: int) -> list[Fault]:
+    """Return the faults of a seed, in order; more executors fail at a time if there are more."""
     chance = random.Random(seed)
+    factor = max(1, round(executors / EXECUTORS_FOR_RULES))
     faults = [
-        fault for kind, rule in RULES.items() for fault in _faults(kind, rule, seconds, chance)
+        fault
+        for kind, rule in RULES.items()
+        for fault in _faults(kind, rule, factor, seconds, chance)
     ]
     return sorted(faults, key=lambda fault: fault.at)
 
 
-def _faults(kind: FaultKind, rule: FaultRule, end: float, chance: random.Random) -> list[Fault]:
+def _faults(
+    kind: FaultKind, rule: FaultRule, factor: int, end: float, chance: random.Random
+) -> list[Fault]:
     faults = []
     at = QUIET_START + chance.expovariate(1 / rule.interval)
     while at < end - QUIET_END:
-        count = chance.randint(1, rule.most_targets)
+        count = chance.randint(1, factor * rule.most_targets)
         targets = tuple(chance.randrange(10_000) for _ in range(count))
         faults.append(Fault(at, kind, chance.uniform(rule.shortest, rule.longest), targets))
         at += chance.expovariate(1 / rule.interval)
--- a/vanillawell/standins/soak/play.py
+++ b/vanillawell/standins/soak/play.py
@@ -117,7 +117,7 @@
         callers = Callers(self.entries, POOLS, job_kinds(options.executors), cores, chance)
         self.tasks.start_soon(callers.run)
         began_at = time.monotonic()
-        for fault in build_plan(options.seed, options.seconds):
+        for fault in build_plan(options.seed, options.seconds, options.executors):
             await anyio.sleep(max(0.0, began_at + fault.at - time.monotonic()))
             self.tasks.start_soon(self._inject, fault, hosts)
         await anyio.sleep(max(0.0, began_at + options.seconds - time.monotonic()))
--- a/vanillawell/standins/soak/record.py
+++ b/vanillawell/standins/soak/record.py
@@ -39,7 +39,7 @@
     received_at: float
     began_at: float
     late: bool = False
-    """Whether the executor carried out the order late, after leaving it unanswered."""
+    """Whether the order was left unanswered and carried out late, or reached the next life."""
 
     stop_requested_at: float | None = None
     ended_at: float | None = None
--- a/vanillawell/tests/soak_tests.py
+++ b/vanillawell/tests/soak_tests.py
@@ -122,8 +122,8 @@
 
 # Guards against plans that differ between two plays of a seed, or leave a kind of fault out.
 def test_plan_follows_from_its_seed() -> None:
-    plan = build_plan(7, 600)
-    assert plan == build_plan(7, 600)
+    plan = build_plan(7, 600, 60)
+    assert plan == build_plan(7, 600, 60)
     assert {fault.kind for fault in plan} == set(RULES)
 
 
