Charge the room of runs that an executor reports and no task refers to

What callers saw: nothing yet; found by reading beside the work on lives. An executor that runs what nobody is charged for, as after an order that reached its next life, is filled as if it ran nothing of it (LIMIT). Cause: orphans of a report were stopped, but their room counted as free until they had ended. Class: room that is given away on what the books say, against what the executor says. Change: an incarnation keeps the orphans that it has reported, with the size that their job states; Executor.free leaves it out, and an orphan of an unknown job keeps new tasks away, until a report on a later call leaves them out. Why it works: placement asks Executor.free and Incarnation.may_get_tasks, which know them from the same report that has them stopped. What remains: orphans that no report has listed yet, and rows whose names are none of vanillawell's, which can't be stopped.

--- a/vanillawell/coordination/executor_driver.py
+++ b/vanillawell/coordination/executor_driver.py
@@ -120,6 +120,7 @@
             or any(run.phase is not RunPhase.PLANNED for run in executor.runs.values())
             or self._confirmable_end() > executor.incarnation.confirmed_end
             or bool(executor.unsaved_ends)
+            or bool(executor.incarnation.orphans)
         )
 
     def _confirmable_end(self) -> int:
@@ -185,6 +186,8 @@
         runs = self._executor.runs.values()
         if any(_delays_next_move(run) for run in runs):
             return START_UP_HOLD_WAIT
+        if self._executor.incarnation.orphans:
+            return SHORT_HOLD_WAIT
         if any(self._needs_short_hold(run) for run in runs):
             return SHORT_HOLD_WAIT
         return LONG_HOLD_WAIT
--- a/vanillawell/state/executors.py
+++ b/vanillawell/state/executors.py
@@ -155,8 +155,10 @@
 
     @property
     def free(self) -> Resources:
-        """Return the capacity that is not charged."""
-        return self.facts.capacity - self.used
+        """Return the capacity that no run uses, whether it is charged or orphaned."""
+        free = self.facts.capacity - self.used
+        orphans = self.incarnation.orphans
+        return free - orphans.room if orphans else free
 
     @property
     def saved_end(self) -> int:
@@ -229,8 +231,7 @@
         """Return whether it accepts new tasks, but for being withheld or vacating."""
         return (
             self.registered
-            and self.incarnation.is_registered
-            and not self.incarnation.is_doubted
+            and self.incarnation.may_get_tasks
             and self.contacted
             and not self.facts.draining
             and not self.cordoned
--- a/vanillawell/state/incarnations.py
+++ b/vanillawell/state/incarnations.py
@@ -9,6 +9,8 @@
 
 from dataclasses import dataclass, field
 
+from vanillawell.state.orphans import Orphans
+
 
 @dataclass(slots=True, eq=False)
 class Incarnation:
@@ -38,6 +40,14 @@
     confirmed_end: int = 0
     """Highest sequence number that it has been told to forget."""
 
+    orphans: Orphans = field(default_factory=Orphans)
+    """Runs that it has reported and that no task is charged for."""
+
+    @property
+    def may_get_tasks(self) -> bool:
+        """Return whether it is known which incarnation answers, and what room it has."""
+        return self.is_registered and not self.is_doubted and not self.orphans.has_unknown
+
     @property
     def saved_end(self) -> int:
         """Return the highest sequence number up to which all ends are stored."""
--- /dev/null
+++ b/vanillawell/tests/orphans_tests.py
@@ -0,0 +1,63 @@
+"""Test that runs which no task is charged for use capacity until they have ended."""
+
+from __future__ import annotations
+
+from vanillawell.protocol.executor_calls import HoldReport, ReportedRun
+from vanillawell.state.work import Run, TaskId
+from vanillawell.tests.scheduling_builders import ShardHarness, facts, job, step
+
+ORPHANS = 3
+"""Orphaned tasks of one core each."""
+
+
+def orphaned_runs() -> tuple[ShardHarness, list[Run]]:
+    """Return runs on an executor of 8 cores that were closed and are reported all the same."""
+    harness = ShardHarness(facts("i-0"))
+    harness.admit(job(step(ORPHANS, cpu=1_000)))
+    runs = harness.place()
+    for run in runs:
+        harness.shard.ledger.close(run)
+        run.task.done = True
+    return harness, runs
+
+
+def report(harness: ShardHarness, rows: list[ReportedRun], sent: float) -> None:
+    """Let the executor report `rows` as running, on a call that was sent at `sent`."""
+    executor = harness.shard.ledger.executors["i-0"]
+    harness.now += 1.0
+    harness.shard.apply_report(executor, HoldReport(0.0, 1, rows, []), sent, harness.now, 0.0)
+
+
+def row(task_id: TaskId, number: int = 1) -> ReportedRun:
+    """Return a run that is reported as running."""
+    return ReportedRun(task_id, number, "", 0, 0.0)
+
+
+# Guards against filling an executor beyond its capacity beside runs that are being stopped.
+def test_orphans_use_capacity_until_a_report_leaves_them_out() -> None:
+    harness, runs = orphaned_runs()
+    report(harness, [row(run.task.task_id) for run in runs], harness.now)
+    harness.admit(job(step(8, cpu=1_000)))
+    assert len(harness.place()) == 8 - ORPHANS
+    report(harness, [], harness.now)
+    assert len(harness.place()) == ORPHANS
+
+
+# Guards against giving the room away on a report that is older than the one that lists them.
+def test_earlier_report_does_not_end_an_orphan() -> None:
+    harness, runs = orphaned_runs()
+    before = harness.now
+    report(harness, [row(run.task.task_id) for run in runs], harness.now)
+    report(harness, [], before)
+    harness.admit(job(step(8, cpu=1_000)))
+    assert len(harness.place()) == 8 - ORPHANS
+
+
+# Guards against taking a run of unknown size for one that uses nothing.
+def test_executor_with_an_orphan_of_an_unknown_job_gets_no_tasks() -> None:
+    harness = ShardHarness(facts("i-0"))
+    report(harness, [row(TaskId("f" * 16, 0, 0, 0))], harness.now)
+    harness.admit(job(step(8, cpu=1_000)))
+    assert harness.place() == []
+    report(harness, [], harness.now)
+    assert len(harness.place()) == 8
