Have an executor's next life reject orders that may still reach it before it gets a task

What callers saw: a task runs again after its end was confirmed (TWICE), on an executor that has started again under its id, by an order that was on its way when its former life was proved to have ended; beside new work such an order exceeds its room (LIMIT). Cause: orders name the executor only, and one without an answer may be carried out seconds later. The proof of an end closes all runs, and with them went the knowledge that an order was open; the clock of the next life starts anew, so that the order isn't late there. A stop that the former life had confirmed closed an open order as well. Class: what one life has promised is taken for the next one's word. Change: orders without an outcome of runs that are closed with their executor (proof of its end, or expired leases) are kept by id (OpenOrders); its next life gets stops for them as soon as it has reported, and nothing else before it has confirmed them all ("a run that is not there yet will be rejected"). Confirmed stops of runs that stay charged are requested anew from a new life. Why it works: an executor refuses a run up to the number that was stopped there, and its capacity is offered only after that. What remains: an order that is carried out between the start of the next life and its first report with the stops that follow, two round trips. Cost: one call for each open order, for an executor that starts again; none otherwise.

--- a/vanillawell/coordination/executor_driver.py
+++ b/vanillawell/coordination/executor_driver.py
@@ -121,6 +121,7 @@
             or self._confirmable_end() > executor.incarnation.confirmed_end
             or bool(executor.unsaved_ends)
             or bool(executor.incarnation.orphans)
+            or bool(executor.incarnation.open_orders)
         )
 
     def _confirmable_end(self) -> int:
@@ -230,6 +231,7 @@
         self._record_contact()
         self._link.shard.apply_report(self._executor, report, sent, now, self._link.wall())
         self._link.identify_incarnation(sent)
+        self._orders.reject_open_orders()
         if not self._contact_logged:
             self._contact_logged = True
             log.info(
--- a/vanillawell/coordination/run_orders.py
+++ b/vanillawell/coordination/run_orders.py
@@ -74,6 +74,7 @@
         self._slots = anyio.Semaphore(MAX_CONCURRENT_ORDERS)
         self._pacer = Pacer()
         self._is_identifying = False
+        self._is_rejecting = False
 
     def submit(self, run: Run, stored_at: float) -> None:
         """Send the start order of a stored decision."""
@@ -255,7 +256,9 @@
     async def _stop(self, run: Run) -> None:
         key = (run.task.task_id, run.number)
         while key in self._link.executor.runs and run.stop_confirmed is None:
-            if await self._stop_once(run.task.task_id, run.number):
+            incarnation = self._link.executor.incarnation
+            is_confirmed = await self._stop_once(run.task.task_id, run.number)
+            if is_confirmed and self._link.executor.incarnation is incarnation:
                 run.stop_confirmed = clock.read()
                 log.info("run stopped", extra=self._link.describe(run))
                 break
@@ -283,6 +286,26 @@
                 return
             await anyio.sleep(RETRY_DELAY)
 
+    def reject_open_orders(self) -> None:
+        """Have the incarnation that has reported reject the orders to its predecessors that may
+        still reach it."""
+        if self._link.executor.incarnation.open_orders and not self._is_rejecting:
+            self._is_rejecting = True
+            self._tasks.start_soon(self._reject_open_orders)
+
+    async def _reject_open_orders(self) -> None:
+        incarnation = self._link.executor.incarnation
+        fields = {"executor": incarnation.executor, "life": incarnation.started}
+        log.warning("orders of a former life", extra={**fields, "n": len(incarnation.open_orders)})
+        try:
+            for task_id, run in sorted(incarnation.open_orders):
+                if not self._link.is_identified or not await self._stop_once(task_id, run):
+                    return
+                incarnation.open_orders.discard((task_id, run))
+        finally:
+            self._is_rejecting = False
+        self._link.wake_owner()
+
     def stop_orphan(self, orphan: OrphanedRun) -> None:
         """Stop a run that no task refers to."""
         self._tasks.start_soon(self._stop_orphan, orphan)
--- a/vanillawell/state/executors.py
+++ b/vanillawell/state/executors.py
@@ -173,7 +173,12 @@
         runs it has: an order that was just sent may already have reached the new incarnation.
         """
         self.facts = replace(self.facts, incarnation=started)
-        self.incarnation = Incarnation(self.facts.executor, started)
+        open_orders = self.incarnation.open_orders
+        self.incarnation = Incarnation(self.facts.executor, started, open_orders=open_orders)
+        for run in self.runs.values():
+            if run.stop_confirmed is not None:
+                # Only the former incarnation has promised to reject it.
+                run.stop_confirmed, run.stop_requested = None, False
         self.contacted = False
         self.evidence = FailureEvidence()
         self.earliest_departure = None
--- a/vanillawell/state/incarnations.py
+++ b/vanillawell/state/incarnations.py
@@ -8,9 +8,13 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
 
 from vanillawell.state.orphans import Orphans
 
+if TYPE_CHECKING:
+    from vanillawell.state.work import TaskId
+
 
 @dataclass(slots=True, eq=False)
 class Incarnation:
@@ -43,10 +47,15 @@
     orphans: Orphans = field(default_factory=Orphans)
     """Runs that it has reported and that no task is charged for."""
 
+    open_orders: set[tuple[TaskId, int]] = field(default_factory=set)
+    """Runs of former incarnations whose start orders may still reach this one, which has yet to
+    confirm that it rejects them."""
+
     @property
     def may_get_tasks(self) -> bool:
         """Return whether it is known which incarnation answers, and what room it has."""
-        return self.is_registered and not self.is_doubted and not self.orphans.has_unknown
+        is_room_known = self.is_registered and not self.orphans.has_unknown
+        return is_room_known and not self.is_doubted and not self.open_orders
 
     @property
     def saved_end(self) -> int:
--- a/vanillawell/state/ledger.py
+++ b/vanillawell/state/ledger.py
@@ -28,6 +28,7 @@
     may_quarantine,
 )
 from vanillawell.state.incarnations import Incarnation
+from vanillawell.state.open_orders import OpenOrders
 from vanillawell.state.placement_restrictions import PlacementRestrictions
 from vanillawell.state.reliability.failure_evidence import PoolFailureRate
 from vanillawell.state.reported_runs import has_ended, may_still_start, update_run
@@ -90,6 +91,7 @@
         """Latest terminated incarnation of each executor whose registration may still exist."""
 
         self._usage: defaultdict[str, Resources] = defaultdict(Resources)
+        self._open_orders = OpenOrders()
         self._restrictions = PlacementRestrictions()
         self._failure_rates: defaultdict[str, PoolFailureRate] = defaultdict(PoolFailureRate)
         """Failure rate of each service's executors."""
@@ -167,6 +169,7 @@
             return []
         executor = Executor(facts, now, registered=False)
         executor.update_facts(facts, now)
+        executor.incarnation.open_orders |= self._open_orders.take(facts.executor, now)
         self._restrictions.apply(executor, is_new=True)
         self.executors[facts.executor] = executor
         if not facts.machine:
@@ -184,17 +187,21 @@
             )
         ]
 
-    @staticmethod
-    def _update(tracked: Executor, facts: ExecutorFacts, now: float) -> None:
+    def _update(self, tracked: Executor, facts: ExecutorFacts, now: float) -> None:
         if facts.incarnation < tracked.facts.incarnation:
             return
         if facts.incarnation > tracked.facts.incarnation:
-            tracked.begin_incarnation(facts.incarnation, now)
+            self._begin_incarnation(tracked, facts.incarnation, now)
         tracked.update_facts(facts, now)
 
+    def _begin_incarnation(self, executor: Executor, started: int, now: float) -> None:
+        executor.begin_incarnation(started, now)
+        executor.incarnation.open_orders |= self._open_orders.take(executor.name, now)
+
     def _close_all(self, executor: Executor, proof: EndProof) -> list[EndedRun]:
         runs = list(executor.runs.values())
         for run in runs:
+            self._open_orders.add(run)
             self._discharge(executor, run)
         return [EndedRun(run, Ending.LOST, proof) for run in runs]
 
@@ -300,6 +307,7 @@
                 continue
             expired = [run for run in executor.runs.values() if run.phase is not RunPhase.PLANNED]
             for run in expired:
+                self._open_orders.add(run)
                 self._discharge(executor, run)
                 ended.append(EndedRun(run, Ending.LEASE_EXPIRED, EndProof.LEASE_EXPIRED))
             self._remove_if_unused(executor)
@@ -321,7 +329,7 @@
         if executor.is_from_earlier_incarnation(report.incarnation, sent):
             return outcome
         if report.incarnation != executor.facts.incarnation:
-            executor.begin_incarnation(report.incarnation, now)
+            self._begin_incarnation(executor, report.incarnation, now)
         executor.record_answer(sent)
         executor.incarnation.has_unlisted_ends = not report.lists_all_ends
         for end in report.ended:
--- a/vanillawell/tests/scheduler_cluster.py
+++ b/vanillawell/tests/scheduler_cluster.py
@@ -18,14 +18,14 @@
 from vanillawell.platform.callers import CallerApp
 from vanillawell.platform.http import HttpClient
 from vanillawell.platform.process import build_ports
-from vanillawell.standins.scheduler.executor import Audit, StandInExecutor
+from vanillawell.standins.scheduler.executor import MAX_BODY_BYTES, Audit, StandInExecutor
 from vanillawell.standins.scheduler.machines import StandInMachine, StandInMachines
 from vanillawell.standins.scheduler.store import StandInStore
 from vanillawell.tests.interruptible_store import InterruptibleStore
-from vanillawell.transport.asgi import bind, server
+from vanillawell.transport.asgi import bind, read_body, server
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator, Callable
+    from collections.abc import AsyncIterator, Awaitable, Callable
 
     from anyio.abc import TaskGroup
 
@@ -84,10 +84,26 @@
     endpoint: Endpoint | None = None
     """Where the present incarnation listens."""
 
+    late_starts: anyio.Event | None = None
+    """If set, starts are on their way until this event, and reach whichever incarnation is there
+    then."""
+
     async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
+        if self.late_starts is not None and scope["path"] == "/run-start":
+            receive = _replay(await read_body(receive, MAX_BODY_BYTES))
+            await self.late_starts.wait()
         await self.executor(scope, receive, send)
 
 
+def _replay(body: bytes) -> Callable[[], Awaitable[dict[str, Any]]]:
+    """Return a `receive` that delivers a body that was read before."""
+
+    async def receive() -> dict[str, Any]:
+        return {"type": "http.request", "body": body, "more_body": False}
+
+    return receive
+
+
 class Endpoint:
     """A listening address, and the connections that were opened to it."""
 
