--- a/vanillawell/coordination/run_orders.py
+++ b/vanillawell/coordination/run_orders.py
@@ -99,6 +99,8 @@
 
     async def _await_identification(self) -> None:
         """Wait briefly until it is known which incarnation the order would reach."""
+        if self._link.executor.unresponsive_since is not None:
+            return
         with anyio.move_on_after(MAX_START_AGE):
             while not self._link.is_identified:
                 await self._link.identified.wait()
@@ -164,8 +166,9 @@
             self._mark_not_started(run, str(error))
         except NoAnswerError as error:
             self._link.block_if_unresponsive(now)
-            self._doubt_incarnation()
+            self._link.doubt_incarnation()
             await self._resolve_uncertain(run, str(error))
+            self._identify_if_needed()
         except WrongIncarnationError:
             self._link.record_termination(target)
             self._mark_not_started(run, "addressed to a previous incarnation")
@@ -206,8 +209,10 @@
         """Learn from a report at once which incarnation answers; the waiting hold call was sent too
         early to show it."""
         self._link.doubt_incarnation()
-        self._notify()
-        if not self._is_identifying:
+        self._identify_if_needed()
+
+    def _identify_if_needed(self) -> None:
+        if not self._link.is_identified and not self._is_identifying:
             self._is_identifying = True
             self._tasks.start_soon(self._identify)
 
