Take an executor for replaced only by a later one that answers

What callers could see: a complete entry that names the machine of an executor at work, written later or merely dated later, has all its tasks started again elsewhere while they run on; the executor itself is dropped. A clock that was set back between two lives of a machine is enough: the entry of the former life, which stands for seconds, looks like the later one to an owner that reads it first.

Cause: the registration of a later executor on a machine closed the runs of an earlier one, whether either of them answered or not.

Change: a registration closes nothing. An earlier executor of the machine gets no new tasks until it has answered a call sent from then on, and counts as replaced once it is silent (or has no address to be asked at) and a later one on its machine answers (state/replaced_executors.py, looked at in each cycle beside the leases). The later executor is called on its registration anyway; the earlier one gets one call more, and only where two share a machine.

Test changed: ledger_tests.py::test_new_executor_on_a_machine_ends_the_runs_of_the_previous_one asserted that the registration alone ends them. It now asserts that it doesn't while the previous one answers, and that silence ends them though the lease has 5 s left.

Why it works: a dead executor can't answer, whatever its entry's date; a living one answers for itself before anything is concluded about it.

--- a/vanillawell/coordination/registry.py
+++ b/vanillawell/coordination/registry.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import logging
-import time
 from typing import TYPE_CHECKING
 
 import anyio
@@ -158,7 +157,7 @@
                     "remaining": facts.remaining,
                 },
             )
-        self._shard.register(facts, clock.read(), time.time())
+        self._shard.register(facts, clock.read())
         return is_new
 
     def _unregister(self, name: str) -> None:
--- a/vanillawell/coordination/shard_owner.py
+++ b/vanillawell/coordination/shard_owner.py
@@ -232,6 +232,7 @@
         while True:
             now = clock.read()
             self._leases.subtract_elapsed_time(self._shard.ledger.executors.values(), now)
+            self._shard.close_replaced(now, time.time())
             self._shard.expire(now, time.time())
             ready = self._inbox.is_read and self._inherited_orders.are_loaded
             if ready and self._placing:
--- a/vanillawell/standins/experiment/simulation.py
+++ b/vanillawell/standins/experiment/simulation.py
@@ -148,7 +148,7 @@
             draining=False,
             cold_remaining=workload.cold_seconds if self.now > self._began else 0.0,
         )
-        self.shard.register(facts, self.now, self.now)
+        self.shard.register(facts, self.now)
         self.shard.ledger.executors[facts.executor].contacted = True
 
     def _make_job(self, queue: int, steps: tuple[Step, ...]) -> Job:
--- a/vanillawell/state/end_proofs.py
+++ b/vanillawell/state/end_proofs.py
@@ -25,7 +25,7 @@
     """The order was not sent, or the executor refused it."""
 
     OTHER_EXECUTOR = "another executor answers at the address"
-    NEXT_ON_MACHINE = "a later executor is registered on its machine"
+    NEXT_ON_MACHINE = "a later executor answers on its machine"
     MACHINE_LIST = "another state of its machine"
     NOT_LISTED = "on no machine, twice"
     MACHINE_ORDERED = "its machine was moved or taken for upkeep"
--- a/vanillawell/state/executors.py
+++ b/vanillawell/state/executors.py
@@ -108,10 +108,11 @@
     """Whether it gets no new tasks so that another pool can have its machine."""
 
     withheld: bool = False
-    """Whether a previous owner's order for its machine may still end it, or may have ended it."""
+    """Whether it may have ended, or may be ended: by a previous owner's order for its machine, or
+    since a later executor is registered there."""
 
     order_void_since: float | None = None
-    """Time since which that order can no longer take effect, so that an answer to a later call
+    """Time since which such an order can no longer take effect, so that an answer to a later call
     proves that the executor still runs. None while the order may take effect."""
 
     awaits_upkeep: bool = False
@@ -228,6 +229,14 @@
         if self.order_void_since is not None and sent >= self.order_void_since:
             self.withheld, self.order_void_since = False, None
 
+    def require_answer(self, now: float) -> None:
+        """Place no new tasks on it until it has answered a call sent from now on.
+
+        Nothing changes while an order may still end it: until then an answer proves too little.
+        """
+        if not self.withheld or self.order_void_since is not None:
+            self.withheld, self.order_void_since = True, now
+
     def accepts_tasks(self, now: float) -> bool:
         """Return whether new tasks may be placed on it."""
         return self.is_healthy(now) and not self.withheld and not self.vacating
--- a/vanillawell/state/ledger.py
+++ b/vanillawell/state/ledger.py
@@ -31,6 +31,7 @@
 from vanillawell.state.open_orders import OpenOrders
 from vanillawell.state.placement_restrictions import PlacementRestrictions
 from vanillawell.state.reliability.failure_evidence import PoolFailureRate
+from vanillawell.state.replaced_executors import find_earlier, find_replaced
 from vanillawell.state.reported_runs import has_ended, may_still_start, update_run
 from vanillawell.state.work import NO_RESOURCES, Ending, Resources, Run, RunPhase, Task, TaskId
 
@@ -153,39 +154,32 @@
         registered = {name for name, item in self.executors.items() if item.registered}
         return registered | self._terminated.keys()
 
-    def register(self, facts: ExecutorFacts, now: float) -> list[EndedRun]:
-        """Apply an executor's registration; return the runs that ended because of it.
+    def register(self, facts: ExecutorFacts, now: float) -> None:
+        """Apply an executor's registration.
 
-        A machine runs one executor at a time, so the runs of an earlier executor on the same
-        machine have ended. A terminated incarnation's registration remains for a few seconds and
-        may be read again; it is ignored, since its executor would look idle and healthy.
+        A machine runs one executor at a time, so an earlier executor on the same machine gets no
+        new tasks until it has answered once more. A terminated incarnation's registration remains
+        for a few seconds and may be read again; it is ignored, since its executor would look idle
+        and healthy.
         """
         if self.is_terminated(facts):
-            return []
+            return
         tracked = self.executors.get(facts.executor)
         if tracked is not None:
             self._update(tracked, facts, now)
             self._restrictions.apply(tracked, is_new=False)
-            return []
+            return
         executor = Executor(facts, now, registered=False)
         executor.update_facts(facts, now)
         executor.incarnation.open_orders |= self._open_orders.take(facts.executor, now)
         self._restrictions.apply(executor, is_new=True)
         self.executors[facts.executor] = executor
-        if not facts.machine:
-            return []
-        earlier = [
-            item
-            for item in self.executors.values()
-            if item.facts.machine == facts.machine and item.facts.incarnation < facts.incarnation
-        ]
-        return [
-            ended
-            for item in earlier
-            for ended in self.mark_terminated(
-                item.name, item.facts.incarnation, EndProof.NEXT_ON_MACHINE
-            )
-        ]
+        for earlier in find_earlier(self.executors.values(), facts):
+            earlier.require_answer(now)
+
+    def replaced(self) -> list[Executor]:
+        """Return the executors that a later one on their machine has certainly replaced."""
+        return find_replaced(self.executors.values())
 
     def _update(self, tracked: Executor, facts: ExecutorFacts, now: float) -> None:
         if facts.incarnation < tracked.facts.incarnation:
--- a/vanillawell/state/shard.py
+++ b/vanillawell/state/shard.py
@@ -176,9 +176,9 @@
         if run.phase is not RunPhase.PLANNED:
             self.outbox.stop(run)
 
-    def register(self, facts: ExecutorFacts, now: float, wall: float) -> None:
+    def register(self, facts: ExecutorFacts, now: float) -> None:
         """Apply an executor's registration."""
-        self._apply_ends(self.ledger.register(facts, now), now, wall)
+        self.ledger.register(facts, now)
 
     def mark_terminated(
         self, name: str, incarnation: int, proof: EndProof, now: float, wall: float
@@ -186,6 +186,15 @@
         """Close the runs of an incarnation that is confirmed to have terminated."""
         self._apply_ends(self.ledger.mark_terminated(name, incarnation, proof), now, wall)
 
+    def close_replaced(self, now: float, wall: float) -> None:
+        """Close the runs of executors that a later one on their machine has replaced."""
+        for executor in self.ledger.replaced():
+            proof = EndProof.NEXT_ON_MACHINE
+            fields = {"executor": executor.name, "machine": executor.facts.machine}
+            figures = {"reason": proof, "runs": len(executor.runs)}
+            log.warning("executor has ended", extra={**fields, **figures})
+            self.mark_terminated(executor.name, executor.facts.incarnation, proof, now, wall)
+
     def expire(self, now: float, wall: float) -> None:
         """Close runs whose lease has expired for certain."""
         ended = self.ledger.expire(now)
--- a/vanillawell/tests/ledger_tests.py
+++ b/vanillawell/tests/ledger_tests.py
@@ -30,13 +30,16 @@
 def test_new_executor_on_a_machine_ends_the_runs_of_the_previous_one() -> None:
     """Maintenance of a machine terminates its executor without a report.
 
-    Once another executor registers on the machine, the runs of the previous one have ended, and
-    their tasks start again.
+    Once another executor on the machine answers and the previous one does not, the runs of the
+    previous one have ended, and their tasks start again without waiting for its leases.
     """
     harness = ShardHarness(facts("i-0"))
     harness.admit(job(step(2)))
     assert len(harness.place()) == 2
+    harness.shard.ledger.executors["i-0"].lease_expires_at = harness.now + 5.0
     harness.register(facts("i-1", incarnation=2, machine="m-i-0"))
+    assert harness.place() == []
+    harness.shard.ledger.executors["i-0"].unresponsive_since = harness.now
     assert [run.executor for run in harness.place()] == ["i-1", "i-1"]
 
 
@@ -47,7 +50,7 @@
     """
     harness = ShardHarness(facts("i-0"))
     harness.shard.mark_terminated("i-0", 1, EndProof.MACHINE_ORDERED, harness.now, harness.now)
-    harness.shard.register(facts("i-0"), harness.now, harness.now)
+    harness.shard.register(facts("i-0"), harness.now)
     assert not harness.shard.ledger.executors
     harness.register(facts("i-0", incarnation=2))
     harness.admit(job(step()))
--- a/vanillawell/tests/scheduling_builders.py
+++ b/vanillawell/tests/scheduling_builders.py
@@ -95,7 +95,7 @@
 
     def register(self, item: ExecutorFacts) -> Executor:
         """Register an executor and let it report."""
-        self.shard.register(item, self.now, self.now)
+        self.shard.register(item, self.now)
         executor = self.shard.ledger.executors[item.executor]
         executor.contacted = True
         return executor
@@ -107,6 +107,7 @@
 
     def plan(self) -> list[Run]:
         """Run one scheduling cycle and return the runs that it planned."""
+        self.shard.close_replaced(self.now, self.now)
         self.shard.place(self.now, self.now)
         runs, self.shard.outbox.planned = self.shard.outbox.planned, []
         return runs
