Ask an executor whose overdue machine is on no list, instead of taking it for ended

What callers could see: tasks of an executor at work start again elsewhere, because one list of machines lacked its machine (a page that changed between two readings, a service that recovers).

Cause: a machine that was expected in another pool, as a list had shown it on its way, and did not come in time was looked up in the next list. If it was missing there, the executor registered on it was recorded as ended by an order, with all its runs. No sentence of the platform's page says so: the list of machines is read in pages, and nothing was ordered.

Change: what one list leaves out closes nothing. The executor gets no new tasks until it has answered a call sent from then on; if it doesn't, it is silent, and the list of machines (twice) or its leases decide as for any other. A list that shows the machine in the pool it was sent to still ends the executor of the former pool: a move ends everything on the machine.

Why it works: a living executor answers within milliseconds and is used again; one that is gone can't answer, so that no task is placed on it either.

--- a/vanillawell/coordination/pool_rebalancer.py
+++ b/vanillawell/coordination/pool_rebalancer.py
@@ -284,10 +284,15 @@
         pool, _ = self._arriving[name]
         self._stop_expecting(name)
         machine = self._machines.get(name)
-        if machine is None or machine.pool == pool:
+        if machine is not None and machine.pool == pool:
             self._record_termination(executor)
-        else:
-            executor.cordoned = False
+            return
+        executor.cordoned = False
+        if machine is None:
+            # One list proves nothing about a machine that it leaves out; the executor itself does.
+            executor.require_answer(clock.read())
+            fields = {"machine": name, "executor": executor.name, "runs": len(executor.runs)}
+            log.warning("overdue machine not listed", extra=fields)
 
     def _record_termination(self, executor: Executor) -> None:
         """Record that a machine has changed its pool, which terminates the executor on it at
