End the executor that a move was ordered for, not the next one under its id

What callers could see: a machine that was moved is never used in its new pool, and tasks placed there by then start again elsewhere.

Cause: the order's confirmation ended whatever incarnation the id had as the answer came. An answer may take two seconds, a move one and a half, and a machine may come back under the id that it had. Then its new life was recorded as ended, so that its registration was ignored for as long as it lived; the object stayed cordoned besides.

Change: what the order was for is noted as it goes out (as upkeep orders do). If the next incarnation is known by the time of the answer, that one is uncordoned and nothing ends: the former one's runs are told by its successor's reports.

Why it works: a move ends what was on the machine as it was carried out; what registers afterwards came by it.

--- a/vanillawell/coordination/pool_rebalancer.py
+++ b/vanillawell/coordination/pool_rebalancer.py
@@ -18,7 +18,7 @@
 from vanillawell.protocol.machine_calls import MachineState, UpkeepRefusedError
 from vanillawell.state.end_proofs import EndProof
 from vanillawell.state.pool_sizing import MachineMove, PoolDemand, PoolSizer
-from vanillawell.state.upkeep import LIST_LAG
+from vanillawell.state.upkeep import LIST_LAG, incarnation_id
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -320,6 +320,7 @@
 
     async def _move(self, move: MachineMove, executor: Executor | None) -> None:
         fields = {"machine": move.machine, "pool": move.pool, "reason": move.reason}
+        ordered = incarnation_id(executor) if executor is not None else ""
         try:
             await self._ports.machines.move(move.machine, move.pool, self._orders.duty)
         except UpkeepRefusedError as error:
@@ -332,8 +333,11 @@
             self._listed_at = float("-inf")
             return
         log.info("machine moved", extra={**fields, "token": self._term.token})
-        if executor is not None:
+        if executor is not None and incarnation_id(executor) == ordered:
             self._record_termination(executor)
+        elif executor is not None:
+            # The answer was late: the machine is back, with the next incarnation under the same id.
+            executor.cordoned = False
         listed_machine = self._machines.get(move.machine)
         if listed_machine is not None:
             self._machines[move.machine] = replace(listed_machine, pool=move.pool, executor=None)
--- a/vanillawell/tests/moved_executors_tests.py
+++ b/vanillawell/tests/moved_executors_tests.py
@@ -75,6 +75,21 @@
     assert ("i-0" not in harness.shard.ledger.executors) is ended
 
 
+def test_late_answer_to_a_move_does_not_end_the_next_life_of_the_executor() -> None:
+    """The answer takes longer than the move, and the machine is back under the same id. If its new
+    life counted as ended, its registration would be ignored for as long as it lives."""
+    harness = ShardHarness(facts("i-0"))
+    arrived = facts("i-0", incarnation=2, service=OTHER_POOL)
+    pools = rebalancer(harness, lambda: harness.shard.register(arrived, harness.now))
+    move = MachineMove("m-i-0", OTHER_POOL, "needed")
+    executor = harness.shard.ledger.executors["i-0"]
+    pools._cordon(move, executor)
+    anyio.run(pools._move, move, executor)
+    executor.record_answer(clock.read())
+    assert harness.shard.ledger.executors["i-0"].facts == arrived
+    assert executor.accepts_tasks(clock.read())
+
+
 def test_confirmed_move_ends_the_executor() -> None:
     harness = ShardHarness(facts("i-0"))
     move = MachineMove("m-i-0", OTHER_POOL, "needed")
