--- a/vanillawell/tests/registry_tests.py
+++ b/vanillawell/tests/registry_tests.py
@@ -15,6 +15,8 @@
 from vanillawell.state.registrations import MAX_REMEMBERED, IgnoredBecause, Registrations
 from vanillawell.state.work import RunPhase
 from vanillawell.tests.registration_documents import registration
+from vanillawell.tests.scheduler_cluster import Cluster, config, until, with_cluster
+from vanillawell.tests.scheduler_cluster import job as body_of_job
 from vanillawell.tests.scheduling_builders import POOL, QUEUE, ShardHarness, facts, job, step
 
 if TYPE_CHECKING:
@@ -235,6 +237,27 @@
     assert watched.shard.ledger.executors["i-0"].registered
 
 
+@with_cluster(executors=1)
+async def test_executor_registered_before_its_service_is_configured_is_used(
+    built: Cluster,
+) -> None:
+    """A new pool starts before the configuration that names it."""
+    await built.add_executor("i-early")
+    shard = built.members[0].node.owned_shard
+    assert shard is not None
+    built.store.delete("servers/i-early")
+    await until(lambda: "i-early" not in shard.ledger.executors)
+    built.register("i-early", service="new")
+    await until(lambda: bool(shard.registrations.count_ignored()))
+    route = {**config()["routes"][0], "name": "new", "prefix": "/new/", "service": "new"}
+    built.store.put_document("op/config", config(2, routes=[route], services=[{"name": "new"}]))
+    await until(lambda: "i-early" in shard.ledger.executors)
+    job_id = built.new_id()
+    reply = await built.members[0].call("POST", "/new/" + job_id, body_of_job())
+    assert reply.status == 200
+    await until(lambda: built.hosts["i-early"].executor.start_count == 1)
+
+
 def test_number_of_remembered_reports_is_bounded() -> None:
     """A writer that uses a new key each time must not fill the owner's memory."""
     registrations = Registrations()
