Resume paced background tasks once no task with a target is beside them

Callers saw a background task that stood still on an executor with room: it was paused for a serving task that has ended or moved since. Cause: the pace changes only on reported tail latencies, and none is reported any more. Change: without any run that has a target the pace is full; a serving task that is charged to the executor but not at work yet still counts as one.

--- a/vanillawell/state/pacing.py
+++ b/vanillawell/state/pacing.py
@@ -51,28 +51,25 @@
         """Yield each run whose pace has to change, with its new percentage."""
         runs = list(executor.runs.values())
         background = [run for run in runs if run.task.step.spec.fills and run.started is not None]
-        if not background:
+        serving = [run for run in runs if run.task.step.spec.tail_target]
+        if not background or not serving:
             self.percent = 100
-            return
-        if any(run.pace is None for run in background):
-            self._begin_carefully(runs, now)
+        elif any(run.pace is None for run in background):
+            self._begin_carefully(now)
         else:
-            self._adjust(runs, now)
+            self._adjust(serving, now)
         for run in background:
             if run.pace != self.percent:
                 yield run, self.percent
 
-    def _begin_carefully(self, runs: list[Run], now: float) -> None:
-        """Limit the pace while that of a run is unknown, if other tasks have a target."""
-        has_targets = any(run.task.step.spec.tail_target for run in runs)
-        if has_targets and self.percent > INHERITED_PACE:
+    def _begin_carefully(self, now: float) -> None:
+        """Limit the pace while that of a run is unknown."""
+        if self.percent > INHERITED_PACE:
             self.percent, self.changed_at = INHERITED_PACE, now
 
-    def _adjust(self, runs: list[Run], now: float) -> None:
+    def _adjust(self, serving: list[Run], now: float) -> None:
         target_ratios = [
-            run.tail / run.task.step.spec.tail_target
-            for run in runs
-            if run.task.step.spec.tail_target and run.is_available
+            run.tail / run.task.step.spec.tail_target for run in serving if run.is_available
         ]
         if not target_ratios or now - self.changed_at < MIN_CHANGE_INTERVAL:
             return
--- a/vanillawell/tests/pacing_tests.py
+++ b/vanillawell/tests/pacing_tests.py
@@ -68,6 +68,18 @@
     assert [built.pace(pacer) for _ in range(2)] == [[100], []]
 
 
+def test_task_is_resumed_once_no_task_with_a_target_is_left_beside_it() -> None:
+    """The serving task that it was paused for ends or moves. No tail latency is reported any more,
+    so that the task would stay paused although it disturbs nobody."""
+    built = PacedExecutor()
+    pacer = Pacer()
+    built.set_tail(2.0)
+    assert [built.pace(pacer) for _ in range(3)] == [[40], [16], [0]]
+    assert built.serving is not None
+    built.harness.end(built.serving)
+    assert [built.pace(pacer) for _ in range(2)] == [[100], []]
+
+
 def test_unknown_pace_is_set_again_until_the_order_is_carried_out() -> None:
     """The order is lost. The pace must not rise meanwhile, since the tail latency says nothing of a
     pace that is unknown."""
