Use the executors of a service known only from a job's stored rules

A job that was accepted, still in the inbox when all processes were killed, never began if the configuration dropped its service along with its queue.

Cause: the registry uses only entries of services that a configuration or the queue of a job has named, and asks for the latter when it is listed or the configuration changes. Rules that are read with a job from the inbox come after the first listing, and nothing told the registry. Change: the reader of rules tells the owner, which applies the services to the entries that wait for one.

--- a/vanillawell/coordination/queue_rules_reader.py
+++ b/vanillawell/coordination/queue_rules_reader.py
@@ -31,12 +31,13 @@
     """
 
     def __init__(
-        self, store: PolledStore, keys: WorkKeys, shard: Shard, wake: Callable[[], None]
+        self, store: PolledStore, keys: WorkKeys, shard: Shard, on_restored: Callable[[], None]
     ) -> None:
+        """Initialise the reader; `on_restored` is called after rules were added to the shard."""
         self._store = store
         self._keys = keys
         self._shard = shard
-        self._wake = wake
+        self._on_restored = on_restored
         self._wake_event = anyio.Event()
         self._read_jobs: set[str] = set()
         """Ids of the jobs whose rules have been read; earlier versions stored none."""
@@ -93,7 +94,7 @@
             return
         log.info("rules of queue read", extra=_describe(job))
         self._shard.restore_queue_rules({job.queue: queue})
-        self._wake()
+        self._on_restored()
 
 
 def _describe(job: Job) -> dict[str, object]:
--- a/vanillawell/coordination/shard_owner.py
+++ b/vanillawell/coordination/shard_owner.py
@@ -95,7 +95,9 @@
         self._cycle_store = CycleStore(
             name, self._shard, term, keys, self._leases, self._drivers, self._inbox, telemetry
         )
-        self._rules_reader = QueueRulesReader(ports.store, keys, self._shard, self.wake)
+        self._rules_reader = QueueRulesReader(
+            ports.store, keys, self._shard, self._apply_restored_rules
+        )
         self._inherited_orders = InheritedOrders(self._shard, self.wake)
         self._registry = RegistryWatch(
             ports,
@@ -221,6 +223,11 @@
         self._shard.ledger.evacuate(self._policies.evacuated_zones.names)
         self.wake()
 
+    def _apply_restored_rules(self) -> None:
+        """Use rules that were read: they may name a service that the configuration lacks."""
+        self._registry.apply_services()
+        self.wake()
+
     async def _run_cycles(self, tasks: TaskGroup) -> None:
         """Run scheduling cycles until cancelled: decide, store and act.
 
--- a/vanillawell/tests/dropped_queue_tests.py
+++ b/vanillawell/tests/dropped_queue_tests.py
@@ -30,15 +30,19 @@
     return [route for route in routes if route["prefix"] != prefix]
 
 
-async def _lose_all_after_removal(built: Cluster, prefix: str, body: bytes) -> str:
-    """Submit a job that stays in the inbox, remove its queue, and replace all schedulers."""
+async def _lose_all_after_removal(built: Cluster, prefix: str, body: bytes, **changes: Any) -> str:
+    """Submit a job that stays in the inbox, remove its queue, and replace all schedulers.
+
+    `changes` are further changes of the configuration that removes the queue.
+    """
     owner, job_id = await built.owner(), built.new_id()
     other = next(member for member in built.members if member is not owner)
     owner.store.cut = True
     assert (await other.call("POST", prefix + job_id, body)).status == 200
     stored_with_job = built.store.items[f"vanillawell/rules/{job_id}"].revision
     assert stored_with_job == built.store.items[f"vanillawell/order/{job_id}"].revision
-    built.store.put_document("op/config", config(2, routes=_routes_without(prefix)))
+    newer = config(2, **{"routes": _routes_without(prefix), **changes})
+    built.store.put_document("op/config", newer)
     await built.kill(owner)
     await built.kill(other)
     assert f"vanillawell/record/{job_id}" not in built.store.items
@@ -92,6 +96,16 @@
     await until(lambda: f"{job_id}.1.0.0" in built.audit.started, TAKE_OVER_TIME)
 
 
+@with_cluster(members=2, executors=1)
+async def test_job_in_the_inbox_begins_although_its_service_was_removed_too(
+    built: Cluster,
+) -> None:
+    """The same if the configuration removes the service as well. Executors of a service that nobody
+    has named are not used, and the service is known only from the rules stored with the job."""
+    job_id = await _lose_all_after_removal(built, PREFIX, job(), routes=[], services=[])
+    await until(lambda: f"{job_id}.0.0.0" in built.audit.started, TAKE_OVER_TIME)
+
+
 @with_cluster(members=2, executors=1)
 async def test_job_that_needs_advice_begins_although_its_queue_was_removed(built: Cluster) -> None:
     """The same for a queue that requires advice: a start without a ticket would be refused."""
