Count a job as pending until a start of it has begun

Callers saw a queue's number of pending jobs leave out jobs for which no task had started: their only starts had been refused, or got no answer from an executor that was cut off (for as long as its lease may last). Such a job was also shown as running.

Cause: JobTable.record_start takes a decision to start for a start. Change: a job with an unanswered start counts as pending again; once all its starts are known to have failed it is queued again, in its record, too, so that a next owner counts it. What shows that a job has begun: a confirmed or reported start, an end that an executor listed, or stored progress. Starts under way still count as begun: otherwise the number would change once more with each confirmation and cost a write of its own.

Cost: no call and no write more on the way of a job. Left: a new owner that can't reach an executor counts jobs whose stored starts are charged there as begun until it knows better. JobRecord.has_started, which nothing used, is gone.

--- a/vanillawell/protocol/work_documents.py
+++ b/vanillawell/protocol/work_documents.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import itertools
 import logging
 from dataclasses import asdict, dataclass
 from typing import TYPE_CHECKING, Any
@@ -291,9 +292,17 @@
         for step, item in zip(progress, steps, strict=True):
             runs.extend(_read_progress(step, item, now))
     record.next_occurrence = document["next"]
+    record.begun = any(map(_has_begun, itertools.chain.from_iterable(record.occurrences.values())))
     return record, runs
 
 
+def _has_begun(step: StepProgress) -> bool:
+    """Return whether the stored progress of a step shows that a run of it has begun."""
+    return bool(step.failed_gangs) or any(
+        task.done or task.failures or task.checkpoint for task in step.tasks
+    )
+
+
 def _read_progress(step: StepProgress, item: dict[str, Any], now: float) -> Iterable[Run]:
     for index in item["done"]:
         step.tasks[index].done = True
--- a/vanillawell/state/job_table.py
+++ b/vanillawell/state/job_table.py
@@ -137,6 +137,11 @@
         if max(task.failures, step.failed_gangs) >= attempts:
             self._finish(step.record, JobState.FAILED, wall)
 
+    def requeue_if_not_begun(self, record: JobRecord) -> None:
+        """Set a job back to queued once its starts are all known to have failed."""
+        if record.state is JobState.RUNNING and not record.begun and not record.open_runs:
+            record.state = JobState.QUEUED
+
     def cancel(self, job_id: str, wall: float) -> JobRecord | None:
         """Cancel a job; return its record, or None if it is unknown or final."""
         record = self.jobs.get(job_id)
@@ -155,10 +160,17 @@
                 self.open_steps.pop(step, None)
 
     def pending(self) -> dict[str, int]:
-        """Return the number of jobs that have not started, by queue, without scheduled jobs."""
+        """Return the number of jobs that have not begun, by queue, without scheduled jobs.
+
+        A job whose start got no answer from an unreachable executor is still one of them.
+        """
         counts: dict[str, int] = {}
         for record in self.jobs.values():
-            if record.state is JobState.QUEUED and not record.job.times:
+            if record.begun or record.job.times:
+                continue
+            if record.state is JobState.QUEUED or (
+                record.state is JobState.RUNNING and not record.may_have_begun()
+            ):
                 counts[record.job.queue] = counts.get(record.job.queue, 0) + 1
         return counts
 
--- a/vanillawell/state/shard.py
+++ b/vanillawell/state/shard.py
@@ -50,6 +50,9 @@
 
 log = logging.getLogger(__name__)
 
+UNOBSERVED_ENDINGS = frozenset({Ending.LOST, Ending.LEASE_EXPIRED})
+"""Endings that may be inferred, of runs that may never have begun."""
+
 
 class Shard:
     """Scheduling state of one shard.
@@ -267,7 +270,10 @@
             self.durations.record(record.job.queue, task.step.spec, now - run.started)
         if item.ending is Ending.FAILED:
             task.failed_on = run.executor
+        if run.started is not None or item.ending not in UNOBSERVED_ENDINGS:
+            record.begun = True
         self.job_table.record_end(task, item.ending, item.checkpoint, wall)
+        self.job_table.requeue_if_not_begun(record)
         log_end(item, self.outbox, now)
         if task.done:
             self._stop_copies(task)
--- a/vanillawell/state/work.py
+++ b/vanillawell/state/work.py
@@ -343,6 +343,9 @@
     """When the job reached a final state, in seconds since the epoch."""
 
     open_runs: int = 0
+    begun: bool = False
+    """Whether a run of it is known to have begun; a planned start may be refused or get lost."""
+
     surplus: bool = False
     """Whether it exceeds the agreed rate of its organisation."""
 
@@ -353,10 +356,21 @@
     """Expected seconds of the longest chain of dependent steps that begins with each step, as
     estimated when the deadline was set."""
 
-    @property
-    def has_started(self) -> bool:
-        """Return whether any task of the job has been started."""
-        return self.state is not JobState.QUEUED
+    def may_have_begun(self) -> bool:
+        """Return whether a run of the job has begun or is expected to.
+
+        Starts that are under way count, so that the published number of pending jobs changes with
+        the record of the start and not a second time when it is confirmed.
+        """
+        runs = [
+            run
+            for steps in self.occurrences.values()
+            for step in steps
+            for task in step.tasks
+            for run in task.open_runs
+        ]
+        self.begun = self.begun or any(run.started is not None for run in runs)
+        return self.begun or any(run.phase is not RunPhase.UNCERTAIN for run in runs)
 
     def open(self, occurrence: int) -> list[StepProgress]:
         """Return the steps of an occurrence, creating them on first use."""
