--- a/vanillawell/standins/soak/play.py
+++ b/vanillawell/standins/soak/play.py
@@ -275,7 +275,8 @@
 
 
 async def play(options: PlayOptions) -> Outcome:
-    """Play one seed; end all processes that it started, even if it fails."""
+    """Play one seed; end all processes that it started, even if it fails or is interrupted."""
+    outcome: Outcome | None = None
     async with anyio.create_task_group() as tasks:
         current = Play(options, tasks)
         tasks.start_soon(_cancel_on_signal, tasks)
@@ -287,6 +288,8 @@
             current.record.write(options.folder / "runs.jsonl")
             (options.folder / "faults.txt").write_text("\n".join(current.record.faults) + "\n")
         tasks.cancel_scope.cancel()
+    if outcome is None:
+        raise KeyboardInterrupt
     return outcome
 
 
