--- a/vanillawell/standins/soak/callers.py
+++ b/vanillawell/standins/soak/callers.py
@@ -144,9 +144,8 @@
             state = content["state"] if status == 200 else f"status {status}"
             if state not in ("queued", "running"):
                 self.outcomes[f"{kind.name} {state}"] += 1
-                if not status or status == 410:
-                    continue
-                return
+                if status == 200:
+                    return
 
     async def _call(self, method: str, path: str, body: object = None) -> tuple[int, Any]:
         """Make a call, again at other entries after no answer; status 0 means none came."""
