Soak: an entry is a process like those of the fleet

Change: Entry extends standins.processes.Process, which lets a process be launched by another command; no second way to signal and end one.

--- a/vanillawell/standins/processes.py
+++ b/vanillawell/standins/processes.py
@@ -22,6 +22,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator
     from pathlib import Path
+    from typing import BinaryIO
 
 FIRST_PORT = 2_000
 """Lowest port that is handed out."""
@@ -179,9 +180,12 @@
 
     def start(self) -> None:
         """Start the process, appending its output to the log file."""
-        command = [sys.executable, "-m", self._module, *self._arguments]
         with self._log.open("ab") as log:
-            self._popen = subprocess.Popen(command, stdout=log, stderr=log)
+            self._popen = self._launch(log)
+
+    def _launch(self, log: BinaryIO) -> subprocess.Popen[bytes]:
+        command = [sys.executable, "-m", self._module, *self._arguments]
+        return subprocess.Popen(command, stdout=log, stderr=log)
 
     def signal(self, signal_number: signal.Signals) -> None:
         """Send a signal to the process if it was started."""
--- a/vanillawell/standins/soak/entries.py
+++ b/vanillawell/standins/soak/entries.py
@@ -4,16 +4,19 @@
 
 import os
 import shlex
-import signal
 import subprocess
 import sys
 import tomllib
 from dataclasses import dataclass
-from pathlib import Path
+from typing import TYPE_CHECKING
 
 import orjson
 
-from vanillawell.standins.processes import free_port
+from vanillawell.standins.processes import Process, free_port
+
+if TYPE_CHECKING:
+    from pathlib import Path
+    from typing import BinaryIO
 
 BOUNDS = {
     "lease_most_ms": 6000,
@@ -49,24 +52,21 @@
     machines: str
 
 
-class Entry:
+class Entry(Process):
     """One scheduler process, which can be started again after its end."""
 
     def __init__(self, name: str, zone: str, place: Place) -> None:
-        self.name = name
-        self.caller = f"127.0.0.1:{free_port()}"
-        self.ready = f"127.0.0.1:{free_port()}"
-        self.log = place.folder / f"{name}.log"
+        super().__init__(name, "", [], place.folder / f"{name}.log")
+        self.caller, self.ready, metrics = (f"127.0.0.1:{free_port()}" for _ in range(3))
         self._place = place
         self._settings = place.folder / f"{name}.json"
-        self._process: subprocess.Popen[bytes] | None = None
         document = {
             "instance": name,
             "zone": zone,
             "zones": ["a", "b", "c"],
             "caller": self.caller,
             "ready": self.ready,
-            "metrics": f"127.0.0.1:{free_port()}",
+            "metrics": metrics,
             "store": place.store,
             "machines": place.machines,
             "advice": "",
@@ -76,41 +76,14 @@
         }
         self._settings.write_bytes(orjson.dumps(document))
 
-    @property
-    def runs(self) -> bool:
-        """Return whether the process has not ended."""
-        return self._process is not None and self._process.poll() is None
-
-    def start(self) -> None:
-        """Start the process if it does not run."""
-        if self.runs:
-            return
-        dependencies = self._place.dependencies
-        deploy = tomllib.loads((self._place.checkout / "deploy/system.toml").read_text())
+    def _launch(self, log: BinaryIO) -> subprocess.Popen[bytes]:
+        checkout, dependencies = self._place.checkout, self._place.dependencies
+        deploy = tomllib.loads((checkout / "deploy/system.toml").read_text())
+        words = shlex.split(deploy["roles"]["entry"]["run"])
+        if not dependencies.is_dir():
+            words[0] = sys.executable
         environment = {name: os.environ[name] for name in INHERITED if name in os.environ}
         environment["VANILLAWELL_SETTINGS"] = str(self._settings)
         environment["PYTHONPATH"] = str(dependencies)
         environment["PYTHONDONTWRITEBYTECODE"] = "1"
-        words = shlex.split(deploy["roles"]["entry"]["run"])
-        if not dependencies.is_dir():
-            words[0] = sys.executable
-        with self.log.open("ab") as output:
-            self._process = subprocess.Popen(
-                words,
-                cwd=self._place.checkout,
-                env=environment,
-                stdout=output,
-                stderr=output,
-            )
-
-    def signal(self, number: signal.Signals) -> None:
-        """Send a signal if the process runs."""
-        if self._process is not None and self.runs:
-            self._process.send_signal(number)
-
-    def end(self) -> None:
-        """End the process and wait for it."""
-        if self._process is None:
-            return
-        self.signal(signal.SIGKILL)
-        self._process.wait()
+        return subprocess.Popen(words, cwd=checkout, env=environment, stdout=log, stderr=log)
--- a/vanillawell/standins/soak/play.py
+++ b/vanillawell/standins/soak/play.py
@@ -129,7 +129,7 @@
             callers.outcomes,
             find_violations(self.record.runs),
             hosts.longest_gap,
-            [entry.name for entry in self.entries if not entry.runs],
+            [entry.name for entry in self.entries if not entry.running],
         )
 
     def _set_up(self, hosts: Hosts) -> None:
@@ -210,7 +210,7 @@
         if ENTRY_FAULTS[fault.kind] is signal.SIGSTOP:
             entry.signal(signal.SIGCONT)
             return
-        while entry.runs:
+        while entry.running:
             await anyio.sleep(0.1)
         entry.start()
 
@@ -284,7 +284,7 @@
             outcome = await current.run()
         finally:
             for entry in current.entries:
-                entry.end()
+                entry.kill()
             current.record.write(options.folder / "runs.jsonl")
             (options.folder / "faults.txt").write_text("\n".join(current.record.faults) + "\n")
         tasks.cancel_scope.cancel()
