Withdraw a start only while its run counts, and test that a former life's order is not sent

Cause: of the checks before an order leaves, that of an evacuated zone came first. An order that had waited, whose run was closed meanwhile and whose gang runs elsewhere, stopped that gang's next run. Change: a run that is closed is neither withdrawn nor sent. The check of the life that a start was planned for had no test; it has one.

--- a/vanillawell/coordination/run_orders.py
+++ b/vanillawell/coordination/run_orders.py
@@ -85,7 +85,8 @@
             await self._await_identification()
             now = clock.read()
             self._log_if_delayed(run, now - stored_at)
-            if self._link.executor.evacuated and not run.stop_requested:
+            is_open = self._link.shard.ledger.is_charged(run) and not run.stop_requested
+            if is_open and self._link.executor.evacuated:
                 self._withdraw(run)
                 return
             reason = self._reason_not_to_start(run, stored_at, now)
--- a/vanillawell/tests/delayed_starts_tests.py
+++ b/vanillawell/tests/delayed_starts_tests.py
@@ -2,9 +2,17 @@
 
 from __future__ import annotations
 
+from types import SimpleNamespace
+from typing import Any
+
 import anyio
 
+from vanillawell import clock
+from vanillawell.coordination.run_orders import RunOrders
 from vanillawell.standins.scheduler.executor import StandInExecutor
+from vanillawell.state.end_proofs import EndProof
+from vanillawell.state.executors import Executor
+from vanillawell.state.work import Run
 from vanillawell.tests.scheduler_cluster import (
     PREFIX,
     Cluster,
@@ -15,6 +23,9 @@
     until_state,
     with_cluster,
 )
+from vanillawell.tests.scheduling_builders import ShardHarness, facts
+from vanillawell.tests.scheduling_builders import job as plain_job
+from vanillawell.tests.scheduling_builders import step as plain_step
 
 LISTED_AFTER = 2.2
 """Seconds after which the list of machines is believed to name a running executor."""
@@ -85,3 +96,70 @@
     await until(lambda: f"{second}.0.0.0" in returned.running)
     await anyio.sleep(ORDERS_DRAINED)
     assert not [text for text in built.audit.violations if "capacity" in text]
+
+
+def make_orders(harness: ShardHarness, executor: Executor, sent: list[Any]) -> RunOrders:
+    """Return the order sender of an executor; `sent` receives its start orders."""
+
+    async def start(*order: Any) -> float:
+        sent.append(order)
+        return 0.0
+
+    identified = anyio.Event()
+    identified.set()
+    link: Any = SimpleNamespace(
+        executor=executor,
+        shard=harness.shard,
+        calls=SimpleNamespace(start=start),
+        term=SimpleNamespace(token=1, is_held=lambda _: True),
+        identified=identified,
+        is_identified=True,
+        has_clock_reading=True,
+        may_extend_lease=lambda: True,
+        extend_lease=lambda _: SimpleNamespace(end=0.0),
+        target=lambda: SimpleNamespace(executor=executor.name, incarnation=1),
+        record_answer=lambda *_: None,
+        is_from_next_incarnation=lambda *_: False,
+        wake_owner=lambda: None,
+        count_withdrawn_start=lambda: None,
+        describe=lambda _: {},
+        wall=lambda: harness.now,
+    )
+    unused: Any = None
+    return RunOrders(link, unused, lambda: None, unused)
+
+
+def send(orders: RunOrders, run: Run) -> None:
+    """Carry out the order of a stored start decision now."""
+
+    async def start() -> None:
+        await orders._start(run, clock.read())
+
+    anyio.run(start)
+
+
+# Guards against sending an order, planned for one life of an executor, to the next one.
+def test_start_planned_for_a_previous_life_is_not_sent() -> None:
+    harness = ShardHarness(facts("i-0"))
+    harness.admit(plain_job())
+    (planned,) = harness.plan()
+    executor = harness.register(facts("i-0", incarnation=2))
+    sent: list[Any] = []
+    send(make_orders(harness, executor, sent), planned)
+    assert (sent, planned.task.run) == ([], None)
+
+
+# Guards against stopping a gang that runs elsewhere, since the order for its former run is
+# withdrawn late, in a zone that was evacuated meanwhile.
+def test_late_withdrawal_does_not_stop_the_next_run_of_the_gang() -> None:
+    harness = ShardHarness(facts("i-0"))
+    harness.admit(plain_job(plain_step(2, gang=True)))
+    planned = harness.plan()
+    former = harness.shard.ledger.executors["i-0"]
+    harness.shard.ledger.evacuate(frozenset({"a"}))
+    harness.shard.mark_terminated("i-0", 1, EndProof.MACHINE_LIST, harness.now, harness.now)
+    harness.register(facts("i-1", zone="b"))
+    present = harness.place()
+    assert len(present) == 2
+    send(make_orders(harness, former, []), planned[0])
+    assert not any(run.stop_requested for run in present)
