Keep tasks off a machine from the decision to move it until it has moved

What callers saw: nothing yet; found by the review, which looked for the incident's cause elsewhere. A long-running task of a step that lets one be away was placed on a machine whose move was on its way, and ended by it (AVAIL). Cause: the cordon of a move was kept on the executor's entry in the ledger. An entry that leaves the registry and returns between the decision and the order, half a second to three on a slow store, was a new one without it. Class: a decision that waits is carried out on old grounds. Change: moves cordon the machine, as upkeeps do, but for executors of the pool that it joins; right before the order goes out, the executor there is looked up again, and one with work is left alone.

--- a/vanillawell/coordination/pool_rebalancer.py
+++ b/vanillawell/coordination/pool_rebalancer.py
@@ -139,10 +139,10 @@
         if not moves:
             return
         for move in moves:
-            self._cordon(move, executors.get(move.machine))
+            self._expect_arrival(move.machine, move.pool, now)
         await self._orders.announce({move.machine: move.pool for move in moves})
         announced = clock.read()
-        unsent = await self._send(moves, executors)
+        unsent = await self._send(moves)
         if unsent:
             took = {
                 "announced": round(announced - now, 3),
@@ -158,18 +158,22 @@
         )
         return SHORT_LIST_INTERVAL if self._lacks_machines and is_any_moving else LIST_INTERVAL
 
-    async def _send(self, moves: list[MachineMove], executors: dict[str, Executor]) -> int:
-        """Send announced orders concurrently; return how many were too old to be sent."""
+    async def _send(self, moves: list[MachineMove]) -> int:
+        """Send announced orders concurrently; return how many must not be sent any more.
+
+        Those were announced too long ago, or their machine has been given work meanwhile.
+        """
         waiting = iter(moves)
         unsent_moves: list[MachineMove] = []
 
         async def send_next() -> None:
             for move in waiting:
-                executor = executors.get(move.machine)
-                if self._orders.is_fresh(clock.read()):
+                executor = self._shard.ledger.by_machine().get(move.machine)
+                is_idle = executor is None or not executor.runs
+                if is_idle and self._orders.is_fresh(clock.read()):
                     await self._move(move, executor)
                 else:
-                    self._uncordon(move.machine, executor)
+                    self._stop_expecting(move.machine)
                     unsent_moves.append(move)
 
         async with anyio.create_task_group() as senders:
@@ -220,26 +224,20 @@
             )
 
     def _expect_arrival(self, machine: str, pool: str, now: float) -> None:
-        """Expect a machine to arrive, and claim it so that no other order is given for it."""
+        """Expect a machine to arrive, and claim it so that no other order is given for it.
+
+        No task starts on it before an executor of its target pool is there.
+        """
         self._arriving[machine] = (pool, now)
         self._orders.claim(machine, ClaimPurpose.MOVE)
+        self._shard.ledger.cordon_machine(machine, joins=pool)
 
     def _stop_expecting(self, machine: str) -> None:
-        """Stop expecting a machine, and release the claim on it."""
+        """Stop expecting a machine: release the claim on it, and let tasks start there."""
         self._arriving.pop(machine, None)
         self._orders.release(machine, ClaimPurpose.MOVE)
-
-    def _cordon(self, move: MachineMove, executor: Executor | None) -> None:
-        """Cordon a machine as soon as its move is decided, so that no task starts on it."""
-        self._expect_arrival(move.machine, move.pool, clock.read())
-        if executor is not None:
-            executor.cordoned = True
-
-    def _uncordon(self, machine: str, executor: Executor | None) -> None:
-        """Let a machine that was not moved accept tasks again."""
-        self._stop_expecting(machine)
-        if executor is not None:
-            executor.cordoned = False
+        if not self._orders.is_claimed(machine):
+            self._shard.ledger.uncordon_machine(machine)
 
     def _inherit_moves(self, executors: dict[str, Executor], now: float) -> None:
         """Expect the machines that the list shows as moving by order of a previous owner.
@@ -251,11 +249,8 @@
             if item.state is not MachineState.MOVING or item.name in self._arriving:
                 continue
             self._expect_arrival(item.name, item.pool, now)
-            executor = executors.get(item.name)
-            if executor is not None and executor.facts.service != item.pool:
-                executor.cordoned = True
             fields = {"machine": item.name, "pool": item.pool, "token": self._term.token}
-            log.info("machine on its way", extra={**fields, "entry": executor is not None})
+            log.info("machine on its way", extra={**fields, "entry": item.name in executors})
 
     def _process_arrivals(self, standby: str, executors: dict[str, Executor], now: float) -> None:
         """Stop expecting machines that have arrived or whose arrival is overdue."""
@@ -286,9 +281,7 @@
         machine = self._machines.get(name)
         if machine is not None and machine.pool == pool:
             self._record_termination(executor)
-            return
-        executor.cordoned = False
-        if machine is None:
+        elif machine is None:
             # One list proves nothing about a machine that it leaves out; the executor itself does.
             executor.require_answer(clock.read())
             fields = {"machine": name, "executor": executor.name, "runs": len(executor.runs)}
@@ -326,7 +319,7 @@
         except UpkeepRefusedError as error:
             log.warning("machine move refused", extra={**fields, "why": error.reason.value})
             self._listed_at = float("-inf")
-            self._uncordon(move.machine, executor)
+            self._stop_expecting(move.machine)
             return
         except (NotSentError, NoAnswerError) as error:
             log.warning("machine move unanswered", extra={**fields, "why": str(error)})
@@ -337,7 +330,7 @@
             self._record_termination(executor)
         elif executor is not None:
             # The answer was late: the machine is back, with the next incarnation under the same id.
-            executor.cordoned = False
+            self._stop_expecting(move.machine)
         listed_machine = self._machines.get(move.machine)
         if listed_machine is not None:
             self._machines[move.machine] = replace(listed_machine, pool=move.pool, executor=None)
--- a/vanillawell/state/ledger.py
+++ b/vanillawell/state/ledger.py
@@ -97,9 +97,12 @@
         self._failure_rates: defaultdict[str, PoolFailureRate] = defaultdict(PoolFailureRate)
         """Failure rate of each service's executors."""
 
-    def cordon_machine(self, machine: str) -> None:
-        """Keep new tasks off a machine, including executors that have yet to register there."""
-        self._restrictions.cordon(machine, self.executors.values())
+    def cordon_machine(self, machine: str, joins: str = "") -> None:
+        """Keep new tasks off a machine, including executors that have yet to register there.
+
+        Executors of the pool that it `joins` do get tasks: they have come by the machine's move.
+        """
+        self._restrictions.cordon(machine, self.executors.values(), joins)
 
     def uncordon_machine(self, machine: str) -> None:
         """Allow new tasks on a machine again."""
--- a/vanillawell/state/placement_restrictions.py
+++ b/vanillawell/state/placement_restrictions.py
@@ -18,7 +18,9 @@
     """
 
     def __init__(self) -> None:
-        self._cordoned: set[str] = set()
+        self._cordoned: dict[str, str] = {}
+        """Machines that get no new tasks, each with the pool whose executors there do, or ""."""
+
         self._withheld: dict[str, str] = {}
         """Machines that an order of a previous owner may still take away, each with the pool that
         it moves to; empty if it stays in its pool."""
@@ -30,15 +32,15 @@
         """Return the zones whose executors get no new tasks."""
         return self._evacuated_zones
 
-    def cordon(self, machine: str, executors: Iterable[Executor]) -> None:
-        """Keep new tasks off a machine."""
-        self._cordoned.add(machine)
+    def cordon(self, machine: str, executors: Iterable[Executor], joins: str = "") -> None:
+        """Keep new tasks off a machine, until an executor of the pool that it `joins` is there."""
+        self._cordoned[machine] = joins
         for executor in _on_machine(machine, executors):
-            executor.cordoned = True
+            executor.cordoned = self._is_cordoned(executor)
 
     def uncordon(self, machine: str, executors: Iterable[Executor]) -> None:
         """Allow new tasks on a machine again."""
-        self._cordoned.discard(machine)
+        self._cordoned.pop(machine, None)
         for executor in _on_machine(machine, executors):
             executor.cordoned = False
 
@@ -68,10 +70,14 @@
     def apply(self, executor: Executor, is_new: bool) -> None:
         """Restrict an executor whose registration was applied."""
         if is_new:
-            executor.cordoned = executor.facts.machine in self._cordoned
+            executor.cordoned = self._is_cordoned(executor)
         executor.evacuated = executor.facts.zone in self._evacuated_zones
         self._withhold_if_ordered(executor)
 
+    def _is_cordoned(self, executor: Executor) -> bool:
+        joins = self._cordoned.get(executor.facts.machine)
+        return joins is not None and executor.facts.service != joins
+
     def _withhold_if_ordered(self, executor: Executor) -> None:
         pool = self._withheld.get(executor.facts.machine)
         if pool is not None and executor.facts.service != pool:
--- a/vanillawell/tests/moved_executors_tests.py
+++ b/vanillawell/tests/moved_executors_tests.py
@@ -35,7 +35,12 @@
 def rebalancer(harness: ShardHarness, on_move: Callable[[], None] = lambda: None) -> PoolRebalancer:
     """Return the rebalancer of a shard."""
     ports: Any = SimpleNamespace(machines=MoveCalls(on_move))
-    orders: Any = SimpleNamespace(duty=None, claim=lambda *_: True, release=lambda *_: None)
+    orders: Any = SimpleNamespace(
+        duty=None,
+        claim=lambda *_: True,
+        release=lambda *_: None,
+        is_claimed=lambda _: False,
+    )
     term: Any = SimpleNamespace(token=1)
     return PoolRebalancer(harness.shard, term, ports, orders, lambda: None)
 
@@ -83,7 +88,8 @@
     pools = rebalancer(harness, lambda: harness.shard.register(arrived, harness.now))
     move = MachineMove("m-i-0", OTHER_POOL, "needed")
     executor = harness.shard.ledger.executors["i-0"]
-    pools._cordon(move, executor)
+    pools._expect_arrival(move.machine, move.pool, clock.read())
+    assert executor.cordoned
     anyio.run(pools._move, move, executor)
     executor.record_answer(clock.read())
     assert harness.shard.ledger.executors["i-0"].facts == arrived
