Send an announced machine order only within its own announcement's time

What operators would see: two holders order one machine within the time that keeps them apart (ONE); found by the review, on plain data. Cause: the time until which an announced order may be sent was one for all machines. Each announcement, as those of a wave that repeats unanswered orders, prolonged it for moves that still waited for their turn; a successor waits only as long as the stored announcement says. Change: the time is kept for each machine.

--- a/vanillawell/coordination/machine_orders.py
+++ b/vanillawell/coordination/machine_orders.py
@@ -92,7 +92,9 @@
         self._freshness = ORDER_FRESHNESS
         self._inherited_freshness = ORDER_FRESHNESS
         self._all_orderable_at = float("-inf")
-        self._fresh_until = float("-inf")
+        self._fresh_until: dict[str, float] = {}
+        """Time until which the order for each announced machine may be sent."""
+
         self._recent_orders: dict[str, float] = {}
         self._pools: dict[str, str] = {}
         self._claims: dict[str, ClaimPurpose] = {}
@@ -192,9 +194,9 @@
         passed = min_elapsed(self._inherited_clocks, self._clocks.lower_bound(now))
         return max(now - self._started_at, passed)
 
-    def is_fresh(self, now: float) -> bool:
-        """Return whether an order that was just announced may still be sent."""
-        return now <= self._fresh_until
+    def is_fresh(self, machine: str, now: float) -> bool:
+        """Return whether the order that was last announced for a machine may still be sent."""
+        return now <= self._fresh_until.get(machine, float("-inf"))
 
     async def announce(self, machines: Mapping[str, str]) -> None:
         """Store that orders for these machines are about to be sent; raise TermLostError if the
@@ -221,7 +223,10 @@
             "freshness": max(self._freshness, self._inherited_freshness if inherited else 0.0),
         }
         await self._term.write([Put(self._key, orjson.dumps(document))])
-        self._fresh_until = now + self._freshness
+        self._fresh_until = {
+            **{name: until for name, until in self._fresh_until.items() if until > now},
+            **dict.fromkeys(machines, now + self._freshness),
+        }
         self._adapt_freshness(clock.read() - now)
 
     def _adapt_freshness(self, took: float) -> None:
--- a/vanillawell/coordination/pool_rebalancer.py
+++ b/vanillawell/coordination/pool_rebalancer.py
@@ -170,7 +170,7 @@
             for move in waiting:
                 executor = self._shard.ledger.by_machine().get(move.machine)
                 is_idle = executor is None or not executor.runs
-                if is_idle and self._orders.is_fresh(clock.read()):
+                if is_idle and self._orders.is_fresh(move.machine, clock.read()):
                     await self._move(move, executor)
                 else:
                     self._stop_expecting(move.machine)
--- a/vanillawell/coordination/upkeep_orders.py
+++ b/vanillawell/coordination/upkeep_orders.py
@@ -120,7 +120,7 @@
         progress.ordered[name] = now
         executor = self._shard.ledger.by_machine().get(name)
         fields = {"wave": progress.wave.number, "machine": name, "token": self._term.token}
-        if not self._orders.is_fresh(now):
+        if not self._orders.is_fresh(name, now):
             log.info("upkeep order postponed: announcement too old", extra=fields)
             return
         if executor is not None and not may_interrupt_all(executor):
--- a/vanillawell/tests/term_tests.py
+++ b/vanillawell/tests/term_tests.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import cast
+
 import anyio
 import pytest
 
@@ -269,14 +271,37 @@
             assert await orders.load()
             stand_in.faults.delay = 0.6
             await orders.announce({"m-1": "pool-1"})
-            assert not orders.is_fresh(clock.read())
+            assert not orders.is_fresh("m-1", clock.read())
             await orders.announce({"m-1": "pool-1"})
-            assert orders.is_fresh(clock.read())
+            assert orders.is_fresh("m-1", clock.read())
             tasks.cancel_scope.cancel()
 
     anyio.run(run)
 
 
+# Guards against sending an order later than the time that a successor waits for it, since another
+# machine was announced meanwhile.
+def test_order_does_not_stay_fresh_through_the_announcement_of_another() -> None:
+    class StubTerm:
+        token = 1
+
+        async def write(self, _puts: object) -> float:
+            return 0.0
+
+    async def run() -> None:
+        ports = Ports(*([None] * 5))  # type: ignore[arg-type]
+        term = cast("Term", StubTerm())
+        orders = MachineOrders(term, ports, KEYS, "all", "entry-0", 3.0, FixedClocks())
+        await orders.announce({"m-1": "pool-1"})
+        await anyio.sleep(ORDER_FRESHNESS - 0.1)
+        await orders.announce({"m-2": ""})
+        await anyio.sleep(0.2)
+        assert not orders.is_fresh("m-1", clock.read())
+        assert orders.is_fresh("m-2", clock.read())
+
+    anyio.run(run)
+
+
 def test_entry_with_the_most_cores_takes_a_free_shard() -> None:
     """The owner of hundreds of executors is lost during a load peak. If an entry with half a core
     took over although one with two cores is available, the shard would start too few tasks for as
