Count tasks as away while an order that ends them is on its way, whatever reports say

What callers saw: nothing yet; found by the review, on plain data: past a wave's time a third task of a step that lets two be away was taken away (AVAIL). Cause: before an upkeep order leaves, the runs on its machine were marked as not available; the next report, made before the order took effect, made them available again. Class: a decision that waits is undone by what was true when it was made. Change: runs carry that such an order was sent, until it is refused or they end; what may be interrupted asks for it beside the report. Evidence: the test failed on the code before in 1 of 1 and passes; 48 tests of upkeep, drains and waves pass.

--- a/vanillawell/coordination/upkeep_orders.py
+++ b/vanillawell/coordination/upkeep_orders.py
@@ -12,7 +12,7 @@
 from vanillawell.coordination.machine_orders import ClaimPurpose
 from vanillawell.protocol.call_errors import NoAnswerError, NotSentError
 from vanillawell.protocol.machine_calls import UpkeepRefusal, UpkeepRefusedError
-from vanillawell.state.availability import mark_runs_away, may_interrupt_all
+from vanillawell.state.availability import mark_runs_away, may_interrupt_all, unmark_runs_away
 from vanillawell.state.end_proofs import EndProof
 from vanillawell.state.upkeep import UNKNOWN_INCARNATION, incarnation_id
 
@@ -136,6 +136,8 @@
             await self._machines.begin_upkeep(name, progress.wave.number, self._orders.duty)
         except UpkeepRefusedError as error:
             log.warning("upkeep order refused", extra={**fields, "reason": error.reason.value})
+            if executor is not None:
+                unmark_runs_away(executor)
             self._handle_refusal(progress, name, error.reason)
         except (NotSentError, NoAnswerError) as error:
             log.warning("upkeep order unanswered", extra={**fields, "why": str(error)})
--- a/vanillawell/state/availability.py
+++ b/vanillawell/state/availability.py
@@ -23,8 +23,8 @@
 
 
 def counts_as_available(run: Run) -> bool:
-    """Return whether a run was last reported as available, and no stop of it was requested."""
-    return run.is_available and not run.stop_requested
+    """Return whether a run was last reported as available, and nothing is about to end it."""
+    return run.is_available and not run.stop_requested and not run.interruption_ordered
 
 
 def may_interrupt(run: Run) -> bool:
@@ -63,8 +63,15 @@
     """Mark all runs on an executor as away because an order that ends it is about to be sent.
 
     Orders are sent concurrently. If runs were marked only when the order is answered, two tasks of
-    a step that allows one of them to be away could be interrupted together. The next report
-    restores the actual state.
+    a step that allows one of them to be away could be interrupted together. Reports that arrive
+    meanwhile still show the runs at work.
     """
     for run in executor.runs.values():
-        run.is_available = False
+        run.interruption_ordered = True
+
+
+def unmark_runs_away(executor: Executor) -> None:
+    """Let reports tell again whether the runs on an executor are available, since the order that
+    was to end it was refused."""
+    for run in executor.runs.values():
+        run.interruption_ordered = False
--- a/vanillawell/state/work.py
+++ b/vanillawell/state/work.py
@@ -229,6 +229,9 @@
     """Whether a long-running task has finished its start-up and runs at full pace, as last reported
     by an executor that still answers."""
 
+    interruption_ordered: bool = False
+    """Whether an order that ends everything on its executor was sent and has not been refused."""
+
     tail: float = 0.0
     """Last reported tail latency of a task that has a target for it, in seconds."""
 
--- a/vanillawell/tests/upkeep_tests.py
+++ b/vanillawell/tests/upkeep_tests.py
@@ -4,7 +4,13 @@
 
 from typing import TYPE_CHECKING
 
-from vanillawell.state.availability import mark_runs_away, may_interrupt_all
+from vanillawell.protocol.executor_calls import HoldReport, ReportedRun
+from vanillawell.state.availability import (
+    mark_runs_away,
+    may_interrupt,
+    may_interrupt_all,
+    unmark_runs_away,
+)
 from vanillawell.state.upkeep import (
     UNKNOWN_INCARNATION,
     Wave,
@@ -182,6 +188,28 @@
     assert not may_interrupt_all(second)
 
 
+# Guards against taking a third task of a step that lets two be away, since a report shows those at
+# work that an upkeep order is about to end.
+def test_report_does_not_make_runs_available_that_an_order_is_about_to_end() -> None:
+    harness = ShardHarness(facts("i-0", cpu=2_000), facts("i-1", cpu=1_000))
+    harness.admit(job(step(3, long_running=True, most_away=2)))
+    runs = harness.place()
+    for run in runs:
+        run.is_available = True
+    executor = harness.shard.ledger.executors["i-0"]
+    (other,) = [run for run in runs if run.executor == "i-1"]
+    mark_runs_away(executor)
+    assert not may_interrupt(other)
+    rows = [
+        ReportedRun(run.task.task_id, run.number, "", 100, 0.0) for run in executor.runs.values()
+    ]
+    report = HoldReport(0.0, 1, rows, [])
+    harness.shard.apply_report(executor, report, harness.now, harness.now + 0.1, harness.now)
+    assert not may_interrupt(other)
+    unmark_runs_away(executor)
+    assert may_interrupt(other)
+
+
 def test_a_long_running_task_is_not_stopped_until_another_machine_can_take_it() -> None:
     """The machine of a long-running task is to be emptied, and every other machine has its maximum
     number of tasks of the step. Stopped now, the task would be away until another machine has
