Send starts one by one to an executor that has not answered for 50 ms

What callers saw: an executor that started again unnoticed, as a smaller kind, is given more than it has room for by orders that are sent together (LIMIT); no call broke, as none was waiting or a relay kept the connections. Cause: up to four starts go out side by side, and only the answer to the first one shows, by its clock, that another life runs there. Class: orders that rest on what the executor was when it last answered. Change: StartGate. A start waits while another one is unanswered and the executor has answered nothing for 50 ms, for 0.1 s at most, since single answers get lost. No call more; an executor that answers gets its starts side by side as ever, and a first start never waits. Why it works: beyond 50 ms of silence one start at a time is on its way until its answer names the clock; a strange clock stops the others. What remains: an executor that is back within 50 ms, and up to one start each 0.1 s while none is answered.

--- a/vanillawell/coordination/run_orders.py
+++ b/vanillawell/coordination/run_orders.py
@@ -9,6 +9,7 @@
 
 from vanillawell import clock
 from vanillawell.coordination.executor_link import RETRY_DELAY, DeposedError
+from vanillawell.coordination.start_gate import StartGate
 from vanillawell.protocol.call_errors import NoAnswerError, NotSentError
 from vanillawell.protocol.executor_calls import (
     OrderRefusal,
@@ -72,6 +73,7 @@
         self._notify = notify
         self._request_report = request_report
         self._slots = anyio.Semaphore(MAX_CONCURRENT_ORDERS)
+        self._gate = StartGate()
         self._pacer = Pacer()
         self._is_identifying = False
         self._is_rejecting = False
@@ -83,6 +85,7 @@
     async def _start(self, run: Run, stored_at: float) -> None:
         async with self._slots:
             await self._await_identification()
+            await self._await_gate()
             now = clock.read()
             self._log_if_delayed(run, now - stored_at)
             is_open = self._link.shard.ledger.is_charged(run) and not run.stop_requested
@@ -106,6 +109,15 @@
             while not self._link.is_identified:
                 await self._link.identified.wait()
 
+    async def _await_gate(self) -> None:
+        """Wait for the answer to another start while it is the only sign of life."""
+        while self._link.is_identified:
+            delay = self._gate.delay(self._link.answered_at, clock.read())
+            if not delay:
+                return
+            await self._gate.wait(delay)
+            await self._await_identification()
+
     def _reason_not_to_start(self, run: Run, stored_at: float, now: float) -> str:
         """Return why a stored start decision must not be sent any more; empty if it may be."""
         if run.stop_requested:
@@ -159,7 +171,8 @@
         self._notify()
         target = self._link.target()
         try:
-            value = await self._link.calls.start(target, order, self._link.term.token)
+            with self._gate.sending(now):
+                value = await self._link.calls.start(target, order, self._link.term.token)
         except NotSentError as error:
             self._link.revert_extension(extension)
             self._link.block_placement()
--- a/vanillawell/tests/executor_crash_tests.py
+++ b/vanillawell/tests/executor_crash_tests.py
@@ -47,6 +47,26 @@
         await until_state(owner, job_id, "completed", 15.0)
 
 
+# Guards against filling a smaller incarnation with orders that are sent together, after a restart
+# that nobody has noticed since no call was waiting.
+@with_cluster(executors=1)
+async def test_orders_sent_together_do_not_overfill_an_incarnation_that_is_not_noticed(
+    built: Cluster,
+) -> None:
+    owner = await built.owner()
+    for width in (1, MANY_TASKS):
+        job_id = built.new_id()
+        await owner.call("POST", PREFIX + job_id, job(step(width)))
+        await until_state(owner, job_id, "completed")
+    async with anyio.create_task_group() as tasks:
+        crash = Crash(Connections.RELAYED, registered_after=1.0, cpu=1_000)
+        tasks.start_soon(built.crash, "i-0", crash)
+        await anyio.sleep(BUSY_TIME / 2)
+        job_id = built.new_id()
+        await owner.call("POST", PREFIX + job_id, job(step(MANY_TASKS)))
+    await until_state(owner, job_id, "completed", 15.0)
+
+
 # Guards against filling a smaller incarnation, which registers late, as if it were its predecessor.
 @with_cluster()
 async def test_incarnation_of_a_smaller_kind_is_not_overfilled(built: Cluster) -> None:
