Ask for no shorter owner's lease than the store grants

On a store whose shortest lease is longer than 1 s nobody would ever own the shard: the store refuses the lease, and no accepted job begins. Cause: shortest_lease_ms of the settings was read and never used; the lease was 1 s, or 1.5 s on a slow store, whatever the setting said. Change: the setting is the lower bound of the owner's lease and of a bid's; where it is 1 s or less, nothing changes. The stand-in store refuses shorter leases, as the platform's does. The test of the function fails before for want of its argument. How soon a successor takes over with such a lease was not measured.

--- a/vanillawell/coordination/candidate.py
+++ b/vanillawell/coordination/candidate.py
@@ -77,12 +77,15 @@
         shard: str,
         instance: str,
         capacity: EntryCapacity | None = None,
+        shortest_lease: float = 0.0,
     ) -> None:
+        """Initialise the candidate; the store grants leases of `shortest_lease` seconds or more."""
         self._store = store
         self._shard = shard
         self._holder_key = keys.holder(shard)
         self._term_key = keys.term(shard)
         self._bounds_key = keys.lease_bounds(shard)
+        self._shortest_lease = shortest_lease
         self._began = clock.read()
         shortfall = 0.0 if capacity is None else capacity_shortfall(capacity)
         self._contender = Contender(f"{instance}/{uuid.uuid4().hex[:8]}", shortfall)
@@ -166,7 +169,7 @@
     async def _claim(self) -> Term | None:
         asked = clock.read()
         stored = await self._store.get(self._term_key)
-        ttl = ownership_lease(clock.read() - asked)
+        ttl = ownership_lease(clock.read() - asked, self._shortest_lease)
         before = TermDocument.from_bytes(stored.value) if stored else TermDocument(0, "")
         self._claim_count += 1
         document = TermDocument(before.token + 1, self._contender.name, self._claim_count)
--- a/vanillawell/coordination/challenger.py
+++ b/vanillawell/coordination/challenger.py
@@ -52,12 +52,16 @@
         shard: str,
         contender: Contender,
         holder_watch: HolderWatch,
+        shortest_lease: float = 0.0,
     ) -> None:
+        """Initialise the challenger; the store grants leases of `shortest_lease` seconds or
+        more."""
         self._store = store
         self._shard = shard
         self._key = keys.bid(shard)
         self._contender = contender
         self._holder_watch = holder_watch
+        self._bid_lease = max(BID_LEASE, shortest_lease)
         self._handled_revision = 0
 
     async def run(self) -> None:
@@ -72,7 +76,7 @@
                     await changed.wait()
             else:
                 await self._bid()
-                await anyio.sleep(BID_LEASE)
+                await anyio.sleep(self._bid_lease)
 
     def _time_until_bid(self, now: float) -> float | None:
         """Return the seconds until the next bid is due; None if there is no reason to bid."""
@@ -80,7 +84,7 @@
         if holder is None or not has_larger_shortfall(holder, self._contender):
             return None
         if self._holder_watch.bid is not None:
-            return BID_LEASE
+            return self._bid_lease
         return self._holder_watch.held_since + BID_DELAY - now
 
     async def _bid(self) -> None:
@@ -89,7 +93,7 @@
             "holder": self._holder_watch.holder and self._holder_watch.holder.name,
         }
         try:
-            lease = await self._store.grant_lease(BID_LEASE)
+            lease = await self._store.grant_lease(self._bid_lease)
             bid = Put(self._key, self._contender.to_bytes(), lease)
             result = await self._store.transact(Transaction([Compare(self._key, 0)], [bid]))
         except StoreError as error:
--- a/vanillawell/coordination/term.py
+++ b/vanillawell/coordination/term.py
@@ -26,7 +26,7 @@
 log = logging.getLogger(__name__)
 
 OWNERSHIP_LEASE = 1.0
-"""Seconds that ownership lasts after the last renewal; the shortest lease that stores grant.
+"""Seconds that ownership lasts after the last renewal, unless the store grants longer leases only.
 
 The loss of an owner is detected after this time at most. Meanwhile nothing starts, and callers
 allow little more for their whole job. The store may turn the owner away and serve all others."""
@@ -38,13 +38,15 @@
 """Seconds from which an answer of the store counts as slow."""
 
 
-def ownership_lease(answer_time: float) -> float:
+def ownership_lease(answer_time: float, shortest: float = 0.0) -> float:
     """Return the seconds for which ownership should last after a renewal.
 
     Args:
         answer_time: Seconds that the store took to answer the candidate's latest call.
+        shortest: Seconds of the shortest lease that the store grants.
     """
-    return OWNERSHIP_LEASE if answer_time < SLOW_ANSWER_TIME else SLOW_STORE_LEASE
+    preferred = OWNERSHIP_LEASE if answer_time < SLOW_ANSWER_TIME else SLOW_STORE_LEASE
+    return max(preferred, shortest)
 
 
 MAX_CONCURRENT_WRITES = 8
--- a/vanillawell/node.py
+++ b/vanillawell/node.py
@@ -82,11 +82,17 @@
         self.job_service = JobService(
             ports.store, self._keys, SHARD, self._policies, revoke_bound, self._readiness
         )
+        shortest_lease = settings.shortest_lease_ms / 1000
         self._candidate = Candidate(
-            ports.store, self._keys, SHARD, settings.instance, settings.capacity
+            ports.store, self._keys, SHARD, settings.instance, settings.capacity, shortest_lease
         )
         self._challenger = Challenger(
-            ports.store, self._keys, SHARD, self._candidate.contender, self._candidate.holder_watch
+            ports.store,
+            self._keys,
+            SHARD,
+            self._candidate.contender,
+            self._candidate.holder_watch,
+            shortest_lease,
         )
         self._owner: ShardOwner | None = None
         self._term: Term | None = None
--- a/vanillawell/standins/scheduler/store.py
+++ b/vanillawell/standins/scheduler/store.py
@@ -77,6 +77,8 @@
         self.items: dict[str, Item] = {}
         self.faults = Faults()
         self.calls = 0
+        self.shortest_lease_ms = 1000
+        """Shortest lease that is granted."""
         self._revision = 1
         self._history: list[dict[str, Any]] = []
         self._history_start = 0
@@ -159,6 +161,8 @@
         if path == "/kv-txn":
             return self._transact(document)
         if path == "/kv-lease":
+            if document["ttlMs"] < self.shortest_lease_ms:
+                return 400, {}
             lease = next(self._lease_ids)
             ttl = document["ttlMs"] / 1000
             self._leases[lease] = (ttl, time.monotonic() + ttl)
--- a/vanillawell/tests/renewal_tests.py
+++ b/vanillawell/tests/renewal_tests.py
@@ -8,7 +8,7 @@
 
 import anyio
 
-from vanillawell.coordination.term import OWNERSHIP_LEASE
+from vanillawell.coordination.term import OWNERSHIP_LEASE, SLOW_STORE_LEASE, ownership_lease
 from vanillawell.tests.scheduler_cluster import Cluster, until, with_cluster
 
 
@@ -41,3 +41,23 @@
     await anyio.sleep(OWNERSHIP_LEASE)
     assert other.node.term is not None
     assert other.node.term.token == term.token + 1
+
+
+def test_owner_asks_for_no_shorter_lease_than_the_store_grants() -> None:
+    """A store that refuses a lease lets nobody own the shard, so that no job would ever begin."""
+    assert ownership_lease(0.01, shortest=2.0) == 2.0
+    assert ownership_lease(1.0, shortest=2.0) == 2.0
+    assert ownership_lease(0.01, shortest=0.2) == OWNERSHIP_LEASE
+    assert ownership_lease(1.0, shortest=1.0) == SLOW_STORE_LEASE
+
+
+@with_cluster()
+async def test_shard_is_owned_with_a_store_that_grants_only_longer_leases(built: Cluster) -> None:
+    """The same for a scheduler, which has the bound from its settings."""
+    await built.kill(await built.owner())
+    built.store.shortest_lease_ms = 1_800
+    member = built.add_member("entry-later")
+    await until(lambda: member.owns, 6.0)
+    term = member.node.term
+    await anyio.sleep(1.5 * built.store.shortest_lease_ms / 1000)
+    assert member.node.term is term
--- a/vanillawell/tests/scheduler_cluster.py
+++ b/vanillawell/tests/scheduler_cluster.py
@@ -314,7 +314,7 @@
         self.register(name)
 
     def add_member(self, instance: str, capacity: dict[str, float] | None = None) -> Member:
-        """Start a scheduler with the given capacity of its machine."""
+        """Start a scheduler with the given capacity of its machine, for the leases of the store."""
         settings = NodeSettings.model_validate(
             {
                 "instance": instance,
@@ -325,7 +325,7 @@
                 "store": self.store_address,
                 "machines": self.machines_address,
                 "advice": self.machines_address,
-                "shortest_lease_ms": 1000,
+                "shortest_lease_ms": self.store.shortest_lease_ms,
                 "bounds": {
                     "lease_most_ms": 6000,
                     "kill_grace_ms": 100,
