--- a/vanillawell/tests/delayed_starts_tests.py
+++ b/vanillawell/tests/delayed_starts_tests.py
@@ -114,6 +114,7 @@
         term=SimpleNamespace(token=1, is_held=lambda _: True),
         identified=identified,
         is_identified=True,
+        answered_at=float("-inf"),
         has_clock_reading=True,
         may_extend_lease=lambda: True,
         extend_lease=lambda _: SimpleNamespace(end=0.0),
