Take a connection that is reset as it is opened for a call that was not sent

What callers saw: a process that loses a connection in that moment raises AttributeError; in an owner it ends the term ('shard dropped'). Cause: the event loop forgets the socket of a connection that is reset before its options are set; asking for them raised, and nobody expected it. Change: that, and a socket that refuses its options, closes the connection and counts as not sent; nothing had been written. The play's own catch of that error is gone.

--- a/vanillawell/platform/http.py
+++ b/vanillawell/platform/http.py
@@ -183,7 +183,12 @@
             raise NotSentError(f"{address}: no connection in {timeout:.1f} s") from error
         except OSError as error:
             raise NotSentError(f"{address}: {error}") from error
-        apply_tcp_options(stream.extra(SocketAttribute.raw_socket))
+        try:
+            apply_tcp_options(stream.extra(SocketAttribute.raw_socket))
+        except (OSError, AttributeError) as error:
+            # The event loop forgets the socket of a connection that is reset as it is opened.
+            await anyio.aclose_forcefully(stream)
+            raise NotSentError(f"{address}: connection reset as it was opened") from error
         self.connections_opened += 1
         return stream
 
--- a/vanillawell/standins/soak/callers.py
+++ b/vanillawell/standins/soak/callers.py
@@ -157,8 +157,7 @@
                 answer = await self._http.call(
                     entry.caller, method, path, body, CALL_TIMEOUT, headers
                 )
-            except (NoAnswerError, NotSentError, AttributeError):
-                # The client raises the last one for a connection that is reset as it is opened.
+            except (NoAnswerError, NotSentError):
                 status = 0
             else:
                 status = answer.status
