--- a/vanillawell/coordination/run_orders.py
+++ b/vanillawell/coordination/run_orders.py
@@ -195,7 +195,7 @@
 
     def _record_start(self, run: Run, target: Target, value: float, sent: float) -> None:
         now = clock.read()
-        if not self._is_from_next_incarnation(target, value, sent):
+        if not self._detect_next_incarnation(target, value, sent):
             self._link.record_answer(target.incarnation, value, sent, now)
         if run.phase is RunPhase.ORDERED:
             run.enter_phase(RunPhase.RUNNING, now)
@@ -203,9 +203,10 @@
             run.started = now
         log.debug("run start confirmed", extra=self._link.describe(run))
 
-    def _is_from_next_incarnation(self, target: Target, reading: float, sent: float) -> bool:
-        """Return whether the clock in an answer shows that another incarnation gave it; place
-        nothing on the executor then until a report has named that one.
+    def _detect_next_incarnation(self, target: Target, reading: float, sent: float) -> bool:
+        """Detect by the clock in an answer that another incarnation gave it, and return whether.
+
+        Nothing is placed on the executor then until a report has named that incarnation.
 
         Orders go to whichever incarnation runs at the address, so an answer may be the first sign
         of a new one.
@@ -355,7 +356,7 @@
             if error.reason is OrderRefusal.STALE_TOKEN:
                 raise DeposedError(self._link.executor.name) from error
             return error.reason is OrderRefusal.RUN_ENDED
-        self._is_from_next_incarnation(target, reading, sent)
+        self._detect_next_incarnation(target, reading, sent)
         return True
 
     def pace(self, now: float) -> None:
