Conclude nothing about a wave from a list that leaves a machine out

What operators saw: a wave published as completed although a machine of it had not begun its upkeep (MIXED); and more machines of a wave down at a time than it allows (LIMIT), if the list of machines lacked one that was away, for the owner in office as well as for the next one.

Cause: three places took a machine that one list leaves out for one that does not exist: `_complete_if_done` asked only for listed machines, `release_returned` got unlisted machines as if they were up, and an owner that loads a wave counted as away only what the list shows in upkeep.

Change: the list proves only what it names. So an unlisted machine without known tasks gets its order like any other; one that should be back and isn't listed counts as unconfirmed, and its order is repeated; a new owner lets a decided machine that isn't listed keep its place until then.

Why it works: an answer to an order is about this machine and this wave; what a list leaves out no longer decides anything.

--- a/vanillawell/coordination/upkeep_runner.py
+++ b/vanillawell/coordination/upkeep_runner.py
@@ -165,13 +165,19 @@
         progress.away = {
             name: UNKNOWN_INCARNATION
             for name in wave.machines
-            if name in progress.unconfirmed
-            or (name in self._machines and self._machines[name].state is MachineState.UPKEEP)
+            if name in progress.unconfirmed or self._may_be_in_upkeep(name, progress)
         }
         for name in progress.unconfirmed:
             self._upkeep_orders.reserve(name)
         return progress
 
+    def _may_be_in_upkeep(self, name: str, progress: WaveProgress) -> bool:
+        """Return whether a machine is in upkeep, or the list leaves it out after it was decided."""
+        machine = self._machines.get(name)
+        if machine is None:
+            return name in progress.decided
+        return machine.state is MachineState.UPKEEP
+
     async def _save(self, progress: WaveProgress) -> None:
         number, now = progress.wave.number, clock.read()
         age = self._ages[number].updated(progress.first_seen, self._clocks, now)
@@ -202,9 +208,9 @@
         executors = self._shard.ledger.by_machine()
         up = {item.name for item in self._machines.values() if item.state is MachineState.UP}
         incarnations = {name: incarnation_id(item) for name, item in executors.items()}
-        progress.release_returned(
-            incarnations, up | (progress.away.keys() - self._machines.keys()), self._listed_at
-        )
+        progress.release_returned(incarnations, up, self._listed_at)
+        for name in progress.doubt_unlisted(self._machines, incarnations, self._listed_at):
+            self._upkeep_orders.reserve(name)
         for name in progress.wave.machines:
             if name in executors:
                 executors[name].awaits_upkeep = name not in progress.decided
@@ -259,20 +265,24 @@
     def _unused_machines(
         self, progress: WaveProgress, executors: Mapping[str, Executor], now: float
     ) -> list[str]:
-        """Return the machines that are up, run no executor and have no pending order."""
+        """Return the machines that run no executor and have no pending order, as far as known.
+
+        They are up, or the list leaves them out; the answer to the order tells whether they exist.
+        """
         return [
             name
             for name in progress.wave.machines
             if name not in progress.decided
             and name not in executors
-            and self._is_unused(self._machines.get(name))
+            and self._is_unused(name)
             and self._may_decide(name, now)
         ]
 
-    def _is_unused(self, machine: Machine | None) -> bool:
-        return (
-            machine is not None and machine.state is MachineState.UP and not self._in_use(machine)
-        )
+    def _is_unused(self, name: str) -> bool:
+        machine = self._machines.get(name)
+        if machine is None:
+            return not self._may_run_tasks(name)
+        return machine.state is MachineState.UP and not self._in_use(machine)
 
     def _in_use(self, machine: Machine) -> bool:
         """Return whether an executor whose registration has expired may still run tasks on a
@@ -284,13 +294,22 @@
         executor = self._shard.ledger.executors.get(machine.executor or "")
         return executor is not None and bool(executor.runs)
 
+    def _may_run_tasks(self, machine: str) -> bool:
+        """Return whether tasks may run on a machine whose executor the list does not name.
+
+        The machine of an executor from previous terms may not be known.
+        """
+        return any(
+            executor.runs and executor.facts.machine in (machine, "")
+            for executor in self._shard.ledger.executors.values()
+        )
+
     async def _complete_if_done(self, progress: WaveProgress) -> None:
-        """Publish that the wave is completed once each of its machines has had its upkeep."""
-        unfinished = [
-            name
-            for name in progress.wave.machines
-            if name not in progress.confirmed and name in self._machines
-        ]
+        """Publish that the wave is completed once each of its machines has had its upkeep.
+
+        A machine that the list leaves out counts as finished only once its order was answered.
+        """
+        unfinished = [name for name in progress.wave.machines if name not in progress.confirmed]
         if unfinished or progress.closed or progress.away:
             return
         progress.completed = True
--- a/vanillawell/standins/scheduler/machines.py
+++ b/vanillawell/standins/scheduler/machines.py
@@ -59,6 +59,9 @@
     refuse_busy: bool = False
     """Whether orders for machines that are not up are refused."""
 
+    unlisted: set[str] = field(default_factory=set)
+    """Machines that the list leaves out, as if a page were missing."""
+
     advice_calls: int = 0
     on_move: Callable[[StandInMachine], Awaitable[None]] | None = None
     """Called after a machine has changed its pool."""
@@ -80,6 +83,7 @@
             rows = [
                 {"machine": item.name, "pool": item.pool, "state": item.state, "id": item.executor}
                 for item in self.machines.values()
+                if item.name not in self.unlisted
             ]
             await send_json(send, {"machines": rows, "nextToken": None})
             return
@@ -93,6 +97,9 @@
             ]
             await send_json(send, {"good": approved})
             return
+        if document["machine"] not in self.machines:
+            await send_json(send, {}, 400)
+            return
         if self.refuse_busy and self.machines[document["machine"]].state != "up":
             await send_json(send, {"reason": "busy"}, 409)
             return
--- a/vanillawell/state/upkeep.py
+++ b/vanillawell/state/upkeep.py
@@ -121,9 +121,9 @@
         `incarnations` maps each machine to its present incarnation. `up` holds the machines that
         were up in the list requested at `listed_at`. A new incarnation alone is no proof: it may
         have started before the order. Nor is a list older than the order, which shows every machine
-        as up. A machine without an executor, such as one on standby, is back if it is up after the
-        duration of an upkeep. A machine whose order is unconfirmed keeps its place, because the
-        order is repeated and may still be carried out.
+        as up, nor one that leaves the machine out. A machine without an executor, such as one on
+        standby, is back if it is up after the duration of an upkeep. A machine whose order is
+        unconfirmed keeps its place, because the order is repeated and may still be carried out.
         """
         for machine, before in list(self.away.items()):
             if machine in self.unconfirmed:
@@ -138,6 +138,25 @@
             if age > LIST_LAG and (changed or over) and machine in up:
                 del self.away[machine]
 
+    def doubt_unlisted(
+        self, listed: Collection[str], incarnations: Collection[str], listed_at: float
+    ) -> list[str]:
+        """Return the machines that should be back and that a list leaves out; their orders count
+        as unconfirmed again.
+
+        Such a machine may have been removed, or the list may be incomplete. The answer to a
+        repeated order tells.
+        """
+        doubted = [
+            name
+            for name in self.away.keys() & self.confirmed
+            if name not in listed
+            and name not in incarnations
+            and listed_at > self.ordered.get(name, 0.0) + MIN_UPKEEP_DURATION
+        ]
+        self.confirmed.difference_update(doubted)
+        return doubted
+
 
 def incarnation_id(executor: Executor) -> str:
     """Return an identifier that differs between incarnations of an executor."""
