Keep a machine's place in a wave when a repeated order is refused

What operators saw: one machine more than a wave allows down for its upkeep (LIMIT).

Cause: the order for a machine is carried out and its answer is lost. The order is repeated and refused as busy, since the machine is down for just that upkeep. `_handle_refusal` took the refusal for the outcome of the order, freed the machine's place and let the next one begin.

Change: a wave keeps which orders may have been carried out without an answer (unanswered ones, those of former owners, those of machines that the list leaves out). A refusal that may speak of such an order leaves the place, the claim and the marks of its runs as they are, and the order is repeated until an answer tells: that it was carried out, that the machine is not of the wave, or that it does not exist. A refusal of an only order frees the place as before.

Price: a machine that is down for another cause right after its first order went unanswered holds its place until it is up again.

--- a/vanillawell/coordination/upkeep_orders.py
+++ b/vanillawell/coordination/upkeep_orders.py
@@ -136,11 +136,11 @@
             await self._machines.begin_upkeep(name, progress.wave.number, self._orders.duty)
         except UpkeepRefusedError as error:
             log.warning("upkeep order refused", extra={**fields, "reason": error.reason.value})
-            if executor is not None:
-                unmark_runs_away(executor)
-            self._handle_refusal(progress, name, error.reason)
+            self._handle_refusal(progress, name, error.reason, executor)
         except (NotSentError, NoAnswerError) as error:
             log.warning("upkeep order unanswered", extra={**fields, "why": str(error)})
+            if isinstance(error, NoAnswerError):
+                progress.possibly_begun.add(name)
         else:
             self._record_begun(progress, name, executor)
             log.info("upkeep begun", extra={**fields, "away": len(progress.away)})
@@ -160,12 +160,20 @@
         self._release(name)
         self._wake()
 
-    def _handle_refusal(self, progress: WaveProgress, name: str, reason: UpkeepRefusal) -> None:
+    def _handle_refusal(
+        self, progress: WaveProgress, name: str, reason: UpkeepRefusal, executor: Executor | None
+    ) -> None:
         """Release a machine whose upkeep was refused; decide on it again if that can help.
 
-        A machine that is not up may be away because of this very order, sent by a previous owner.
+        A machine that is not up may be away because of an earlier order for this upkeep. It keeps
+        its place then, and the order is repeated until its answer tells.
         """
-        if reason in (UpkeepRefusal.NOT_OF_WAVE, UpkeepRefusal.NO_SUCH_MACHINE):
+        is_final = reason in (UpkeepRefusal.NOT_OF_WAVE, UpkeepRefusal.NO_SUCH_MACHINE)
+        if name in progress.possibly_begun and not is_final:
+            return
+        if executor is not None:
+            unmark_runs_away(executor)
+        if is_final:
             progress.confirmed.add(name)
         else:
             progress.decided.discard(name)
--- a/vanillawell/coordination/upkeep_runner.py
+++ b/vanillawell/coordination/upkeep_runner.py
@@ -167,6 +167,7 @@
             for name in wave.machines
             if name in progress.unconfirmed or self._may_be_in_upkeep(name, progress)
         }
+        progress.possibly_begun = set(progress.unconfirmed)
         for name in progress.unconfirmed:
             self._upkeep_orders.reserve(name)
         return progress
--- a/vanillawell/state/upkeep.py
+++ b/vanillawell/state/upkeep.py
@@ -86,6 +86,10 @@
     ordered: dict[str, float] = field(default_factory=dict)
     """When the latest order for each machine was sent, on the same clock."""
 
+    possibly_begun: set[str] = field(default_factory=set)
+    """Machines of which an earlier order may have been carried out, whatever a later one is
+    answered."""
+
     closed: dict[str, float] = field(default_factory=dict)
     """Machines being emptied, with the time at which that began."""
 
@@ -155,6 +159,7 @@
             and listed_at > self.ordered.get(name, 0.0) + MIN_UPKEEP_DURATION
         ]
         self.confirmed.difference_update(doubted)
+        self.possibly_begun.update(doubted)
         return doubted
 
 
--- a/vanillawell/tests/wave_conclusions_tests.py
+++ b/vanillawell/tests/wave_conclusions_tests.py
@@ -1,13 +1,20 @@
-"""Test what an owner concludes about a wave of upkeep from lists of machines."""
+"""Test what an owner concludes about a wave of upkeep from lists and refusals."""
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from types import SimpleNamespace
+from typing import TYPE_CHECKING, Any
 
 import anyio
 
+from vanillawell import clock
+from vanillawell.coordination.upkeep_orders import REPEAT_DELAY, UpkeepOrders
+from vanillawell.protocol.call_errors import NoAnswerError
+from vanillawell.protocol.machine_calls import UpkeepRefusal, UpkeepRefusedError
 from vanillawell.standins.scheduler.machines import StandInMachine
+from vanillawell.state.upkeep import Wave, WaveProgress
 from vanillawell.tests.scheduler_cluster import Cluster, until, with_cluster
+from vanillawell.tests.scheduling_builders import ShardHarness
 from vanillawell.tests.standby_pools import STANDBY, configure_standby
 
 if TYPE_CHECKING:
@@ -103,3 +110,79 @@
     built.machines.unlisted.clear()
     await until(lambda: state_of_wave(built) == "completed", 20)
     assert built.machines.max_away == 1
+
+
+class UpkeepAnswers:
+    """Service for machines that gives the listed answers to orders for upkeep, one after another;
+    None confirms the order."""
+
+    def __init__(self, *answers: Exception | None) -> None:
+        self._answers = list(answers)
+
+    async def begin_upkeep(self, *_: object) -> None:
+        answer = self._answers.pop(0)
+        if answer is not None:
+            raise answer
+
+
+async def save_nothing(_: WaveProgress) -> None:
+    """Take the progress of a wave for stored."""
+
+
+async def announce_nothing(_: object) -> None:
+    """Take orders for announced."""
+
+
+def upkeep_orders(*answers: Exception | None) -> UpkeepOrders:
+    """Return the sender of orders to a service that gives these answers."""
+    ports: Any = SimpleNamespace(machines=UpkeepAnswers(*answers))
+    orders: Any = SimpleNamespace(
+        duty=None,
+        announce=announce_nothing,
+        claim=lambda *_: True,
+        release=lambda *_: None,
+        is_claimed=lambda _: False,
+        is_fresh=lambda *_: True,
+        may_order=lambda *_: True,
+    )
+    term: Any = SimpleNamespace(token=1)
+    return UpkeepOrders(ShardHarness().shard, term, ports, orders, save_nothing, lambda: None)
+
+
+async def order_twice(orders: UpkeepOrders, progress: WaveProgress) -> None:
+    """Order the upkeep of a wave's machines, and repeat what is unconfirmed."""
+    await orders.begin(progress, progress.wave.machines)
+    await orders.repeat_unconfirmed(progress, clock.read() + 2 * REPEAT_DELAY)
+
+
+def progress_of(*machines: str) -> WaveProgress:
+    """Return a wave that has just been read."""
+    return WaveProgress(Wave(1, machines, 30.0, 1), clock.read())
+
+
+# Guards against one machine too many in upkeep: an order is carried out without an answer, and the
+# repeated one is refused because the machine is down for its upkeep.
+def test_refusal_of_a_repeated_order_does_not_free_the_place_of_a_machine() -> None:
+    progress = progress_of("m-0")
+    refusal = UpkeepRefusedError(UpkeepRefusal.BUSY)
+    anyio.run(order_twice, upkeep_orders(NoAnswerError("lost"), refusal), progress)
+    assert "m-0" in progress.away
+    assert progress.unconfirmed == {"m-0"}
+
+
+# Guards against a wave that waits for a machine whose only order was refused.
+def test_refusal_of_the_only_order_frees_the_place_of_a_machine() -> None:
+    progress = progress_of("m-0")
+    refusal = UpkeepRefusedError(UpkeepRefusal.BUSY)
+    anyio.run(upkeep_orders(refusal).begin, progress, ["m-0"])
+    assert not progress.away
+    assert not progress.decided
+
+
+# Guards against a place that is never free again: no machine of that name exists any more.
+def test_machine_that_no_longer_exists_frees_its_place() -> None:
+    progress = progress_of("m-0")
+    refusal = UpkeepRefusedError(UpkeepRefusal.NO_SUCH_MACHINE)
+    anyio.run(order_twice, upkeep_orders(NoAnswerError("lost"), refusal), progress)
+    assert not progress.away
+    assert progress.confirmed == {"m-0"}
