Keep the room of runs that end behind the listed ends

What callers would see: more on an executor than it has room for (LIMIT), after hundreds of runs ended there at once.

Cause: the room of a run that nobody is charged for counts until a report leaves the run out. A report that may be cut leaves out runs whose ends stand behind those that it lists.

Change: `Orphans.update` gets the report. One that may leave out ends frees only the room of the runs whose ends it lists; the next whole one frees the rest.

--- a/vanillawell/state/ledger.py
+++ b/vanillawell/state/ledger.py
@@ -347,7 +347,7 @@
             elif may_still_start(run, report, sent):
                 outcome.unconfirmed.append(run)
         outcome.orphans.extend(rows_by_run.values())
-        executor.incarnation.orphans.update(outcome.orphans, sent, now, find)
+        executor.incarnation.orphans.update(outcome.orphans, report, sent, now, find)
         self._remove_if_unused(executor)
         return outcome
 
--- a/vanillawell/state/orphans.py
+++ b/vanillawell/state/orphans.py
@@ -13,7 +13,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
-    from vanillawell.protocol.executor_calls import ReportedRun
+    from vanillawell.protocol.executor_calls import HoldReport, ReportedRun
 
 
 @dataclass(frozen=True, slots=True)
@@ -46,15 +46,23 @@
     def update(
         self,
         rows: Iterable[ReportedRun],
+        report: HoldReport,
         sent: float,
         now: float,
         find: Callable[[TaskId], Task | None],
     ) -> None:
         """Apply the orphans of a report, the answer to a call that was sent at `sent`.
 
-        A report on a call that was sent before another one listed a run does not show its end.
+        A report on a call that was sent before another one listed a run does not show its end. Nor
+        does one that may leave out ends, unless it lists that of the run: room is free only once
+        the end is listed.
         """
-        kept = {key: item for key, item in self._found.items() if sent < item.listed_at}
+        ended = {(end.task_id, end.run) for end in report.ended}
+        kept = {
+            key: item
+            for key, item in self._found.items()
+            if sent < item.listed_at or not (report.lists_all_ends or key in ended)
+        }
         for row in rows:
             if row.task_id is not None:
                 task = find(row.task_id)
