Take no executor for lost by a list that leaves out others that may answer

What callers would see: a task that runs twice (TWICE). A page of the list of machines is missing in two readings in a row while one executor on it is silent, for example cut off, and runs on.

Cause: an executor that two lists leave out counts as lost if the list has three quarters of those that answer. A missing page of a large fleet passes that bound, although the others on the page answer and contradict the list.

Change: a list that leaves out an executor with runs that isn't known to be silent shows nobody to be missing. Such an executor either answers, and the list is wrong, or is noticed to be silent by its next call (2.5 s at most). Idle executors are not called and don't count. A list that names a machine in another state, or with another executor, proves as much as before. The line `machine list leaves out executors that answer` tells of it.

Evidence: lost_executors_tests.py, the test of the missing page fails on the code before (the silent executor counts as missing) and passes now; its counterpart with an idle executor holds before and after.

What remains: a page with none but silent executors that is missing twice.

--- a/vanillawell/coordination/loss_detector.py
+++ b/vanillawell/coordination/loss_detector.py
@@ -76,6 +76,9 @@
         result = find_lost_executors(
             list(self._shard.ledger.executors.values()), listed_executors, requested_at
         )
+        if result.unlisted:
+            fields = {"n": len(result.unlisted), "executor": result.unlisted[0].name}
+            log.warning("machine list leaves out executors that answer", extra=fields)
         missing_twice = [item for item in result.missing if incarnation_id(item) in self._missing]
         self._missing = {
             incarnation_id(item) for item in result.missing if item not in missing_twice
--- a/vanillawell/state/lost_executors.py
+++ b/vanillawell/state/lost_executors.py
@@ -35,6 +35,10 @@
     """Executors on no listed machine. Their machines may have been removed, or the list may be
     incomplete."""
 
+    unlisted: list[Executor] = field(default_factory=list)
+    """Executors with runs on no listed machine that are not known to be silent. While there are
+    any, the list may be incomplete, and none counts as missing."""
+
 
 def unconfirmed_executors(executors: Iterable[Executor], now: float) -> list[Executor]:
     """Return the executors with runs that are unconfirmed and should be listed by now.
@@ -65,9 +69,30 @@
             continue
         listed = executor.facts.machine in executor_by_machine
         (found.terminated if listed else found.missing).append(executor)
+    if found.missing:
+        found.unlisted = _unlisted(executors, executor_by_machine, requested_at)
+    if found.unlisted:
+        found.missing.clear()
     return found
 
 
+def _unlisted(
+    executors: Iterable[Executor], executor_by_machine: Mapping[str, str], requested_at: float
+) -> list[Executor]:
+    """Return the executors that should be listed by now, are not, and may still answer.
+
+    Idle executors get no calls, so nobody knows whether they do.
+    """
+    return [
+        item
+        for item in executors
+        if item.runs
+        and not item.is_unconfirmed
+        and requested_at > item.tracked_since + MAX_LIST_LAG
+        and item.facts.machine not in executor_by_machine
+    ]
+
+
 def is_list_credible(
     executors: Iterable[Executor], running: Collection[str], requested_at: float
 ) -> bool:
--- a/vanillawell/tests/lost_executors_tests.py
+++ b/vanillawell/tests/lost_executors_tests.py
@@ -55,6 +55,32 @@
     assert found == LostExecutors(terminated=[], missing=[executors[0]])
 
 
+# Guards against tasks that run twice: a page of the list is missing, and one of the executors on it
+# is silent just then.
+def test_list_that_leaves_out_an_executor_that_answers_shows_none_to_be_missing() -> None:
+    harness, executors = harness_with("i-1", "i-2", "i-3", "i-4", "i-5")
+    executors[0].unresponsive_since = harness.now
+    requested_at = harness.now + AFTER_LIST_LAG
+    found = find_lost_executors(executors, machine_list("i-3", "i-4", "i-5"), requested_at)
+    assert found.missing == []
+    assert found.unlisted == [executors[1]]
+    executors[1].unresponsive_since = harness.now
+    found = find_lost_executors(executors, machine_list("i-3", "i-4", "i-5"), requested_at)
+    assert found.missing == executors[:2]
+
+
+# Guards against waiting for a lease because of an idle executor, of which nobody knows whether it
+# still answers.
+def test_idle_executor_that_a_list_leaves_out_does_not_make_it_incomplete() -> None:
+    harness, executors = harness_with("i-1", "i-2", "i-3", "i-4")
+    harness.register(facts("idle"))
+    executors[0].unresponsive_since = harness.now
+    fleet = list(harness.shard.ledger.executors.values())
+    requested_at = harness.now + AFTER_LIST_LAG
+    found = find_lost_executors(fleet, machine_list("i-2", "i-3", "i-4"), requested_at)
+    assert found.missing == [executors[0]]
+
+
 def test_an_executor_behind_a_broken_path_is_not_terminated() -> None:
     """Its machine is up, so it runs until its leases expire. Restarted earlier, its tasks would run
     twice."""
