Date a peer's word on the configuration by what it certainly followed

What callers could see: a key that operators withdrew is accepted for longer than the organisation's `key_freshness`, by an entry that was paused or whose peers' messages arrive late.

Cause: a heartbeat and its acknowledgement tell how old the sender's confirmation of the configuration is. The receiver counted that age from the moment at which it *read* the message. A message that had waited in a paused process or on a slow path counted as present news: that it names no newer version was taken for there being none.

Change: an acknowledgement counts from the sending of its heartbeat. A heartbeat counts from this entry's previous acknowledgement on the same connection, since peers send none before that; the first one on a connection confirms nothing. Nothing changes on the wire; a confirmation by heartbeats is older by one interval (0.5 s).

--- a/vanillawell/coordination/document_sync.py
+++ b/vanillawell/coordination/document_sync.py
@@ -107,10 +107,11 @@
             listener()
         return True
 
-    def confirm(self, version: int, age: float, now: float) -> None:
-        """Record a peer's confirmation that `version` was the newest one `age` seconds ago."""
+    def confirm(self, version: int, age: float, stated_after: float) -> None:
+        """Record a peer's confirmation that `version` was the newest one `age` seconds before its
+        statement, which it made after the given time."""
         if version == self.version:
-            self._confirmed_at = max(self._confirmed_at, now - age)
+            self._confirmed_at = max(self._confirmed_at, stated_after - age)
 
     async def run(self) -> None:
         """Sync with the store until cancelled."""
--- a/vanillawell/coordination/peers.py
+++ b/vanillawell/coordination/peers.py
@@ -220,10 +220,11 @@
         while True:
             push = self._push
             with anyio.fail_after(self._timing.peer_timeout):
+                sent = clock.read()
                 self._last_heartbeat_size = float(
-                    await stream.send(self._heartbeat(clock.read(), address.same_zone))
+                    await stream.send(self._heartbeat(sent, address.same_zone))
                 )
-                await self._receive_until_acknowledged(stream)
+                await self._receive_until_acknowledged(stream, sent)
             link.acknowledged_at = clock.read()
             # Logged only after an acknowledgement: a proxy on the path may accept connections and
             # close them immediately, and each attempt would log two state changes.
@@ -237,12 +238,13 @@
         )
         return max(self._timing.beat_interval, within_budget)
 
-    async def _receive_until_acknowledged(self, stream: PeerLink) -> None:
+    async def _receive_until_acknowledged(self, stream: PeerLink, sent: float) -> None:
         awaited = 1
         while awaited:
             message = await stream.receive()
             if isinstance(message, Acknowledgement):
-                awaited += await self._request_newer(stream, message.versions, message.fresh_age)
+                self._confirm(message.versions, message.fresh_age, sent)
+                awaited += await self._request_newer(stream, message.versions)
                 awaited -= 1
             else:
                 await self._handle_document(stream, message)
@@ -251,29 +253,43 @@
     async def serve(self, raw: ByteStream) -> None:
         """Serve a connection that a peer has opened to this entry."""
         stream = self._transport.wrap(raw, self._names, self._count)
+        acknowledged_at: float | None = None
         try:
             async with raw:
                 while True:
                     with anyio.fail_after(self._timing.peer_timeout + 4 * self._interval()):
                         message = await stream.receive()
-                    await self._answer(stream, message)
+                    if not isinstance(message, Beat):
+                        await self._handle_document(stream, message)
+                        continue
+                    if acknowledged_at is not None:
+                        self._confirm(message.versions, message.fresh_age, acknowledged_at)
+                    acknowledged_at = await self._answer_heartbeat(stream, message)
         except CONNECTION_ERRORS:
             return
 
-    async def _answer(self, stream: PeerLink, message: Message) -> None:
-        if not isinstance(message, Beat):
-            await self._handle_document(stream, message)
-            return
-        self._apply_heartbeat(message, clock.read())
-        await self._request_newer(stream, message.versions, message.fresh_age)
-        age = self._configuration.fresh_age(clock.read())
-        await stream.send(Acknowledgement(self._versions(), age))
+    async def _answer_heartbeat(self, stream: PeerLink, beat: Beat) -> float:
+        """Apply and acknowledge a heartbeat; return the time before which the peer sends no other
+        one."""
+        self._apply_heartbeat(beat, clock.read())
+        await self._request_newer(stream, beat.versions)
+        now = clock.read()
+        await stream.send(Acknowledgement(self._versions(), self._configuration.fresh_age(now)))
+        return now
+
+    def _confirm(self, theirs: Versions, fresh_age: float, sent_after: float) -> None:
+        """Take over a peer's confirmation of the configuration, in a message sent after a time.
+
+        Messages may be read long after they were sent, for example once this process has been
+        paused. What the peer had not heard of by then is no news of the present.
+        """
+        self._configuration.confirm(theirs.configuration, fresh_age, sent_after)
 
     def _versions(self) -> Versions:
         assignment = self._documents[DocumentKind.ASSIGNMENT]
         return Versions(self._configuration.version, assignment.version)
 
-    async def _request_newer(self, stream: PeerLink, theirs: Versions, fresh_age: float) -> int:
+    async def _request_newer(self, stream: PeerLink, theirs: Versions) -> int:
         """Request each document of which the peer has a newer version; return their number."""
         newer = [
             (kind, own.version)
@@ -282,7 +298,6 @@
         ]
         for kind, have in newer:
             await stream.send(DocumentRequest(kind, have))
-        self._configuration.confirm(theirs.configuration, fresh_age, clock.read())
         return len(newer)
 
     async def _handle_document(self, stream: PeerLink, message: Message) -> None:
