Ask for advice about the executors that an answer was not about

What callers would see: a job that never starts, though executors that may run it have room (LOST), on a queue with a hint and a pool of more than 100 executors.

Cause: a request names 100 executors at most, the least loaded ones. The answer was taken for the whole truth: executors that it was not about counted as barred until the tickets expired, and the next request was about the same 100. The same for executors that joined meanwhile, if none was allowed.

The next request is about the others, at once if nobody was allowed. Nobody is asked about twice in one life; steps that have ended are forgotten.

Evidence: advice_requester_tests.py, two new tests fail on the code before (one request of 100 in place of 100 and 20; a step with nobody allowed kept its empty answer) and pass now.

--- a/vanillawell/coordination/advice_requester.py
+++ b/vanillawell/coordination/advice_requester.py
@@ -13,6 +13,7 @@
 from vanillawell.protocol.machine_calls import AdviceBusyError
 from vanillawell.state.executors import by_service
 from vanillawell.state.placement import cpu_utilisation
+from vanillawell.state.upkeep import incarnation_id
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable, Sequence
@@ -39,13 +40,17 @@
 order."""
 
 
+StepKey = tuple[str, int, int]
+"""Job id, occurrence and position of a step."""
+
+
 @dataclass(frozen=True, slots=True)
 class AdviceQuery:
     """An advice request for one step."""
 
     step: StepProgress
     rule: AdviceRule
-    executors: Sequence[str]
+    executors: Sequence[Executor]
 
 
 class AdviceRequester:
@@ -59,7 +64,9 @@
         self._shard = shard
         self._advice = advice
         self._wake = wake
-        self._valid_until: dict[tuple[str, int, int], float] = {}
+        self._valid_until: dict[StepKey, float] = {}
+        self._barred: dict[StepKey, set[str]] = {}
+        """Incarnations of executors that may not run each step, which does not change."""
 
     async def run(self) -> None:
         """Request tickets until cancelled."""
@@ -83,8 +90,8 @@
     def _next_query(self, now: float) -> AdviceQuery | None:
         """Return the request for the step without tickets that has the earliest deadline.
 
-        Steps for which no executor could run a task now are skipped, so that they do not delay
-        others.
+        Steps for which no executor is left to ask about that could run a task now are skipped, so
+        that they do not delay others.
         """
         steps_without_tickets = [
             step
@@ -95,47 +102,59 @@
             return None
         moved = _steps_to_move(self._shard.ledger.executors.values())
         candidates = [step for step in steps_without_tickets if step.has_waiting or step in moved]
-        usable: dict[str, list[str]] = {}
+        usable: dict[str, list[Executor]] = {}
         for step in sorted(candidates, key=lambda step: step.record.deadline):
             queue = self._shard.queue_of(step.record.job)
             assert queue is not None and queue.advice is not None
             if queue.service not in usable:
                 usable[queue.service] = self._usable_executors(queue.service, now)
-            if usable[queue.service]:
-                return AdviceQuery(step, queue.advice, usable[queue.service])
+            barred = self._barred.get(_key(step), set())
+            asked = [item for item in usable[queue.service] if incarnation_id(item) not in barred]
+            if asked:
+                return AdviceQuery(step, queue.advice, asked[:MAX_EXECUTORS_PER_CALL])
         return None
 
-    def _usable_executors(self, service: str, now: float) -> list[str]:
-        """Return the executors to ask about, the least loaded ones first."""
+    def _usable_executors(self, service: str, now: float) -> list[Executor]:
+        """Return the executors that could run a task now, the least loaded ones first."""
         pool = by_service(self._shard.ledger.executors.values(), service)
-        usable = sorted((item for item in pool if item.accepts_tasks(now)), key=cpu_utilisation)
-        return [item.name for item in usable][:MAX_EXECUTORS_PER_CALL]
+        return sorted((item for item in pool if item.accepts_tasks(now)), key=cpu_utilisation)
 
     async def _request_tickets(self, query: AdviceQuery) -> None:
-        step, names, now = query.step, query.executors, clock.read()
+        step, now = query.step, clock.read()
+        asked = {item.name: incarnation_id(item) for item in query.executors}
         try:
-            tickets = await self._advice.request_tickets(step.tasks[0].task_id, names)
+            tickets = await self._advice.request_tickets(step.tasks[0].task_id, list(asked))
         except (NotSentError, NoAnswerError, AdviceBusyError) as error:
             fields = {"job": step.record.job.job_id, "step": step.position, "why": repr(error)}
             log.warning("no advice", extra=fields)
             await anyio.sleep(RETRY_DELAY)
             return
-        self._shard.tickets[_key(step)] = tickets
-        self._valid_until[_key(step)] = now + max(0.0, query.rule.validity - USE_MARGIN)
+        self._record_barred(step, {life for name, life in asked.items() if name not in tickets})
+        if tickets:
+            self._shard.tickets[_key(step)] = tickets
+            self._valid_until[_key(step)] = now + max(0.0, query.rule.validity - USE_MARGIN)
         log.info(
             "advice taken",
             extra={
                 "job": step.record.job.job_id,
                 "step": step.position,
-                "asked": len(names),
+                "asked": len(asked),
                 "allowed": len(tickets),
                 "seconds": round(clock.read() - now, 3),
             },
         )
         self._wake()
 
+    def _record_barred(self, step: StepProgress, barred: set[str]) -> None:
+        """Record which executors may not run a step, and forget those of steps that have ended."""
+        if not barred:
+            return
+        open_steps = {_key(item) for item in self._shard.job_table.open_steps}
+        known = {key: value for key, value in self._barred.items() if key in open_steps}
+        self._barred = {**known, _key(step): known.get(_key(step), set()) | barred}
+
 
-def _key(step: StepProgress) -> tuple[str, int, int]:
+def _key(step: StepProgress) -> StepKey:
     return (step.record.job.job_id, step.occurrence, step.position)
 
 
--- a/vanillawell/tests/advice_requester_tests.py
+++ b/vanillawell/tests/advice_requester_tests.py
@@ -7,7 +7,7 @@
 import anyio
 
 from vanillawell import clock
-from vanillawell.coordination.advice_requester import AdviceRequester
+from vanillawell.coordination.advice_requester import MAX_EXECUTORS_PER_CALL, AdviceRequester
 from vanillawell.state.upkeep import SHORT_TASK_TIMEOUT
 from vanillawell.state.work_policy import AdviceRule, Queue, Service
 from vanillawell.tests.scheduler_cluster import ADVICE_PREFIX, Cluster, until, with_cluster
@@ -68,13 +68,54 @@
 def _collect_requests(harness: ShardHarness) -> list[tuple[str, list[str]]]:
     """Run the requester for a moment; return its requests."""
     advice = RecordingAdvice()
+    _run_for_a_moment(AdviceRequester(harness.shard, advice, lambda: None))
+    return advice.requests
+
 
+def _run_for_a_moment(requester: AdviceRequester) -> None:
     async def work() -> None:
         with anyio.move_on_after(0.1):
-            await AdviceRequester(harness.shard, advice, lambda: None).run()
+            await requester.run()
 
     anyio.run(work)
-    return advice.requests
+
+
+class StrictAdvice(RecordingAdvice):
+    """Allow one executor, and record the requests."""
+
+    def __init__(self, allowed: str) -> None:
+        super().__init__()
+        self._allowed = allowed
+
+    async def request_tickets(self, task: TaskId, executors: Sequence[str]) -> dict[str, str]:
+        await super().request_tickets(task, executors)
+        return {self._allowed: "ticket"} if self._allowed in executors else {}
+
+
+# Guards against a task that never starts: of a pool larger than one request, only executors that
+# the first request leaves out may run it.
+def test_executors_that_were_not_asked_about_are_asked_about_next() -> None:
+    names = [f"i-{number:03}" for number in range(MAX_EXECUTORS_PER_CALL + 20)]
+    harness = _make_harness(*names)
+    harness.admit(job())
+    advice = StrictAdvice(names[-1])
+    _run_for_a_moment(AdviceRequester(harness.shard, advice, lambda: None))
+    assert [len(executors) for _, executors in advice.requests] == [MAX_EXECUTORS_PER_CALL, 20]
+    assert [run.executor for run in harness.place()] == [names[-1]]
+
+
+# Guards against calls without end about executors that are barred, since that does not change.
+def test_barred_executor_is_asked_about_once_in_each_life() -> None:
+    harness = _make_harness("i-0")
+    harness.admit(job())
+    advice = StrictAdvice("none")
+    requester = AdviceRequester(harness.shard, advice, lambda: None)
+    _run_for_a_moment(requester)
+    _run_for_a_moment(requester)
+    assert len(advice.requests) == 1
+    harness.register(facts("i-0", incarnation=2))
+    _run_for_a_moment(requester)
+    assert len(advice.requests) == 2
 
 
 def test_no_advice_is_requested_for_task_that_stays() -> None:
