Fail a call to the store whose answer lacks a part

What operators would see: an entry that ends after one malformed answer of the store, without a line that says why.

Cause: the client read pages, changes and results of writes without a check. A page without `hasMore`, an empty page that isn't the last or an answer without a revision raised KeyError, TypeError or IndexError, which nobody who talks to the store expects.

Change: one place decodes answers. One that lacks a part raises a StoreError that says what is missing; the call is made again as after any failure, and nothing is concluded from the rest of the answer: no listing counts as whole, no key as missing, no write as done or refused.

--- a/vanillawell/platform/store.py
+++ b/vanillawell/platform/store.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import base64
-from typing import TYPE_CHECKING, Any
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Any, TypeVar
 from urllib.parse import quote
 
 from vanillawell.exceptions import (
@@ -23,8 +24,12 @@
 )
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from vanillawell.platform.http import HttpAnswer, HttpClient
 
+T = TypeVar("T")
+
 STORE_CALL_TIMEOUT = 1.5
 """Seconds to wait for an answer; a slow store takes about 0.4 s, 90 times its usual 4 ms."""
 
@@ -82,7 +87,7 @@
     async def get(self, key: str) -> KeyValue | None:
         """Read one key."""
         answer = await self._read(f"/kv-key?key={quote(key, safe='')}")
-        return None if answer.status == 404 else _item(_document(answer))
+        return None if answer.status == 404 else _decode(answer, _item)
 
     async def list(self, prefix: str) -> Listing:
         """Read all keys that start with `prefix`, page by page.
@@ -95,14 +100,13 @@
         after = ""
         while True:
             page_parameter = f"&after={quote(after, safe='')}" if after else ""
-            page = _document(
-                await self._read(f"/kv-range?prefix={quote(prefix, safe='')}{page_parameter}")
-            )
-            revision = revision or page["storeRevision"]
-            items.extend(_item(item) for item in page["items"])
-            if not page["hasMore"]:
+            answer = await self._read(f"/kv-range?prefix={quote(prefix, safe='')}{page_parameter}")
+            page = _decode(answer, _page)
+            revision = revision or page.revision
+            items.extend(page.items)
+            if not page.has_more:
                 return Listing(revision, tuple(items))
-            after = items[-1].key
+            after = page.items[-1].key
 
     async def transact(self, transaction: Transaction) -> TransactionResult:
         """Run one transaction; this store does not support `reads`."""
@@ -123,16 +127,12 @@
         answer = await self._call("POST", "/kv-txn", document)
         if answer.status == 404:
             raise LeaseEndedError("/kv-txn: no such lease")
-        content = _document(answer)
-        if answer.status == 412:
-            values = (_item(item) for item in content["items"] if item.get("revision"))
-            return TransactionResult(False, 0, {item.key: item for item in values})
-        return TransactionResult(True, content["revision"])
+        return _decode(answer, _conflict if answer.status == 412 else _success)
 
     async def grant_lease(self, ttl: float) -> int:
         """Create a lease of `ttl` seconds and return its id."""
         answer = await self._call("POST", "/kv-lease", {"ttlMs": round(ttl * 1000)})
-        return int(_document(answer)["lease"])
+        return _decode(answer, lambda content: int(content["lease"]))
 
     async def keep_alive(self, lease: int, fresh: bool = False) -> bool:
         """Renew a lease, over a new connection if `fresh`; return False if it has expired."""
@@ -151,17 +151,50 @@
         )
         if answer.status == 410:
             raise HistoryGoneError(f"{prefix}: changes after {after} are no longer available")
-        content = _document(answer)
-        return Changes(
-            content["storeRevision"], tuple(_change(event) for event in content["events"])
-        )
+        return _decode(answer, _changes)
 
 
-def _document(answer: HttpAnswer) -> Any:
+@dataclass(frozen=True, slots=True)
+class _Page:
+    """One page of a listing."""
+
+    revision: int
+    items: tuple[KeyValue, ...]
+    has_more: bool
+
+
+def _decode(answer: HttpAnswer, decode: Callable[[Any], T]) -> T:
+    """Decode an answer; one that lacks a part tells nothing, not even of what it contains."""
     try:
-        return answer.document()
+        return decode(answer.document())
     except NoAnswerError as error:
         raise StoreOutcomeUnknownError(str(error)) from error
+    except (KeyError, TypeError, ValueError, AttributeError) as error:
+        raise StoreOutcomeUnknownError(f"malformed answer: {error!r}") from error
+
+
+def _page(content: Any) -> _Page:
+    page = _Page(
+        content["storeRevision"],
+        tuple(_item(item) for item in content["items"]),
+        bool(content["hasMore"]),
+    )
+    if page.has_more and not page.items:
+        raise ValueError("an empty page that is not the last")
+    return page
+
+
+def _conflict(content: Any) -> TransactionResult:
+    values = (_item(item) for item in content["items"] if item.get("revision"))
+    return TransactionResult(False, 0, {item.key: item for item in values})
+
+
+def _success(content: Any) -> TransactionResult:
+    return TransactionResult(True, content["revision"])
+
+
+def _changes(content: Any) -> Changes:
+    return Changes(content["storeRevision"], tuple(_change(event) for event in content["events"]))
 
 
 def _item(item: dict[str, Any]) -> KeyValue:
