Keep a machine without tasks until its unanswered move is known

What callers saw (on a stand-in): tasks that a move ends although it was decided while the machine was idle; lasting ones are away, others are done again.

Cause: the service doesn't answer an order to move a machine within 2 s and carries it out at 3.2 s. The machine was let go once it should have arrived (1.7 s to standby, 4 s elsewhere) and the list still showed it in its pool: the list leaves out what is on its way, and the order was taken for one that never comes.

Change: an unanswered move keeps claim and cordon until it is known. "Busy" in answer to a repeated order ends nothing: the machine may be on its way by the first one. An order that certainly wasn't sent (429, 503, no connection) is treated as before.

Price: while the service answers nothing, a machine with such an order stays idle, in place of 1.7 to 4 s; when it answers the repeated order, it is free, or there, sooner than before.

--- a/vanillawell/coordination/pool_rebalancer.py
+++ b/vanillawell/coordination/pool_rebalancer.py
@@ -14,8 +14,9 @@
 from vanillawell.coordination.machine_division import MachineDivision
 from vanillawell.coordination.machine_orders import ARRIVAL_TIMEOUT, ClaimPurpose
 from vanillawell.coordination.pool_demand import DemandMeter, MachineSnapshot
+from vanillawell.coordination.unanswered_moves import UnansweredMoves
 from vanillawell.protocol.call_errors import NoAnswerError, NotSentError
-from vanillawell.protocol.machine_calls import MachineState, UpkeepRefusedError
+from vanillawell.protocol.machine_calls import MachineState, UpkeepRefusal, UpkeepRefusedError
 from vanillawell.state.end_proofs import EndProof
 from vanillawell.state.pool_sizing import MachineMove, PoolDemand, PoolSizer
 from vanillawell.state.upkeep import LIST_LAG, incarnation_id
@@ -85,6 +86,7 @@
         """Moving machines, each with its target pool and the time when the move was ordered or
         first seen."""
 
+        self._unanswered = UnansweredMoves()
         self._division = MachineDivision()
         self._logged_figures: dict[str, tuple[int, int]] = {}
         """Machines and required machines of each pool, as last logged."""
@@ -121,7 +123,9 @@
         executors = self._shard.ledger.by_machine()
         if is_list_due:
             self._inherit_moves(executors, now)
+            self._unanswered.resolve_listed(self._machines)
         self._process_arrivals(standby, executors, now)
+        await self._repeat_unanswered(executors, now)
         arriving = {name: pool for name, (pool, _) in self._arriving.items()}
         ordered = self._orders.ordered_by_previous_owner(now)
         snapshot = MachineSnapshot(executors, self._machines, arriving, ordered)
@@ -181,6 +185,16 @@
                 senders.start_soon(send_next)
         return len(unsent_moves)
 
+    async def _repeat_unanswered(self, executors: dict[str, Executor], now: float) -> None:
+        """Repeat the orders whose outcome is not known."""
+        moves = self._unanswered.due(now)
+        if not moves:
+            return
+        await self._orders.announce({move.machine: move.pool for move in moves})
+        async with anyio.create_task_group() as senders:
+            for move in moves[:MAX_CONCURRENT_MOVES]:
+                senders.start_soon(self._move, move, executors.get(move.machine))
+
     def _spare_machines(
         self, standby: str, executors: dict[str, Executor], now: float
     ) -> list[str]:
@@ -235,6 +249,7 @@
     def _stop_expecting(self, machine: str) -> None:
         """Stop expecting a machine: release the claim on it, and let tasks start there."""
         self._arriving.pop(machine, None)
+        self._unanswered.resolve(machine)
         self._orders.release(machine, ClaimPurpose.MOVE)
         if not self._orders.is_claimed(machine):
             self._shard.ledger.uncordon_machine(machine)
@@ -259,7 +274,7 @@
             bound = STANDBY_ARRIVAL_TIMEOUT if pool == standby else ARRIVAL_TIMEOUT
             if executor is not None and executor.facts.service == pool:
                 self._stop_expecting(name)
-            elif now > since + bound:
+            elif now > since + bound and name not in self._unanswered:
                 self._handle_missed_arrival(name, executor, since)
 
     def _handle_missed_arrival(self, name: str, executor: Executor | None, since: float) -> None:
@@ -319,12 +334,18 @@
         except UpkeepRefusedError as error:
             log.warning("machine move refused", extra={**fields, "why": error.reason.value})
             self._listed_at = float("-inf")
-            self._stop_expecting(move.machine)
+            if move.machine in self._unanswered and error.reason is UpkeepRefusal.BUSY:
+                self._unanswered.add(move, clock.read())  # it may be on its way by an earlier order
+            else:
+                self._stop_expecting(move.machine)
             return
         except (NotSentError, NoAnswerError) as error:
             log.warning("machine move unanswered", extra={**fields, "why": str(error)})
             self._listed_at = float("-inf")
+            if isinstance(error, NoAnswerError) or move.machine in self._unanswered:
+                self._unanswered.add(move, clock.read())
             return
+        self._unanswered.resolve(move.machine)
         log.info("machine moved", extra={**fields, "token": self._term.token})
         if executor is not None and incarnation_id(executor) == ordered:
             self._record_termination(executor)
--- a/vanillawell/tests/moves_in_flight_tests.py
+++ b/vanillawell/tests/moves_in_flight_tests.py
@@ -35,6 +35,8 @@
     interrupted: list[str] = []
 
     async def moved(machine: StandInMachine) -> None:
+        if not machine.executor:
+            return
         executor = built.hosts[machine.executor].executor
         interrupted.extend(executor.running)
         machine.executor = ""
@@ -74,3 +76,23 @@
     assert harness.place() == []
     ledger.uncordon_machine("m-1")
     assert [run.executor for run in harness.place()] == ["i-1"]
+
+
+LATE_MOVE_SECONDS = 3.2
+"""Seconds until a move is carried out whose answer is no longer awaited by then."""
+
+
+# Guards against tasks that a move ends which is carried out after its answer was given up.
+@with_cluster(executors=3)
+async def test_machine_gets_no_tasks_while_its_unanswered_move_may_be_carried_out(
+    built: Cluster,
+) -> None:
+    owner, interrupted = await built.owner(), record_interrupted_tasks(built)
+    built.machines.move_seconds = LATE_MOVE_SECONDS
+    await announced_machine(built)
+    await anyio.sleep(0.1)
+    built.machines.move_seconds = 0.0
+    long_running = step(3, longRunning=True, maxPerServer=1)
+    await owner.call("POST", PREFIX + built.new_id(), job(long_running, spec={"seconds": 60}))
+    await anyio.sleep(LATE_MOVE_SECONDS + 0.3)
+    assert interrupted == []
