Judge a move again that waited for the owner's lease

Cause: upkeep moves a lasting task off its machine by a stop. While the owner's lease has lapsed, stops wait; when it holds again they left without another look, though other tasks of the step may have been lost meanwhile. The order leaves on what was believed when it was decided.

Change: a stop that only moves a task says so (`Run.is_move`). The sender asks `may_interrupt` once more as it leaves; if too many others are away the stop is withdrawn, logged as `move withdrawn`, and upkeep decides anew. Stops of cancelled jobs, gangs, copies and stalled runs, and those of executors that are about to leave, are never withdrawn; one that is requested for a run that was to move makes it final.

--- a/vanillawell/coordination/stop_sender.py
+++ b/vanillawell/coordination/stop_sender.py
@@ -68,6 +68,8 @@
             elif reason := self._blocking_reason(run, now):
                 waiting[run.executor] = reason
                 outbox.stops.append(run)
+            elif self._shard.withdraw_move_if_needed(run):
+                log.info("move withdrawn: others of its step are away", extra=_describe(run))
             else:
                 self._drivers[run.executor].orders.stop(run)
         self._log_waiting({name: reason for name, reason in waiting.items() if reason})
--- a/vanillawell/coordination/upkeep_runner.py
+++ b/vanillawell/coordination/upkeep_runner.py
@@ -259,7 +259,7 @@
             executor, lambda run: forced or self._shard.can_place_elsewhere(run, now)
         )
         for run in runs:
-            self._shard.request_stop(run)
+            self._shard.request_move(run)
         if runs:
             self._wake()
 
--- a/vanillawell/state/shard.py
+++ b/vanillawell/state/shard.py
@@ -14,6 +14,7 @@
 from typing import TYPE_CHECKING
 
 from vanillawell.state.arrivals import ArrivalMeter
+from vanillawell.state.availability import may_interrupt
 from vanillawell.state.contention.agreed_rates import AgreedRates
 from vanillawell.state.copies import runs_to_copy
 from vanillawell.state.durations import DurationStatistics, set_objective
@@ -173,12 +174,28 @@
 
     def request_stop(self, run: Run) -> None:
         """Request that a run is stopped, unless that was requested before."""
+        run.is_move = False
         if run.stop_requested:
             return
         run.stop_requested = True
         if run.phase is not RunPhase.PLANNED:
             self.outbox.stop(run)
 
+    def request_move(self, run: Run) -> None:
+        """Request that a long-running task leaves its executor, unless its stop was requested."""
+        if not run.stop_requested:
+            self.request_stop(run)
+            run.is_move = True
+
+    @staticmethod
+    def withdraw_move_if_needed(run: Run) -> bool:
+        """Withdraw a stop that only moves a task if too many others of its step are away by now;
+        return whether it was withdrawn."""
+        if not run.is_move or may_interrupt(run):
+            return False
+        run.stop_requested = run.is_move = False
+        return True
+
     def register(self, facts: ExecutorFacts, now: float) -> None:
         """Apply an executor's registration."""
         self.ledger.register(facts, now)
--- a/vanillawell/state/work.py
+++ b/vanillawell/state/work.py
@@ -207,6 +207,10 @@
     """When the present phase began."""
 
     stop_requested: bool = False
+    is_move: bool = False
+    """Whether the requested stop only moves the task, so that it is withdrawn if too many others of
+    its step are away by the time it can be sent."""
+
     stop_confirmed: float | None = None
     """When the executor confirmed a stop order; after that the run cannot start there any more."""
 
--- a/vanillawell/tests/stop_sender_tests.py
+++ b/vanillawell/tests/stop_sender_tests.py
@@ -123,6 +123,55 @@
     assert orders.stopped == [scenario.run]
 
 
+def move_of_one_of_two_tasks() -> tuple[StopScenario, RecordingOrders, Run]:
+    """Return a scenario whose run is to move while the owner's lease is expired, and the run of the
+    other task of its step, which allows one of them to be away."""
+    scenario = StopScenario()
+    scenario.harness.register(facts("i-1"))
+    scenario.harness.admit(job(step(2, long_running=True, most_away=1, most_per_executor=1)))
+    runs = scenario.harness.place()
+    for run in runs:
+        run.is_available = True
+    orders = scenario.add_driver()
+    scenario.run = next(run for run in runs if run.executor == "i-0")
+    scenario.term.held = False
+    scenario.harness.shard.request_move(scenario.run)
+    scenario.send()
+    return scenario, orders, next(run for run in runs if run is not scenario.run)
+
+
+# Guards against a step with more tasks away than it allows: another of its tasks was lost while the
+# order to move this one waited for the owner's lease.
+def test_move_that_waited_is_withdrawn_if_another_task_is_away_by_then() -> None:
+    scenario, orders, other = move_of_one_of_two_tasks()
+    other.is_available = False
+    scenario.term.held = True
+    scenario.send()
+    assert orders.stopped == []
+    assert not scenario.run.stop_requested
+    other.is_available = True
+    scenario.harness.shard.request_move(scenario.run)
+    scenario.send()
+    assert orders.stopped == [scenario.run]
+
+
+# Guards against a cancelled job that goes on, since its stop was taken for a move.
+def test_stop_that_is_requested_after_a_move_is_not_withdrawn() -> None:
+    scenario, orders, other = move_of_one_of_two_tasks()
+    other.is_available = False
+    scenario.harness.shard.request_stop(scenario.run)
+    scenario.term.held = True
+    scenario.send()
+    assert orders.stopped == [scenario.run]
+
+
+def test_move_that_waited_is_sent_if_its_step_still_allows_it() -> None:
+    scenario, orders, _ = move_of_one_of_two_tasks()
+    scenario.term.held = True
+    scenario.send()
+    assert orders.stopped == [scenario.run]
+
+
 def test_ended_run_is_not_stopped() -> None:
     """The end of the run was reported while the stop waited."""
     scenario = StopScenario()
