Ask for a task again that a report of the workers' platform lacks

What operators would see: a deferrable job that runs twice at a time.

Cause: a start is recorded, then requested. If the request is not answered and on its way for longer, the next report of running tasks lacks the task. The runner of jobs took it for lost and started the job under the next task id; both were carried out.

Change: a task that a report lacks is requested again under the same id, which "never starts a second one" (the interface's own words), unless this process has an answer to its start. Only a task that was confirmed and that a later report lacks counts as lost.

--- a/vanillawell/coordination/job_runner.py
+++ b/vanillawell/coordination/job_runner.py
@@ -58,6 +58,8 @@
         self._role = Role(store, keys.job_runner, membership)
         self._registry = JobRegistry()
         self._revision = 0
+        self._started: set[str] = set()
+        """Ids of tasks whose start the platform has confirmed to this process."""
 
     async def run(self) -> None:
         """Acquire the role when it is free and manage jobs while it is held, until cancelled."""
@@ -104,19 +106,26 @@
         started = replace(job, state=JobState.RUNNING, worker=worker, attempt=job.attempt + 1)
         await self._write(self._registry.with_job(started))
         self._log(started, "running")
-        await self._platform.start_task(started, self._registry.expected_cores(started), TASK_TTL)
+        await self._request_start(started)
+
+    async def _request_start(self, job: Job) -> None:
+        await self._platform.start_task(job, self._registry.expected_cores(job), TASK_TTL)
+        self._started.add(job.task_id)
 
     async def _sync_running_tasks(self) -> None:
         """Update running jobs from the platform's task reports, and renew tasks that still run."""
         running = [job for job in self._active() if job.state is JobState.RUNNING]
         if not running:
             return
+        self._started.intersection_update(job.task_id for job in running)
         reports = await self._platform.tasks([job.task_id for job in running], TASK_TTL)
         for job in running:
             report = reports.get(job.task_id)
-            if report is None:
-                # The start was recorded but never reached the platform.
-                report = TaskReport(TaskState.LOST, 0.0, 0.0, 0.0)
+            if report is None and job.task_id not in self._started:
+                # The request may be on its way; the same id never starts a second task.
+                await self._request_start(job)
+                continue
+            report = report or TaskReport(TaskState.LOST, 0.0, 0.0, 0.0)
             await self._write(apply_report(self._registry, job, report))
             if report.state is not TaskState.RUNNING:
                 self._log(job, report.state)
