Let the executor of a test leave when it said, not 0.6 s before

Trace (log at level INFO): both tasks are stopped 0.6 s before the executor's announced end, as they should be; the report of the first end is answered, and within 10 ms of the second end the test's executor leaves and answers nothing any more. So the owner has not read the second end, and one task waits for the lease. Which came first decided the test.

It now leaves at just that time. Nothing else changes: the tasks still have to run until 0.9 s, to be stopped within 1.1 s more, and both to start within 1.0 s on the new executor.

--- a/vanillawell/tests/draining_tests.py
+++ b/vanillawell/tests/draining_tests.py
@@ -80,10 +80,12 @@
     is free capacity."""
     await _start_long_running(built)
     draining = built.hosts["i-0"].executor
+    leaves_at = anyio.current_time() + 2.0
     built.drain("i-0", 2.0)
     await anyio.sleep(0.9)
     assert len(draining.running) == 2
     await until(lambda: not draining.running, 1.1)
+    await anyio.sleep_until(leaves_at)
     built.leave("i-0")
     await built.add_executor("i-1")
     await until(lambda: len(built.hosts["i-1"].executor.running) == 2, 1.0)
