Judge in a soak what becomes of jobs, and let all of them end

What was missing: the play judged LIMIT and TWICE only and ended with its load, so that more than half of the accepted jobs were never seen to end.

Change: callers stay until each of their jobs has ended, long-running ones are cancelled as the load ends, and a play waits for that (30 s at most, twice the time that the users allow for a recovery). Three more checks, from what callers were told and executors began: LOST (an accepted job that has not ended, or is told as cancelled without cause), UNASKED (a start more than 3 s after an acknowledged cancellation) and REFUSED (each attempt was answered 429 or 503, and the job ran).

--- a/vanillawell/standins/soak/callers.py
+++ b/vanillawell/standins/soak/callers.py
@@ -13,6 +13,7 @@
 
 from vanillawell.platform.http import HttpClient
 from vanillawell.protocol.call_errors import NoAnswerError, NotSentError
+from vanillawell.standins.soak.job_checks import FINAL_STATES, JobHistory
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -107,11 +108,15 @@
 
     chance: random.Random
     outcomes: Counter[str] = field(default_factory=Counter)
+    jobs: list[JobHistory] = field(default_factory=list)
+    """What was told about each job, in the order of their submissions."""
+
     _http: HttpClient = field(default_factory=HttpClient)
     stopping: bool = False
+    """Whether no more jobs are submitted; those that were are followed until they have ended."""
 
     async def run(self) -> None:
-        """Submit jobs until told to stop."""
+        """Submit jobs until told to stop, and follow each until it has ended."""
         async with anyio.create_task_group() as tasks:
             for kind, share in self.kinds:
                 for index in range(len(self.pools)):
@@ -127,28 +132,37 @@
 
     async def _follow(self, kind: JobKind, pool: str) -> None:
         """Submit a job and ask for its state until it has ended; cancel some."""
-        path = f"/{pool}/{self.chance.getrandbits(64):016x}"
-        status, _ = await self._call("POST", path, kind.body(self.chance))
+        job = JobHistory(f"{self.chance.getrandbits(64):016x}")
+        self.jobs.append(job)
+        path = f"/{pool}/{job.job_id}"
+        status, _ = await self._call("POST", path, kind.body(self.chance), job.statuses)
         self.outcomes[f"{kind.name} submitted {status}"] += 1
         if status != 200:
             return
         ends_at = time.monotonic() + self.chance.uniform(*LONG_RUNNING_SECONDS)
         cancels = not kind.seconds or self.chance.random() < CANCEL_SHARE
-        while not self.stopping:
+        while job.state not in FINAL_STATES:
             await anyio.sleep(POLL_INTERVAL)
-            if cancels and (kind.seconds or time.monotonic() > ends_at):
-                status, _ = await self._call("DELETE", path)
-                self.outcomes[f"{kind.name} cancelled {status}"] += 1
-                return
+            is_due = bool(kind.seconds) or self.stopping or time.monotonic() > ends_at
+            if cancels and is_due and job.cancelled_at is None:
+                await self._cancel(kind, path, job)
             status, content = await self._call("GET", path)
-            state = content["state"] if status == 200 else f"status {status}"
-            if state not in ("queued", "running"):
-                self.outcomes[f"{kind.name} {state}"] += 1
-                if status == 200:
-                    return
-
-    async def _call(self, method: str, path: str, body: object = None) -> tuple[int, Any]:
-        """Make a call, again at other entries after no answer; status 0 means none came."""
+            job.state = content["state"] if status == 200 else f"status {status}"
+        self.outcomes[f"{kind.name} {job.state}"] += 1
+
+    async def _cancel(self, kind: JobKind, path: str, job: JobHistory) -> None:
+        status, _ = await self._call("DELETE", path)
+        self.outcomes[f"{kind.name} cancelled {status}"] += 1
+        if status == 200:
+            job.cancelled_at = time.monotonic()
+
+    async def _call(
+        self, method: str, path: str, body: object = None, statuses: list[int] | None = None
+    ) -> tuple[int, Any]:
+        """Make a call, again at other entries after no answer; status 0 means none came.
+
+        `statuses` receives the status of each attempt.
+        """
         headers = {"X-Key": KEY, "X-Deadline-Ms": str(int(CALL_TIMEOUT * 1000))}
         status = 0
         for _ in range(ATTEMPTS):
@@ -158,10 +172,11 @@
                     entry.caller, method, path, body, CALL_TIMEOUT, headers
                 )
             except (NoAnswerError, NotSentError):
-                status = 0
-            else:
-                status = answer.status
-                if status < 500 and status != 429:
-                    return status, answer.document() if answer.body else None
+                answer = None
+            status = answer.status if answer else 0
+            if statuses is not None:
+                statuses.append(status)
+            if answer and status < 500 and status != 429:
+                return status, answer.document() if answer.body else None
             await anyio.sleep(RETRY_DELAY)
         return status, None
--- a/vanillawell/standins/soak/play.py
+++ b/vanillawell/standins/soak/play.py
@@ -20,6 +20,7 @@
 from vanillawell.standins.soak.checks import find_violations
 from vanillawell.standins.soak.entries import Entry, Place
 from vanillawell.standins.soak.hosts import STANDBY, UPKEEP_SECONDS, Hosts
+from vanillawell.standins.soak.job_checks import find_job_violations
 from vanillawell.standins.soak.plan import FaultKind, build_plan
 from vanillawell.standins.soak.record import Record
 from vanillawell.transport.asgi import bind, server
@@ -31,6 +32,7 @@
 
     from vanillawell.standins.soak.checks import Violation
     from vanillawell.standins.soak.hosts import Host
+    from vanillawell.standins.soak.job_checks import JobViolation
     from vanillawell.standins.soak.plan import Fault
 
 POOLS = ("pool-a", "pool-b", "pool-c", "pool-d")
@@ -48,8 +50,9 @@
 READY_TIMEOUT = 60.0
 """Seconds within which all entries take callers."""
 
-SETTLING_SECONDS = 2.0
-"""Seconds from the end of the load to that of the play."""
+ENDING_TIME = 30.0
+"""Seconds from the end of the load within which all accepted jobs have to end: twice the time that
+the users' installations allow for a recovery."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -75,7 +78,7 @@
     runs: int
     faults: Counter[str]
     calls: Counter[str]
-    violations: list[Violation]
+    violations: list[Violation | JobViolation]
     longest_gap: float
     """Longest time in seconds for which the stand-ins were late."""
 
@@ -115,19 +118,22 @@
         await self._wait_until_ready()
         cores = options.load * 16 * options.executors
         callers = Callers(self.entries, POOLS, job_kinds(options.executors), cores, chance)
-        self.tasks.start_soon(callers.run)
+        followed = anyio.Event()
+        self.tasks.start_soon(_run_callers, callers, followed)
         began_at = time.monotonic()
         for fault in build_plan(options.seed, options.seconds, options.executors):
             await anyio.sleep(max(0.0, began_at + fault.at - time.monotonic()))
             self.tasks.start_soon(self._inject, fault, hosts)
         await anyio.sleep(max(0.0, began_at + options.seconds - time.monotonic()))
         callers.stopping = True
-        await anyio.sleep(SETTLING_SECONDS)
+        with anyio.move_on_after(ENDING_TIME):
+            await followed.wait()
+        runs = self.record.runs
         return Outcome(
-            len(self.record.runs),
+            len(runs),
             self.faults,
             callers.outcomes,
-            find_violations(self.record.runs),
+            [*find_violations(runs), *find_job_violations(callers.jobs, runs)],
             hosts.longest_gap,
             [entry.name for entry in self.entries if not entry.running],
         )
@@ -267,6 +273,12 @@
     return {"version": 1, "limits": {"maxBodyBytes": 262_144}, **content}
 
 
+async def _run_callers(callers: Callers, followed: anyio.Event) -> None:
+    """Run the callers; set the event once all jobs have ended."""
+    await callers.run()
+    followed.set()
+
+
 async def _is_ready(http: HttpClient, entry: Entry) -> bool:
     try:
         return (await http.call(entry.ready, "GET", "/ready")).status == 200
--- a/vanillawell/tests/soak_tests.py
+++ b/vanillawell/tests/soak_tests.py
@@ -8,15 +8,18 @@
 
 import anyio
 import orjson
+import pytest
 
 from vanillawell.standins.soak.__main__ import ROOT
 from vanillawell.standins.soak.checks import find_violations
 from vanillawell.standins.soak.executor import STOP_SECONDS, SoakExecutor
+from vanillawell.standins.soak.job_checks import CANCEL_TIME, JobHistory, find_job_violations
 from vanillawell.standins.soak.plan import RULES, build_plan
 from vanillawell.standins.soak.play import PlayOptions, play
 from vanillawell.standins.soak.record import Life, Record, RunRecord
 
-TASK = "00000000000000aa.0.0.0"
+JOB = "00000000000000aa"
+TASK = f"{JOB}.0.0.0"
 OTHER_TASK = "00000000000000bb.0.0.0"
 
 FIRST = Life("i-1", born=1_000, cpu=16_000, memory=32_000)
@@ -120,6 +123,45 @@
     assert [run.noted_at for run in record.runs] == [2.0, None]
 
 
+def job_rules(job: JobHistory, *runs: RunRecord) -> list[str]:
+    """Return the rules that a job breaks at the end of a play."""
+    return [violation.rule for violation in find_job_violations([job], runs)]
+
+
+# Guards against an accepted job that never ends and that nobody misses.
+@pytest.mark.parametrize("state", ["", "queued", "running", "status 410"])
+def test_accepted_job_that_has_not_ended_is_found(state: str) -> None:
+    assert job_rules(JobHistory(JOB, [503, 200], state=state)) == ["LOST"]
+    assert job_rules(JobHistory(JOB, [200], cancelled_at=1.0, state=state)) == ["LOST"]
+    assert job_rules(JobHistory(JOB, [503, 0], state=state)) == []
+
+
+@pytest.mark.parametrize("state", ["completed", "failed"])
+def test_accepted_job_that_has_ended_is_not_lost(state: str) -> None:
+    assert job_rules(JobHistory(JOB, [200], state=state)) == []
+
+
+# Guards against a job that is told as cancelled without cause.
+def test_cancellation_that_nobody_asked_for_is_found() -> None:
+    assert job_rules(JobHistory(JOB, [200], state="cancelled")) == ["LOST"]
+    assert job_rules(JobHistory(JOB, [200], cancelled_at=1.0, state="cancelled")) == []
+
+
+# Guards against a task that starts although its job was cancelled long before.
+def test_start_after_an_acknowledged_cancellation_is_found() -> None:
+    job = JobHistory(JOB, [200], cancelled_at=1.0, state="cancelled")
+    assert job_rules(job, run(TASK, 1, FIRST, 1.0 + CANCEL_TIME)) == []
+    assert job_rules(job, run(TASK, 1, FIRST, 1.1 + CANCEL_TIME)) == ["UNASKED"]
+    assert job_rules(job, run(OTHER_TASK, 1, FIRST, 9.0)) == []
+
+
+# Guards against a refusal that says "not run" of a job that runs.
+def test_job_that_ran_although_it_was_refused_is_found() -> None:
+    assert job_rules(JobHistory(JOB, [503, 429]), run(TASK, 1, FIRST, 1.0)) == ["REFUSED"]
+    assert job_rules(JobHistory(JOB, [503, 504]), run(TASK, 1, FIRST, 1.0)) == []
+    assert job_rules(JobHistory(JOB, [503, 0]), run(TASK, 1, FIRST, 1.0)) == []
+
+
 # Guards against plans that differ between two plays of a seed, or leave a kind of fault out.
 def test_plan_follows_from_its_seed() -> None:
     plan = build_plan(7, 600, 60)
