Share the set-up of tests that need the store alone

Sixteen tests of four modules began with the same lines (a task group, the stand-in of the store, its clock, a client, the ports) and ended with the same two. `store_setup.with_store` does that; `take`, which three modules imported from the tests of another one, moves there.

--- a/vanillawell/tests/handover_outcome_tests.py
+++ b/vanillawell/tests/handover_outcome_tests.py
@@ -11,24 +11,20 @@
 from vanillawell.coordination.lease_manager import STORED_BOUND_MARGIN
 from vanillawell.coordination.leases import CLOCK_DRIFT, ExecutorClock
 from vanillawell.exceptions import StoreOutcomeUnknownError
-from vanillawell.platform.http import HttpClient
-from vanillawell.platform.store import PlatformStore
 from vanillawell.protocol.store import Put
 from vanillawell.protocol.work_documents import WorkKeys
-from vanillawell.standins.scheduler.store import StandInStore
 from vanillawell.tests.lease_manager_tests import Owner, bounds, unreached
 from vanillawell.tests.scheduler_cluster import (
     PREFIX,
     Cluster,
     job,
-    listen,
     step,
     until,
     until_state,
     with_cluster,
 )
 from vanillawell.tests.scheduling_builders import ShardHarness, facts
-from vanillawell.tests.term_tests import take
+from vanillawell.tests.store_setup import StoreSetup, take, with_store
 
 if TYPE_CHECKING:
     from vanillawell.protocol.store import Transaction, TransactionResult
@@ -44,25 +40,19 @@
 """Seconds between the request to stop and the end of the process."""
 
 
-def test_write_after_a_cancelled_one_is_stored_or_repeated() -> None:
+@with_store
+async def test_write_after_a_cancelled_one_is_stored_or_repeated(setup: StoreSetup) -> None:
     """A stopping owner cancels its hand-over while the store's answer is lost. The next write must
     not be reported as stored unless it is, since ends of runs are confirmed on that basis."""
-
-    async def run() -> None:
-        async with anyio.create_task_group() as tasks:
-            stand_in = StandInStore()
-            store = PlatformStore(HttpClient(), listen(tasks, stand_in))
-            term = await take(store, "entry-0")
-            stand_in.faults.lose_answers = 1
-            with anyio.move_on_after(0.3):
-                await term.write([Put("value/bounds", b"x")])
-            assert "value/bounds" in stand_in.items
-            with anyio.fail_after(5):
-                await term.write([Put("value/turn", b"x")])
-            assert "value/turn" in stand_in.items
-            tasks.cancel_scope.cancel()
-
-    anyio.run(run)
+    stand_in, store = setup.stand_in, setup.store
+    term = await take(store, "entry-0")
+    stand_in.faults.lose_answers = 1
+    with anyio.move_on_after(0.3):
+        await term.write([Put("value/bounds", b"x")])
+    assert "value/bounds" in stand_in.items
+    with anyio.fail_after(5):
+        await term.write([Put("value/turn", b"x")])
+    assert "value/turn" in stand_in.items
 
 
 @with_cluster(members=2)
--- a/vanillawell/tests/stopping_owner_tests.py
+++ b/vanillawell/tests/stopping_owner_tests.py
@@ -25,7 +25,7 @@
     until_state,
     with_cluster,
 )
-from vanillawell.tests.term_tests import take
+from vanillawell.tests.store_setup import StoreSetup, take, with_store
 
 if TYPE_CHECKING:
     from vanillawell.protocol.store import Transaction, TransactionResult
@@ -219,26 +219,20 @@
     await until_state(other, job_id, "completed")
 
 
-def test_write_without_retry_ends_at_its_deadline() -> None:
+@with_store
+async def test_write_without_retry_ends_at_its_deadline(setup: StoreSetup) -> None:
     """A process is about to end while the answer to its final lease document is lost. Without a
     deadline the process would end late. The outcome has to count as unknown, or the next write
     could be reported as stored although it is not."""
-
-    async def run() -> None:
-        async with anyio.create_task_group() as tasks:
-            stand_in = StandInStore()
-            store = PlatformStore(HttpClient(), listen(tasks, stand_in))
-            term = await take(store, "entry-0")
-            stand_in.faults.lose_answers = 1
-            began = clock.read()
-            with pytest.raises(StoreOutcomeUnknownError):
-                await term.write_without_retry(lambda: [Put("value/last", b"x")], began + 0.3)
-            assert clock.read() - began < 1.0
-            await term.write([Put("value/next", b"x")])
-            assert "value/next" in stand_in.items
-            tasks.cancel_scope.cancel()
-
-    anyio.run(run)
+    stand_in, store = setup.stand_in, setup.store
+    term = await take(store, "entry-0")
+    stand_in.faults.lose_answers = 1
+    began = clock.read()
+    with pytest.raises(StoreOutcomeUnknownError):
+        await term.write_without_retry(lambda: [Put("value/last", b"x")], began + 0.3)
+    assert clock.read() - began < 1.0
+    await term.write([Put("value/next", b"x")])
+    assert "value/next" in stand_in.items
 
 
 def test_closed_term_is_not_held() -> None:
