Let clusters of tests request upkeep as they request evacuations

Eleven tests of six modules wrote the operators' document of a wave by hand; `Cluster.request_wave` does it.

--- a/vanillawell/tests/advice_requester_tests.py
+++ b/vanillawell/tests/advice_requester_tests.py
@@ -201,7 +201,6 @@
     ends."""
     await _start_long_running(built, maxUnavailable=1)
     machine = built.machines.machines[built.hosts["i-0"].machine]
-    wave = {"wave": 1, "machines": [machine.name], "durationS": 60, "maximum": 1}
-    built.store.put_document("op/wave/1", wave)
+    built.request_wave([machine.name], 60)
     await until(lambda: bool(built.hosts["i-1"].executor.running), SHORT_TASK_TIMEOUT / 2)
     await until(lambda: machine.upkeeps == 1, SHORT_TASK_TIMEOUT / 2)
--- a/vanillawell/tests/owner_memory_tests.py
+++ b/vanillawell/tests/owner_memory_tests.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from base64 import b64decode
+from typing import TYPE_CHECKING
 
 import anyio
 import orjson
@@ -22,6 +23,9 @@
     stop_and_replace,
 )
 
+if TYPE_CHECKING:
+    from vanillawell.standins.scheduler.machines import StandInMachine
+
 WAVE_DURATION = 4.0
 """Seconds within which each machine of a wave has to complete its upkeep."""
 
@@ -58,17 +62,21 @@
     assert again.executor != first.executor
 
 
-@with_cluster(members=2, executors=1)
-async def test_time_of_a_wave_is_kept_across_owners(built: Cluster) -> None:
-    """A long-running task cannot run elsewhere, so its machine is emptied only when the wave's time
-    runs out. A planned stop of the owner in between must not delay the wave."""
+async def run_a_lasting_task(built: Cluster) -> StandInMachine:
+    """Let a long-running task run on the only machine; return the machine."""
     owner, job_id = await built.owner(), built.new_id()
     long_running = body_of_job(step_in_body(longRunning=True), spec={"seconds": 60})
     await owner.call("POST", PREFIX + job_id, long_running)
     await until(lambda: f"{job_id}.0.0.0" in built.audit.started)
-    machine = next(iter(built.machines.machines.values()))
-    wave = {"wave": 1, "machines": [machine.name], "durationS": WAVE_DURATION, "maximum": 1}
-    built.store.put_document("op/wave/1", wave)
+    return next(iter(built.machines.machines.values()))
+
+
+@with_cluster(members=2, executors=1)
+async def test_time_of_a_wave_is_kept_across_owners(built: Cluster) -> None:
+    """A long-running task cannot run elsewhere, so its machine is emptied only when the wave's time
+    runs out. A planned stop of the owner in between must not delay the wave."""
+    machine = await run_a_lasting_task(built)
+    built.request_wave([machine.name], WAVE_DURATION)
     with anyio.fail_after(WAVE_DURATION):
         await anyio.sleep(WAVE_DURATION / 2)
         await stop_and_replace(built, await built.owner())
@@ -90,13 +98,8 @@
 @with_cluster(members=2, executors=1)
 async def test_sole_owner_completes_a_wave_in_time(built: Cluster) -> None:
     """Without a change of owner the machine is emptied before the wave's time runs out."""
-    owner, job_id = await built.owner(), built.new_id()
-    long_running = body_of_job(step_in_body(longRunning=True), spec={"seconds": 60})
-    await owner.call("POST", PREFIX + job_id, long_running)
-    await until(lambda: f"{job_id}.0.0.0" in built.audit.started)
-    machine = next(iter(built.machines.machines.values()))
-    wave = {"wave": 1, "machines": [machine.name], "durationS": WAVE_DURATION, "maximum": 1}
-    built.store.put_document("op/wave/1", wave)
+    machine = await run_a_lasting_task(built)
+    built.request_wave([machine.name], WAVE_DURATION)
     await until(lambda: machine.upkeeps == 1, WAVE_DURATION)
 
 
@@ -153,8 +156,7 @@
     await owner.call("POST", PREFIX + job_id, long_running)
     await until(lambda: f"{job_id}.0.0.0" in built.audit.started)
     machine = next(iter(built.machines.machines.values()))
-    wave = {"wave": 1, "machines": [machine.name], "durationS": 60.0, "maximum": 1}
-    built.store.put_document("op/wave/1", wave)
+    built.request_wave([machine.name], 60.0)
     key = WorkKeys().wave(1)
     await until(lambda: key in built.store.items)
     first = built.store.items[key]
@@ -167,15 +169,10 @@
 async def test_time_of_a_wave_begins_while_the_shard_has_no_owner(built: Cluster) -> None:
     """A wave is requested just after the owner was killed. The entry that takes over has seen the
     request before; if the time counted from its take-over, the wave would be late."""
-    owner, job_id = await built.owner(), built.new_id()
-    long_running = body_of_job(step_in_body(longRunning=True), spec={"seconds": 60})
-    await owner.call("POST", PREFIX + job_id, long_running)
-    await until(lambda: f"{job_id}.0.0.0" in built.audit.started)
-    machine = next(iter(built.machines.machines.values()))
-    wave = {"wave": 1, "machines": [machine.name], "durationS": WAVE_DURATION, "maximum": 1}
+    machine = await run_a_lasting_task(built)
     with anyio.fail_after(WAVE_DURATION):
         await built.kill(await built.owner())
-        built.store.put_document("op/wave/1", wave)
+        built.request_wave([machine.name], WAVE_DURATION)
         await until(lambda: machine.upkeeps == 1, WAVE_DURATION)
 
 
--- a/vanillawell/tests/scheduler_cluster.py
+++ b/vanillawell/tests/scheduler_cluster.py
@@ -25,7 +25,7 @@
 from vanillawell.transport.asgi import bind, read_body, server
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator, Awaitable, Callable
+    from collections.abc import AsyncIterator, Awaitable, Callable, Iterable
 
     from anyio.abc import TaskGroup
 
@@ -284,6 +284,18 @@
         """End the evacuation of a zone, as an operator."""
         self.store.delete(f"op/evacuate/{zone}")
 
+    def request_wave(
+        self, machines: Iterable[str], seconds: float, most_away: int = 1, number: int = 1
+    ) -> None:
+        """Request the upkeep of machines within `seconds`, as an operator."""
+        wave = {
+            "wave": number,
+            "machines": list(machines),
+            "durationS": seconds,
+            "maximum": most_away,
+        }
+        self.store.put_document(f"op/wave/{number}", wave)
+
     def leave(self, name: str) -> None:
         """Terminate an executor: all its runs end, and it no longer answers."""
         self.hosts[name].executor.leave()
--- a/vanillawell/tests/scheduler_failure_tests.py
+++ b/vanillawell/tests/scheduler_failure_tests.py
@@ -342,8 +342,7 @@
     for name in built.hosts:
         built.store.delete(f"servers/{name}")
     machines = built.machines.machines
-    wave = {"wave": 1, "machines": list(machines), "durationS": 20, "maximum": 3}
-    built.store.put_document("op/wave/1", wave)
+    built.request_wave(machines, 20, most_away=3)
     await until(lambda: any(machine.upkeeps for machine in machines.values()), 3)
     await anyio.sleep(0.7)
     used = {host.machine for host in built.hosts.values() if host.executor.running}
@@ -357,8 +356,7 @@
     failed, so would each of its successors."""
     member, job_id = built.members[0], built.new_id()
     built.store.put("vanillawell/wave/1", "e30=")
-    wave = {"wave": 1, "machines": list(built.machines.machines), "durationS": 20, "maximum": 1}
-    built.store.put_document("op/wave/1", wave)
+    built.request_wave(built.machines.machines, 20)
     await until(lambda: any(item.upkeeps for item in built.machines.machines.values()), 4)
     await member.call("POST", PREFIX + job_id, job())
     await until_state(member, job_id, "completed")
@@ -381,8 +379,7 @@
     kept = next(name for name in other.running if name.startswith(job_id))
     unreachable.faults.unresponsive = True
     await anyio.sleep(2.0)
-    wave = {"wave": 1, "machines": [f"machine-of-{other.name}"], "durationS": 20, "maximum": 1}
-    built.store.put_document("op/wave/1", wave)
+    built.request_wave([f"machine-of-{other.name}"], 20)
     await anyio.sleep(2.5)
     assert kept in other.running
     await until(lambda: kept not in other.running, 8)
--- a/vanillawell/tests/scheduler_path_tests.py
+++ b/vanillawell/tests/scheduler_path_tests.py
@@ -199,8 +199,7 @@
     long_running = step(2, longRunning=True, maxUnavailable=1, maxPerServer=1)
     await member.call("POST", PREFIX + job_id, job(long_running, spec={"seconds": 60}))
     await until(lambda: sum(len(executor.running) for executor in built.executors) == 2)
-    wave = {"wave": 1, "machines": list(built.machines.machines), "durationS": 20, "maximum": 1}
-    built.store.put_document("op/wave/1", wave)
+    built.request_wave(built.machines.machines, 20)
 
     def completed() -> bool:
         item = built.store.items.get("status/wave/1")
--- a/vanillawell/tests/upkeep_runner_tests.py
+++ b/vanillawell/tests/upkeep_runner_tests.py
@@ -28,11 +28,6 @@
     return names
 
 
-def _request_upkeep(built: Cluster, number: int, machine: str) -> None:
-    wave = {"wave": number, "machines": [machine], "durationS": 20, "maximum": 1}
-    built.store.put_document(f"op/wave/{number}", wave)
-
-
 @with_cluster(executors=2)
 async def test_owner_keeps_its_shard_when_a_wave_arrives_while_it_stores_another(
     built: Cluster,
@@ -45,9 +40,9 @@
     term = owner.node.term
     owner.store.answer_time = 0.3
     first, second = built.machines.machines
-    _request_upkeep(built, 1, first)
+    built.request_wave([first], 20)
     await until(lambda: "vanillawell/wave/1" in built.store.items)
-    _request_upkeep(built, 2, second)
+    built.request_wave([second], 20, number=2)
     await until(lambda: "vanillawell/wave/2" in built.store.items)
     await anyio.sleep(2 * owner.store.answer_time)
     assert owner.node.term is term
@@ -71,8 +66,7 @@
     names = _add_spares(built)
     configure_standby(built)
     member = built.members[0]
-    wave = {"wave": 1, "machines": names, "durationS": 20, "maximum": SPARE_MACHINES}
-    built.store.put_document("op/wave/1", wave)
+    built.request_wave(names, 20, most_away=SPARE_MACHINES)
     await until(lambda: any(machine.upkeeps for machine in built.machines.machines.values()))
     long_running = step(SPARE_MACHINES + 1, longRunning=True, maxUnavailable=1, maxPerServer=1)
     await member.call("POST", PREFIX + built.new_id(), job(long_running, spec={"seconds": 60}))
--- a/vanillawell/tests/wave_conclusions_tests.py
+++ b/vanillawell/tests/wave_conclusions_tests.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from types import SimpleNamespace
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
 import anyio
 
@@ -17,12 +17,12 @@
 from vanillawell.tests.scheduling_builders import ShardHarness
 from vanillawell.tests.standby_pools import STANDBY, configure_standby
 
-if TYPE_CHECKING:
-    from collections.abc import Sequence
-
 UPKEEP_SECONDS = 4.0
 """Seconds that an upkeep takes; longer than the time after which a machine may be back."""
 
+WAVE_SECONDS = 30.0
+"""Seconds that a wave may take."""
+
 
 def add_spares(built: Cluster, count: int) -> list[str]:
     """Add machines on standby, which run no executor, and return their names."""
@@ -33,12 +33,6 @@
     return names
 
 
-def request_wave(built: Cluster, machines: Sequence[str], most_away: int = 1) -> None:
-    """Request the upkeep of machines, as an operator."""
-    wave = {"wave": 1, "machines": list(machines), "durationS": 30, "maximum": most_away}
-    built.store.put_document("op/wave/1", wave)
-
-
 def state_of_wave(built: Cluster) -> str:
     """Return the published state of the wave; empty before the first."""
     item = built.store.items.get("status/wave/1")
@@ -59,7 +53,7 @@
     await built.owner()
     (name,) = add_spares(built, 1)
     built.machines.unlisted.add(name)
-    request_wave(built, [name])
+    built.request_wave([name], WAVE_SECONDS)
     await until(lambda: state_of_wave(built) == "completed" or bool(machines_in_upkeep(built)))
     assert machines_in_upkeep(built) == [name]
     built.machines.unlisted.clear()
@@ -71,7 +65,7 @@
 async def test_wave_with_a_machine_that_does_not_exist_is_completed(built: Cluster) -> None:
     await built.owner()
     (name,) = add_spares(built, 1)
-    request_wave(built, [name, "removed"])
+    built.request_wave([name, "removed"], WAVE_SECONDS)
     await until(lambda: state_of_wave(built) == "completed", 10)
     assert built.machines.machines[name].upkeeps == 1
 
@@ -81,7 +75,7 @@
 async def test_machine_in_upkeep_that_the_list_leaves_out_keeps_its_place(built: Cluster) -> None:
     await built.owner()
     names = add_spares(built, 2)
-    request_wave(built, names)
+    built.request_wave(names, WAVE_SECONDS)
     await until(lambda: bool(machines_in_upkeep(built)), 5)
     built.machines.unlisted.update(machines_in_upkeep(built))
     await anyio.sleep(UPKEEP_SECONDS - 1)
@@ -99,7 +93,7 @@
 ) -> None:
     owner = await built.owner()
     names = add_spares(built, 2)
-    request_wave(built, names)
+    built.request_wave(names, WAVE_SECONDS)
     await until(lambda: bool(machines_in_upkeep(built)), 5)
     built.machines.unlisted.update(machines_in_upkeep(built))
     await anyio.sleep(0.3)
