--- a/vanillawell/standins/soak/callers.py
+++ b/vanillawell/standins/soak/callers.py
@@ -151,6 +151,7 @@
         self.outcomes[f"{kind.name} {job.state}"] += 1
 
     async def _cancel(self, kind: JobKind, path: str, job: JobHistory) -> None:
+        job.asked_to_cancel = True
         status, _ = await self._call("DELETE", path)
         self.outcomes[f"{kind.name} cancelled {status}"] += 1
         if status == 200:
