Take no registered executor for lost, nor any by a list that lacks registered ones

Change: an executor counts as missing only if its own registration is gone (4.5 s of silence, seen by the store) and the list names the machine of every executor whose registration stands, busy or idle, silent or not. Twice in a row, as before. The list proves as much as ever of the machines that it names. The line is now `machine list leaves out registered executors`, once.

Price: where a machine is removed for good, its tasks wait for the registration to go (4.5 s) in place of two readings. Weighed: to conclude nothing at all from a missing machine.

--- a/vanillawell/coordination/loss_detector.py
+++ b/vanillawell/coordination/loss_detector.py
@@ -12,7 +12,11 @@
 from vanillawell.protocol.call_errors import NoAnswerError, NotSentError
 from vanillawell.protocol.machine_calls import MachineState
 from vanillawell.state.end_proofs import EndProof
-from vanillawell.state.lost_executors import find_lost_executors, unconfirmed_executors
+from vanillawell.state.lost_executors import (
+    find_lost_executors,
+    find_unlisted,
+    unconfirmed_executors,
+)
 from vanillawell.state.upkeep import incarnation_id
 
 if TYPE_CHECKING:
@@ -49,6 +53,9 @@
         self._missing: set[str] = set()
         """Incarnations that the latest list did not name."""
 
+        self._is_incomplete = False
+        """Whether the latest list left out registered executors."""
+
     async def run(self) -> None:
         """Check until cancelled."""
         while True:
@@ -73,12 +80,9 @@
             item.name: (item.executor or "") if item.state is MachineState.UP else ""
             for item in machines
         }
-        result = find_lost_executors(
-            list(self._shard.ledger.executors.values()), listed_executors, requested_at
-        )
-        if result.unlisted:
-            fields = {"n": len(result.unlisted), "executor": result.unlisted[0].name}
-            log.warning("machine list leaves out executors that answer", extra=fields)
+        fleet = list(self._shard.ledger.executors.values())
+        self._log_unlisted(find_unlisted(fleet, listed_executors, requested_at))
+        result = find_lost_executors(fleet, listed_executors, requested_at)
         missing_twice = [item for item in result.missing if incarnation_id(item) in self._missing]
         self._missing = {
             incarnation_id(item) for item in result.missing if item not in missing_twice
@@ -88,6 +92,13 @@
         for executor in missing_twice:
             self._record_termination(executor, EndProof.NOT_LISTED, requested_at)
 
+    def _log_unlisted(self, unlisted: list[Executor]) -> None:
+        """Log once that a list leaves out executors, until one is whole again."""
+        if unlisted and not self._is_incomplete:
+            fields = {"n": len(unlisted), "executor": unlisted[0].name}
+            log.warning("machine list leaves out registered executors", extra=fields)
+        self._is_incomplete = bool(unlisted)
+
     def _record_termination(self, executor: Executor, proof: EndProof, requested_at: float) -> None:
         now = clock.read()
         fields = {"executor": executor.name, "machine": executor.facts.machine, "reason": proof}
--- a/vanillawell/state/lost_executors.py
+++ b/vanillawell/state/lost_executors.py
@@ -32,12 +32,8 @@
     """Executors whose machines are listed as not up, or with another executor."""
 
     missing: list[Executor] = field(default_factory=list)
-    """Executors on no listed machine. Their machines may have been removed, or the list may be
-    incomplete."""
-
-    unlisted: list[Executor] = field(default_factory=list)
-    """Executors with runs on no listed machine that are not known to be silent. While there are
-    any, the list may be incomplete, and none counts as missing."""
+    """Executors on no listed machine whose registrations are gone, too. Their machines may have
+    been removed, or the list may be incomplete."""
 
 
 def unconfirmed_executors(executors: Iterable[Executor], now: float) -> list[Executor]:
@@ -64,30 +60,29 @@
     found = LostExecutors()
     if not is_list_credible(executors, running, requested_at):
         return found
+    is_whole = not find_unlisted(executors, executor_by_machine, requested_at)
     for executor in unconfirmed_executors(executors, requested_at):
         if executor.name in running:
             continue
-        listed = executor.facts.machine in executor_by_machine
-        (found.terminated if listed else found.missing).append(executor)
-    if found.missing:
-        found.unlisted = _unlisted(executors, executor_by_machine, requested_at)
-    if found.unlisted:
-        found.missing.clear()
+        if executor.facts.machine in executor_by_machine:
+            found.terminated.append(executor)
+        elif is_whole and not executor.registered:
+            found.missing.append(executor)
     return found
 
 
-def _unlisted(
+def find_unlisted(
     executors: Iterable[Executor], executor_by_machine: Mapping[str, str], requested_at: float
 ) -> list[Executor]:
-    """Return the executors that should be listed by now, are not, and may still answer.
+    """Return the registered executors whose machines should be listed by now and are not.
 
-    Idle executors get no calls, so nobody knows whether they do.
+    Registrations come from the store, so while there are any such executors the list is incomplete,
+    or they have ended too recently for their registrations to be gone.
     """
     return [
         item
         for item in executors
-        if item.runs
-        and not item.is_unconfirmed
+        if item.registered
         and requested_at > item.tracked_since + MAX_LIST_LAG
         and item.facts.machine not in executor_by_machine
     ]
--- a/vanillawell/tests/lost_executors_tests.py
+++ b/vanillawell/tests/lost_executors_tests.py
@@ -7,6 +7,7 @@
     MAX_LIST_LAG,
     LostExecutors,
     find_lost_executors,
+    find_unlisted,
     unconfirmed_executors,
 )
 from vanillawell.tests.scheduling_builders import ShardHarness, facts, job, step
@@ -47,38 +48,45 @@
     ]
 
 
+def unregister(harness: ShardHarness, *executors: Executor) -> None:
+    """Let the registrations of silent executors go."""
+    for executor in executors:
+        harness.shard.ledger.unregister(executor.name)
+
+
 def test_an_executor_whose_machine_is_not_listed_is_only_missing() -> None:
     """Its machine may have been removed for good, or the list may be incomplete."""
     harness, executors = harness_with("i-1", "i-2", "i-3")
     executors[0].unresponsive_since = harness.now
+    unregister(harness, executors[0])
     found = find_lost_executors(executors, machine_list("i-2", "i-3"), harness.now + AFTER_LIST_LAG)
     assert found == LostExecutors(terminated=[], missing=[executors[0]])
 
 
-# Guards against tasks that run twice: a page of the list is missing, and one of the executors on it
-# is silent just then.
-def test_list_that_leaves_out_an_executor_that_answers_shows_none_to_be_missing() -> None:
-    harness, executors = harness_with("i-1", "i-2", "i-3", "i-4", "i-5")
+# Guards against tasks that run twice: a page of the list is missing, and an executor on it is cut
+# off from the entries, but not from the store.
+def test_registered_executor_is_not_missing() -> None:
+    harness, executors = harness_with("i-1", "i-2", "i-3")
     executors[0].unresponsive_since = harness.now
-    requested_at = harness.now + AFTER_LIST_LAG
-    found = find_lost_executors(executors, machine_list("i-3", "i-4", "i-5"), requested_at)
-    assert found.missing == []
-    assert found.unlisted == [executors[1]]
-    executors[1].unresponsive_since = harness.now
-    found = find_lost_executors(executors, machine_list("i-3", "i-4", "i-5"), requested_at)
-    assert found.missing == executors[:2]
+    found = find_lost_executors(executors, machine_list("i-2", "i-3"), harness.now + AFTER_LIST_LAG)
+    assert found == LostExecutors()
 
 
-# Guards against waiting for a lease because of an idle executor, of which nobody knows whether it
-# still answers.
-def test_idle_executor_that_a_list_leaves_out_does_not_make_it_incomplete() -> None:
+# Guards against tasks that run twice: a page of the list is missing, and an executor on it is cut
+# off while others on the page are registered, busy or idle.
+def test_list_that_leaves_out_a_registered_executor_shows_none_to_be_missing() -> None:
     harness, executors = harness_with("i-1", "i-2", "i-3", "i-4")
-    harness.register(facts("idle"))
     executors[0].unresponsive_since = harness.now
+    unregister(harness, executors[0])
+    idle = harness.register(facts("idle"))
     fleet = list(harness.shard.ledger.executors.values())
     requested_at = harness.now + AFTER_LIST_LAG
-    found = find_lost_executors(fleet, machine_list("i-2", "i-3", "i-4"), requested_at)
-    assert found.missing == [executors[0]]
+    listed = machine_list("i-2", "i-3", "i-4")
+    assert find_unlisted(fleet, listed, requested_at) == [idle]
+    assert find_lost_executors(fleet, listed, requested_at) == LostExecutors()
+    unregister(harness, idle)
+    fleet = list(harness.shard.ledger.executors.values())
+    assert find_lost_executors(fleet, listed, requested_at).missing == [executors[0]]
 
 
 def test_an_executor_behind_a_broken_path_is_not_terminated() -> None:
