Repeat an unanswered move only within its own announcement's time

Cause: found by reading again. First orders for machines leave only while their announcement is fresh, since a successor waits for no longer; the repeated ones left without that look. They were also announced all at once, though eight are sent.

Change: a repeated order leaves only while its announcement is fresh, else it is due again; only those that are sent are announced.

Evidence: moved_executors_tests.py, the new test fails on the code before and passes now.

--- a/vanillawell/coordination/pool_rebalancer.py
+++ b/vanillawell/coordination/pool_rebalancer.py
@@ -186,14 +186,16 @@
         return len(unsent_moves)
 
     async def _repeat_unanswered(self, executors: dict[str, Executor], now: float) -> None:
-        """Repeat the orders whose outcome is not known."""
-        moves = self._unanswered.due(now)
+        """Repeat the orders whose outcome is not known; one that is announced too slowly is due
+        again."""
+        moves = self._unanswered.due(now)[:MAX_CONCURRENT_MOVES]
         if not moves:
             return
         await self._orders.announce({move.machine: move.pool for move in moves})
         async with anyio.create_task_group() as senders:
-            for move in moves[:MAX_CONCURRENT_MOVES]:
-                senders.start_soon(self._move, move, executors.get(move.machine))
+            for move in moves:
+                if self._orders.is_fresh(move.machine, clock.read()):
+                    senders.start_soon(self._move, move, executors.get(move.machine))
 
     def _spare_machines(
         self, standby: str, executors: dict[str, Executor], now: float
--- a/vanillawell/tests/moved_executors_tests.py
+++ b/vanillawell/tests/moved_executors_tests.py
@@ -10,6 +10,7 @@
 
 from vanillawell import clock
 from vanillawell.coordination.pool_rebalancer import PoolRebalancer
+from vanillawell.protocol.call_errors import NoAnswerError
 from vanillawell.protocol.machine_calls import Machine, MachineState
 from vanillawell.state.pool_sizing import MachineMove
 from vanillawell.tests.scheduling_builders import POOL, ShardHarness, facts, job, step
@@ -32,11 +33,19 @@
         self._on_move()
 
 
-def rebalancer(harness: ShardHarness, on_move: Callable[[], None] = lambda: None) -> PoolRebalancer:
-    """Return the rebalancer of a shard."""
+async def announce_nothing(_: object) -> None:
+    """Take orders for announced."""
+
+
+def rebalancer(
+    harness: ShardHarness, on_move: Callable[[], None] = lambda: None, fresh: bool = True
+) -> PoolRebalancer:
+    """Return the rebalancer of a shard; its announcements are `fresh` once they are stored."""
     ports: Any = SimpleNamespace(machines=MoveCalls(on_move))
     orders: Any = SimpleNamespace(
         duty=None,
+        announce=announce_nothing,
+        is_fresh=lambda *_: fresh,
         claim=lambda *_: True,
         release=lambda *_: None,
         is_claimed=lambda _: False,
@@ -101,3 +110,32 @@
     move = MachineMove("m-i-0", OTHER_POOL, "needed")
     anyio.run(rebalancer(harness)._move, move, harness.shard.ledger.executors["i-0"])
     assert not harness.shard.ledger.executors
+
+
+def lose_answer() -> None:
+    """Lose the answer to an order."""
+    raise NoAnswerError("lost")
+
+
+# Guards against two holders that order one machine too soon after one another: a successor waits
+# only for orders that are sent soon after their announcement.
+@pytest.mark.parametrize("fresh", [True, False])
+def test_unanswered_move_is_repeated_only_within_its_own_announcement(fresh: bool) -> None:
+    harness = ShardHarness(facts("i-0"))
+    orders: list[str] = []
+    pools = rebalancer(harness, lambda: orders.append("order"), fresh)
+    move = MachineMove("m-i-0", OTHER_POOL, "needed")
+    pools._unanswered.add(move, clock.read() - OVERDUE)
+    anyio.run(pools._repeat_unanswered, harness.shard.ledger.by_machine(), clock.read())
+    assert orders == (["order"] if fresh else [])
+    assert ("m-i-0" in pools._unanswered) is not fresh
+
+
+def test_move_whose_repeated_order_is_not_answered_either_stays_unanswered() -> None:
+    harness = ShardHarness(facts("i-0"))
+    pools = rebalancer(harness, lose_answer)
+    move = MachineMove("m-i-0", OTHER_POOL, "needed")
+    pools._unanswered.add(move, clock.read() - OVERDUE)
+    anyio.run(pools._repeat_unanswered, harness.shard.ledger.by_machine(), clock.read())
+    assert "m-i-0" in pools._unanswered
+    assert pools._unanswered.due(clock.read()) == []
