--- a/vanillawell/standins/soak/play.py
+++ b/vanillawell/standins/soak/play.py
@@ -23,7 +23,8 @@
 from vanillawell.standins.soak.job_checks import find_job_violations
 from vanillawell.standins.soak.plan import FaultKind, build_plan
 from vanillawell.standins.soak.record import Record
-from vanillawell.standins.soak.wave_checks import WaveRecord, find_wave_violations
+from vanillawell.standins.soak.wave_checks import find_wave_violations
+from vanillawell.standins.soak.waves import Waves
 from vanillawell.transport.asgi import bind, server
 
 if TYPE_CHECKING:
@@ -40,9 +41,6 @@
 POOLS = ("pool-a", "pool-b", "pool-c", "pool-d")
 ZONES = "abc"
 
-MAX_AWAY_OF_WAVE = 2
-"""Machines of a wave that may be down for its upkeep at a time."""
-
 LATE_ORDER_SECONDS = 2.6
 """Seconds until a late order for a machine is carried out; its answer is no longer awaited."""
 
@@ -113,8 +111,11 @@
     record: Record = field(default_factory=Record)
     entries: list[Entry] = field(default_factory=list)
     faults: Counter[str] = field(default_factory=Counter)
-    _waves: dict[int, list[str]] = field(default_factory=dict)
-    """Machines of each wave, by its number."""
+    _waves: Waves = field(init=False)
+
+    def __post_init__(self) -> None:
+        """Request waves of the machines from the store."""
+        self._waves = Waves(self.store, self.machines)
 
     async def run(self) -> Outcome:
         """Play the whole seed."""
@@ -145,7 +146,7 @@
             [
                 *find_violations(runs),
                 *find_job_violations(callers.jobs, runs),
-                *find_wave_violations(self._wave_records()),
+                *find_wave_violations(self._waves.records()),
             ],
             hosts.longest_gap,
             [entry.name for entry in self.entries if not entry.running],
@@ -208,7 +209,7 @@
         if fault.kind in ENTRY_FAULTS:
             await self._disturb_entry(fault, entry)
         elif fault.kind is FaultKind.WAVE:
-            self._order_wave(picked, fault.seconds)
+            self._waves.request([host.machine.name for host in picked], fault.seconds)
         elif fault.kind is FaultKind.MACHINES_UNLISTED:
             await self._leave_out(picked, fault.seconds)
         elif fault.kind is FaultKind.MACHINE_ORDERS_LATE:
@@ -260,36 +261,6 @@
         await anyio.sleep(seconds)
         self.machines.move_seconds = self.machines.upkeep_answer_seconds = 0.0
 
-    def _order_wave(self, picked: list[Host], seconds: float) -> None:
-        number = len(self._waves) + 1
-        names = sorted({host.machine.name for host in picked})
-        self._waves[number] = names
-        wave = {
-            "wave": number,
-            "machines": names,
-            "durationS": seconds,
-            "maximum": MAX_AWAY_OF_WAVE,
-        }
-        self.store.put_document(f"op/wave/{number}", wave)
-
-    def _wave_records(self) -> list[WaveRecord]:
-        """Return what became of all waves."""
-        machines = self.machines.machines
-        return [
-            WaveRecord(
-                number,
-                MAX_AWAY_OF_WAVE,
-                self.machines.max_away_by_wave[number],
-                frozenset(name for name in names if number not in machines[name].waves),
-                self._is_completed(number),
-            )
-            for number, names in self._waves.items()
-        ]
-
-    def _is_completed(self, wave: int) -> bool:
-        key = f"status/wave/{wave}"
-        return key in self.store.items and self.store.read_document(key)["state"] == "completed"
-
 
 OWNER_FAULTS = (FaultKind.OWNER_KILLED, FaultKind.OWNER_PAUSED, FaultKind.OWNER_STOPPED)
 
