--- a/vanillawell/tests/shard_claim_tests.py
+++ b/vanillawell/tests/shard_claim_tests.py
@@ -13,113 +13,82 @@
 from vanillawell.coordination.shard_claim import CLAIM_TIMEOUT, MAX_TRIES, RETRY_DELAY
 from vanillawell.coordination.term import OWNERSHIP_LEASE, SLOW_STORE_LEASE, Term
 from vanillawell.exceptions import StoreOutcomeUnknownError
-from vanillawell.platform.http import HttpClient
 from vanillawell.platform.store import PlatformStore
 from vanillawell.protocol.store import Put
-from vanillawell.protocol.work_documents import WorkKeys
-from vanillawell.standins.scheduler.store import StandInStore
-from vanillawell.tests.scheduler_cluster import Cluster, listen, until, with_cluster
+from vanillawell.tests.scheduler_cluster import Cluster, until, with_cluster
+from vanillawell.tests.store_setup import KEYS, StoreSetup, take, with_store
 
 if TYPE_CHECKING:
-    from collections.abc import Awaitable, Callable
 
     from vanillawell.protocol.store import PolledStore, Transaction, TransactionResult
 
-KEYS = WorkKeys()
 HOLDER = KEYS.holder("all")
 
 
-def _with_store(check: Callable[[StandInStore, PlatformStore], Awaitable[None]]) -> None:
-    async def run() -> None:
-        async with anyio.create_task_group() as tasks:
-            stand_in = StandInStore()
-            tasks.start_soon(stand_in.tick)
-            await check(stand_in, PlatformStore(HttpClient(), listen(tasks, stand_in)))
-            tasks.cancel_scope.cancel()
-
-    anyio.run(run)
-
-
-async def _acquire(store: PolledStore, name: str = "entry-0") -> Term:
-    """Acquire the shard as an entry does."""
-    candidate = Candidate(store, KEYS, "all", name)
-    async with anyio.create_task_group() as tasks:
-        tasks.start_soon(candidate.watch_holder)
-        term = await candidate.acquire()
-        tasks.cancel_scope.cancel()
-    return term
-
-
-def test_claim_with_a_lost_answer_is_confirmed_before_its_lease_expires() -> None:
+@with_store
+async def test_claim_with_a_lost_answer_is_confirmed_before_its_lease_expires(
+    setup: StoreSetup,
+) -> None:
     """The claim takes effect and its answer is lost. All jobs wait until the entry knows this."""
-
-    async def check(stand_in: StandInStore, store: PlatformStore) -> None:
-        stand_in.faults.lose_answers = 1
-        began = clock.read()
-        term = await _acquire(store)
-        assert clock.read() < began + RETRY_DELAY + 0.5
-        assert term.is_held(clock.read() + 0.5)
-        await term.write([Put("value/0", b"x")])
-        assert "value/0" in stand_in.items
-
-    _with_store(check)
-
-
-def test_delayed_claim_has_no_effect_after_its_retry() -> None:
+    stand_in, store = setup.stand_in, setup.store
+    stand_in.faults.lose_answers = 1
+    began = clock.read()
+    term = await take(store, "entry-0")
+    assert clock.read() < began + RETRY_DELAY + 0.5
+    assert term.is_held(clock.read() + 0.5)
+    await term.write([Put("value/0", b"x")])
+    assert "value/0" in stand_in.items
+
+
+@with_store
+async def test_delayed_claim_has_no_effect_after_its_retry(setup: StoreSetup) -> None:
     """When the first try arrives, its retry has taken the shard and the owner has written since."""
-
-    async def check(stand_in: StandInStore, store: PlatformStore) -> None:
-        stand_in.faults.late_writes = 1
-        term = await _acquire(store)
-        await term.write([Put("value/0", b"x")])
-        written = stand_in.items[KEYS.term("all")].revision
-        async with anyio.create_task_group() as tasks:
-            tasks.start_soon(term.renew_until_lost)
-            await anyio.sleep(1.5)
-            tasks.cancel_scope.cancel()
-        assert stand_in.items[KEYS.term("all")].revision == written
-        assert term.token == 1
-
-    _with_store(check)
+    stand_in, store = setup.stand_in, setup.store
+    stand_in.faults.late_writes = 1
+    term = await take(store, "entry-0")
+    await term.write([Put("value/0", b"x")])
+    written = stand_in.items[KEYS.term("all")].revision
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(term.renew_until_lost)
+        await anyio.sleep(1.5)
+        tasks.cancel_scope.cancel()
+    assert stand_in.items[KEYS.term("all")].revision == written
+    assert term.token == 1
 
 
-def test_lease_of_a_claim_with_unknown_outcome_is_revoked() -> None:
+@with_store
+async def test_lease_of_a_claim_with_unknown_outcome_is_revoked(setup: StoreSetup) -> None:
     """The store carries out every try and answers none. If the lease were renewed, the shard would
     stay with an entry that does not know that it owns it."""
-
-    async def check(stand_in: StandInStore, store: PlatformStore) -> None:
-        stand_in.faults.late_writes = MAX_TRIES
-        candidate = Candidate(store, KEYS, "all", "entry-0")
-        async with anyio.create_task_group() as tasks:
-            tasks.start_soon(candidate.watch_holder)
-            with pytest.raises(StoreOutcomeUnknownError):
-                await candidate._try_to_take()
-            assert HOLDER not in stand_in.items
-            await anyio.sleep(OWNERSHIP_LEASE + 0.1)
-            assert HOLDER not in stand_in.items
-            tasks.cancel_scope.cancel()
-
-    _with_store(check)
+    stand_in, store = setup.stand_in, setup.store
+    stand_in.faults.late_writes = MAX_TRIES
+    candidate = Candidate(store, KEYS, "all", "entry-0")
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(candidate.watch_holder)
+        with pytest.raises(StoreOutcomeUnknownError):
+            await candidate._try_to_take()
+        assert HOLDER not in stand_in.items
+        await anyio.sleep(OWNERSHIP_LEASE + 0.1)
+        assert HOLDER not in stand_in.items
+        tasks.cancel_scope.cancel()
 
 
-def test_shard_taken_on_a_slow_store_is_not_lost_again() -> None:
+@with_store
+async def test_shard_taken_on_a_slow_store_is_not_lost_again(setup: StoreSetup) -> None:
     """Each answer takes 0.8 s. The lease has to be renewed while the entry waits for the answer to
     its claim; otherwise it would expire by the time the claim is confirmed."""
-
-    async def check(stand_in: StandInStore, store: PlatformStore) -> None:
-        stand_in.faults.delay = 0.8
-        with anyio.fail_after(8):
-            term = await _acquire(store)
+    stand_in, store = setup.stand_in, setup.store
+    stand_in.faults.delay = 0.8
+    with anyio.fail_after(8):
+        term = await take(store, "entry-0")
+    assert term.is_held(clock.read())
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(term.renew_until_lost)
+        await anyio.sleep(2 * SLOW_STORE_LEASE)
         assert term.is_held(clock.read())
-        async with anyio.create_task_group() as tasks:
-            tasks.start_soon(term.renew_until_lost)
-            await anyio.sleep(2 * SLOW_STORE_LEASE)
-            assert term.is_held(clock.read())
-            tasks.cancel_scope.cancel()
-        assert term.token == 1
-        assert HOLDER in stand_in.items
-
-    _with_store(check)
+        tasks.cancel_scope.cancel()
+    assert term.token == 1
+    assert HOLDER in stand_in.items
 
 
 @dataclass
@@ -150,45 +119,45 @@
         raise StoreOutcomeUnknownError("lost by the test")
 
 
-def test_earlier_claim_that_takes_effect_late_is_not_mistaken_for_the_current_one() -> None:
+@with_store
+async def test_earlier_claim_that_takes_effect_late_is_not_mistaken_for_the_current_one(
+    setup: StoreSetup,
+) -> None:
     """The earlier claim holds the shard under a lease that is no longer renewed. If it counted as
     the current claim, the entry would rely on the wrong lease while another entry takes the
     shard."""
+    stand_in, store = setup.stand_in, setup.store
+    held = HeldClaims(store)
+    acquired: list[Term] = []
 
-    async def check(stand_in: StandInStore, store: PlatformStore) -> None:
-        held = HeldClaims(store)
-        acquired: list[Term] = []
-
-        async def acquire() -> None:
-            acquired.append(await _acquire(cast("PolledStore", held)))
+    async def acquire() -> None:
+        acquired.append(await take(cast("PolledStore", held), "entry-0"))
 
-        async with anyio.create_task_group() as tasks:
-            tasks.start_soon(acquire)
-            await until(lambda: HOLDER in stand_in.items, CLAIM_TIMEOUT + 3)
-            earlier = stand_in.items[HOLDER].lease
-            await until(lambda: bool(acquired), OWNERSHIP_LEASE + 3)
-            assert acquired[0].token == 2
-            assert stand_in.items[HOLDER].lease == acquired[0]._lease.number != earlier
-            tasks.cancel_scope.cancel()
-
-    _with_store(check)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(acquire)
+        await until(lambda: HOLDER in stand_in.items, CLAIM_TIMEOUT + 3)
+        earlier = stand_in.items[HOLDER].lease
+        await until(lambda: bool(acquired), OWNERSHIP_LEASE + 3)
+        assert acquired[0].token == 2
+        assert stand_in.items[HOLDER].lease == acquired[0]._lease.number != earlier
+        tasks.cancel_scope.cancel()
 
 
-def test_entry_stopped_during_an_unanswered_claim_revokes_the_lease() -> None:
+@with_store
+async def test_entry_stopped_during_an_unanswered_claim_revokes_the_lease(
+    setup: StoreSetup,
+) -> None:
     """The claim was carried out. Without the revocation the shard would have no owner until the
     lease expires."""
-
-    async def check(stand_in: StandInStore, store: PlatformStore) -> None:
-        stand_in.faults.lose_answers = MAX_TRIES
-        candidate = Candidate(store, KEYS, "all", "entry-0")
-        async with anyio.create_task_group() as tasks:
-            tasks.start_soon(candidate.watch_holder)
-            tasks.start_soon(candidate.acquire)
-            await until(lambda: HOLDER in stand_in.items)
-            tasks.cancel_scope.cancel()
-        assert HOLDER not in stand_in.items
-
-    _with_store(check)
+    stand_in, store = setup.stand_in, setup.store
+    stand_in.faults.lose_answers = MAX_TRIES
+    candidate = Candidate(store, KEYS, "all", "entry-0")
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(candidate.watch_holder)
+        tasks.start_soon(candidate.acquire)
+        await until(lambda: HOLDER in stand_in.items)
+        tasks.cancel_scope.cancel()
+    assert HOLDER not in stand_in.items
 
 
 @with_cluster(members=2)
