Review case 8: a job that was cancelled with 410 appears later and runs

The store carries the write of a POST out 5.5 s late. The consumer, told 504, cancels and is told 410; the job is admitted afterwards and runs on.

--- /dev/null
+++ b/review/8/run.sh
@@ -0,0 +1,5 @@
+#!/bin/sh
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+here=$(cd "$(dirname "$0")" && pwd)
+cd "$here/../.." || exit 2
+PYTHONPATH=target/deps PYTHONDONTWRITEBYTECODE=1 exec python3 "$here/run.py"
