--- a/review/4/run.py
+++ b/review/4/run.py
@@ -7,9 +7,9 @@
 
 import anyio
 
-sys.path[:0] = [str(Path(__file__).resolve().parents[2]), str(Path(__file__).resolve().parents[1] / "common_2")]
+sys.path[:0] = [str(Path(__file__).resolve().parents[level]) for level in (2, 1)]
 
-import fleet  # noqa: E402
+import standin_fleet_2 as fleet  # noqa: E402
 
 LARGE, COUNT, CPU = "00000000000000aa", 20_000, 2
 SMALL = [f"{number:016x}" for number in range(1, 7)]
--- a/review/5/run.py
+++ b/review/5/run.py
@@ -8,13 +8,13 @@
 
 import anyio
 
-sys.path[:0] = [str(Path(__file__).resolve().parents[2]), str(Path(__file__).resolve().parents[1] / "common_2")]
+sys.path[:0] = [str(Path(__file__).resolve().parents[level]) for level in (2, 1)]
 
-import fleet  # noqa: E402
+import standin_fleet_2 as fleet  # noqa: E402
 
 JOBS = [f"{number:016x}" for number in range(1, 7)]
-UNREADABLE = "\ufffd\ufffd\ufffd\ufffd:8344"
-"""What is left of an address whose bytes were not text; it names no host."""
+UNREADABLE = "127.0.0.1:\u00b2"
+"""An address whose port is what is left of bytes read in the wrong character set: no number."""
 
 
 def running(job: str, executors: list[fleet.Executor]) -> int:
--- a/review/common_2/fleet.py
+++ b/review/standin_fleet_2.py
@@ -29,7 +29,7 @@
 from vanillawell.standins.scheduler.store import StandInStore
 from vanillawell.transport.asgi import bind, read_body, send_bytes, server
 
-ROOT = Path(__file__).resolve().parents[2]
+ROOT = Path(__file__).resolve().parents[1]
 HOST, PREFIX, SERVICE = "jobs.example", "/jobs/", "pool-a"
 KEYS = {"north": "key-of-north", "south": "key-of-south"}
 
@@ -41,6 +41,8 @@
 
 STABILITY_S, CANCEL_S, DRAIN_S, FINISH_S, KILL_GRACE_S = 3.0, 3.0, 2.0, 14.0, 0.4
 VALUE_BYTES = 1_048_576
+MIGRATE_S = 1.5
+STANDBY = "spare"
 
 
 class Record:
@@ -67,12 +69,15 @@
         self.late: dict[str, float] = {}
         """Keys whose next creation is carried out so many seconds late, without an answer."""
         self.oversized = 0
+        self.writes = 0
+        self.unanswered = 0
         self.tasks: set[asyncio.Task[None]] = set()
 
     async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
         body = await read_body(receive, 64_000_000)
         if scope["path"] == "/kv-txn":
             document = orjson.loads(body)
+            self.writes += 1
             for put in document.get("puts", []):
                 size = len(base64.b64decode(put["value"]))
                 if size > VALUE_BYTES:
@@ -83,6 +88,7 @@
                     return
             late = [self.late.get(put["key"], 0.0) for put in document.get("puts", [])]
             if max(late, default=0.0):
+                self.unanswered += 1
                 self.record.write(f"store: write unanswered, carried out in {max(late)} s")
                 task = asyncio.create_task(self._carry_out(body, max(late)))
                 self.tasks.add(task)
@@ -106,6 +112,7 @@
     starts: list[tuple[float, str, int]]
     ends: list[tuple[float, str, int, str]]
     reporting: set[str]
+    machine: str
     state: dict[str, Any]
     """Fields of its entry that differ from those of a ready one."""
 
@@ -113,7 +120,7 @@
         before = self.start_count
         reason = super()._start_run(document)
         if self.start_count > before:
-            if "reports" in document["spec"]:
+            if "lasts" not in document["spec"]:
                 # It reports its true progress and saves none of it.
                 self.reporting.add(document["task"])
                 self._active_runs[document["task"]].saves_progress = True
@@ -160,37 +167,79 @@
         self.audit = Audit()
         self.executors: list[StandInExecutor] = []
         self.addresses: dict[str, str] = {}
+        self.parts: dict[str, list[Any]] = {}
+        """Of each executor: its server and the tasks that keep it going."""
+        self.lives = 0
         self.entries: list[str] = []
         self.processes: list[subprocess.Popen[bytes]] = []
         self._temporary = tempfile.TemporaryDirectory()
         self._servers: list[asyncio.Task[None]] = []
         self._logs: list[Any] = []
+        self.machines.on_move = self._move
+        self.machines.set_task_group(self)
         self.store_address = self.serve(self.store)
         self.machines_address = self.serve(self.machines)
         self.spawn(self.store.tick())
 
+    def start_soon(self, function: Any, *arguments: Any) -> None:
+        self.spawn(function(*arguments))
+
     def spawn(self, work: Any) -> None:
         self._servers.append(asyncio.create_task(work))
 
     def serve(self, app: Any) -> str:
+        return self._serve(app)[0]
+
+    def _serve(self, app: Any) -> tuple[str, Any]:
         listener = bind("127.0.0.1", 0, "stand-in")
         # Inherited by its connections: answers go out at once, without a delayed acknowledgement.
         listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        self.spawn(server(app, stop_timeout=0).serve([listener]))
-        return f"127.0.0.1:{listener.getsockname()[1]}"
+        serving = server(app, stop_timeout=0)
+        self.spawn(serving.serve([listener]))
+        return f"127.0.0.1:{listener.getsockname()[1]}", serving
 
     def add_executor(self, name: str, cpu: int = 32_000, app: Any = None) -> Executor:
+        executor = self._join(name, f"machine-{name}", cpu, app)
+        self.machines.machines[executor.machine] = StandInMachine(executor.machine, SERVICE, name)
+        return executor
+
+    def _join(self, name: str, machine: str, cpu: int, app: Any = None) -> Executor:
         executor = Executor(name, self.audit, self.executors, cpu, int(time.time() * 1000))
         executor.record, executor.starts, executor.ends = self.record, [], []
-        executor.reporting, executor.state = set(), {}
+        executor.reporting, executor.state, executor.machine = set(), {}, machine
         self.executors.append(executor)
-        self.addresses[name] = self.serve(app(executor) if app else executor)
-        self.spawn(executor.tick())
-        self.spawn(self._beat(executor))
-        machine = f"machine-{name}"
-        self.machines.machines[machine] = StandInMachine(machine, SERVICE, name)
+        self.addresses[name], serving = self._serve(app(executor) if app else executor)
+        kept = [asyncio.create_task(executor.tick()), asyncio.create_task(self._beat(executor))]
+        self._servers.extend(kept)
+        self.parts[name] = [serving, *kept]
         return executor
 
+    async def _move(self, machine: StandInMachine) -> None:
+        """Carry out a move: all on the machine ends at once, and a new executor joins the pool.
+
+        Machines of the standby pool are off.
+        """
+        self.record.write(f"{machine.name} moves to {machine.pool}")
+        for executor in list(self.executors):
+            if executor.machine == machine.name and executor.name in self.parts:
+                serving, *kept = self.parts.pop(executor.name)
+                for task in kept:
+                    task.cancel()
+                executor._active_runs.clear()
+                for listening in serving.servers:
+                    listening.close()
+                for protocol in list(serving.server_state.connections):
+                    protocol.transport.abort()
+                self.store.delete(f"servers/{executor.name}")
+        machine.state, machine.executor = "moving", ""
+        await anyio.sleep(MIGRATE_S)
+        machine.state = "up"
+        if machine.pool == STANDBY:
+            return
+        self.lives += 1
+        machine.executor = f"{machine.name.removeprefix('machine-')}-l{self.lives}"
+        self._join(machine.executor, machine.name, 32_000)
+
     async def _beat(self, executor: Executor) -> None:
         """Write the executor's entry about every heartbeatMs."""
         sequence = 0
@@ -203,7 +252,7 @@
         document = {
             "service": SERVICE, "address": self.addresses[executor.name], "zone": "riga-a",
             "version": "v1", "slots": 8, "state": "ready", "coldRemainingMs": 0,
-            "machine": f"machine-{executor.name}", "born": executor.born,
+            "machine": executor.machine, "born": executor.born,
             "capacity": {"cpu": executor.cpu, "memMb": 131_072, "gpu": 0},
             "labels": ["a", "r1"], "seq": sequence,
         }
@@ -284,7 +333,7 @@
         """
         document = config()
         if standby:
-            document["services"].append({"name": "spare", "standby": True})
+            document["services"].append({"name": STANDBY, "standby": True})
         self.store.put_document("op/config", document)
         for index in range(entries):
             self.start_entry(index)
@@ -330,12 +379,19 @@
     """Run `case`, a coroutine function of the fleet; exit with what it returns."""
 
     async def play() -> int:
+        # A script that is told to stop ends its processes first.
+        this = asyncio.current_task()
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            asyncio.get_running_loop().add_signal_handler(number, this.cancel)
         fleet = Fleet(folder)
         try:
             async with asyncio.timeout(115):
                 code = int(await case(fleet))
-        except TimeoutError:
-            fleet.record.write("the case did not end in time")
+        except (TimeoutError, asyncio.CancelledError) as error:
+            fleet.record.write(f"the case did not end: {error!r}")
+            code = 2
+        except Exception as error:  # noqa: BLE001
+            fleet.record.write(f"the case failed: {error!r}")
             code = 2
         finally:
             await fleet.end()
