An odd entry of the registry costs itself, not every owner

The class is any value that the decoding lets pass and a later use doesn't bear. read_executor now takes only what each use bears: an id that a header carries, an IPv4 address with a port, bounded numbers, names and labels. HttpClient raises NotSentError for any call that it can't write as a request (letters, line ends, numbers over 64 bits), so that one executor is concerned.

--- a/vanillawell/platform/documents.py
+++ b/vanillawell/platform/documents.py
@@ -14,6 +14,7 @@
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
 from vanillawell.coordination.ports import PlatformKeys
+from vanillawell.platform.addresses import parse_address
 from vanillawell.state.executors import ExecutorFacts
 from vanillawell.state.upkeep import Wave
 from vanillawell.state.work import Job, Resources, Step
@@ -34,14 +35,35 @@
     wave_states="status/wave/",
 )
 
-Count = Annotated[int, Field(ge=0)]
-Milliseconds = Annotated[float, Field(ge=0)]
-Name = Annotated[str, Field(min_length=1)]
+MAX_COUNT = 10**12
+"""Largest number of anything in a document; sums of many stay within the 64 bits of stored and
+logged numbers."""
+
+MAX_MILLISECONDS = 10**12
+"""Longest duration in a document, about 30 years."""
+
+MAX_MOMENT = 10**15
+"""Latest time in a document, in milliseconds since the epoch."""
+
+MAX_NAME_LENGTH = 200
+"""Characters of the longest name in an entry of the registry; keys of the store end there, too."""
+
+MAX_LABELS = 100
+"""Number of labels of one executor."""
+
+Count = Annotated[int, Field(ge=0, le=MAX_COUNT)]
+Milliseconds = Annotated[float, Field(ge=0, le=MAX_MILLISECONDS)]
+Moment = Annotated[int, Field(ge=0, le=MAX_MOMENT)]
+Name = Annotated[str, Field(min_length=1, max_length=MAX_NAME_LENGTH)]
+Text = Annotated[str, Field(max_length=MAX_NAME_LENGTH)]
 
 Model = TypeVar("Model", bound=BaseModel)
 
 JOB_ID = re.compile(r"[0-9a-fA-F]{16}")
 
+EXECUTOR_ID = re.compile(r"[!-~]+")
+"""Printable ASCII, since each call to an executor names it in a header."""
+
 
 class UnreadableDocumentError(ValueError):
     """A document does not have the expected format; the text says why."""
@@ -134,9 +156,9 @@
     model_config = ConfigDict(extra="ignore", strict=True)
 
     service: Name
-    address: str
-    zone: str
-    version: str
+    address: Name
+    zone: Text
+    version: Text
     slots: Count
     state: Literal["ready", "draining"]
     machine: Name
@@ -144,10 +166,10 @@
     """Minimum time left to a draining executor; only these state it."""
     coldRemainingMs: Milliseconds  # noqa: N815
     """Time for which an executor remains slow after its start."""
-    born: Count
+    born: Moment
     seq: Count
     capacity: _Capacity
-    labels: list[str]
+    labels: Annotated[list[Text], Field(max_length=MAX_LABELS)]
     """Kind of the executor, then its rack."""
 
 
@@ -265,16 +287,24 @@
 
 
 def read_executor(key: str, data: bytes) -> ExecutorFacts:
-    """Decode an executor's entry in the registry."""
+    """Decode an executor's entry in the registry.
+
+    Any writer may leave an entry there. Whatever a later use of it would not bear is rejected here,
+    since an error of such a use would end the owner of the shard.
+    """
+    executor = key.removeprefix(KEYS.executors)
+    if not EXECUTOR_ID.fullmatch(executor):
+        raise UnreadableDocumentError("its key holds no executor id")
     registration = _load(_Beat, data)
     is_draining = registration.state == "draining"
     if is_draining and registration.remainingMs is None:
         raise UnreadableDocumentError("no remaining time, although it is draining")
-    host, _, port = registration.address.rpartition(":")
-    if not host or not port.isdigit():
-        raise UnreadableDocumentError(f"address {registration.address!r} is none")
+    try:
+        parse_address(registration.address)
+    except ValueError as error:
+        raise UnreadableDocumentError(str(error)) from error
     return ExecutorFacts(
-        executor=key.removeprefix(KEYS.executors),
+        executor=executor,
         incarnation=registration.born,
         service=registration.service,
         address=registration.address,
--- a/vanillawell/platform/http.py
+++ b/vanillawell/platform/http.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import logging
+import re
 from collections import defaultdict
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
@@ -17,6 +18,7 @@
 from anyio.abc import SocketAttribute
 
 from vanillawell import clock
+from vanillawell.platform.addresses import parse_address
 from vanillawell.protocol.call_errors import NoAnswerError, NotSentError
 from vanillawell.transport.sockets import apply_tcp_options
 
@@ -43,6 +45,9 @@
 READ_SIZE = 65_536
 """Maximum bytes read from a connection at once."""
 
+LINE_END = re.compile(r"[\r\n\0]")
+"""Characters that no line of a request's head may contain."""
+
 
 @dataclass(frozen=True, slots=True)
 class HttpAnswer:
@@ -141,8 +146,7 @@
             NotSentError: No connection could be opened, so the call had no effect.
             NoAnswerError: The call was sent, but no complete answer arrived.
         """
-        body = b"" if document is None else orjson.dumps(document)
-        request = _render_request(address, method, path, body, headers)
+        request = _render_request(address, method, path, document, headers)
         started_at = clock.read()
         connection = await self._acquire(address, started_at, min(timeout, CONNECT_TIMEOUT), fresh)
         try:
@@ -173,12 +177,13 @@
         return _Connection(await self._connect(address, timeout), now)
 
     async def _connect(self, address: str, timeout: float) -> SocketStream:
-        host, _, port = address.rpartition(":")
-        if not port.isdigit():
-            raise NotSentError(f"{address!r} is not an address")
+        try:
+            host, port = parse_address(address)
+        except ValueError as error:
+            raise NotSentError(str(error)) from error
         try:
             with anyio.fail_after(timeout):
-                stream = await anyio.connect_tcp(host, int(port))
+                stream = await anyio.connect_tcp(host, port)
         except TimeoutError as error:
             raise NotSentError(f"{address}: no connection in {timeout:.1f} s") from error
         except OSError as error:
@@ -219,10 +224,22 @@
 
 
 def _render_request(
-    address: str, method: str, path: str, body: bytes, headers: Mapping[str, str] | None
+    address: str, method: str, path: str, document: object, headers: Mapping[str, str] | None
 ) -> bytes:
-    lines = [f"{method} {path} HTTP/1.1", f"Host: {address}", f"Content-Length: {len(body)}"]
-    if body:
-        lines.append("Content-Type: application/json")
-    lines.extend(f"{name}: {value}" for name, value in (headers or {}).items())
-    return "\r\n".join((*lines, "", "")).encode("latin-1") + body
+    """Return the bytes of a request.
+
+    Raises:
+        NotSentError: A value of the call has no place in a request. The values come from documents
+            of other writers, so that such a call has to fail by itself.
+    """
+    try:
+        body = b"" if document is None else orjson.dumps(document)
+        lines = [f"{method} {path} HTTP/1.1", f"Host: {address}", f"Content-Length: {len(body)}"]
+        if body:
+            lines.append("Content-Type: application/json")
+        lines.extend(f"{name}: {value}" for name, value in (headers or {}).items())
+        if any(LINE_END.search(line) for line in lines):
+            raise NotSentError(f"{path!r}: a line of the request would hold another")
+        return "\r\n".join((*lines, "", "")).encode("latin-1") + body
+    except (orjson.JSONEncodeError, UnicodeEncodeError) as error:
+        raise NotSentError(f"{path!r}: not to be written as a request: {error}") from error
--- a/vanillawell/tests/platform_http_tests.py
+++ b/vanillawell/tests/platform_http_tests.py
@@ -43,3 +43,33 @@
 
     anyio.run(call)
     assert stream.is_closed
+
+
+# Guards against an owner that drops its shard, since a value that another writer left is part of a
+# call that can't be written as a request.
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"address": "127.0.0.1:\u00b2"},
+        {"address": "127.0.0.1:65536"},
+        {"address": "\ufffd:1"},
+        {"address": "127.0.0.1:1\r\nX-Other: 1:1"},
+        {"address": "nowhere"},
+        {"path": "/kv-key?key=\ufffd"},
+        {"path": "/hold HTTP/1.1\r\nX-Other: 1"},
+        {"document": {"deadlineMs": 10**30}},
+        {"headers": {"X-Expect-Instance": "i-\ufffd"}},
+        {"headers": {"X-Expect-Instance": "i-0\r\nX-Other: 1"}},
+    ],
+)
+@pytest.mark.parametrize("backend", [False, True])
+def test_call_that_cannot_be_written_counts_as_not_sent(
+    changes: dict[str, Any], backend: bool
+) -> None:
+    call = {"address": "127.0.0.1:1", "method": "POST", "path": "/hold", **changes}
+
+    async def run() -> None:
+        with pytest.raises(NotSentError):
+            await HttpClient().call(**call)
+
+    anyio.run(run, backend_options={"use_uvloop": backend})
