A job is refused beyond what is kept of it, and its record is stored in parts

Cause, from the log of the case (35 times "write of the term not confirmed", status 400, in 24 s) and the stand-in's count of refused values: the job's record, one row for each started task, outgrew a value of the store. Such a write was repeated for ever, by an owner that kept its lease.

The class is whatever outgrows a limit of the store: - tasks of a job: 4,096 in all, more are refused with 400, field and bound, before anything is stored; so is a document that no value holds, which was answered "come back in 1 s" for ever; - a record beyond a value (long ids, checkpoints): stored in parts, in one transaction; - occurrences open only while the open ones have 4,096 tasks: a job of 10^12 overdue occurrences took the memory of each entry in turn, by the issue's figures; - a refused write of the owner now says which value was the largest. The stand-in of the store refuses values beyond its limit, as the platform's does.

--- a/vanillawell/config/node_settings.py
+++ b/vanillawell/config/node_settings.py
@@ -88,6 +88,9 @@
     shortest_lease_ms: int = Field(gt=0)
     """Shortest lease that the store gives."""
 
+    value_bytes: int = Field(default=1_048_576, ge=1_024)
+    """Bytes of the largest value that the store holds."""
+
     bounds: NodeBounds
     capacity: EntryCapacity = EntryCapacity()
     log_level: str = "INFO"
--- a/vanillawell/coordination/cycle_store.py
+++ b/vanillawell/coordination/cycle_store.py
@@ -50,6 +50,7 @@
         drivers: Mapping[str, ExecutorDriver],
         inbox: Inbox,
         telemetry: SchedulerTelemetry,
+        value_limit: int,
     ) -> None:
         self._name = name
         self._shard = shard
@@ -59,6 +60,7 @@
         self._drivers = drivers
         self._inbox = inbox
         self._telemetry = telemetry
+        self._value_limit = value_limit
         self._postponed = PostponedChanges()
         self._published_pending: dict[str, int] | None = None
         self._stored_queues: dict[str, Queue] = {}
@@ -74,7 +76,9 @@
             TermLostError: Another entry has taken the shard over.
         """
         began = clock.read()
-        batch = CycleBatch.collect(self._shard, self._keys, self._postponed, began, time.time())
+        batch = CycleBatch.collect(
+            self._shard, self._keys, self._postponed, began, time.time(), self._value_limit
+        )
         pending = (
             self._shard.job_table.pending() if self._inbox.is_read else self._published_pending
         )
@@ -118,6 +122,8 @@
     def _handle_stored(self, part: CycleTransaction, stored_at: float) -> None:
         """Send the starts and confirm the ends that a stored transaction permits."""
         self._telemetry.store_writes.inc({"kind": "turn"})
+        for job_id, parts in part.part_counts.items():
+            self._shard.job_table.jobs[job_id].stored_parts = parts
         for end in part.ends:
             end.incarnation.unsaved_ends.discard(end.sequence)
         cycle_log.log_started_tasks(part.planned, self._term.token)
--- a/vanillawell/coordination/job_service.py
+++ b/vanillawell/coordination/job_service.py
@@ -12,12 +12,18 @@
 from vanillawell import clock
 from vanillawell.coordination.prefix_watch import Backoff
 from vanillawell.coordination.store_health import PROBE_TIMEOUT, StoreHealth
-from vanillawell.exceptions import StoreError, StoreOutcomeUnknownError, StoreUnavailableError
+from vanillawell.exceptions import (
+    StoreError,
+    StoreOutcomeUnknownError,
+    StoreRejectedError,
+    StoreUnavailableError,
+)
 from vanillawell.protocol.queue_documents import write_queue
 from vanillawell.protocol.refusals import Reason, Refusal
 from vanillawell.protocol.store import Compare, Put, Transaction
 from vanillawell.protocol.verdict import Verdict
 from vanillawell.protocol.work_documents import read_state, write_job
+from vanillawell.state.job_size import excess
 from vanillawell.state.work import JobState
 
 if TYPE_CHECKING:
@@ -73,6 +79,7 @@
         policies: PolicyWatch,
         revoke_bound: float | None,
         readiness: EntryReadiness,
+        value_limit: int,
     ) -> None:
         self._store = store
         self._keys = keys
@@ -83,6 +90,9 @@
         store is reachable."""
 
         self._readiness = readiness
+        self._value_limit = value_limit
+        """Bytes of the largest value that the store holds."""
+
         self._store_health = StoreHealth()
         policies.on_outcome(self._record_outcome)
 
@@ -151,6 +161,10 @@
         is correct.
         """
         data = write_job(job)
+        too_large = excess(job) or self._excess_bytes(data)
+        if too_large:
+            log.info("job refused", extra={"job": job.job_id, "why": too_large})
+            return Refusal(Reason.JOB_TOO_LARGE, Verdict.NOT_RUN, too_large)
         order = Put(self._keys.submitted_job(job.job_id), data)
         notice = Put(self._keys.new_job(job.job_id), data)
         rules = Put(self._keys.job_rules(job.job_id), write_queue(queue))
@@ -165,6 +179,9 @@
                 sent = clock.read()
                 try:
                     result = await self._store.transact(create)
+                except StoreRejectedError as error:
+                    log.error("job refused", extra={"job": job.job_id, "why": str(error)})
+                    return Refusal(Reason.JOB_TOO_LARGE, Verdict.NOT_RUN)
                 except StoreUnavailableError as error:
                     self._readiness.record_store(False, clock.read())
                     if not unknown:
@@ -184,6 +201,12 @@
         log.warning("job unknown", extra={"job": job.job_id})
         return Refusal(Reason.ACCEPTANCE_UNKNOWN, Verdict.MAY_HAVE_RUN)
 
+    def _excess_bytes(self, data: bytes) -> str:
+        """Return why a job's document has no place in the store; empty if it has."""
+        if len(data) <= self._value_limit:
+            return ""
+        return f"{len(data)} bytes as stored; at most {self._value_limit}"
+
     async def _store_answers(self, key: str) -> bool:
         """Return whether the store answers, determined by reading a key."""
         sent = clock.read()
--- a/vanillawell/coordination/shard_loader.py
+++ b/vanillawell/coordination/shard_loader.py
@@ -11,6 +11,7 @@
 from vanillawell.coordination.prefix_watch import Backoff
 from vanillawell.exceptions import StoreError
 from vanillawell.protocol.queue_documents import read_queues
+from vanillawell.protocol.record_parts import count_parts, join
 from vanillawell.protocol.work_documents import read_job, read_record
 
 if TYPE_CHECKING:
@@ -85,11 +86,14 @@
         loaded: list[tuple[JobRecord, list[Run]]] = []
         for item in orders.items:
             job_id = item.key.removeprefix(self._keys.submitted_jobs)
-            data = values.get(self._keys.record(job_id))
-            if data is None:
+            key = self._keys.record(job_id)
+            if key not in values:
                 continue  # the job is still in the inbox, which is read next
             try:
+                parts = count_parts(values[key])
+                data = join(key, parts, values)
                 record, runs = read_record(read_job(item.value), data, now, time.time())
+                record.stored_parts = parts
             except ValueError as error:
                 log.error("job document unreadable", extra={"job": job_id, "reason": str(error)})
                 continue
--- a/vanillawell/coordination/shard_owner.py
+++ b/vanillawell/coordination/shard_owner.py
@@ -93,7 +93,15 @@
         self._placing = True
         self._inbox = Inbox(ports.store, keys, self._shard, self.wake)
         self._cycle_store = CycleStore(
-            name, self._shard, term, keys, self._leases, self._drivers, self._inbox, telemetry
+            name,
+            self._shard,
+            term,
+            keys,
+            self._leases,
+            self._drivers,
+            self._inbox,
+            telemetry,
+            settings.value_bytes,
         )
         self._rules_reader = QueueRulesReader(
             ports.store, keys, self._shard, self._apply_restored_rules
--- a/vanillawell/coordination/term.py
+++ b/vanillawell/coordination/term.py
@@ -12,7 +12,11 @@
 
 from vanillawell import clock
 from vanillawell.coordination.prefix_watch import Backoff
-from vanillawell.exceptions import StoreOutcomeUnknownError, StoreUnavailableError
+from vanillawell.exceptions import (
+    StoreOutcomeUnknownError,
+    StoreRejectedError,
+    StoreUnavailableError,
+)
 from vanillawell.protocol.lease_bounds import LeaseBounds
 from vanillawell.protocol.store import Compare, Put, Transaction
 from vanillawell.protocol.work_documents import TermDocument
@@ -202,7 +206,7 @@
             try:
                 result = await self._store.transact(transaction)
             except (StoreUnavailableError, StoreOutcomeUnknownError) as error:
-                log.warning("write of the term not confirmed", extra={"why": str(error)})
+                _log_failure(error, item.puts)
                 await backoff.wait()
                 continue
             return sent if result.succeeded else None
@@ -239,7 +243,7 @@
             try:
                 stored_at = await self._try_write(document, puts, deletes)
             except (StoreUnavailableError, StoreOutcomeUnknownError) as error:
-                log.warning("write of the term not confirmed", extra={"why": str(error)})
+                _log_failure(error, puts)
                 await backoff.wait()
                 continue
             if stored_at is not None:
@@ -307,3 +311,13 @@
     async def release(self) -> None:
         """Revoke the lease, so that another entry can take over at once."""
         await self._store.revoke(self._lease.number)
+
+
+def _log_failure(error: Exception, puts: Sequence[Put]) -> None:
+    """Log a write that is going to be repeated, and what the store may object to."""
+    if not isinstance(error, StoreRejectedError):
+        log.warning("write of the term not confirmed", extra={"why": str(error)})
+        return
+    largest = max(puts, key=lambda put: len(put.value), default=Put("", b""))
+    fields = {"why": str(error), "key": largest.key, "bytes": len(largest.value)}
+    log.error("write of the term refused", extra=fields)
--- a/vanillawell/exceptions.py
+++ b/vanillawell/exceptions.py
@@ -36,6 +36,10 @@
     """The call may have taken effect: it was sent, but no answer arrived."""
 
 
+class StoreRejectedError(StoreUnavailableError):
+    """The store refused a call for what it contains, so that repeating it is of no use."""
+
+
 class LeaseEndedError(StoreUnavailableError):
     """A write referred to an expired lease, so nothing was written."""
 
--- a/vanillawell/node.py
+++ b/vanillawell/node.py
@@ -80,7 +80,13 @@
         revoke_bound = bounds.revoke_ms / 1000 if bounds.strict_revoke else None
         self._readiness = EntryReadiness(settings.instance)
         self.job_service = JobService(
-            ports.store, self._keys, SHARD, self._policies, revoke_bound, self._readiness
+            ports.store,
+            self._keys,
+            SHARD,
+            self._policies,
+            revoke_bound,
+            self._readiness,
+            settings.value_bytes,
         )
         shortest_lease = settings.shortest_lease_ms / 1000
         self._candidate = Candidate(
--- a/vanillawell/platform/documents.py
+++ b/vanillawell/platform/documents.py
@@ -181,7 +181,7 @@
 
 
 class _Step(_PlatformDocument):
-    count: Annotated[int, Field(ge=1, le=100_000)]
+    count: Annotated[int, Field(ge=1, le=MAX_COUNT)]
     cpu: Count = 0
     memMb: Count = 0  # noqa: N815
     gpu: Count = 0
@@ -227,7 +227,7 @@
     """Payload that is passed to the tasks; the scheduler does not interpret it."""
     steps: Annotated[list[_Step], Field(min_length=1, max_length=1_000)]
     times: Count = 0
-    startTimeMs: float = 0  # noqa: N815
+    startTimeMs: Annotated[float, Field(ge=-MAX_MOMENT, le=MAX_MOMENT)] = 0  # noqa: N815
     intervalMs: Milliseconds = 0  # noqa: N815
 
 
--- a/vanillawell/platform/store.py
+++ b/vanillawell/platform/store.py
@@ -11,6 +11,7 @@
     HistoryGoneError,
     LeaseEndedError,
     StoreOutcomeUnknownError,
+    StoreRejectedError,
     StoreUnavailableError,
 )
 from vanillawell.protocol.call_errors import NoAnswerError, NotSentError
@@ -73,7 +74,9 @@
             raise StoreUnavailableError(f"{path}: status {answer.status}")
         if answer.status >= 500:
             raise StoreOutcomeUnknownError(f"{path}: status {answer.status}")
-        if answer.status in (400, 401, 403, 405, 413):
+        if answer.status in (400, 413):
+            raise StoreRejectedError(f"{path}: status {answer.status}: {answer.body[:200]!r}")
+        if answer.status in (401, 403, 405):
             raise StoreUnavailableError(f"{path}: status {answer.status}: {answer.body[:200]!r}")
         return answer
 
--- a/vanillawell/protocol/work_documents.py
+++ b/vanillawell/protocol/work_documents.py
@@ -201,10 +201,10 @@
     return Step(**{**item, "need": need, "after": tuple(item.get("after", ()))})
 
 
-def write_record(record: JobRecord) -> bytes:
+def write_record(record: JobRecord, with_checkpoints: bool = True) -> bytes:
     """Serialise the progress of a job."""
     occurrences = {
-        str(number): [_write_step(step) for step in steps]
+        str(number): [_write_step(step, with_checkpoints) for step in steps]
         for number, steps in record.occurrences.items()
     }
     return orjson.dumps(
@@ -217,7 +217,7 @@
     )
 
 
-def _write_step(step: StepProgress) -> dict[str, Any]:
+def _write_step(step: StepProgress, with_checkpoints: bool) -> dict[str, Any]:
     """Return the done tasks, and a row for each started task that is not done or has a current run.
 
     The executors on which tasks failed and the superseded runs are separate fields, since earlier
@@ -225,7 +225,7 @@
     version may own the shard again during a rolling update.
     """
     touched = {
-        str(task.task_id.task): _write_task(task)
+        str(task.task_id.task): _write_task(task, task.checkpoint if with_checkpoints else "")
         for task in step.tasks
         if task.number and (not task.done or task.run is not None)
     }
@@ -253,9 +253,9 @@
     return [run.executor, run.incarnation, run.number]
 
 
-def _write_task(task: Task) -> list[Any]:
+def _write_task(task: Task, checkpoint: str) -> list[Any]:
     run_row = _write_run(task.run) if task.run else None
-    return [task.number, task.failures, task.checkpoint, run_row]
+    return [task.number, task.failures, checkpoint, run_row]
 
 
 def read_state(data: bytes) -> JobState:
--- a/vanillawell/standins/scheduler/store.py
+++ b/vanillawell/standins/scheduler/store.py
@@ -20,7 +20,7 @@
 
     from vanillawell.transport.asgi import Receive, Scope, Send
 
-MAX_BODY_BYTES = 4_000_000
+MAX_BODY_BYTES = 40_000_000
 """Bytes of a request body that are read at most."""
 
 PAGE_SIZE = 500
@@ -77,6 +77,9 @@
         self.items: dict[str, Item] = {}
         self.faults = Faults()
         self.calls = 0
+        self.value_bytes = 1_048_576
+        """Bytes of the largest value that is held; a transaction with a larger one is refused."""
+
         self.shortest_lease_ms = 1000
         """Shortest lease that is granted."""
         self._revision = 1
@@ -184,6 +187,8 @@
             if (item.revision if item else 0) != condition["revision"]:
                 return 412, {"items": [self._key_document(row["key"]) for row in conditions]}
         puts = document.get("puts", [])
+        if any(len(base64.b64decode(put["value"])) > self.value_bytes for put in puts):
+            return 400, {"reason": "a value is too large"}
         if any(put.get("lease") and put["lease"] not in self._leases for put in puts):
             return 404, {}
         self._revision += 1
--- a/vanillawell/state/job_table.py
+++ b/vanillawell/state/job_table.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from vanillawell.state.job_size import max_open_occurrences
 from vanillawell.state.work import Ending, JobRecord, JobState, StepProgress, Task, TaskId
 
 if TYPE_CHECKING:
@@ -49,12 +50,15 @@
             self._open_steps(record, occurrence)
 
     def begin_due(self, wall: float) -> None:
-        """Open the occurrences of scheduled jobs that are due at `wall` seconds since the epoch."""
+        """Open the occurrences of scheduled jobs that are due at `wall` seconds since the epoch.
+
+        Those that are overdue in large numbers open one after the other, as earlier ones end.
+        """
         for record in list(self._scheduled.values()):
             job = record.job
             while record.next_occurrence < job.occurrences:
                 occurrence = record.next_occurrence
-                if job.due(occurrence) > wall:
+                if job.due(occurrence) > wall or not self._may_open(record):
                     break
                 record.open(occurrence)
                 self.changed[job.job_id] = record
@@ -62,9 +66,16 @@
             else:
                 del self._scheduled[job.job_id]
 
+    @staticmethod
+    def _may_open(record: JobRecord) -> bool:
+        """Return whether a job may have one more open occurrence."""
+        return len(record.occurrences) < max_open_occurrences(record.job)
+
     def next_due(self) -> float | None:
-        """Return when the next occurrence is due, in seconds since the epoch; None if none is."""
-        times = (record.job.due(record.next_occurrence) for record in self._scheduled.values())
+        """Return when the next occurrence may open, in seconds since the epoch; None if none may
+        before another one ends."""
+        records = self._scheduled.values()
+        times = (item.job.due(item.next_occurrence) for item in records if self._may_open(item))
         return min(times, default=None)
 
     def _open_steps(self, record: JobRecord, occurrence: int) -> None:
--- a/vanillawell/state/work.py
+++ b/vanillawell/state/work.py
@@ -349,6 +349,9 @@
     ended: float | None = None
     """When the job reached a final state, in seconds since the epoch."""
 
+    stored_parts: int = 0
+    """Number of parts that its stored record is divided into; 0 if it is in one value."""
+
     open_runs: int = 0
     begun: bool = False
     """Whether a run of it is known to have begun; a planned start may be refused or get lost."""
--- a/vanillawell/tests/end_confirmation_tests.py
+++ b/vanillawell/tests/end_confirmation_tests.py
@@ -167,6 +167,6 @@
     report = HoldReport(0.0, 2, [], [row])
     harness.shard.apply_report(executor, report, harness.now, harness.now, harness.now)
     unused = cast("Any", SimpleNamespace(store_writes=SimpleNamespace(inc=lambda _: None), token=1))
-    store = CycleStore("s", harness.shard, unused, unused, unused, {}, unused, unused)
+    store = CycleStore("s", harness.shard, unused, unused, unused, {}, unused, unused, 1_048_576)
     store._handle_stored(CycleTransaction(ends=ends), harness.now)
     assert executor.saved_end == 0
--- a/vanillawell/tests/scheduler_cluster.py
+++ b/vanillawell/tests/scheduler_cluster.py
@@ -338,6 +338,7 @@
                 "machines": self.machines_address,
                 "advice": self.machines_address,
                 "shortest_lease_ms": self.store.shortest_lease_ms,
+                "value_bytes": self.store.value_bytes,
                 "bounds": {
                     "lease_most_ms": 6000,
                     "kill_grace_ms": 100,
--- a/vanillawell/tests/write_order_tests.py
+++ b/vanillawell/tests/write_order_tests.py
@@ -18,6 +18,7 @@
 
 KEYS = WorkKeys()
 WALL = 100.0
+VALUE_LIMIT = 1_048_576
 
 
 def crowded(waiting: int) -> tuple[ShardHarness, list[Job]]:
@@ -33,7 +34,7 @@
 
 
 def collect(harness: ShardHarness, postponed: PostponedChanges) -> CycleBatch:
-    return CycleBatch.collect(harness.shard, KEYS, postponed, harness.now, WALL)
+    return CycleBatch.collect(harness.shard, KEYS, postponed, harness.now, WALL, VALUE_LIMIT)
 
 
 def jobs_of(parts: list[CycleTransaction]) -> list[str]:
@@ -60,7 +61,9 @@
     (record,) = harness.shard.job_table.jobs.values()
     job_id = record.job.job_id
     harness.shard.cancel(job_id, 0.0)
-    batch = CycleBatch.collect(harness.shard, KEYS, PostponedChanges(), harness.now, 1_000_000.0)
+    batch = CycleBatch.collect(
+        harness.shard, KEYS, PostponedChanges(), harness.now, 1_000_000.0, VALUE_LIMIT
+    )
     keys = {KEYS.submitted_job(job_id), KEYS.job_rules(job_id), KEYS.record(job_id)}
     assert {key for part in batch.parts(()) for key in part.deletes} == keys
 
