A cancellation that finds no job keeps the job from being created later

Cause, from the logs of the case: the cancel read that there is no order and said so, while the write of the order was on its way; the store carried it out 5.5 s after it was sent, since the only condition was that there is no order.

A cancel that finds none now stores withdrawn/ID on condition that there is still none, and each create requires that key to be absent: the store carries out one of the two. A hand-in that comes later hears 409 and never runs. The request to cancel an accepted job requires its order, too: removed in between, it left a request in the inbox for ever.

--- a/vanillawell/coordination/job_service.py
+++ b/vanillawell/coordination/job_service.py
@@ -12,6 +12,7 @@
 from vanillawell import clock
 from vanillawell.coordination.prefix_watch import Backoff
 from vanillawell.coordination.store_health import PROBE_TIMEOUT, StoreHealth
+from vanillawell.coordination.withdrawals import Withdrawals
 from vanillawell.exceptions import (
     StoreError,
     StoreOutcomeUnknownError,
@@ -28,7 +29,7 @@
 
 if TYPE_CHECKING:
     from vanillawell.coordination.policy_watch import PolicyWatch
-    from vanillawell.protocol.store import PolledStore
+    from vanillawell.protocol.store import KeyValue, PolledStore
     from vanillawell.protocol.work_documents import WorkKeys
     from vanillawell.state.contention.entry_readiness import EntryReadiness
     from vanillawell.state.work import Job
@@ -94,6 +95,7 @@
         """Bytes of the largest value that the store holds."""
 
         self._store_health = StoreHealth()
+        self._withdrawals = Withdrawals(store, keys)
         policies.on_outcome(self._record_outcome)
 
     def _record_outcome(self, answered: bool) -> None:
@@ -168,7 +170,10 @@
         order = Put(self._keys.submitted_job(job.job_id), data)
         notice = Put(self._keys.new_job(job.job_id), data)
         rules = Put(self._keys.job_rules(job.job_id), write_queue(queue))
-        create = Transaction(compares=[Compare(order.key, 0)], puts=[order, rules, notice])
+        withdrawn = self._keys.withdrawn_job(job.job_id)
+        create = Transaction(
+            compares=[Compare(order.key, 0), Compare(withdrawn, 0)], puts=[order, rules, notice]
+        )
         if self._store_health.needs_probe() and not await self._store_answers(order.key):
             log.warning("job refused", extra={"job": job.job_id, "why": "the store is silent"})
             return _refuse(Reason.STORE_DOWN, retry_after=STORE_RETRY_AFTER)
@@ -195,6 +200,9 @@
                 else:
                     self._store_health.record_answer(clock.read())
                     self._readiness.record_store(True, clock.read())
+                    if withdrawn in result.values and order.key not in result.values:
+                        log.info("job refused", extra={"job": job.job_id, "why": "withdrawn"})
+                        return _refuse(Reason.JOB_WITHDRAWN)
                     self._log_submitted(job, result.succeeded)
                     return None
                 await backoff.wait()
@@ -244,23 +252,36 @@
         return _refuse(Reason.NO_SUCH_JOB) if order is None else JobState.QUEUED
 
     async def cancel(self, job_id: str, time_left: float) -> Refusal | None:
-        """Request the cancellation of a job; return None once the request is stored."""
-        put = Put(self._keys.cancel(job_id), b"")
+        """Request the cancellation of a job; return None once the request is stored.
+
+        That there is no such job is told only once none can be created any more by a write that is
+        still on its way. Each step is repeated until its outcome is known.
+        """
         backoff = Backoff()
         with anyio.move_on_after(_store_timeout(time_left)):
             while True:
                 try:
-                    if await self._store.get(self._keys.submitted_job(job_id)) is None:
+                    order = await self._store.get(self._keys.submitted_job(job_id))
+                    if order is not None:
+                        if await self._store_cancellation(job_id, order):
+                            log.info("cancellation accepted", extra={"job": job_id})
+                            return None
+                    elif await self._withdrawals.withdraw(job_id, clock.read()):
+                        log.info("job withdrawn", extra={"job": job_id})
                         return _refuse(Reason.NO_SUCH_JOB)
-                    await self._store.transact(Transaction(puts=[put]))
                 except StoreError as error:
                     log.warning("cancellation not stored", extra={"job": job_id, "why": str(error)})
                     await backoff.wait()
-                    continue
-                log.info("cancellation accepted", extra={"job": job_id})
-                return None
         return Refusal(Reason.ACCEPTANCE_UNKNOWN, Verdict.MAY_HAVE_RUN)
 
+    async def _store_cancellation(self, job_id: str, order: KeyValue) -> bool:
+        """Store the request to cancel an accepted job; return False if the job is gone by now."""
+        request = Transaction(
+            compares=[Compare(order.key, order.mod_revision)],
+            puts=[Put(self._keys.cancel(job_id), b"")],
+        )
+        return (await self._store.transact(request)).succeeded
+
     async def pending(self, queue: Queue) -> int | Refusal:
         """Return the number of a queue's jobs for which no task has started."""
         try:
--- a/vanillawell/protocol/refusals.py
+++ b/vanillawell/protocol/refusals.py
@@ -23,6 +23,7 @@
     ACCEPTANCE_UNKNOWN = ("acceptance-unknown", 504, "The store gave no answer; ask again")
     BODY_LATE = ("body-late", 408, "The request body did not arrive in time")
     JOB_TOO_LARGE = ("job-too-large", 400, "The job is larger than what is kept of one job")
+    JOB_WITHDRAWN = ("job-withdrawn", 409, "The job was cancelled before it was accepted")
     TOO_LARGE = ("too-large", 413, "The request body is larger than allowed")
     QUEUE_FULL = ("queue-full", 429, "The organisation's queue is full")
     CANNOT_FINISH = ("cannot-finish-in-time", 429, "The queue is too long for the deadline")
--- a/vanillawell/protocol/work_documents.py
+++ b/vanillawell/protocol/work_documents.py
@@ -61,6 +61,10 @@
         """Return the key of a job as submitted."""
         return self.submitted_jobs + job_id
 
+    def withdrawn_job(self, job_id: str) -> str:
+        """Return the key that keeps a job from being created once it was cancelled."""
+        return f"{self.prefix}withdrawn/{job_id}"
+
     @property
     def records(self) -> str:
         """Return the prefix of all job records."""
