An odd document or answer costs only what it tells of

What it did, tried on with unreadable values under each key that entries read and with one changed value in each kind of document: an unreadable term document ended the process of each entry that tried to take the shard; a value under the holder's key without a lease kept the shard from ever having an owner again; jobs, records, lease bounds, reports and advice with values of another type or size ended the owner in the cycle that used them.

Cause: readers converted values or took them as they were, and caught the errors that they expected. Each now checks each value (protocol/checked_values) and raises ValueError only. A term document that can't be read counts as that of the owner whom the lease bounds name, which each owner writes as it takes the shard, so that the token never falls; executors refuse it should it be too low, and the next claim is higher. A holder's key goes with its owner's lease, so that one without a lease is nobody's and the next claim replaces it, on condition of its revision.

--- a/vanillawell/coordination/candidate.py
+++ b/vanillawell/coordination/candidate.py
@@ -22,7 +22,7 @@
 
 if TYPE_CHECKING:
     from vanillawell.config.node_settings import EntryCapacity
-    from vanillawell.protocol.store import PolledStore
+    from vanillawell.protocol.store import KeyValue, PolledStore
     from vanillawell.protocol.work_documents import WorkKeys
 
 log = logging.getLogger(__name__)
@@ -90,6 +90,9 @@
         shortfall = 0.0 if capacity is None else capacity_shortfall(capacity)
         self._contender = Contender(f"{instance}/{uuid.uuid4().hex[:8]}", shortfall)
         self._holder_watch = HolderWatch(store, keys, shard)
+        self._latest_token = 0
+        """Token of the latest claim of this entry."""
+
         self._claim_count = 0
         """Number of the latest claim. It makes the term document of each claim unique: a claim
         whose answer was lost may still take effect, under its own lease, and must not be mistaken
@@ -170,7 +173,8 @@
         asked = clock.read()
         stored = await self._store.get(self._term_key)
         ttl = ownership_lease(clock.read() - asked, self._shortest_lease)
-        before = TermDocument.from_bytes(stored.value) if stored else TermDocument(0, "")
+        before = await self._read_term(stored)
+        self._latest_token = before.token + 1
         self._claim_count += 1
         document = TermDocument(before.token + 1, self._contender.name, self._claim_count)
         bounds = await self._read_bounds(before.token)
@@ -180,7 +184,7 @@
         marker = Put(self._term_key, document.to_bytes())
         transaction = Transaction(
             compares=[
-                Compare(self._holder_key, 0),
+                Compare(self._holder_key, self._holder_watch.stray_revision),
                 Compare(self._term_key, stored.mod_revision if stored else 0),
             ],
             puts=[
@@ -224,19 +228,40 @@
             fields = {"shard": self._shard, "why": f"no answer in {REVOKE_TIMEOUT} s"}
             log.warning("lease left to itself", extra=fields)
 
+    async def _read_term(self, stored: KeyValue | None) -> TermDocument:
+        """Read the term document; one that another writer left counts as that of the latest owner
+        that the lease bounds name, since each owner writes them as it takes the shard.
+
+        Should that one be too old, executors refuse its token and the next claim has a higher one.
+        """
+        if stored is None:
+            return TermDocument(0, "")
+        try:
+            return TermDocument.from_bytes(stored.value)
+        except ValueError as error:
+            bounds = await self._read_stored_bounds()
+            token = max(bounds.token, self._latest_token)
+            log.error("term document unreadable", extra={"why": str(error), "token": token})
+            return TermDocument(token, "")
+
     async def _read_bounds(self, token: int) -> LeaseBounds:
         """Read the lease bounds stored by the owner with this token; empty if there are none."""
+        bounds = await self._read_stored_bounds()
+        if bounds.token == token:
+            return bounds
+        if bounds.token:
+            fields = {"found": bounds.token, "token": token}
+            log.warning("lease bounds of another owner", extra=fields)
+        return LeaseBounds()
+
+    async def _read_stored_bounds(self) -> LeaseBounds:
+        """Read the lease bounds as stored; empty if there are none."""
         stored = await self._store.get(self._bounds_key)
         if stored is None:
             return LeaseBounds()
         try:
-            bounds = LeaseBounds.from_bytes(stored.value)
+            return LeaseBounds.from_bytes(stored.value)
         except ValueError as error:
             # Without bounds each executor counts as holding the longest possible lease.
             log.error("lease bounds unreadable", extra={"why": str(error)})
             return LeaseBounds()
-        if bounds.token != token:
-            fields = {"found": bounds.token, "token": token}
-            log.warning("lease bounds of another owner", extra=fields)
-            return LeaseBounds()
-        return bounds
--- a/vanillawell/coordination/holder_watch.py
+++ b/vanillawell/coordination/holder_watch.py
@@ -12,7 +12,7 @@
 from vanillawell.protocol.work_documents import Contender
 
 if TYPE_CHECKING:
-    from vanillawell.protocol.store import Changes, Listing, PolledStore
+    from vanillawell.protocol.store import Change, Changes, KeyValue, Listing, PolledStore
     from vanillawell.protocol.work_documents import WorkKeys
 
 log = logging.getLogger(__name__)
@@ -34,6 +34,7 @@
         self._changed = anyio.Event()
         self._loaded = False
         self._holder: Contender | None = None
+        self._stray_revision = 0
         self._held_since = 0.0
         self._bid: Contender | None = None
         self._bid_revision = 0
@@ -46,6 +47,15 @@
         """Return the entry that holds the shard."""
         return self._holder
 
+    @property
+    def stray_revision(self) -> int:
+        """Return the revision of a value that no owner has left under the holder's key, since an
+        owner's goes with its lease; 0 if there is none.
+
+        Taken for a holder it would keep the shard from ever having an owner.
+        """
+        return self._stray_revision
+
     @property
     def held_since(self) -> float:
         """Return the time of `clock.read` at which the current holder was first seen."""
@@ -77,14 +87,14 @@
     def _apply_listing(self, listing: Listing) -> None:
         items = {item.key: item for item in listing.items}
         holder, bid = items.get(self._holder_key), items.get(self._bid_key)
-        self._set_holder(holder.value if holder else None)
+        self._set_holder(holder)
         self._set_bid(bid.value if bid else None, bid.mod_revision if bid else 0)
         self._notify()
 
     def _apply_changes(self, changes: Changes) -> None:
         for change in changes.changes:
             if change.key == self._holder_key:
-                self._set_holder(change.value)
+                self._set_holder(change)
             elif change.key == self._bid_key:
                 self._set_bid(change.value, change.mod_revision)
         self._notify()
@@ -94,8 +104,13 @@
         self._changed.set()
         self._changed = anyio.Event()
 
-    def _set_holder(self, value: bytes | None) -> None:
-        holder = _read_contender(value)
+    def _set_holder(self, item: KeyValue | Change | None) -> None:
+        is_stray = item is not None and item.value is not None and not item.lease
+        self._stray_revision = item.mod_revision if item is not None and is_stray else 0
+        if is_stray:
+            fields = {"shard": self._shard, "revision": self._stray_revision}
+            log.error("shard holder without a lease", extra=fields)
+        holder = None if item is None or is_stray else _read_contender(item.value)
         if holder == self._holder:
             return
         names = {"holder": holder and holder.name, "before": self._holder and self._holder.name}
--- a/vanillawell/coordination/inbox.py
+++ b/vanillawell/coordination/inbox.py
@@ -108,7 +108,7 @@
         if job_id in self._shard.job_table.jobs:
             return
         try:
-            job = read_job(value)
+            job = read_job(value, job_id)
         except ValueError as error:
             log.error("job document unreadable", extra={"job": job_id, "reason": str(error)})
             return
--- a/vanillawell/coordination/job_service.py
+++ b/vanillawell/coordination/job_service.py
@@ -7,7 +7,6 @@
 from typing import TYPE_CHECKING
 
 import anyio
-import orjson
 
 from vanillawell import clock
 from vanillawell.coordination.prefix_watch import Backoff
@@ -19,7 +18,7 @@
     StoreRejectedError,
     StoreUnavailableError,
 )
-from vanillawell.protocol.queue_documents import write_queue
+from vanillawell.protocol.queue_documents import read_pending, write_queue
 from vanillawell.protocol.refusals import Reason, Refusal
 from vanillawell.protocol.store import Compare, Put, Transaction
 from vanillawell.protocol.verdict import Verdict
@@ -291,8 +290,12 @@
                 "pending job counts not read", extra={"queue": queue.name, "why": str(error)}
             )
             return _refuse(Reason.STORE_DOWN, retry_after=STORE_RETRY_AFTER)
-        counts = orjson.loads(stored.value) if stored else {}
-        return int(counts.get(queue.name, 0))
+        try:
+            counts = read_pending(stored.value) if stored else {}
+        except ValueError as error:
+            log.error("pending job counts unreadable", extra={"why": str(error)})
+            return _refuse(Reason.STORE_DOWN, retry_after=STORE_RETRY_AFTER)
+        return counts.get(queue.name, 0)
 
 
 def _refuse(reason: Reason, retry_after: float | None = None) -> Refusal:
--- a/vanillawell/coordination/machine_orders.py
+++ b/vanillawell/coordination/machine_orders.py
@@ -23,6 +23,7 @@
 from vanillawell import clock
 from vanillawell.coordination.leases import REFERENCE_CLOCKS, min_elapsed
 from vanillawell.exceptions import StoreError
+from vanillawell.protocol.checked_values import mapping, number, text
 from vanillawell.protocol.machine_calls import MachineDuty
 from vanillawell.protocol.store import Put
 
@@ -115,7 +116,7 @@
             return True
         try:
             self._read_announcement(stored.value)
-        except (ValueError, TypeError, KeyError, AttributeError) as error:
+        except (ValueError, KeyError) as error:
             # The document is damaged or of an earlier version: any machine may have a recent order.
             log.error("machine orders of the previous owner unreadable", extra={"why": repr(error)})
             self._inherited_pools = {}
@@ -126,15 +127,20 @@
         return True
 
     def _read_announcement(self, value: bytes) -> None:
-        """Read a previous owner's announcement; raise an exception if the document has another
-        structure."""
-        document = orjson.loads(value)
-        pools = document.get("pools", {}).items()  # earlier versions do not store them
-        self._inherited_pools = {str(name): str(pool) for name, pool in pools}
-        self._inherited = {str(name): float(age) for name, age in document["machines"].items()}
-        self._inherited_freshness = float(document.get("freshness", MAX_ORDER_FRESHNESS))
-        clocks = document["clocks"].items()
-        self._inherited_clocks = {str(key): float(reading) for key, reading in clocks}
+        """Read a previous owner's announcement.
+
+        Raises:
+            ValueError: The document has another structure, or a value of another type.
+            KeyError: A field is missing.
+        """
+        document = mapping(orjson.loads(value))
+        stored_pools = mapping(document.get("pools", {}))  # earlier versions do not store them
+        pools = {name: text(pool) for name, pool in stored_pools.items()}
+        ages = {name: number(age) for name, age in mapping(document["machines"]).items()}
+        freshness = number(document.get("freshness", MAX_ORDER_FRESHNESS))
+        clocks = {life: number(time) for life, time in mapping(document["clocks"]).items()}
+        self._inherited_pools, self._inherited = pools, ages
+        self._inherited_freshness, self._inherited_clocks = freshness, clocks
 
     def may_order(self, machine: str, now: float) -> bool:
         """Return whether no previous owner can have given a recent order for the machine."""
--- a/vanillawell/coordination/shard_loader.py
+++ b/vanillawell/coordination/shard_loader.py
@@ -92,7 +92,7 @@
             try:
                 parts = count_parts(values[key])
                 data = join(key, parts, values)
-                record, runs = read_record(read_job(item.value), data, now, time.time())
+                record, runs = read_record(read_job(item.value, job_id), data, now, time.time())
                 record.stored_parts = parts
             except ValueError as error:
                 log.error("job document unreadable", extra={"job": job_id, "reason": str(error)})
--- a/vanillawell/coordination/upkeep_runner.py
+++ b/vanillawell/coordination/upkeep_runner.py
@@ -13,6 +13,7 @@
 from vanillawell.coordination.wave_age import WaveAge
 from vanillawell.exceptions import StoreError
 from vanillawell.protocol.call_errors import NoAnswerError, NotSentError
+from vanillawell.protocol.checked_values import flag, mapping, texts
 from vanillawell.protocol.machine_calls import MachineState
 from vanillawell.protocol.store import Put
 from vanillawell.state.availability import has_long_running
@@ -149,17 +150,19 @@
             await self._save(progress)
             return progress
         try:
-            document = orjson.loads(stored.value)
-            self._ages[wave.number] = WaveAge.from_document(document)
-            progress.decided = set(document["decided"])
-            progress.confirmed = set(document["confirmed"])
-            progress.completed = bool(document["completed"])
-        except (ValueError, TypeError, KeyError, AttributeError) as error:
+            document = mapping(orjson.loads(stored.value))
+            age = WaveAge.from_document(document)
+            decided, confirmed = texts(document["decided"]), texts(document["confirmed"])
+            progress.completed = flag(document["completed"])
+        except (ValueError, KeyError) as error:
             # Start over: an upkeep that was done is not repeated, and its order is answered as if
             # it had been.
             fields = {"wave": wave.number, "why": repr(error)}
             log.error("stored wave progress unreadable", extra=fields)
             progress = WaveProgress(wave, self._policies.waves_first_seen[wave.number])
+        else:
+            self._ages[wave.number] = age
+            progress.decided, progress.confirmed = set(decided), set(confirmed)
         self._listed_at = 0.0
         await self._refresh_list()
         progress.away = {
--- a/vanillawell/coordination/wave_age.py
+++ b/vanillawell/coordination/wave_age.py
@@ -13,6 +13,7 @@
 from typing import TYPE_CHECKING, Any
 
 from vanillawell.coordination.leases import REFERENCE_CLOCKS, min_elapsed
+from vanillawell.protocol.checked_values import mapping, number
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -55,7 +56,9 @@
     def from_document(cls, document: Mapping[str, Any]) -> WaveAge:
         """Read the stored fields, which earlier versions did not write.
 
-        Raises TypeError, ValueError or AttributeError if the fields have other types.
+        Raises:
+            ValueError: The fields have other types.
         """
-        clocks = {str(key): float(value) for key, value in document.get("clocks", {}).items()}
-        return cls(max(0.0, float(document.get("age", 0.0))), clocks)
+        readings = mapping(document.get("clocks", {}))
+        clocks = {life: number(reading) for life, reading in readings.items()}
+        return cls(max(0.0, number(document.get("age", 0.0))), clocks)
--- a/vanillawell/platform/callers.py
+++ b/vanillawell/platform/callers.py
@@ -33,6 +33,9 @@
 
 log = logging.getLogger(__name__)
 
+MAX_CALL_TIMEOUT = 600.0
+"""Seconds of the longest wait of a caller that is heeded."""
+
 
 class CallerApp:
     """ASGI application that answers callers' requests about jobs."""
@@ -141,9 +144,10 @@
 def _caller_timeout(headers: dict[bytes, bytes]) -> float:
     """Return the seconds for which the caller waits, from its `X-Deadline-Ms` header."""
     try:
-        return float(headers[b"x-deadline-ms"]) / 1000
+        seconds = float(headers[b"x-deadline-ms"]) / 1000
     except (KeyError, ValueError):
         return DEFAULT_CALL_TIMEOUT
+    return min(seconds, MAX_CALL_TIMEOUT) if seconds >= 0 else DEFAULT_CALL_TIMEOUT
 
 
 def _refusal(reason: Reason) -> Refusal:
--- a/vanillawell/platform/executors.py
+++ b/vanillawell/platform/executors.py
@@ -5,7 +5,9 @@
 import re
 from typing import TYPE_CHECKING, Any
 
+from vanillawell.platform.http import refusal_reason
 from vanillawell.protocol.call_errors import NoAnswerError
+from vanillawell.protocol.checked_values import number, text, whole
 from vanillawell.protocol.executor_calls import (
     HoldReport,
     OrderRefusal,
@@ -102,12 +104,12 @@
             ended = [_end(row) for row in content["finished"]]
             return HoldReport(
                 _clock(content),
-                int(content.get("born", target.incarnation)),
+                whole(content.get("born", target.incarnation)),
                 [_running(row) for row in content["running"]],
                 ended,
                 lists_all_ends=len(ended) < MAX_REPORTED_ENDS,
             )
-        except (KeyError, TypeError, ValueError, IndexError) as error:
+        except (KeyError, TypeError, ValueError, IndexError, AttributeError) as error:
             raise NoAnswerError(f"/hold: malformed report: {error!r}") from error
 
     async def _order(
@@ -126,7 +128,7 @@
         if answer.status == 421:
             raise WrongIncarnationError(target.executor)
         if answer.status == 409:
-            reason = REFUSAL_REASONS.get(answer.document().get("reason"))
+            reason = REFUSAL_REASONS.get(refusal_reason(answer))
             raise OrderRefusedError(reason or OrderRefusal.MALFORMED)
         if answer.status in (429, 503):
             raise OrderRefusedError(OrderRefusal.UNHEALTHY)
@@ -137,17 +139,21 @@
 
 def _clock(content: Any) -> float:
     try:
-        return float(content["clockMs"]) / 1000
+        return number(content["clockMs"]) / 1000
     except (KeyError, TypeError, ValueError) as error:
         raise NoAnswerError(f"no clock in the answer: {error!r}") from error
 
 
 def _running(row: list[Any]) -> ReportedRun:
     """Decode [task, run, checkpoint, percent, measure]; plain tasks report no measure."""
-    measure = float(row[4]) if len(row) > 4 and row[4] is not None else 0.0
-    return ReportedRun(read_task_name(row[0]), row[1], row[2] or "", int(row[3]), measure)
+    measure = number(row[4]) if len(row) > 4 and row[4] is not None else 0.0
+    return ReportedRun(
+        read_task_name(row[0]), whole(row[1]), text(row[2] or ""), int(number(row[3])), measure
+    )
 
 
 def _end(row: list[Any]) -> ReportedEnd:
     """Decode [number, task, run, ending, checkpoint]."""
-    return ReportedEnd(row[0], read_task_name(row[1]), row[2], Ending(row[3]), row[4] or "")
+    return ReportedEnd(
+        whole(row[0]), read_task_name(row[1]), whole(row[2]), Ending(row[3]), text(row[4] or "")
+    )
--- a/vanillawell/platform/http.py
+++ b/vanillawell/platform/http.py
@@ -243,3 +243,10 @@
         return "\r\n".join((*lines, "", "")).encode("latin-1") + body
     except (orjson.JSONEncodeError, UnicodeEncodeError) as error:
         raise NotSentError(f"{path!r}: not to be written as a request: {error}") from error
+
+
+def refusal_reason(answer: HttpAnswer) -> str:
+    """Return the reason that a refusal names, empty if it names none."""
+    document = answer.document()
+    reason = document.get("reason") if isinstance(document, dict) else None
+    return reason if isinstance(reason, str) else ""
--- a/vanillawell/platform/machines.py
+++ b/vanillawell/platform/machines.py
@@ -4,7 +4,9 @@
 
 from typing import TYPE_CHECKING, Any
 
+from vanillawell.platform.http import refusal_reason
 from vanillawell.protocol.call_errors import NoAnswerError, NotSentError
+from vanillawell.protocol.checked_values import text
 from vanillawell.protocol.machine_calls import (
     AdviceBusyError,
     Machine,
@@ -70,7 +72,7 @@
         if answer.status == 200:
             return
         if answer.status == 409:
-            reason = REFUSAL_REASONS.get(answer.document().get("reason"))
+            reason = REFUSAL_REASONS.get(refusal_reason(answer))
             raise UpkeepRefusedError(reason or UpkeepRefusal.BUSY)
         if answer.status == 400:
             raise UpkeepRefusedError(UpkeepRefusal.NO_SUCH_MACHINE)
@@ -97,13 +99,19 @@
             raise AdviceBusyError
         if answer.status != 200:
             raise NoAnswerError(f"/advise: status {answer.status}")
-        return {row[0]: row[1] for row in answer.document()["good"]}
+        content = answer.document()
+        try:
+            return {text(row[0]): text(row[1]) for row in content["good"]}
+        except (KeyError, TypeError, ValueError, IndexError) as error:
+            raise NoAnswerError(f"/advise: malformed answer: {error!r}") from error
 
 
 def _page(content: Any) -> tuple[list[Machine], str]:
     """Decode a page of the list and the token of the next page, which is empty for the last."""
     try:
-        return [_machine(item) for item in content["machines"]], content.get("nextToken") or ""
+        return [_machine(item) for item in content["machines"]], text(
+            content.get("nextToken") or ""
+        )
     except (KeyError, TypeError, ValueError, AttributeError) as error:
         raise NoAnswerError(f"/machines: malformed list: {error!r}") from error
 
@@ -111,9 +119,9 @@
 def _machine(item: Any) -> Machine:
     """Decode one item of the list; its `id` names the machine's executor."""
     return Machine(
-        item["machine"],
-        item["pool"],
+        text(item["machine"]),
+        text(item["pool"]),
         MachineState(item["state"]),
-        item.get("id"),
-        item.get("zone") or "",
+        text(item.get("id") or "") or None,
+        text(item.get("zone") or ""),
     )
--- a/vanillawell/protocol/lease_bounds.py
+++ b/vanillawell/protocol/lease_bounds.py
@@ -7,6 +7,8 @@
 
 import orjson
 
+from vanillawell.protocol.checked_values import mapping, number, text, whole
+
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
@@ -69,12 +71,12 @@
     def from_bytes(cls, data: bytes) -> LeaseBounds:
         """Parse the document; raises ValueError if the data is malformed."""
         try:
-            document = orjson.loads(data)
+            document = mapping(orjson.loads(data))
             return cls(
-                int(document["token"]),
+                whole(document["token"]),
                 _read_bounds(document["silent"]),
                 _read_bounds(document["handed_over"]),
-                {str(life): float(value) for life, value in document["clocks"].items()},
+                {life: number(value) for life, value in document["clocks"].items()},
             )
         except (TypeError, KeyError, AttributeError) as error:
             raise ValueError(f"malformed lease bounds: {error!r}") from error
@@ -82,11 +84,11 @@
 
 def _read_bounds(item: Mapping[str, Any]) -> dict[str, ExecutorBound]:
     return {
-        str(name): ExecutorBound(
-            float(bound["left"]),
-            float(bound["known_for"]),
-            str(bound.get("machine", "")),
-            int(bound.get("life", 0)),
+        name: ExecutorBound(
+            number(bound["left"]),
+            number(bound["known_for"]),
+            text(bound.get("machine", "")),
+            whole(bound.get("life", 0)),
         )
         for name, bound in item.items()
     }
--- a/vanillawell/protocol/queue_documents.py
+++ b/vanillawell/protocol/queue_documents.py
@@ -11,6 +11,7 @@
 
 import orjson
 
+from vanillawell.protocol.checked_values import flag, mapping, number, text, whole
 from vanillawell.state.work_policy import AdviceRule, Queue
 
 if TYPE_CHECKING:
@@ -38,8 +39,8 @@
 def read_queues(data: bytes) -> dict[str, Queue]:
     """Parse the rules of queues by name; raises ValueError if the data is malformed."""
     try:
-        document = orjson.loads(data)
-        return {str(name): _read_queue(item) for name, item in document.items()}
+        document = mapping(orjson.loads(data))
+        return {name: _read_queue(item) for name, item in document.items()}
     except (TypeError, KeyError, AttributeError) as error:
         raise ValueError(f"malformed queue rules: {error!r}") from error
 
@@ -47,18 +48,23 @@
 def _read_queue(item: Mapping[str, Any]) -> Queue:
     advice = item["advice"]
     return Queue(
-        name=str(item["name"]),
-        host=str(item["host"]),
-        prefix=str(item["prefix"]),
-        service=str(item["service"]),
-        priority=int(item["priority"]),
-        attempts=int(item["attempts"]),
-        slack_factor=float(item["slack_factor"]),
-        objective=float(item["objective"]),
-        anonymous=bool(item["anonymous"]),
+        name=text(item["name"]),
+        host=text(item["host"]),
+        prefix=text(item["prefix"]),
+        service=text(item["service"]),
+        priority=whole(item["priority"]),
+        attempts=whole(item["attempts"]),
+        slack_factor=number(item["slack_factor"]),
+        objective=number(item["objective"]),
+        anonymous=flag(item["anonymous"]),
         advice=_read_advice(advice) if advice else None,
     )
 
 
 def _read_advice(item: Mapping[str, Any]) -> AdviceRule:
-    return AdviceRule(float(item["decide"]), float(item["each"]), float(item["validity"]))
+    return AdviceRule(number(item["decide"]), number(item["each"]), number(item["validity"]))
+
+
+def read_pending(data: bytes) -> dict[str, int]:
+    """Parse the numbers of pending jobs by queue; raises ValueError if the data is malformed."""
+    return {name: whole(count) for name, count in mapping(orjson.loads(data)).items()}
--- a/vanillawell/protocol/store.py
+++ b/vanillawell/protocol/store.py
@@ -17,6 +17,9 @@
     mod_revision: int
     """Revision of the last change; 0 means that the key does not exist."""
 
+    lease: int = 0
+    """Lease that the key is attached to; 0 if it stays until it is deleted."""
+
 
 @dataclass(frozen=True, slots=True)
 class Compare:
@@ -73,6 +76,7 @@
     key: str
     value: bytes | None
     mod_revision: int
+    lease: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/vanillawell/protocol/work_documents.py
+++ b/vanillawell/protocol/work_documents.py
@@ -15,6 +15,7 @@
 
 import orjson
 
+from vanillawell.protocol.checked_values import flag, mapping, number, position, text, whole
 from vanillawell.state.work import (
     Job,
     JobRecord,
@@ -28,10 +29,13 @@
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Callable, Iterable
 
 log = logging.getLogger(__name__)
 
+MAX_READ_TASKS = 100_000
+"""Tasks of a stored job that are read; earlier versions accepted more than this one does."""
+
 
 @dataclass(frozen=True, slots=True)
 class WorkKeys:
@@ -147,8 +151,13 @@
 
     @classmethod
     def from_bytes(cls, data: bytes) -> TermDocument:
-        """Parse the document."""
-        return cls(**orjson.loads(data))
+        """Parse the document; raises ValueError if the data is malformed."""
+        document = mapping(orjson.loads(data))
+        return cls(
+            whole(document.get("token")),
+            text(document.get("holder")),
+            whole(document.get("sequence", 0)),
+        )
 
 
 @dataclass(frozen=True, slots=True)
@@ -166,13 +175,8 @@
     @classmethod
     def from_bytes(cls, data: bytes) -> Contender:
         """Parse the document; raises ValueError if the data is malformed."""
-        document = orjson.loads(data)
-        if not isinstance(document, dict):
-            raise ValueError("contender is not a JSON object")
-        name, weakness = document.get("name"), document.get("weakness")
-        if not isinstance(name, str) or not isinstance(weakness, int | float):
-            raise ValueError("contender has no valid name or weakness")
-        return cls(name, float(weakness))
+        document = mapping(orjson.loads(data))
+        return cls(text(document.get("name")), number(document.get("weakness")))
 
 
 def write_job(job: Job) -> bytes:
@@ -190,19 +194,65 @@
     }
 
 
-def read_job(data: bytes) -> Job:
-    """Parse a submitted job; raises ValueError if the data is malformed."""
+def read_job(data: bytes, job_id: str) -> Job:
+    """Parse the job that was submitted under an id; raises ValueError if the data is malformed."""
     try:
-        document = orjson.loads(data)
-        steps = tuple(_read_step(item) for item in document["steps"])
-        return Job(**{**document, "steps": steps})
-    except (TypeError, KeyError, AttributeError) as error:
+        document = mapping(orjson.loads(data))
+        checked = _checked(document, _JOB_FIELDS)
+        checked["steps"] = tuple(_read_step(item) for item in document["steps"])
+        job = Job(**checked)
+    except (TypeError, KeyError) as error:
         raise ValueError(f"malformed job: {error}") from error
-
-
-def _read_step(item: dict[str, Any]) -> Step:
-    need = Resources(**item["need"])
-    return Step(**{**item, "need": need, "after": tuple(item.get("after", ()))})
+    if job.job_id != job_id:
+        raise ValueError(f"the document is that of job {job.job_id:.40}")
+    tasks = sum(step.count for step in job.steps)
+    if not 0 < tasks <= MAX_READ_TASKS:
+        raise ValueError(f"the job has {tasks} tasks")
+    return job
+
+
+def _read_step(item: Any) -> Step:
+    checked = _checked(mapping(item), _STEP_FIELDS)
+    checked["need"] = Resources(**_checked(mapping(item["need"]), _NEED_FIELDS))
+    checked["after"] = tuple(whole(earlier) for earlier in item.get("after", ()))
+    return Step(**checked)
+
+
+def _checked(document: dict[str, Any], readers: dict[str, Callable[[Any], Any]]) -> dict[str, Any]:
+    """Return the fields of a document for which there are readers; others are ignored, since a
+    later version may add some."""
+    return {name: reader(document[name]) for name, reader in readers.items() if name in document}
+
+
+_NEED_FIELDS: dict[str, Callable[[Any], Any]] = {"cpu": whole, "memory": whole, "gpu": whole}
+
+_STEP_FIELDS: dict[str, Callable[[Any], Any]] = {
+    "count": whole,
+    "estimate": number,
+    "saves_progress": flag,
+    "gang": flag,
+    "same_rack": flag,
+    "required_label": text,
+    "data_rack": text,
+    "most_per_executor": whole,
+    "speculative": flag,
+    "long_running": flag,
+    "image": text,
+    "tail_target": number,
+    "fills": flag,
+    "most_away": whole,
+}
+
+_JOB_FIELDS: dict[str, Callable[[Any], Any]] = {
+    "job_id": text,
+    "queue": text,
+    "organisation": text,
+    "payload": text,
+    "accepted_at": number,
+    "times": whole,
+    "first_due": number,
+    "interval": number,
+}
 
 
 def write_record(record: JobRecord, with_checkpoints: bool = True) -> bytes:
@@ -287,15 +337,15 @@
 
 def _read_record(job: Job, data: bytes, now: float, wall: float) -> tuple[JobRecord, list[Run]]:
     record = JobRecord(job, now - max(0.0, wall - job.accepted_at))
-    document = orjson.loads(data)
+    document = mapping(orjson.loads(data))
     record.state = JobState(document["state"])
-    record.ended = document["ended"]
+    record.ended = None if document["ended"] is None else number(document["ended"])
     runs: list[Run] = []
-    for number, steps in document["occurrences"].items():
-        progress = record.open(int(number))
+    for occurrence, steps in document["occurrences"].items():
+        progress = record.open(position(occurrence))
         for step, item in zip(progress, steps, strict=True):
             runs.extend(_read_progress(step, item, now))
-    record.next_occurrence = document["next"]
+    record.next_occurrence = whole(document["next"])
     record.begun = any(map(_has_begun, itertools.chain.from_iterable(record.occurrences.values())))
     return record, runs
 
@@ -308,25 +358,28 @@
 
 
 def _read_progress(step: StepProgress, item: dict[str, Any], now: float) -> Iterable[Run]:
-    for index in item["done"]:
-        step.tasks[index].done = True
+    for done in item["done"]:
+        step.tasks[whole(done)].done = True
     step.left = sum(not task.done for task in step.tasks)
-    step.failed_gangs = item["failed_gangs"]
-    step.failed_number = item.get("failed_number", 0)
+    step.failed_gangs = whole(item["failed_gangs"])
+    step.failed_number = whole(item.get("failed_number", 0))
     for index, executor in item.get("failed_on", {}).items():
-        step.tasks[int(index)].failed_on = executor
-    for index, (number, failures, checkpoint, run_row) in item["tasks"].items():
-        task = step.tasks[int(index)]
-        task.number, task.failures, task.checkpoint = number, failures, checkpoint
+        step.tasks[position(index)].failed_on = text(executor)
+    for index, (latest, failures, checkpoint, run_row) in item["tasks"].items():
+        task = step.tasks[position(index)]
+        task.number, task.failures = whole(latest), whole(failures)
+        task.checkpoint = text(checkpoint)
         if run_row is not None:
             yield _read_run(task, run_row, now)
     for index, run_rows in item.get("older", {}).items():
         for run_row in run_rows:
-            run = _read_run(step.tasks[int(index)], run_row, now)
+            run = _read_run(step.tasks[position(index)], run_row, now)
             run.superseded = True
             yield run
 
 
 def _read_run(task: Task, run_row: list[Any], now: float) -> Run:
-    executor, incarnation, number = run_row
-    return Run(task, number, executor, incarnation, RunPhase.INHERITED, now, pace=None)
+    executor, incarnation, run = run_row
+    return Run(
+        task, whole(run), text(executor), whole(incarnation), RunPhase.INHERITED, now, pace=None
+    )
