A start is judged again as its order leaves

Cause: starts wait for one of four places to an executor, an unanswered one holds its place for half a second, and as an order left only evacuation was asked again. Now the facts that decide a placement are asked by the same code in both places: Executor.reason_to_be_left (draining, evacuated, upkeep, ordered away, leaving its pool) and Shard.is_within_maximum. A withdrawn start frees its room at once, is placed again, counted, logged with what changed, and takes its gang with it; so does a refused ticket of a gang's member, whose other members would end alone.

--- a/vanillawell/coordination/executor_link.py
+++ b/vanillawell/coordination/executor_link.py
@@ -67,7 +67,7 @@
     """Maximum seconds that the executor takes to kill runs whose lease has expired."""
 
     count_withdrawn_start: Callable[[], None] = lambda: None
-    """Called for each stored start that is not ordered because of an evacuation."""
+    """Called for each stored start that is not ordered, since what it was decided by changed."""
 
     clock: ExecutorClock = field(default_factory=ExecutorClock)
     _clock_incarnation: int | None = None
--- a/vanillawell/coordination/run_orders.py
+++ b/vanillawell/coordination/run_orders.py
@@ -89,8 +89,9 @@
             now = clock.read()
             self._log_if_delayed(run, now - stored_at)
             is_open = self._link.shard.ledger.is_charged(run) and not run.stop_requested
-            if is_open and self._link.executor.evacuated:
-                self._withdraw(run)
+            changed = self._link.shard.reason_to_withdraw(run) if is_open else ""
+            if changed:
+                self._withdraw(run, changed)
                 return
             reason = self._reason_not_to_start(run, stored_at, now)
             if reason:
@@ -150,9 +151,9 @@
         }
         log.info("start order delayed", extra=fields)
 
-    def _withdraw(self, run: Run) -> None:
-        """Close a run whose zone was evacuated after its start was decided."""
-        self._mark_not_started(run, "zone evacuated")
+    def _withdraw(self, run: Run, reason: str) -> None:
+        """Close a run that would not be decided any more; its task waits for another place."""
+        self._mark_not_started(run, reason)
         self._link.shard.stop_gang_of(run)
         self._link.count_withdrawn_start()
         self._link.wake_owner()
@@ -252,6 +253,7 @@
             task_id = run.task.task_id
             key = (task_id.job_id, task_id.occurrence, task_id.step)
             self._link.shard.tickets.pop(key, None)
+            self._link.shard.stop_gang_of(run)
         else:
             self._link.block_placement()
         self._mark_not_started(run, error.reason.value)
--- a/vanillawell/scheduler_telemetry.py
+++ b/vanillawell/scheduler_telemetry.py
@@ -50,7 +50,7 @@
         )
         self.starts_withdrawn = Counter(
             "vanillawell_starts_withdrawn_total",
-            "Stored starts that were not ordered because their zone was evacuated meanwhile.",
+            "Stored starts that were not ordered since their executor or maximum had changed.",
             registry=self.registry,
         )
         self.surplus_jobs = Gauge(
--- a/vanillawell/state/executors.py
+++ b/vanillawell/state/executors.py
@@ -7,6 +7,7 @@
 
 import logging
 from dataclasses import dataclass, field, replace
+from enum import StrEnum
 from typing import TYPE_CHECKING
 
 from vanillawell.state.incarnations import Incarnation
@@ -34,6 +35,16 @@
 """Seconds for which an unhealthy executor gets no new tasks; then it is tried again."""
 
 
+class LeftBecause(StrEnum):
+    """Why no new task may begin on an executor."""
+
+    ZONE_EVACUATED = "zone evacuated"
+    DRAINING = "executor draining"
+    UPKEEP = "machine due for upkeep"
+    ORDERED_AWAY = "machine may have been ordered away"
+    POOL_LEFT = "machine leaves its pool"
+
+
 @dataclass(frozen=True, slots=True)
 class ExecutorFacts:
     """An executor's registration, as written by the executor itself."""
@@ -239,7 +250,26 @@
 
     def accepts_tasks(self, now: float) -> bool:
         """Return whether new tasks may be placed on it."""
-        return self.is_healthy(now) and not self.withheld and not self.vacating
+        return self.is_healthy(now) and self.reason_to_be_left() is None
+
+    def reason_to_be_left(self) -> LeftBecause | None:
+        """Return why no task may begin on it any more, be it decided already; None if one may.
+
+        Asked when a task is placed and again when its order leaves, since what is true of an
+        executor may change in between.
+        """
+        if self.withheld:
+            return LeftBecause.ORDERED_AWAY
+        if self.vacating:
+            return LeftBecause.POOL_LEFT
+        return self._reason_to_leave()
+
+    def _reason_to_leave(self) -> LeftBecause | None:
+        if self.evacuated:
+            return LeftBecause.ZONE_EVACUATED
+        if self.facts.draining:
+            return LeftBecause.DRAINING
+        return LeftBecause.UPKEEP if self.cordoned else None
 
     def is_healthy(self, now: float) -> bool:
         """Return whether it accepts new tasks, but for being withheld or vacating."""
@@ -247,9 +277,7 @@
             self.registered
             and self.incarnation.may_get_tasks
             and self.contacted
-            and not self.facts.draining
-            and not self.cordoned
-            and not self.evacuated
+            and self._reason_to_leave() is None
             and self.unresponsive_since is None
             and now >= self.placement_blocked_until
         )
--- a/vanillawell/state/placement_pass.py
+++ b/vanillawell/state/placement_pass.py
@@ -14,7 +14,7 @@
 
     from vanillawell.state.durations import DurationStatistics
     from vanillawell.state.ledger import Ledger
-    from vanillawell.state.work import Job, Run, StepProgress, Task
+    from vanillawell.state.work import Job, Resources, Run, StepProgress, Task
     from vanillawell.state.work_policy import Queue, WorkPolicy
 
 log = logging.getLogger(__name__)
@@ -28,6 +28,10 @@
 HELD_BY_RACK = "room on the rack of its data"
 """The same for a step whose tasks would take longer on another rack than the wait."""
 
+HELD_BY_MAXIMUM = "maximum of the organisation"
+"""The same for a step whose organisation may have no more running, and why a start that was decided
+before its maximum was lowered is not ordered."""
+
 HELD_FOR_CAPACITY = frozenset({HELD_BY_CAPACITY, HELD_BY_EVACUATION})
 """Values of `held_by` of steps that more machines would help."""
 
@@ -43,6 +47,9 @@
     def queue_of(self, job: Job) -> Queue | None:
         """Return the rules of a job's queue; None if they are unavailable."""
 
+    def is_within_maximum(self, organisation: str, running: Resources, need: Resources) -> bool:
+        """Return whether an organisation that has `running` may have `need` more."""
+
     def plan(self, task: Task, executor: Executor, number: int, ticket: str, now: float) -> Run:
         """Create a planned run and charge it to its executor."""
 
@@ -165,10 +172,8 @@
     def _is_within_limit(self, task: Task) -> bool:
         """Return whether starting the task keeps its organisation within its maximum."""
         organisation = task.step.record.job.organisation
-        limits = self._policy.organisations.get(organisation)
-        if limits is None:
-            return True
-        return limits.allows(self._shard.ledger.usage(organisation), task.step.spec.need)
+        running = self._shard.ledger.usage(organisation)
+        return self._shard.is_within_maximum(organisation, running, task.step.spec.need)
 
     def _place_gang(
         self, step: StepProgress, placer: StepPlacer, tickets: Mapping[str, str] | None
@@ -197,7 +202,7 @@
         """
         spec = step.spec
         if not self._is_within_limit(step.waiting[0]):
-            self._set_held_by(step, "maximum of the organisation")
+            self._set_held_by(step, HELD_BY_MAXIMUM)
             return
         self._set_held_by(step, self._lack_of_capacity(queue.service))
         if spec.long_running:
--- a/vanillawell/state/shard.py
+++ b/vanillawell/state/shard.py
@@ -24,7 +24,7 @@
 from vanillawell.state.ledger import EndedRun, InheritedLeaseBound, Ledger
 from vanillawell.state.outbox import EndConfirmation, OrphanedRun, Outbox
 from vanillawell.state.placement import StepPlacer
-from vanillawell.state.placement_pass import PlacementPass
+from vanillawell.state.placement_pass import HELD_BY_MAXIMUM, PlacementPass
 from vanillawell.state.queue_rules import QueueRules
 from vanillawell.state.ranking import rank_of
 from vanillawell.state.registrations import Registrations
@@ -47,6 +47,7 @@
     from vanillawell.protocol.executor_calls import HoldReport, ReportedEnd
     from vanillawell.state.executors import ExecutorFacts
     from vanillawell.state.ranking import Rank
+    from vanillawell.state.work import Resources
     from vanillawell.state.work_policy import Queue, WorkPolicy
 
 log = logging.getLogger(__name__)
@@ -321,6 +322,24 @@
         if self.ledger.close(run):
             self._apply_end(EndedRun(run, Ending.LOST, EndProof.NOT_STARTED), now, wall)
 
+    def is_within_maximum(self, organisation: str, running: Resources, need: Resources) -> bool:
+        """Return whether an organisation that has `running` may have `need` more, by the
+        configuration in force."""
+        limits = self._policy.organisations.get(organisation) if self._policy else None
+        return limits is None or limits.allows(running, need)
+
+    def reason_to_withdraw(self, run: Run) -> str:
+        """Return why a start that was decided must not be ordered any more; empty if it may be."""
+        reason = self.ledger.executors[run.executor].reason_to_be_left()
+        if reason is not None:
+            return reason.value
+        organisation = run.task.step.record.job.organisation
+        need = run.task.step.spec.need
+        others = self.ledger.usage(organisation) - need
+        if not self.is_within_maximum(organisation, others, need):
+            return HELD_BY_MAXIMUM
+        return ""
+
     def stop_gang_of(self, run: Run) -> None:
         """Stop the other members of a gang that one member does not join, so that they start
         together elsewhere instead of waiting for it."""
--- a/vanillawell/tests/delayed_starts_tests.py
+++ b/vanillawell/tests/delayed_starts_tests.py
@@ -3,16 +3,19 @@
 from __future__ import annotations
 
 from types import SimpleNamespace
-from typing import Any
+from typing import TYPE_CHECKING, Any, cast
 
 import anyio
+import pytest
 
 from vanillawell import clock
 from vanillawell.coordination.run_orders import RunOrders
+from vanillawell.protocol.executor_calls import OrderRefusal, OrderRefusedError
 from vanillawell.standins.scheduler.executor import StandInExecutor
 from vanillawell.state.end_proofs import EndProof
 from vanillawell.state.executors import Executor
-from vanillawell.state.work import Run
+from vanillawell.state.work import Resources, Run
+from vanillawell.state.work_policy import OrganisationLimits
 from vanillawell.tests.scheduler_cluster import (
     PREFIX,
     Cluster,
@@ -23,10 +26,13 @@
     until_state,
     with_cluster,
 )
-from vanillawell.tests.scheduling_builders import ShardHarness, facts
+from vanillawell.tests.scheduling_builders import ShardHarness, facts, policy
 from vanillawell.tests.scheduling_builders import job as plain_job
 from vanillawell.tests.scheduling_builders import step as plain_step
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
 LISTED_AFTER = 2.2
 """Seconds after which the list of machines is believed to name a running executor."""
 
@@ -164,3 +170,87 @@
     assert len(present) == 2
     send(make_orders(harness, former, []), planned[0])
     assert not any(run.stop_requested for run in present)
+
+
+def _lower_maximum(harness: ShardHarness) -> None:
+    limits = OrganisationLimits("north", 1, Resources(cpu=2_000))
+    harness.shard.apply_policy(policy(version=2, organisations={"north": limits}))
+
+
+def _begin_draining(harness: ShardHarness) -> None:
+    harness.register(facts("i-0", draining=True))
+
+
+def _begin_upkeep(harness: ShardHarness) -> None:
+    harness.shard.ledger.executors["i-0"].cordoned = True
+
+
+def _call_machine_away(harness: ShardHarness) -> None:
+    harness.shard.ledger.executors["i-0"].vacating = True
+
+
+def _doubt_machine(harness: ShardHarness) -> None:
+    harness.shard.ledger.executors["i-0"].withheld = True
+
+
+def _evacuate(harness: ShardHarness) -> None:
+    harness.shard.ledger.evacuate(frozenset({"a"}))
+
+
+CHANGES = [
+    _lower_maximum,
+    _begin_draining,
+    _begin_upkeep,
+    _call_machine_away,
+    _doubt_machine,
+    _evacuate,
+]
+"""What may become of an executor or an organisation while a start waits for its place."""
+
+
+# Guards against starts that are ordered seconds after what allowed them has changed: 273 went out
+# beyond a maximum that had been lowered, 800 to an executor that drained.
+@pytest.mark.parametrize("change", CHANGES)
+def test_start_is_judged_again_as_it_leaves(change: Callable[[ShardHarness], None]) -> None:
+    harness = ShardHarness(facts("i-0"))
+    harness.admit(plain_job(plain_step(6)))
+    planned = harness.plan()
+    assert len(planned) == 6
+    change(harness)
+    sent: list[Any] = []
+    orders = make_orders(harness, harness.shard.ledger.executors["i-0"], sent)
+    for run in planned:
+        send(orders, run)
+    assert len(sent) == (2 if change is _lower_maximum else 0)
+    assert harness.plan() == []
+    harness.register(facts("i-1", zone="b"))
+    assert len(harness.plan()) == 6 - len(sent) or change is _lower_maximum
+
+
+# Guards against a gang whose members wait for one that is not started any more and end alone.
+@pytest.mark.parametrize("change", CHANGES)
+def test_withdrawn_start_takes_its_gang_with_it(change: Callable[[ShardHarness], None]) -> None:
+    harness = ShardHarness(facts("i-0"))
+    harness.admit(plain_job(plain_step(3, gang=True)))
+    planned = harness.plan()
+    change(harness)
+    sent: list[Any] = []
+    orders = make_orders(harness, harness.shard.ledger.executors["i-0"], sent)
+    for run in planned:
+        send(orders, run)
+    assert sent == []
+
+
+# Guards against the same after a refused ticket of one member.
+def test_refused_ticket_of_a_member_takes_its_gang_with_it() -> None:
+    harness = ShardHarness(facts("i-0"))
+    harness.admit(plain_job(plain_step(3, gang=True)))
+    first, *others = harness.plan()
+
+    async def refuse(*_: Any) -> float:
+        raise OrderRefusedError(OrderRefusal.INVALID_TICKET)
+
+    orders = make_orders(harness, harness.shard.ledger.executors["i-0"], [])
+    orders._link.calls = cast("Any", SimpleNamespace(start=refuse))
+    send(orders, first)
+    assert all(run.stop_requested for run in others)
--- a/vanillawell/tests/scheduling_builders.py
+++ b/vanillawell/tests/scheduling_builders.py
@@ -116,7 +116,7 @@
         """Start planned runs and return them, without those that are withdrawn instead."""
         started = []
         for run in planned:
-            if self.shard.ledger.executors[run.executor].evacuated or run.stop_requested:
+            if self.shard.reason_to_withdraw(run) or run.stop_requested:
                 self.shard.mark_not_started(run, self.now, self.now)
                 self.shard.stop_gang_of(run)
                 continue
