Waiting lasting tasks without a place are counted, not walked

Equal tasks and machines are counted now: a step fills each machine at once, and machines that the pool lacks are one group that is split as steps differ; a property test holds the result equal to placing one after the other.

--- a/vanillawell/state/trial_placement.py
+++ b/vanillawell/state/trial_placement.py
@@ -17,21 +17,68 @@
 
 @dataclass(slots=True)
 class _Bin:
-    """Capacity of a machine that is available to long-running tasks."""
+    """Capacity that is available to long-running tasks on each of some machines alike."""
 
     free: Resources
+    machines: int = 1
+    is_spare: bool = False
+    """Whether these are machines that the pool does not have yet."""
+
     of_step: Counter[StepProgress] = field(default_factory=Counter)
 
-    def fits(self, step: StepProgress) -> bool:
-        """Return whether a task of a step fits on the machine."""
+    def count_fitting(self, step: StepProgress, most: int) -> int:
+        """Return how many tasks of a step fit on one machine, up to `most`."""
+        need, free = step.spec.reserved, self.free
+        pairs = ((free.cpu, need.cpu), (free.memory, need.memory), (free.gpu, need.gpu))
+        counts = [available // needed for available, needed in pairs if needed]
         limit = step.spec.most_per_executor
-        at_limit = bool(limit) and self.of_step[step] >= limit
-        return not at_limit and step.spec.reserved.fits(self.free)
+        if limit:
+            counts.append(limit - self.of_step[step])
+        return max(0, min(most, *counts)) if counts else most
+
+    def add(self, step: StepProgress, tasks: int = 1) -> None:
+        """Place tasks of a step on each of the machines."""
+        need = step.spec.reserved
+        self.free -= Resources(tasks * need.cpu, tasks * need.memory, tasks * need.gpu)
+        self.of_step[step] += tasks
+
+    def split(self, machines: int) -> _Bin:
+        """Take some machines out and return them."""
+        self.machines -= machines
+        return _Bin(self.free, machines, self.is_spare, self.of_step.copy())
+
 
-    def add(self, step: StepProgress) -> None:
-        """Place a task of a step on the machine."""
-        self.free -= step.spec.reserved
-        self.of_step[step] += 1
+def _place_on_trial(step: StepProgress, count: int, bins: list[_Bin]) -> list[_Bin]:
+    """Place tasks on the first machines that have room, as many as fit on each.
+
+    Equal tasks and equal machines are counted rather than walked: a job may have thousands of tasks
+    that never find a place, and this runs many times a second.
+
+    Args:
+        step: The step that all the tasks are of.
+        count: Number of the tasks; no machine counts for them that takes none.
+        bins: The machines in order; the last has room for all tasks that find none before it.
+
+    Returns:
+        The machines after that, in order.
+    """
+    placed: list[_Bin] = []
+    for bin_ in bins:
+        each = bin_.count_fitting(step, count) if count else 0
+        filled = min(bin_.machines, count // each) if each else 0
+        if filled:
+            part = bin_.split(filled)
+            part.add(step, each)
+            placed.append(part)
+            count -= filled * each
+        if bin_.machines and 0 < count < each:
+            part = bin_.split(1)
+            part.add(step, count)
+            placed.append(part)
+            count = 0
+        if bin_.machines:
+            placed.append(bin_)
+    return placed
 
 
 def _bin_of(executor: Executor) -> _Bin:
@@ -77,15 +124,12 @@
     needed.update({step: len(step.waiting) for step in steps if step.spec.long_running})
     if not needed.total():
         return 0
-    bins = [_bin_of(item) for item in executors] + [_Bin(capacity) for _ in range(arriving)]
-    existing = len(bins)
+    spare = needed.total()
+    bins = [_bin_of(item) for item in executors]
+    bins += [_Bin(capacity, arriving)] if arriving else []
+    bins.append(_Bin(capacity, spare, is_spare=True))
     for step, count in needed.items():
-        if not step.spec.reserved.fits(capacity):
-            continue
-        for _ in range(count):
-            target = next((item for item in bins if item.fits(step)), None)
-            if target is None:
-                target = _Bin(capacity)
-                bins.append(target)
-            target.add(step)
-    return len(bins) - existing
+        if step.spec.reserved.fits(capacity):
+            bins = _place_on_trial(step, count, bins)
+    unused = sum(item.machines for item in bins if not item.of_step and item.is_spare)
+    return spare - unused
