A task that stands still alike at its next run is slow itself

Cause: no new whole per cent for 0.8 s, or for 5 % of the estimate, counts as a standstill, and nothing was learned from one stop for the next run. A task that was stopped so now has four times as long at its next run. Whether an executor progresses is judged as before, so that other tasks still find a stalled one within a second.

--- a/vanillawell/state/shard.py
+++ b/vanillawell/state/shard.py
@@ -260,6 +260,7 @@
         fields = {"executor": executor.name, "runs": len(stalled), "still": round(oldest, 3)}
         log.warning("executor stalled", extra=fields)
         for run in stalled:
+            run.task.stalls += 1
             self.request_stop(run)
 
     def _apply_late_end(self, end: ReportedEnd, now: float, wall: float) -> None:
--- a/vanillawell/state/stalls.py
+++ b/vanillawell/state/stalls.py
@@ -23,6 +23,10 @@
 """Part of its expected run time for which a long task may show no progress. Progress is reported in
 whole per cent, so this is five of its steps."""
 
+PATIENCE_GROWTH = 4
+"""Multiple of the time without progress that a task gets each time it was stopped as stalled: one
+that stands still alike elsewhere is slow itself."""
+
 COMPLETE_PERCENT = 100
 """Percentage at which a task has finished its work and is about to end."""
 
@@ -58,9 +62,15 @@
 
 
 def _stall_timeout(run: Run) -> float:
+    """Return the seconds without progress that the caller's estimate makes likely."""
     return max(MIN_STALL_TIME, STALL_PART_OF_ESTIMATE * run.task.step.spec.estimate)
 
 
+def _patience(run: Run) -> float:
+    """Return the seconds without progress after which a run is stopped."""
+    return float(_stall_timeout(run) * PATIENCE_GROWTH**run.task.stalls)
+
+
 def _is_progressing(run: Run, now: float) -> bool:
     """Return whether a run has progressed within its stall timeout, or has finished its work."""
     if run.percent >= COMPLETE_PERCENT:
@@ -71,4 +81,4 @@
 
 
 def _is_stalled(run: Run, now: float) -> bool:
-    return run.progressed_at is not None and now - run.progressed_at > _stall_timeout(run)
+    return run.progressed_at is not None and now - run.progressed_at > _patience(run)
--- a/vanillawell/state/work.py
+++ b/vanillawell/state/work.py
@@ -277,6 +277,9 @@
     """Superseded runs of a speculative task that may still be executing."""
 
     failures: int = 0
+    stalls: int = 0
+    """Number of its runs that were stopped since their executor made no progress."""
+
     checkpoint: str = ""
     done: bool = False
     failed_on: str = ""
--- a/vanillawell/tests/stalls_tests.py
+++ b/vanillawell/tests/stalls_tests.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from vanillawell.protocol.executor_calls import HoldReport, ReportedRun
-from vanillawell.state.work import Run
+from vanillawell.state.work import Ending, Run
 from vanillawell.tests.scheduling_builders import ShardHarness, facts, job, step
 
 
@@ -75,3 +75,37 @@
     _report(harness, runs, [100, 100, 1, 1])
     harness.now += 2.0
     assert _report(harness, runs, [100, 100, 1, 1]) == []
+
+
+# Guards against tasks that take many times their estimate and are stopped as stalled for ever, on a
+# sound executor.
+def test_task_that_stands_still_alike_again_is_slow_itself() -> None:
+    harness = ShardHarness(facts("i-0"))
+    harness.admit(job(step(4, seconds=16.0)))
+    stopped = 0
+    for _ in range(3):
+        runs = harness.place()
+        for tick in range(100):
+            stops = _report(harness, runs, [int(tick * 0.2 / 1.6)] * 4)
+            harness.now += 0.2
+            if stops:
+                break
+        else:
+            break
+        stopped += 1
+        for run in runs:
+            harness.end(run, Ending.STOPPED)
+        harness.now += 4.0
+    assert stopped <= 1
+
+
+# Guards against an executor that is never found stalled, since its tasks were stopped elsewhere.
+def test_executor_is_found_stalled_by_new_tasks_beside_slow_ones() -> None:
+    harness = ShardHarness(facts("i-0"))
+    harness.admit(job(step(2)), job(step(2)))
+    runs = harness.place()
+    for run in runs[:2]:
+        run.task.stalls = 1
+    _report(harness, runs, [10, 10, 10, 10])
+    harness.now += 1.0
+    assert _report(harness, runs, [10, 10, 10, 10]) == runs[2:]
