--- a/vanillawell/coordination/candidate.py
+++ b/vanillawell/coordination/candidate.py
@@ -17,13 +17,13 @@
 from vanillawell.coordination.term import Term, ownership_lease
 from vanillawell.exceptions import StoreError, StoreOutcomeUnknownError
 from vanillawell.protocol.lease_bounds import LeaseBounds
+from vanillawell.protocol.ownership_documents import Contender, TermDocument
 from vanillawell.protocol.store import Compare, Put, Transaction
-from vanillawell.protocol.work_documents import Contender, TermDocument
 
 if TYPE_CHECKING:
     from vanillawell.config.node_settings import EntryCapacity
     from vanillawell.protocol.store import KeyValue, PolledStore
-    from vanillawell.protocol.work_documents import WorkKeys
+    from vanillawell.protocol.work_keys import WorkKeys
 
 log = logging.getLogger(__name__)
 
--- a/vanillawell/coordination/challenger.py
+++ b/vanillawell/coordination/challenger.py
@@ -18,8 +18,9 @@
 
 if TYPE_CHECKING:
     from vanillawell.coordination.holder_watch import HolderWatch
+    from vanillawell.protocol.ownership_documents import Contender
     from vanillawell.protocol.store import PolledStore
-    from vanillawell.protocol.work_documents import Contender, WorkKeys
+    from vanillawell.protocol.work_keys import WorkKeys
 
 log = logging.getLogger(__name__)
 
--- a/vanillawell/coordination/cycle_batch.py
+++ b/vanillawell/coordination/cycle_batch.py
@@ -14,7 +14,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable, Iterator
 
-    from vanillawell.protocol.work_documents import WorkKeys
+    from vanillawell.protocol.work_keys import WorkKeys
     from vanillawell.state.contention.write_order import PostponedChanges, StoreOrder
     from vanillawell.state.outbox import EndConfirmation
     from vanillawell.state.shard import Shard
--- a/vanillawell/coordination/cycle_store.py
+++ b/vanillawell/coordination/cycle_store.py
@@ -24,7 +24,7 @@
     from vanillawell.coordination.inbox import Inbox
     from vanillawell.coordination.lease_manager import LeaseManager
     from vanillawell.coordination.term import Term
-    from vanillawell.protocol.work_documents import WorkKeys
+    from vanillawell.protocol.work_keys import WorkKeys
     from vanillawell.scheduler_telemetry import SchedulerTelemetry
     from vanillawell.state.shard import Shard
     from vanillawell.state.work import Run
--- a/vanillawell/coordination/holder_watch.py
+++ b/vanillawell/coordination/holder_watch.py
@@ -9,11 +9,11 @@
 
 from vanillawell import clock
 from vanillawell.coordination.prefix_watch import PrefixWatch
-from vanillawell.protocol.work_documents import Contender
+from vanillawell.protocol.ownership_documents import Contender
 
 if TYPE_CHECKING:
     from vanillawell.protocol.store import Change, Changes, KeyValue, Listing, PolledStore
-    from vanillawell.protocol.work_documents import WorkKeys
+    from vanillawell.protocol.work_keys import WorkKeys
 
 log = logging.getLogger(__name__)
 
--- a/vanillawell/coordination/inbox.py
+++ b/vanillawell/coordination/inbox.py
@@ -17,7 +17,7 @@
     from collections.abc import Callable
 
     from vanillawell.protocol.store import Changes, Listing, PolledStore
-    from vanillawell.protocol.work_documents import WorkKeys
+    from vanillawell.protocol.work_keys import WorkKeys
     from vanillawell.state.shard import Shard
 
 log = logging.getLogger(__name__)
--- a/vanillawell/coordination/job_service.py
+++ b/vanillawell/coordination/job_service.py
@@ -29,7 +29,7 @@
 if TYPE_CHECKING:
     from vanillawell.coordination.policy_watch import PolicyWatch
     from vanillawell.protocol.store import KeyValue, PolledStore
-    from vanillawell.protocol.work_documents import WorkKeys
+    from vanillawell.protocol.work_keys import WorkKeys
     from vanillawell.state.contention.entry_readiness import EntryReadiness
     from vanillawell.state.work import Job
     from vanillawell.state.work_policy import Queue
--- a/vanillawell/coordination/machine_orders.py
+++ b/vanillawell/coordination/machine_orders.py
@@ -33,7 +33,7 @@
     from vanillawell.coordination.leases import ExecutorClocks
     from vanillawell.coordination.ports import Ports
     from vanillawell.coordination.term import Term
-    from vanillawell.protocol.work_documents import WorkKeys
+    from vanillawell.protocol.work_keys import WorkKeys
 
 log = logging.getLogger(__name__)
 
--- a/vanillawell/coordination/queue_rules_reader.py
+++ b/vanillawell/coordination/queue_rules_reader.py
@@ -15,7 +15,7 @@
     from collections.abc import Callable
 
     from vanillawell.protocol.store import KeyValue, PolledStore
-    from vanillawell.protocol.work_documents import WorkKeys
+    from vanillawell.protocol.work_keys import WorkKeys
     from vanillawell.state.shard import Shard
     from vanillawell.state.work import Job
 
--- a/vanillawell/coordination/shard_loader.py
+++ b/vanillawell/coordination/shard_loader.py
@@ -18,7 +18,7 @@
     from vanillawell.coordination.lease_manager import LeaseManager
     from vanillawell.coordination.term import Term
     from vanillawell.protocol.store import Listing, PolledStore
-    from vanillawell.protocol.work_documents import WorkKeys
+    from vanillawell.protocol.work_keys import WorkKeys
     from vanillawell.state.shard import Shard
     from vanillawell.state.work import JobRecord, Run
 
--- a/vanillawell/coordination/shard_owner.py
+++ b/vanillawell/coordination/shard_owner.py
@@ -40,7 +40,7 @@
     from vanillawell.coordination.policy_watch import PolicyWatch
     from vanillawell.coordination.ports import Ports
     from vanillawell.coordination.term import Term
-    from vanillawell.protocol.work_documents import WorkKeys
+    from vanillawell.protocol.work_keys import WorkKeys
     from vanillawell.scheduler_telemetry import SchedulerTelemetry
     from vanillawell.state.executors import Executor
 
--- a/vanillawell/coordination/term.py
+++ b/vanillawell/coordination/term.py
@@ -18,8 +18,8 @@
     StoreUnavailableError,
 )
 from vanillawell.protocol.lease_bounds import LeaseBounds
+from vanillawell.protocol.ownership_documents import TermDocument
 from vanillawell.protocol.store import Compare, Put, Transaction
-from vanillawell.protocol.work_documents import TermDocument
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable, Sequence
--- a/vanillawell/coordination/upkeep_runner.py
+++ b/vanillawell/coordination/upkeep_runner.py
@@ -39,7 +39,7 @@
     from vanillawell.coordination.ports import Ports
     from vanillawell.coordination.term import Term
     from vanillawell.protocol.machine_calls import Machine
-    from vanillawell.protocol.work_documents import WorkKeys
+    from vanillawell.protocol.work_keys import WorkKeys
     from vanillawell.state.executors import Executor
     from vanillawell.state.shard import Shard
 
--- a/vanillawell/coordination/withdrawals.py
+++ b/vanillawell/coordination/withdrawals.py
@@ -14,7 +14,7 @@
 
 if TYPE_CHECKING:
     from vanillawell.protocol.store import PolledStore
-    from vanillawell.protocol.work_documents import WorkKeys
+    from vanillawell.protocol.work_keys import WorkKeys
 
 LEASE_DURATION = 120.0
 """Seconds after which the store removes the keys that were attached to one lease."""
--- a/vanillawell/node.py
+++ b/vanillawell/node.py
@@ -18,7 +18,7 @@
 from vanillawell.coordination.shard_owner import ShardOwner
 from vanillawell.coordination.term import Term, TermLostError
 from vanillawell.exceptions import StoreError
-from vanillawell.protocol.work_documents import WorkKeys
+from vanillawell.protocol.work_keys import WorkKeys
 from vanillawell.scheduler_telemetry import SchedulerTelemetry
 from vanillawell.state.contention.entry_readiness import EntryReadiness
 from vanillawell.state.end_proofs import EndProof
--- a/vanillawell/tests/handover_outcome_tests.py
+++ b/vanillawell/tests/handover_outcome_tests.py
@@ -12,7 +12,7 @@
 from vanillawell.coordination.leases import CLOCK_DRIFT, ExecutorClock
 from vanillawell.exceptions import StoreOutcomeUnknownError
 from vanillawell.protocol.store import Put
-from vanillawell.protocol.work_documents import WorkKeys
+from vanillawell.protocol.work_keys import WorkKeys
 from vanillawell.tests.lease_manager_tests import Owner, bounds, unreached
 from vanillawell.tests.scheduler_cluster import (
     PREFIX,
--- a/vanillawell/tests/large_jobs_tests.py
+++ b/vanillawell/tests/large_jobs_tests.py
@@ -8,7 +8,8 @@
 from vanillawell.coordination.cycle_batch import MAX_BATCH_ENTRIES, CycleBatch
 from vanillawell.protocol.lease_bounds import ExecutorBound, LeaseBounds
 from vanillawell.protocol.record_parts import MAX_PARTS, count_parts, join
-from vanillawell.protocol.work_documents import WorkKeys, read_record
+from vanillawell.protocol.work_documents import read_record
+from vanillawell.protocol.work_keys import WorkKeys
 from vanillawell.state.contention.write_order import PostponedChanges
 from vanillawell.state.job_size import MAX_OPEN_TASKS, excess, max_open_occurrences
 from vanillawell.state.work import JobRecord
--- a/vanillawell/tests/moves_in_flight_tests.py
+++ b/vanillawell/tests/moves_in_flight_tests.py
@@ -8,7 +8,7 @@
 import orjson
 
 from vanillawell.node import SHARD
-from vanillawell.protocol.work_documents import WorkKeys
+from vanillawell.protocol.work_keys import WorkKeys
 from vanillawell.standins.scheduler.machines import StandInMachine
 from vanillawell.tests.scheduler_cluster import PREFIX, Cluster, job, step, until, with_cluster
 from vanillawell.tests.scheduling_builders import ShardHarness, facts
--- a/vanillawell/tests/narrow_link_tests.py
+++ b/vanillawell/tests/narrow_link_tests.py
@@ -11,7 +11,7 @@
 
 from vanillawell.platform.http import HttpClient
 from vanillawell.protocol.call_errors import NoAnswerError
-from vanillawell.protocol.work_documents import WorkKeys
+from vanillawell.protocol.work_keys import WorkKeys
 from vanillawell.tests.scheduler_cluster import (
     PREFIX,
     Cluster,
--- a/vanillawell/tests/odd_documents_tests.py
+++ b/vanillawell/tests/odd_documents_tests.py
@@ -18,6 +18,7 @@
 from vanillawell.coordination.wave_age import WaveAge
 from vanillawell.platform.documents import read_wave
 from vanillawell.protocol.lease_bounds import ExecutorBound, LeaseBounds
+from vanillawell.protocol.ownership_documents import Contender, TermDocument
 from vanillawell.protocol.queue_documents import (
     read_pending,
     read_queue,
@@ -26,15 +27,13 @@
 )
 from vanillawell.protocol.record_parts import count_parts, join
 from vanillawell.protocol.work_documents import (
-    Contender,
-    TermDocument,
-    WorkKeys,
     read_job,
     read_record,
     read_state,
     write_job,
     write_record,
 )
+from vanillawell.protocol.work_keys import WorkKeys
 from vanillawell.state.ledger import InheritedLeaseBound
 from vanillawell.state.work import Ending
 from vanillawell.tests.changed_documents import changed
--- a/vanillawell/tests/owner_memory_tests.py
+++ b/vanillawell/tests/owner_memory_tests.py
@@ -8,7 +8,8 @@
 import anyio
 import orjson
 
-from vanillawell.protocol.work_documents import WorkKeys, read_record, write_record
+from vanillawell.protocol.work_documents import read_record, write_record
+from vanillawell.protocol.work_keys import WorkKeys
 from vanillawell.state.ledger import InheritedLeaseBound
 from vanillawell.state.shard import Shard
 from vanillawell.state.work import Ending, JobState
--- a/vanillawell/tests/pool_rebalancer_tests.py
+++ b/vanillawell/tests/pool_rebalancer_tests.py
@@ -5,7 +5,7 @@
 import anyio
 
 from vanillawell.node import SHARD
-from vanillawell.protocol.work_documents import WorkKeys
+from vanillawell.protocol.work_keys import WorkKeys
 from vanillawell.standins.scheduler.machines import StandInMachine
 from vanillawell.tests.scheduler_cluster import (
     POOL,
--- a/vanillawell/tests/queue_rules_reader_tests.py
+++ b/vanillawell/tests/queue_rules_reader_tests.py
@@ -11,7 +11,7 @@
 from vanillawell.exceptions import StoreUnavailableError
 from vanillawell.protocol.queue_documents import write_queue
 from vanillawell.protocol.store import KeyValue
-from vanillawell.protocol.work_documents import WorkKeys
+from vanillawell.protocol.work_keys import WorkKeys
 from vanillawell.state.work_policy import Queue
 from vanillawell.tests.scheduling_builders import POOL, QUEUE, ShardHarness, job
 
--- a/vanillawell/tests/scheduler_failure_tests.py
+++ b/vanillawell/tests/scheduler_failure_tests.py
@@ -9,7 +9,7 @@
 import anyio
 
 from vanillawell.coordination.holder_watch import WATCH_TIMEOUT
-from vanillawell.protocol.work_documents import WorkKeys
+from vanillawell.protocol.work_keys import WorkKeys
 from vanillawell.tests.scheduler_cluster import (
     PREFIX,
     Cluster,
--- a/vanillawell/tests/short_terms_tests.py
+++ b/vanillawell/tests/short_terms_tests.py
@@ -5,7 +5,7 @@
 import anyio
 
 from vanillawell.node import SHARD
-from vanillawell.protocol.work_documents import WorkKeys
+from vanillawell.protocol.work_keys import WorkKeys
 from vanillawell.tests.scheduler_cluster import Cluster, until, with_cluster
 from vanillawell.tests.successive_owners_tests import (
     LONGEST_ABSENCE,
--- a/vanillawell/tests/store_setup.py
+++ b/vanillawell/tests/store_setup.py
@@ -12,7 +12,7 @@
 from vanillawell.coordination.ports import Ports
 from vanillawell.platform.http import HttpClient
 from vanillawell.platform.store import PlatformStore
-from vanillawell.protocol.work_documents import WorkKeys
+from vanillawell.protocol.work_keys import WorkKeys
 from vanillawell.standins.scheduler.store import StandInStore
 from vanillawell.tests.scheduler_cluster import listen
 
--- a/vanillawell/tests/weak_owner_tests.py
+++ b/vanillawell/tests/weak_owner_tests.py
@@ -19,7 +19,8 @@
 from vanillawell.node import BIDDER_HAND_OVER_TIMEOUT
 from vanillawell.platform.http import HttpClient
 from vanillawell.platform.store import PlatformStore
-from vanillawell.protocol.work_documents import Contender, WorkKeys
+from vanillawell.protocol.ownership_documents import Contender
+from vanillawell.protocol.work_keys import WorkKeys
 from vanillawell.standins.scheduler.store import StandInStore
 from vanillawell.tests.scheduler_cluster import (
     PREFIX,
--- a/vanillawell/tests/withdrawn_jobs_tests.py
+++ b/vanillawell/tests/withdrawn_jobs_tests.py
@@ -6,7 +6,7 @@
 
 import anyio
 
-from vanillawell.protocol.work_documents import WorkKeys
+from vanillawell.protocol.work_keys import WorkKeys
 from vanillawell.standins.scheduler.store import LATE_WRITE_DELAY
 from vanillawell.tests.scheduler_cluster import (
     PREFIX,
--- a/vanillawell/tests/write_order_tests.py
+++ b/vanillawell/tests/write_order_tests.py
@@ -8,7 +8,7 @@
 from hypothesis import strategies as st
 
 from vanillawell.coordination.cycle_batch import MAX_BATCH_ENTRIES, CycleBatch
-from vanillawell.protocol.work_documents import WorkKeys
+from vanillawell.protocol.work_keys import WorkKeys
 from vanillawell.state.contention.write_order import MAX_POSTPONEMENT, PostponedChanges
 from vanillawell.tests.scheduling_builders import ShardHarness, facts, job, step
 
