Starts of one large job leave in turns with those of others

What callers saw: beside one job of 4,000 small tasks, small jobs of another organisation had their tasks started 6.75 to 9.73 s after their acceptance, on nearly idle executors.

Cause: the starts that were decided first went out first, four at a time to an executor, so that one job took the rate of starts whole. The places are shared now: sixteen waiting starts of an organisation, and of a job, go in the order of their decision, those beyond after everybody's first.

--- a/vanillawell/coordination/run_orders.py
+++ b/vanillawell/coordination/run_orders.py
@@ -10,6 +10,7 @@
 from vanillawell import clock
 from vanillawell.coordination.executor_link import RETRY_DELAY, DeposedError
 from vanillawell.coordination.start_gate import StartGate
+from vanillawell.coordination.start_slots import StartSlots
 from vanillawell.protocol.call_errors import NoAnswerError, NotSentError
 from vanillawell.protocol.executor_calls import (
     OrderRefusal,
@@ -72,7 +73,7 @@
         self._tasks = tasks
         self._notify = notify
         self._request_report = request_report
-        self._slots = anyio.Semaphore(MAX_CONCURRENT_ORDERS)
+        self._slots = StartSlots(MAX_CONCURRENT_ORDERS)
         self._gate = StartGate()
         self._pacer = Pacer()
         self._is_identifying = False
@@ -83,7 +84,8 @@
         self._tasks.start_soon(self._start, run, stored_at)
 
     async def _start(self, run: Run, stored_at: float) -> None:
-        async with self._slots:
+        job = run.task.step.record.job
+        async with self._slots.slot(job.organisation, job.job_id):
             await self._await_identification()
             await self._await_gate()
             now = clock.read()
