A machine that is down names no executor as before; odd entries in the soak's plans

- The stricter list of machines turned an empty executor id into none; machine_list_tests noticed.
An empty id stays empty.
- weak_owner_tests wrote a holder of an unknown format without a lease.
That is nobody's by now; a holder of another version has a lease, and the test writes one.
It asks the same as before.
- The soak's entries of another writer are of seven more kinds: addresses, numbers and times that pass as their types and fail in a later use.

--- a/vanillawell/platform/machines.py
+++ b/vanillawell/platform/machines.py
@@ -122,6 +122,6 @@
         text(item["machine"]),
         text(item["pool"]),
         MachineState(item["state"]),
-        text(item.get("id") or "") or None,
+        None if item.get("id") is None else text(item["id"]),
         text(item.get("zone") or ""),
     )
--- a/vanillawell/standins/soak/hosts.py
+++ b/vanillawell/standins/soak/hosts.py
@@ -48,12 +48,19 @@
 
 EXECUTORS_PER_RACK = 20
 
-FOREIGN_CHANGES = (
+FOREIGN_CHANGES: tuple[dict[str, Any], ...] = (
     {"state": "parked"},
     {"service": "no-such-pool"},
     {"address": 7},
     {"born": "today"},
     {"capacity": None},
+    {"address": "127.0.0.1:\u00b2"},
+    {"address": "127.0.0.1:65536"},
+    {"address": "\ufffd:80"},
+    {"address": "127.0.0.1:80\r\nX-Other: 1:80"},
+    {"born": 2**64 - 1},
+    {"capacity": {"cpu": 2**64 - 1, "memMb": 2**64 - 1, "gpu": 2**64 - 1}},
+    {"coldRemainingMs": 1e308},
 )
 """What makes an entry one of another writer."""
 
@@ -189,7 +196,7 @@
         """Write an entry that names the machine of an executor, but no executor to use."""
         if host.executor is None:
             return
-        changes: dict[str, Any] = self.chance.choice(FOREIGN_CHANGES)
+        changes = self.chance.choice(FOREIGN_CHANGES)
         key = f"servers/foreign-{host.machine.executor}"
         self.store.put_document(key, host.registration() | changes)
         await anyio.sleep(seconds)
--- a/vanillawell/tests/weak_owner_tests.py
+++ b/vanillawell/tests/weak_owner_tests.py
@@ -177,7 +177,8 @@
     async def run() -> None:
         async with anyio.create_task_group() as tasks:
             stand_in, keys = StandInStore(), WorkKeys()
-            stand_in.put(keys.holder("all"), base64.b64encode(b"entry-0/former").decode())
+            lease = 1  # of the holder; a key without one is nobody's
+            stand_in.put(keys.holder("all"), base64.b64encode(b"entry-0/former").decode(), lease)
             watch = HolderWatch(PlatformStore(HttpClient(), listen(tasks, stand_in)), keys, "all")
             tasks.start_soon(watch.run)
             await until(lambda: watch.holder is not None)
