--- a/vanillawell/protocol/checked_values.py
+++ b/vanillawell/protocol/checked_values.py
@@ -7,7 +7,9 @@
 
 from __future__ import annotations
 
-from typing import Any
+from typing import Any, TypeVar
+
+T = TypeVar("T")
 
 MAX_WHOLE = 10**15
 """Largest whole number; sums of many stay within 64 bits, and times in milliseconds fit."""
@@ -38,48 +40,35 @@
     return float(value)
 
 
-def text(value: Any) -> str:
-    """Return a text.
+def _of_type(kind: type[T], value: Any) -> T:
+    """Return a value of exactly this type; a truth value is no whole number.
 
     Raises:
-        ValueError: The value is none.
+        ValueError: The value is of another type.
     """
-    if type(value) is not str:
-        raise ValueError(f"{value!r:.40} is not a text")
+    if type(value) is not kind:
+        raise ValueError(f"{value!r:.40} is no {kind.__name__}")
     return value
 
 
-def flag(value: Any) -> bool:
-    """Return a truth value.
-
-    Raises:
-        ValueError: The value is none.
-    """
-    if type(value) is not bool:
-        raise ValueError(f"{value!r:.40} is not a truth value")
-    return value
-
+def text(value: Any) -> str:
+    """Return a text; raises ValueError if the value is none."""
+    return _of_type(str, value)
 
-def texts(value: Any) -> list[str]:
-    """Return a list of texts.
 
-    Raises:
-        ValueError: The value is none.
-    """
-    if type(value) is not list:
-        raise ValueError(f"{value!r:.40} is not a list")
-    return [text(item) for item in value]
+def flag(value: Any) -> bool:
+    """Return a truth value; raises ValueError if the value is none."""
+    return _of_type(bool, value)
 
 
 def mapping(value: Any) -> dict[str, Any]:
-    """Return a JSON object.
+    """Return a JSON object; raises ValueError if the value is none."""
+    return _of_type(dict, value)
 
-    Raises:
-        ValueError: The value is none.
-    """
-    if type(value) is not dict:
-        raise ValueError(f"{value!r:.40} is not a JSON object")
-    return value
+
+def texts(value: Any) -> list[str]:
+    """Return a list of texts; raises ValueError if the value is none."""
+    return [text(item) for item in _of_type(list, value)]
 
 
 def position(value: str) -> int:
