--- a/vanillawell/coordination/advice_requester.py
+++ b/vanillawell/coordination/advice_requester.py
@@ -20,8 +20,8 @@
 
     from vanillawell.protocol.machine_calls import AdviceCalls
     from vanillawell.state.executors import Executor
+    from vanillawell.state.progress import StepProgress
     from vanillawell.state.shard import Shard
-    from vanillawell.state.work import StepProgress
     from vanillawell.state.work_policy import AdviceRule
 
 log = logging.getLogger(__name__)
--- a/vanillawell/coordination/cycle_batch.py
+++ b/vanillawell/coordination/cycle_batch.py
@@ -17,8 +17,8 @@
     from vanillawell.protocol.work_keys import WorkKeys
     from vanillawell.state.contention.write_order import PostponedChanges, StoreOrder
     from vanillawell.state.outbox import EndConfirmation
+    from vanillawell.state.progress import JobRecord, Run
     from vanillawell.state.shard import Shard
-    from vanillawell.state.work import JobRecord, Run
 
 log = logging.getLogger(__name__)
 
--- a/vanillawell/coordination/cycle_log.py
+++ b/vanillawell/coordination/cycle_log.py
@@ -14,7 +14,7 @@
     from collections.abc import Sequence
 
     from vanillawell.state.outbox import CompletedTask
-    from vanillawell.state.work import Run
+    from vanillawell.state.progress import Run
 
 log = logging.getLogger(__name__)
 
--- a/vanillawell/coordination/cycle_store.py
+++ b/vanillawell/coordination/cycle_store.py
@@ -26,8 +26,8 @@
     from vanillawell.coordination.term import Term
     from vanillawell.protocol.work_keys import WorkKeys
     from vanillawell.scheduler_telemetry import SchedulerTelemetry
+    from vanillawell.state.progress import Run
     from vanillawell.state.shard import Shard
-    from vanillawell.state.work import Run
     from vanillawell.state.work_policy import Queue
 
 log = logging.getLogger(__name__)
--- a/vanillawell/coordination/executor_driver.py
+++ b/vanillawell/coordination/executor_driver.py
@@ -13,7 +13,7 @@
 from vanillawell.coordination.run_orders import RunOrders
 from vanillawell.protocol.call_errors import NoAnswerError, NotSentError
 from vanillawell.protocol.executor_calls import OrderRefusedError, WrongIncarnationError
-from vanillawell.state.work import RunPhase
+from vanillawell.state.progress import RunPhase
 
 if TYPE_CHECKING:
     from anyio.abc import TaskGroup
@@ -21,7 +21,7 @@
     from vanillawell.coordination.executor_link import ExecutorLink, LeaseExtension
     from vanillawell.coordination.leases import ExecutorClock
     from vanillawell.state.executors import Executor
-    from vanillawell.state.work import Run
+    from vanillawell.state.progress import Run
 
 log = logging.getLogger(__name__)
 
--- a/vanillawell/coordination/executor_link.py
+++ b/vanillawell/coordination/executor_link.py
@@ -21,8 +21,8 @@
     from vanillawell.coordination.term import Term
     from vanillawell.protocol.executor_calls import ExecutorCalls, OrderRefusedError
     from vanillawell.state.executors import Executor
+    from vanillawell.state.progress import Run
     from vanillawell.state.shard import Shard
-    from vanillawell.state.work import Run
 
 log = logging.getLogger(__name__)
 
--- a/vanillawell/coordination/pool_demand.py
+++ b/vanillawell/coordination/pool_demand.py
@@ -25,8 +25,8 @@
 
     from vanillawell.protocol.machine_calls import Machine
     from vanillawell.state.executors import Executor
+    from vanillawell.state.progress import StepProgress
     from vanillawell.state.shard import Shard
-    from vanillawell.state.work import StepProgress
     from vanillawell.state.work_policy import WorkPolicy
 
 log = logging.getLogger(__name__)
--- a/vanillawell/coordination/run_orders.py
+++ b/vanillawell/coordination/run_orders.py
@@ -19,7 +19,7 @@
     WrongIncarnationError,
 )
 from vanillawell.state.pacing import Pacer
-from vanillawell.state.work import RunPhase
+from vanillawell.state.progress import RunPhase
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -29,7 +29,8 @@
     from vanillawell.coordination.executor_link import ExecutorLink
     from vanillawell.protocol.executor_calls import Target
     from vanillawell.state.outbox import OrphanedRun
-    from vanillawell.state.work import Run, TaskId
+    from vanillawell.state.progress import Run
+    from vanillawell.state.work import TaskId
 
 log = logging.getLogger(__name__)
 
--- a/vanillawell/coordination/shard_loader.py
+++ b/vanillawell/coordination/shard_loader.py
@@ -19,8 +19,8 @@
     from vanillawell.coordination.term import Term
     from vanillawell.protocol.store import Listing, PolledStore
     from vanillawell.protocol.work_keys import WorkKeys
+    from vanillawell.state.progress import JobRecord, Run
     from vanillawell.state.shard import Shard
-    from vanillawell.state.work import JobRecord, Run
 
 log = logging.getLogger(__name__)
 
--- a/vanillawell/coordination/stop_sender.py
+++ b/vanillawell/coordination/stop_sender.py
@@ -20,8 +20,8 @@
     from vanillawell.coordination.executor_driver import ExecutorDriver
     from vanillawell.coordination.term import Term
     from vanillawell.state.outbox import OrphanedRun
+    from vanillawell.state.progress import Run
     from vanillawell.state.shard import Shard
-    from vanillawell.state.work import Run
 
 log = logging.getLogger(__name__)
 
--- a/vanillawell/protocol/work_documents.py
+++ b/vanillawell/protocol/work_documents.py
@@ -16,17 +16,8 @@
 import orjson
 
 from vanillawell.protocol.checked_values import flag, mapping, number, position, text, whole
-from vanillawell.state.work import (
-    Job,
-    JobRecord,
-    JobState,
-    Resources,
-    Run,
-    RunPhase,
-    Step,
-    StepProgress,
-    Task,
-)
+from vanillawell.state.progress import JobRecord, Run, RunPhase, StepProgress, Task
+from vanillawell.state.work import Job, JobState, Resources, Step
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
--- a/vanillawell/standins/experiment/simulation.py
+++ b/vanillawell/standins/experiment/simulation.py
@@ -24,23 +24,15 @@
     demanded_cores,
     min_long_running_machines,
 )
+from vanillawell.state.progress import RunPhase, StepProgress
 from vanillawell.state.shard import Shard
-from vanillawell.state.work import (
-    MILLICORES_PER_CORE,
-    Ending,
-    Job,
-    JobState,
-    Resources,
-    RunPhase,
-    Step,
-    StepProgress,
-)
+from vanillawell.state.work import MILLICORES_PER_CORE, Ending, Job, JobState, Resources, Step
 from vanillawell.state.work_policy import OrganisationLimits, Queue, Service, WorkPolicy
 
 if TYPE_CHECKING:
     from vanillawell.standins.experiment.workload import JobKind, LongRunningJob, Workload
     from vanillawell.state.executors import Executor
-    from vanillawell.state.work import Run
+    from vanillawell.state.progress import Run
 
 TICK = 0.05
 """Seconds between two decisions."""
--- a/vanillawell/state/availability.py
+++ b/vanillawell/state/availability.py
@@ -10,7 +10,7 @@
 
 if TYPE_CHECKING:
     from vanillawell.state.executors import Executor
-    from vanillawell.state.work import Run, StepProgress
+    from vanillawell.state.progress import Run, StepProgress
 
 
 def count_others_away(step: StepProgress, run: Run) -> int:
--- a/vanillawell/state/contention/rack_wait.py
+++ b/vanillawell/state/contention/rack_wait.py
@@ -14,7 +14,7 @@
     from collections.abc import Iterable
 
     from vanillawell.state.executors import Executor
-    from vanillawell.state.work import StepProgress
+    from vanillawell.state.progress import StepProgress
 
 MAX_RACK_WAIT = 1.5
 """Maximum seconds of a wait: run times may be known badly, and a job that waits shows no progress.
--- a/vanillawell/state/copies.py
+++ b/vanillawell/state/copies.py
@@ -10,13 +10,13 @@
 import itertools
 from typing import TYPE_CHECKING
 
-from vanillawell.state.work import RunPhase
+from vanillawell.state.progress import RunPhase
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
     from vanillawell.state.executors import Executor
-    from vanillawell.state.work import Run
+    from vanillawell.state.progress import Run
 
 COPY_DELAY = 0.4
 """Seconds without an answer after which tasks are started elsewhere; a single lost answer is
--- a/vanillawell/state/draining.py
+++ b/vanillawell/state/draining.py
@@ -18,7 +18,7 @@
     from collections.abc import Callable, Iterable
 
     from vanillawell.state.executors import Executor
-    from vanillawell.state.work import Run
+    from vanillawell.state.progress import Run
 
 STOP_CONFIRMATION_TIME = 0.5
 """Seconds from a decision to stop until the end is confirmed, not counting the stop itself: one
--- a/vanillawell/state/durations.py
+++ b/vanillawell/state/durations.py
@@ -11,7 +11,8 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from vanillawell.state.work import Job, JobRecord, Step
+    from vanillawell.state.progress import JobRecord
+    from vanillawell.state.work import Job, Step
     from vanillawell.state.work_policy import Queue
 
 MIN_MEASURED_RUNS = 3
--- a/vanillawell/state/executors.py
+++ b/vanillawell/state/executors.py
@@ -11,9 +11,10 @@
 from typing import TYPE_CHECKING
 
 from vanillawell.state.incarnations import Incarnation
+from vanillawell.state.progress import Run
 from vanillawell.state.reliability.failure_evidence import FailureEvidence
 from vanillawell.state.reliability.restart_penalty import RestartHistory
-from vanillawell.state.work import NO_RESOURCES, Ending, Resources, Run, TaskId
+from vanillawell.state.work import NO_RESOURCES, Ending, Resources, TaskId
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Sequence
--- a/vanillawell/state/job_table.py
+++ b/vanillawell/state/job_table.py
@@ -5,7 +5,8 @@
 from typing import TYPE_CHECKING
 
 from vanillawell.state.job_size import max_open_occurrences
-from vanillawell.state.work import Ending, JobRecord, JobState, StepProgress, Task, TaskId
+from vanillawell.state.progress import JobRecord, StepProgress, Task
+from vanillawell.state.work import Ending, JobState, TaskId
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator
--- a/vanillawell/state/ledger.py
+++ b/vanillawell/state/ledger.py
@@ -30,10 +30,11 @@
 from vanillawell.state.incarnations import Incarnation
 from vanillawell.state.open_orders import OpenOrders
 from vanillawell.state.placement_restrictions import PlacementRestrictions
+from vanillawell.state.progress import Run, RunPhase, Task
 from vanillawell.state.reliability.failure_evidence import PoolFailureRate
 from vanillawell.state.replaced_executors import find_earlier, find_replaced
 from vanillawell.state.reported_runs import has_ended, may_still_start, update_run
-from vanillawell.state.work import NO_RESOURCES, Ending, Resources, Run, RunPhase, Task, TaskId
+from vanillawell.state.work import NO_RESOURCES, Ending, Resources, TaskId
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator, Mapping
--- a/vanillawell/state/open_orders.py
+++ b/vanillawell/state/open_orders.py
@@ -10,10 +10,11 @@
 from collections import defaultdict
 from typing import TYPE_CHECKING
 
-from vanillawell.state.work import RunPhase
+from vanillawell.state.progress import RunPhase
 
 if TYPE_CHECKING:
-    from vanillawell.state.work import Run, TaskId
+    from vanillawell.state.progress import Run
+    from vanillawell.state.work import TaskId
 
 MAX_ORDER_DELAY = 30.0
 """Seconds after which an order is no longer expected to be carried out. The platform states no
--- a/vanillawell/state/orphans.py
+++ b/vanillawell/state/orphans.py
@@ -8,7 +8,8 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
-from vanillawell.state.work import NO_RESOURCES, Resources, Task, TaskId
+from vanillawell.state.progress import Task
+from vanillawell.state.work import NO_RESOURCES, Resources, TaskId
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
--- a/vanillawell/state/outbox.py
+++ b/vanillawell/state/outbox.py
@@ -9,7 +9,8 @@
     from collections.abc import Callable
 
     from vanillawell.state.incarnations import Incarnation
-    from vanillawell.state.work import Run, TaskId
+    from vanillawell.state.progress import Run
+    from vanillawell.state.work import TaskId
 
 
 @dataclass(frozen=True, slots=True)
--- a/vanillawell/state/pacing.py
+++ b/vanillawell/state/pacing.py
@@ -13,7 +13,7 @@
     from collections.abc import Iterator
 
     from vanillawell.state.executors import Executor
-    from vanillawell.state.work import Run
+    from vanillawell.state.progress import Run
 
 SLOW_DOWN_ABOVE = 0.85
 """Part of the target above which a tail latency reduces the pace."""
--- a/vanillawell/state/placement.py
+++ b/vanillawell/state/placement.py
@@ -12,7 +12,8 @@
     from collections.abc import Collection, Iterable, Mapping, Sequence
 
     from vanillawell.state.executors import Executor
-    from vanillawell.state.work import Step, StepProgress, Task
+    from vanillawell.state.progress import StepProgress, Task
+    from vanillawell.state.work import Step
 
 
 Cost = tuple[bool, bool, bool, bool, bool, bool, int, bool, int, float, str]
--- a/vanillawell/state/placement_pass.py
+++ b/vanillawell/state/placement_pass.py
@@ -14,7 +14,8 @@
 
     from vanillawell.state.durations import DurationStatistics
     from vanillawell.state.ledger import Ledger
-    from vanillawell.state.work import Job, Resources, Run, StepProgress, Task
+    from vanillawell.state.progress import Run, StepProgress, Task
+    from vanillawell.state.work import Job, Resources
     from vanillawell.state.work_policy import Queue, WorkPolicy
 
 log = logging.getLogger(__name__)
--- a/vanillawell/state/pool_sizing.py
+++ b/vanillawell/state/pool_sizing.py
@@ -22,7 +22,7 @@
 
     from vanillawell.state.durations import DurationStatistics
     from vanillawell.state.executors import Executor
-    from vanillawell.state.work import Run, StepProgress
+    from vanillawell.state.progress import Run, StepProgress
 
 TARGET_UTILISATION = 0.9
 """Part of a pool's processors that demand may use before the pool gets another machine. Tasks are
--- a/vanillawell/state/ranking.py
+++ b/vanillawell/state/ranking.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 if TYPE_CHECKING:
-    from vanillawell.state.work import JobRecord, StepProgress
+    from vanillawell.state.progress import JobRecord, StepProgress
 
 MAX_LATENESS = 3.0
 """Multiple of its objective after which a job has no value to its caller and is served last.
--- a/vanillawell/state/reported_runs.py
+++ b/vanillawell/state/reported_runs.py
@@ -4,12 +4,12 @@
 
 from typing import TYPE_CHECKING
 
-from vanillawell.state.work import RunPhase
+from vanillawell.state.progress import RunPhase
 
 if TYPE_CHECKING:
     from vanillawell.protocol.executor_calls import HoldReport, ReportedRun
     from vanillawell.state.executors import Executor
-    from vanillawell.state.work import Run
+    from vanillawell.state.progress import Run
 
 
 def update_run(run: Run, row: ReportedRun, now: float) -> None:
--- a/vanillawell/state/shard.py
+++ b/vanillawell/state/shard.py
@@ -25,21 +25,14 @@
 from vanillawell.state.outbox import EndConfirmation, OrphanedRun, Outbox
 from vanillawell.state.placement import StepPlacer
 from vanillawell.state.placement_pass import HELD_BY_MAXIMUM, PlacementPass
+from vanillawell.state.progress import JobRecord, Run, RunPhase, StepProgress, Task
 from vanillawell.state.queue_rules import QueueRules
 from vanillawell.state.ranking import rank_of
 from vanillawell.state.registrations import Registrations
 from vanillawell.state.shard_log import log_end, log_job_ended, log_task_copied
 from vanillawell.state.shares import order_by_share
 from vanillawell.state.stalls import stalled_runs
-from vanillawell.state.work import (
-    Ending,
-    Job,
-    JobRecord,
-    Run,
-    RunPhase,
-    StepProgress,
-    Task,
-)
+from vanillawell.state.work import Ending, Job
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable, Mapping
--- a/vanillawell/state/shard_log.py
+++ b/vanillawell/state/shard_log.py
@@ -11,7 +11,7 @@
 if TYPE_CHECKING:
     from vanillawell.state.ledger import EndedRun
     from vanillawell.state.outbox import Outbox
-    from vanillawell.state.work import JobRecord, Run
+    from vanillawell.state.progress import JobRecord, Run
 
 log = logging.getLogger(__name__)
 
--- a/vanillawell/state/shares.py
+++ b/vanillawell/state/shares.py
@@ -16,7 +16,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable, Iterator
 
-    from vanillawell.state.work import StepProgress
+    from vanillawell.state.progress import StepProgress
 
 
 def order_by_share(
--- a/vanillawell/state/stalls.py
+++ b/vanillawell/state/stalls.py
@@ -9,11 +9,11 @@
 
 from typing import TYPE_CHECKING
 
-from vanillawell.state.work import RunPhase
+from vanillawell.state.progress import RunPhase
 
 if TYPE_CHECKING:
     from vanillawell.state.executors import Executor
-    from vanillawell.state.work import Run
+    from vanillawell.state.progress import Run
 
 MIN_STALL_TIME = 0.8
 """Seconds without progress after which a task counts as stalled: more than the interval between two
--- a/vanillawell/state/trial_placement.py
+++ b/vanillawell/state/trial_placement.py
@@ -12,7 +12,7 @@
     from collections.abc import Iterable, Sequence
 
     from vanillawell.state.executors import Executor
-    from vanillawell.state.work import StepProgress
+    from vanillawell.state.progress import StepProgress
 
 
 @dataclass(slots=True)
--- a/vanillawell/state/upkeep.py
+++ b/vanillawell/state/upkeep.py
@@ -20,7 +20,7 @@
     from collections.abc import Callable, Collection, Mapping
 
     from vanillawell.state.executors import Executor
-    from vanillawell.state.work import Run, StepProgress
+    from vanillawell.state.progress import Run, StepProgress
 
 EXTRA_MACHINES_EMPTIED = 1
 """Machines being emptied in addition to those that may be away. More would only reduce the free
--- a/vanillawell/tests/advice_requester_tests.py
+++ b/vanillawell/tests/advice_requester_tests.py
@@ -18,7 +18,8 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-    from vanillawell.state.work import Job, Run, TaskId
+    from vanillawell.state.progress import Run
+    from vanillawell.state.work import Job, TaskId
 
 RULE = AdviceRule(0.005, 0.001, 3.0)
 
--- a/vanillawell/tests/busy_owner_tests.py
+++ b/vanillawell/tests/busy_owner_tests.py
@@ -13,7 +13,7 @@
 
 from vanillawell import clock
 from vanillawell.state.placement import Cost, StepPlacer
-from vanillawell.state.work import JobRecord
+from vanillawell.state.progress import JobRecord
 from vanillawell.tests.scheduler_cluster import PREFIX, job, step, until_state, with_cluster
 from vanillawell.tests.scheduling_builders import ShardHarness, facts
 from vanillawell.tests.scheduling_builders import job as plain_job
@@ -21,7 +21,7 @@
 
 if TYPE_CHECKING:
     from vanillawell.state.executors import Executor
-    from vanillawell.state.work import Task
+    from vanillawell.state.progress import Task
     from vanillawell.tests.scheduler_cluster import Cluster
 
 FLEET_SIZE = 100
--- a/vanillawell/tests/copies_tests.py
+++ b/vanillawell/tests/copies_tests.py
@@ -12,7 +12,8 @@
 from vanillawell.protocol.work_documents import read_record, write_record
 from vanillawell.state.copies import COPY_DELAY
 from vanillawell.state.executors import Executor
-from vanillawell.state.work import Ending, JobState, Run, StepProgress
+from vanillawell.state.progress import Run, StepProgress
+from vanillawell.state.work import Ending, JobState
 from vanillawell.tests.scheduling_builders import ShardHarness, facts, job, step
 
 
--- a/vanillawell/tests/delayed_starts_tests.py
+++ b/vanillawell/tests/delayed_starts_tests.py
@@ -14,7 +14,8 @@
 from vanillawell.standins.scheduler.executor import StandInExecutor
 from vanillawell.state.end_proofs import EndProof
 from vanillawell.state.executors import Executor
-from vanillawell.state.work import Resources, Run
+from vanillawell.state.progress import Run
+from vanillawell.state.work import Resources
 from vanillawell.state.work_policy import OrganisationLimits
 from vanillawell.tests.scheduler_cluster import (
     PREFIX,
--- a/vanillawell/tests/draining_state_tests.py
+++ b/vanillawell/tests/draining_state_tests.py
@@ -22,7 +22,7 @@
 
 if TYPE_CHECKING:
     from vanillawell.state.executors import Executor
-    from vanillawell.state.work import Run
+    from vanillawell.state.progress import Run
 
 STOP_GRACE = 0.4
 """Maximum number of seconds that a stop takes."""
--- a/vanillawell/tests/evacuation_tests.py
+++ b/vanillawell/tests/evacuation_tests.py
@@ -12,7 +12,7 @@
 import anyio
 import pytest
 
-from vanillawell.state.work import RunPhase
+from vanillawell.state.progress import RunPhase
 from vanillawell.tests.scheduler_cluster import (
     PREFIX,
     Cluster,
--- a/vanillawell/tests/large_jobs_tests.py
+++ b/vanillawell/tests/large_jobs_tests.py
@@ -12,7 +12,7 @@
 from vanillawell.protocol.work_keys import WorkKeys
 from vanillawell.state.contention.write_order import PostponedChanges
 from vanillawell.state.job_size import MAX_OPEN_TASKS, excess, max_open_occurrences
-from vanillawell.state.work import JobRecord
+from vanillawell.state.progress import JobRecord
 from vanillawell.tests.scheduler_cluster import (
     PREFIX,
     Cluster,
--- a/vanillawell/tests/late_refusal_tests.py
+++ b/vanillawell/tests/late_refusal_tests.py
@@ -10,7 +10,7 @@
 from vanillawell.coordination.executor_link import ExecutorLink
 from vanillawell.coordination.run_orders import RunOrders
 from vanillawell.protocol.executor_calls import HoldReport, WrongIncarnationError
-from vanillawell.state.work import RunPhase
+from vanillawell.state.progress import RunPhase
 from vanillawell.tests.scheduling_builders import ShardHarness, facts, job
 
 
--- a/vanillawell/tests/ledger_tests.py
+++ b/vanillawell/tests/ledger_tests.py
@@ -4,7 +4,8 @@
 
 from vanillawell.protocol.executor_calls import HoldReport, ReportedEnd
 from vanillawell.state.end_proofs import EndProof
-from vanillawell.state.work import Ending, Resources, RunPhase
+from vanillawell.state.progress import RunPhase
+from vanillawell.state.work import Ending, Resources
 from vanillawell.tests.scheduling_builders import ShardHarness, facts, job, step
 
 
--- a/vanillawell/tests/many_ends_tests.py
+++ b/vanillawell/tests/many_ends_tests.py
@@ -15,7 +15,8 @@
 from vanillawell.protocol.executor_calls import HoldReport, ReportedEnd, ReportedRun, Target
 from vanillawell.standins.scheduler import executor as standin
 from vanillawell.state.end_proofs import EndProof
-from vanillawell.state.work import Ending, Run, RunPhase
+from vanillawell.state.progress import Run, RunPhase
+from vanillawell.state.work import Ending
 from vanillawell.tests.scheduler_cluster import (
     PREFIX,
     Cluster,
--- a/vanillawell/tests/open_orders_tests.py
+++ b/vanillawell/tests/open_orders_tests.py
@@ -6,7 +6,7 @@
 
 from vanillawell.protocol.executor_calls import HoldReport
 from vanillawell.state.end_proofs import EndProof
-from vanillawell.state.work import Run, RunPhase
+from vanillawell.state.progress import Run, RunPhase
 from vanillawell.tests.delayed_starts_tests import fall_silent, return_under_its_id
 from vanillawell.tests.scheduler_cluster import (
     PREFIX,
--- a/vanillawell/tests/orphans_tests.py
+++ b/vanillawell/tests/orphans_tests.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 from vanillawell.protocol.executor_calls import HoldReport, ReportedEnd, ReportedRun
-from vanillawell.state.work import Ending, Run, TaskId
+from vanillawell.state.progress import Run
+from vanillawell.state.work import Ending, TaskId
 from vanillawell.tests.scheduling_builders import ShardHarness, facts, job, step
 
 ORPHANS = 3
--- a/vanillawell/tests/pacing_tests.py
+++ b/vanillawell/tests/pacing_tests.py
@@ -5,7 +5,7 @@
 from vanillawell.protocol.work_documents import read_record, write_record
 from vanillawell.state.executors import Executor
 from vanillawell.state.pacing import INHERITED_PACE, MIN_CHANGE_INTERVAL, Pacer
-from vanillawell.state.work import Run
+from vanillawell.state.progress import Run
 from vanillawell.tests.scheduling_builders import ShardHarness, facts, job, step
 
 TAIL_TARGET = 0.1
--- a/vanillawell/tests/peak_tests.py
+++ b/vanillawell/tests/peak_tests.py
@@ -12,11 +12,12 @@
 from typing import TYPE_CHECKING
 
 from vanillawell.protocol.work_documents import read_record, write_record
-from vanillawell.state.work import JobRecord, JobState
+from vanillawell.state.progress import JobRecord
+from vanillawell.state.work import JobState
 from vanillawell.tests.scheduling_builders import ShardHarness, facts, job, job_ids, step
 
 if TYPE_CHECKING:
-    from vanillawell.state.work import Run
+    from vanillawell.state.progress import Run
 
 TICK = 0.05
 """Seconds between two scheduling cycles."""
--- a/vanillawell/tests/pending_jobs_tests.py
+++ b/vanillawell/tests/pending_jobs_tests.py
@@ -4,8 +4,9 @@
 
 from vanillawell.protocol.work_documents import read_record, write_record
 from vanillawell.state.ledger import InheritedLeaseBound
+from vanillawell.state.progress import Run, RunPhase
 from vanillawell.state.shard import Shard
-from vanillawell.state.work import Ending, JobState, Run, RunPhase
+from vanillawell.state.work import Ending, JobState
 from vanillawell.tests.scheduling_builders import QUEUE, ShardHarness, facts, job, policy, step
 
 
--- a/vanillawell/tests/pool_sizing_tests.py
+++ b/vanillawell/tests/pool_sizing_tests.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 from vanillawell.state.pool_sizing import PoolDemand, PoolSizer, min_long_running_machines
-from vanillawell.state.work import JobRecord
+from vanillawell.state.progress import JobRecord
 from vanillawell.tests.scheduling_builders import job, step
 
 CORES_PER_MACHINE = 32.0
--- a/vanillawell/tests/rack_wait_tests.py
+++ b/vanillawell/tests/rack_wait_tests.py
@@ -6,7 +6,7 @@
 from hypothesis import strategies as st
 
 from vanillawell.state.contention.rack_wait import MAX_RACK_WAIT, RackQueues
-from vanillawell.state.work import JobRecord
+from vanillawell.state.progress import JobRecord
 from vanillawell.tests.scheduling_builders import ShardHarness, facts, job, step
 
 FACTOR = 3.0
--- a/vanillawell/tests/registry_tests.py
+++ b/vanillawell/tests/registry_tests.py
@@ -12,15 +12,15 @@
 from vanillawell.coordination.registry import RegistryWatch
 from vanillawell.platform.documents import KEYS, UnreadableDocumentError, read_executor
 from vanillawell.protocol.store import Change, Changes, KeyValue, Listing
+from vanillawell.state.progress import RunPhase
 from vanillawell.state.registrations import MAX_REMEMBERED, IgnoredBecause, Registrations
-from vanillawell.state.work import RunPhase
 from vanillawell.tests.registration_documents import registration
 from vanillawell.tests.scheduler_cluster import Cluster, config, until, with_cluster
 from vanillawell.tests.scheduler_cluster import job as body_of_job
 from vanillawell.tests.scheduling_builders import POOL, QUEUE, ShardHarness, facts, job, step
 
 if TYPE_CHECKING:
-    from vanillawell.state.work import Run
+    from vanillawell.state.progress import Run
 
 REQUIRED = [
     "service",
--- a/vanillawell/tests/replaced_executors_tests.py
+++ b/vanillawell/tests/replaced_executors_tests.py
@@ -8,7 +8,7 @@
 
 from vanillawell.state.end_proofs import EndProof
 from vanillawell.state.ledger import InheritedLeaseBound
-from vanillawell.state.work import RunPhase
+from vanillawell.state.progress import RunPhase
 from vanillawell.tests.registration_documents import registration
 from vanillawell.tests.scheduler_cluster import POOL, PREFIX, Cluster, until, with_cluster
 from vanillawell.tests.scheduler_cluster import job as body_of_job
--- a/vanillawell/tests/scheduling_builders.py
+++ b/vanillawell/tests/scheduling_builders.py
@@ -8,8 +8,9 @@
 
 from vanillawell.protocol.executor_calls import HoldReport, ReportedEnd
 from vanillawell.state.executors import Executor, ExecutorFacts
+from vanillawell.state.progress import Run, RunPhase
 from vanillawell.state.shard import Shard
-from vanillawell.state.work import Ending, Job, Resources, Run, RunPhase, Step
+from vanillawell.state.work import Ending, Job, Resources, Step
 from vanillawell.state.work_policy import OrganisationLimits, Queue, Service, WorkPolicy
 
 QUEUE = "q"
--- a/vanillawell/tests/shard_invariants_tests.py
+++ b/vanillawell/tests/shard_invariants_tests.py
@@ -16,7 +16,8 @@
 
 from vanillawell.protocol.executor_calls import HoldReport, ReportedRun
 from vanillawell.state.executors import ExecutorFacts
-from vanillawell.state.work import NO_RESOURCES, Ending, JobState, Resources, Run, RunPhase, Step
+from vanillawell.state.progress import Run, RunPhase
+from vanillawell.state.work import NO_RESOURCES, Ending, JobState, Resources, Step
 from vanillawell.state.work_policy import OrganisationLimits
 from vanillawell.tests.scheduling_builders import ShardHarness, facts, job
 
--- a/vanillawell/tests/stalls_tests.py
+++ b/vanillawell/tests/stalls_tests.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 from vanillawell.protocol.executor_calls import HoldReport, ReportedRun
-from vanillawell.state.work import Ending, Run
+from vanillawell.state.progress import Run
+from vanillawell.state.work import Ending
 from vanillawell.tests.scheduling_builders import ShardHarness, facts, job, step
 
 
--- a/vanillawell/tests/start_rules_tests.py
+++ b/vanillawell/tests/start_rules_tests.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from vanillawell.state.work import Ending, JobState, Run
+from vanillawell.state.progress import Run
+from vanillawell.state.work import Ending, JobState
 from vanillawell.tests.scheduling_builders import ShardHarness, facts, job, step
 
 ATTEMPTS = 3
--- a/vanillawell/tests/stop_sender_tests.py
+++ b/vanillawell/tests/stop_sender_tests.py
@@ -15,7 +15,7 @@
     import pytest
 
     from vanillawell.state.executors import Executor
-    from vanillawell.state.work import Run
+    from vanillawell.state.progress import Run
 
 
 @dataclass
--- a/vanillawell/tests/trial_placement_tests.py
+++ b/vanillawell/tests/trial_placement_tests.py
@@ -15,7 +15,7 @@
 
 if TYPE_CHECKING:
     from vanillawell.state.executors import Executor
-    from vanillawell.state.work import StepProgress
+    from vanillawell.state.progress import StepProgress
 
 MAX_PAUSE = 0.02
 """Seconds of processor time for which one computation may hold the owner's loop."""
--- a/vanillawell/tests/upkeep_tests.py
+++ b/vanillawell/tests/upkeep_tests.py
@@ -23,7 +23,7 @@
 from vanillawell.tests.scheduling_builders import ShardHarness, facts, job, step
 
 if TYPE_CHECKING:
-    from vanillawell.state.work import Run
+    from vanillawell.state.progress import Run
 
 
 def _progress(*machines: str, most_away: int = 1) -> WaveProgress:
