Accepting a job is three steps: write, repeat, conclude

JobService.submit had grown by what may become of a withdrawn or oversized job. What is written and what its outcome means for the caller are functions of their own; no change of behaviour. Tests of withdrawals, of a silent store, of large jobs and of the path pass.

--- a/vanillawell/coordination/job_service.py
+++ b/vanillawell/coordination/job_service.py
@@ -28,7 +28,7 @@
 
 if TYPE_CHECKING:
     from vanillawell.coordination.policy_watch import PolicyWatch
-    from vanillawell.protocol.store import KeyValue, PolledStore
+    from vanillawell.protocol.store import KeyValue, PolledStore, TransactionResult
     from vanillawell.protocol.work_keys import WorkKeys
     from vanillawell.state.contention.entry_readiness import EntryReadiness
     from vanillawell.state.work import Job
@@ -166,14 +166,8 @@
         if too_large:
             log.info("job refused", extra={"job": job.job_id, "why": too_large})
             return Refusal(Reason.JOB_TOO_LARGE, Verdict.NOT_RUN, too_large)
-        order = Put(self._keys.submitted_job(job.job_id), data)
-        notice = Put(self._keys.new_job(job.job_id), data)
-        rules = Put(self._keys.job_rules(job.job_id), write_queue(queue))
-        withdrawn = self._keys.withdrawn_job(job.job_id)
-        create = Transaction(
-            compares=[Compare(order.key, 0), Compare(withdrawn, 0)], puts=[order, rules, notice]
-        )
-        if self._store_health.needs_probe() and not await self._store_answers(order.key):
+        create = self._creation(job, queue, data)
+        if self._store_health.needs_probe() and not await self._store_answers(job.job_id):
             log.warning("job refused", extra={"job": job.job_id, "why": "the store is silent"})
             return _refuse(Reason.STORE_DOWN, retry_after=STORE_RETRY_AFTER)
         unknown = 0
@@ -199,29 +193,44 @@
                 else:
                     self._store_health.record_answer(clock.read())
                     self._readiness.record_store(True, clock.read())
-                    if withdrawn in result.values and order.key not in result.values:
-                        log.info("job refused", extra={"job": job.job_id, "why": "withdrawn"})
-                        return _refuse(Reason.JOB_WITHDRAWN)
-                    self._log_submitted(job, result.succeeded)
-                    return None
+                    return self._conclude_submission(job, result)
                 await backoff.wait()
         log.warning("job unknown", extra={"job": job.job_id})
         return Refusal(Reason.ACCEPTANCE_UNKNOWN, Verdict.MAY_HAVE_RUN)
 
+    def _creation(self, job: Job, queue: Queue, data: bytes) -> Transaction:
+        """Return the write that accepts a job, unless it exists or was withdrawn."""
+        order = Put(self._keys.submitted_job(job.job_id), data)
+        notice = Put(self._keys.new_job(job.job_id), data)
+        rules = Put(self._keys.job_rules(job.job_id), write_queue(queue))
+        withdrawn = self._keys.withdrawn_job(job.job_id)
+        return Transaction(
+            compares=[Compare(order.key, 0), Compare(withdrawn, 0)], puts=[order, rules, notice]
+        )
+
+    def _conclude_submission(self, job: Job, result: TransactionResult) -> Refusal | None:
+        """Return what the outcome of that write means for the caller; None if the job is stored."""
+        exists = result.succeeded or self._keys.submitted_job(job.job_id) in result.values
+        if not exists and self._keys.withdrawn_job(job.job_id) in result.values:
+            log.info("job refused", extra={"job": job.job_id, "why": "withdrawn"})
+            return _refuse(Reason.JOB_WITHDRAWN)
+        self._log_submitted(job, result.succeeded)
+        return None
+
     def _excess_bytes(self, data: bytes) -> str:
         """Return why a job's document has no place in the store; empty if it has."""
         if len(data) <= self._value_limit:
             return ""
         return f"{len(data)} bytes as stored; at most {self._value_limit}"
 
-    async def _store_answers(self, key: str) -> bool:
-        """Return whether the store answers, determined by reading a key."""
+    async def _store_answers(self, job_id: str) -> bool:
+        """Return whether the store answers, determined by reading the key of a job."""
         sent = clock.read()
         if self._store_health.is_unresponsive(sent):
             return False
         try:
             with anyio.fail_after(PROBE_TIMEOUT):
-                await self._store.get(key)
+                await self._store.get(self._keys.submitted_job(job_id))
         except (StoreError, TimeoutError):
             self._store_health.record_timeout(sent, clock.read())
             return False
