A holder's key counts as nobody's only if the store says that it has no lease

An answer that leaves the lease out tells nothing of it. Taken for none it would have had entries claim a shard that is held. Tests of odd documents, weak owners, pages of the store and claims pass.

--- a/vanillawell/coordination/holder_watch.py
+++ b/vanillawell/coordination/holder_watch.py
@@ -105,7 +105,7 @@
         self._changed = anyio.Event()
 
     def _set_holder(self, item: KeyValue | Change | None) -> None:
-        is_stray = item is not None and item.value is not None and not item.lease
+        is_stray = item is not None and item.value is not None and item.lease == 0
         self._stray_revision = item.mod_revision if item is not None and is_stray else 0
         if is_stray:
             fields = {"shard": self._shard, "revision": self._stray_revision}
--- a/vanillawell/platform/store.py
+++ b/vanillawell/platform/store.py
@@ -202,9 +202,9 @@
 
 def _item(item: dict[str, Any]) -> KeyValue:
     value = base64.b64decode(item.get("value", ""))
-    return KeyValue(item["key"], value, item["revision"], item.get("lease", 0))
+    return KeyValue(item["key"], value, item["revision"], item.get("lease"))
 
 
 def _change(event: dict[str, Any]) -> Change:
     value = None if event.get("tombstone") else base64.b64decode(event.get("value", ""))
-    return Change(event["key"], value, event["revision"], event.get("lease", 0))
+    return Change(event["key"], value, event["revision"], event.get("lease"))
--- a/vanillawell/protocol/store.py
+++ b/vanillawell/protocol/store.py
@@ -17,8 +17,8 @@
     mod_revision: int
     """Revision of the last change; 0 means that the key does not exist."""
 
-    lease: int = 0
-    """Lease that the key is attached to; 0 if it stays until it is deleted."""
+    lease: int | None = None
+    """Lease that the key is attached to; 0 if it stays until it is deleted, None if not stated."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -76,7 +76,7 @@
     key: str
     value: bytes | None
     mod_revision: int
-    lease: int = 0
+    lease: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
