Names: unschedulable reasons, queue positions, foreign holders, exceeded bounds

Read as a newcomer would: reason_to_be_left, LeftBecause, Place, patience, stray and excess said less than unschedulable_reason, UnschedulableReason, QueuePosition, _stop_timeout, foreign and exceeded_bound do.

--- a/vanillawell/coordination/candidate.py
+++ b/vanillawell/coordination/candidate.py
@@ -184,7 +184,7 @@
         marker = Put(self._term_key, document.to_bytes())
         transaction = Transaction(
             compares=[
-                Compare(self._holder_key, self._holder_watch.stray_revision),
+                Compare(self._holder_key, self._holder_watch.foreign_revision),
                 Compare(self._term_key, stored.mod_revision if stored else 0),
             ],
             puts=[
--- a/vanillawell/coordination/holder_watch.py
+++ b/vanillawell/coordination/holder_watch.py
@@ -34,7 +34,7 @@
         self._changed = anyio.Event()
         self._loaded = False
         self._holder: Contender | None = None
-        self._stray_revision = 0
+        self._foreign_revision = 0
         self._held_since = 0.0
         self._bid: Contender | None = None
         self._bid_revision = 0
@@ -48,13 +48,13 @@
         return self._holder
 
     @property
-    def stray_revision(self) -> int:
+    def foreign_revision(self) -> int:
         """Return the revision of a value that no owner has left under the holder's key, since an
         owner's goes with its lease; 0 if there is none.
 
         Taken for a holder it would keep the shard from ever having an owner.
         """
-        return self._stray_revision
+        return self._foreign_revision
 
     @property
     def held_since(self) -> float:
@@ -105,12 +105,12 @@
         self._changed = anyio.Event()
 
     def _set_holder(self, item: KeyValue | Change | None) -> None:
-        is_stray = item is not None and item.value is not None and item.lease == 0
-        self._stray_revision = item.mod_revision if item is not None and is_stray else 0
-        if is_stray:
-            fields = {"shard": self._shard, "revision": self._stray_revision}
+        is_foreign = item is not None and item.value is not None and item.lease == 0
+        self._foreign_revision = item.mod_revision if item is not None and is_foreign else 0
+        if is_foreign:
+            fields = {"shard": self._shard, "revision": self._foreign_revision}
             log.error("shard holder without a lease", extra=fields)
-        holder = None if item is None or is_stray else _read_contender(item.value)
+        holder = None if item is None or is_foreign else _read_contender(item.value)
         if holder == self._holder:
             return
         names = {"holder": holder and holder.name, "before": self._holder and self._holder.name}
--- a/vanillawell/coordination/job_service.py
+++ b/vanillawell/coordination/job_service.py
@@ -23,7 +23,7 @@
 from vanillawell.protocol.store import Compare, Put, Transaction
 from vanillawell.protocol.verdict import Verdict
 from vanillawell.protocol.work_documents import read_state, write_job
-from vanillawell.state.job_size import excess
+from vanillawell.state.job_size import exceeded_bound
 from vanillawell.state.work import JobState
 
 if TYPE_CHECKING:
@@ -162,7 +162,7 @@
         is correct.
         """
         data = write_job(job)
-        too_large = excess(job) or self._excess_bytes(data)
+        too_large = exceeded_bound(job) or self._excess_bytes(data)
         if too_large:
             log.info("job refused", extra={"job": job.job_id, "why": too_large})
             return Refusal(Reason.JOB_TOO_LARGE, Verdict.NOT_RUN, too_large)
--- a/vanillawell/coordination/start_slots.py
+++ b/vanillawell/coordination/start_slots.py
@@ -22,8 +22,8 @@
 beyond yield to others. More than an executor holds of tasks of a usual size."""
 
 
-class Place(NamedTuple):
-    """Place in the queue; lower ones go first."""
+class QueuePosition(NamedTuple):
+    """Position in the queue; lower ones go first."""
 
     organisation_turn: int
     """Number of full turns of its organisation that were waiting before it."""
@@ -37,7 +37,7 @@
 
     def __init__(self, slots: int) -> None:
         self._free = slots
-        self._waiting: list[tuple[Place, anyio.Event]] = []
+        self._waiting: list[tuple[QueuePosition, anyio.Event]] = []
         self._of_organisation: Counter[str] = Counter()
         self._of_job: Counter[str] = Counter()
         self._arrivals = itertools.count()
@@ -55,30 +55,30 @@
         if self._free:
             self._free -= 1
             return
-        place = Place(
+        position = QueuePosition(
             self._of_organisation[organisation] // TURN_LENGTH,
             self._of_job[job_id] // TURN_LENGTH,
             next(self._arrivals),
         )
         granted = anyio.Event()
-        heapq.heappush(self._waiting, (place, granted))
+        heapq.heappush(self._waiting, (position, granted))
         self._of_organisation[organisation] += 1
         self._of_job[job_id] += 1
         try:
             await granted.wait()
         except BaseException:
-            self._leave(place, granted)
+            self._leave(position, granted)
             raise
         finally:
             _count_down(self._of_organisation, organisation)
             _count_down(self._of_job, job_id)
 
-    def _leave(self, place: Place, granted: anyio.Event) -> None:
+    def _leave(self, position: QueuePosition, granted: anyio.Event) -> None:
         """Give up the place of a cancelled start, or the slot that it was granted meanwhile."""
         if granted.is_set():
             self._release()
             return
-        self._waiting.remove((place, granted))
+        self._waiting.remove((position, granted))
         heapq.heapify(self._waiting)
 
     def _release(self) -> None:
--- a/vanillawell/state/executors.py
+++ b/vanillawell/state/executors.py
@@ -36,7 +36,7 @@
 """Seconds for which an unhealthy executor gets no new tasks; then it is tried again."""
 
 
-class LeftBecause(StrEnum):
+class UnschedulableReason(StrEnum):
     """Why no new task may begin on an executor."""
 
     ZONE_EVACUATED = "zone evacuated"
@@ -251,26 +251,26 @@
 
     def accepts_tasks(self, now: float) -> bool:
         """Return whether new tasks may be placed on it."""
-        return self.is_healthy(now) and self.reason_to_be_left() is None
+        return self.is_healthy(now) and self.unschedulable_reason() is None
 
-    def reason_to_be_left(self) -> LeftBecause | None:
+    def unschedulable_reason(self) -> UnschedulableReason | None:
         """Return why no task may begin on it any more, be it decided already; None if one may.
 
         Asked when a task is placed and again when its order leaves, since what is true of an
         executor may change in between.
         """
         if self.withheld:
-            return LeftBecause.ORDERED_AWAY
+            return UnschedulableReason.ORDERED_AWAY
         if self.vacating:
-            return LeftBecause.POOL_LEFT
-        return self._reason_to_leave()
+            return UnschedulableReason.POOL_LEFT
+        return self._leaving_reason()
 
-    def _reason_to_leave(self) -> LeftBecause | None:
+    def _leaving_reason(self) -> UnschedulableReason | None:
         if self.evacuated:
-            return LeftBecause.ZONE_EVACUATED
+            return UnschedulableReason.ZONE_EVACUATED
         if self.facts.draining:
-            return LeftBecause.DRAINING
-        return LeftBecause.UPKEEP if self.cordoned else None
+            return UnschedulableReason.DRAINING
+        return UnschedulableReason.UPKEEP if self.cordoned else None
 
     def is_healthy(self, now: float) -> bool:
         """Return whether it accepts new tasks, but for being withheld or vacating."""
@@ -278,7 +278,7 @@
             self.registered
             and self.incarnation.may_get_tasks
             and self.contacted
-            and self._reason_to_leave() is None
+            and self._leaving_reason() is None
             and self.unresponsive_since is None
             and now >= self.placement_blocked_until
         )
--- a/vanillawell/state/job_size.py
+++ b/vanillawell/state/job_size.py
@@ -25,7 +25,7 @@
     return max(1, MAX_OPEN_TASKS // tasks_per_occurrence(job))
 
 
-def excess(job: Job) -> str:
+def exceeded_bound(job: Job) -> str:
     """Return which bound a job exceeds, and by what; empty if it exceeds none."""
     tasks = tasks_per_occurrence(job)
     if tasks > MAX_OPEN_TASKS:
--- a/vanillawell/state/shard.py
+++ b/vanillawell/state/shard.py
@@ -324,7 +324,7 @@
 
     def reason_to_withdraw(self, run: Run) -> str:
         """Return why a start that was decided must not be ordered any more; empty if it may be."""
-        reason = self.ledger.executors[run.executor].reason_to_be_left()
+        reason = self.ledger.executors[run.executor].unschedulable_reason()
         if reason is not None:
             return reason.value
         organisation = run.task.step.record.job.organisation
--- a/vanillawell/state/stalls.py
+++ b/vanillawell/state/stalls.py
@@ -23,7 +23,7 @@
 """Part of its expected run time for which a long task may show no progress. Progress is reported in
 whole per cent, so this is five of its steps."""
 
-PATIENCE_GROWTH = 4
+STOP_TIMEOUT_GROWTH = 4
 """Multiple of the time without progress that a task gets each time it was stopped as stalled: one
 that stands still alike elsewhere is slow itself."""
 
@@ -66,9 +66,9 @@
     return max(MIN_STALL_TIME, STALL_PART_OF_ESTIMATE * run.task.step.spec.estimate)
 
 
-def _patience(run: Run) -> float:
+def _stop_timeout(run: Run) -> float:
     """Return the seconds without progress after which a run is stopped."""
-    return float(_stall_timeout(run) * PATIENCE_GROWTH**run.task.stalls)
+    return float(_stall_timeout(run) * STOP_TIMEOUT_GROWTH**run.task.stalls)
 
 
 def _is_progressing(run: Run, now: float) -> bool:
@@ -81,4 +81,4 @@
 
 
 def _is_stalled(run: Run, now: float) -> bool:
-    return run.progressed_at is not None and now - run.progressed_at > _patience(run)
+    return run.progressed_at is not None and now - run.progressed_at > _stop_timeout(run)
--- a/vanillawell/tests/large_jobs_tests.py
+++ b/vanillawell/tests/large_jobs_tests.py
@@ -11,7 +11,7 @@
 from vanillawell.protocol.work_documents import read_record
 from vanillawell.protocol.work_keys import WorkKeys
 from vanillawell.state.contention.write_order import PostponedChanges
-from vanillawell.state.job_size import MAX_OPEN_TASKS, excess, max_open_occurrences
+from vanillawell.state.job_size import MAX_OPEN_TASKS, exceeded_bound, max_open_occurrences
 from vanillawell.state.progress import JobRecord
 from vanillawell.tests.scheduler_cluster import (
     PREFIX,
@@ -160,9 +160,9 @@
 
 def test_occurrences_of_tasks_that_never_end_are_refused_beyond_the_bound() -> None:
     lasting = step(count=1_000, long_running=True)
-    assert not excess(job(lasting, times=4))
-    assert excess(job(lasting, times=5))
-    assert not excess(job(step(count=1_000), times=5))
+    assert not exceeded_bound(job(lasting, times=4))
+    assert exceeded_bound(job(lasting, times=5))
+    assert not exceeded_bound(job(step(count=1_000), times=5))
     assert not JobRecord(job(), 0.0).stored_parts
 
 
