A start that finds a free place lets other tasks run first, as it did before

The turns at an executor's places replaced a semaphore, which lets other tasks run as it is taken; the turns did not. Why the order matters so much is not traced; a start is judged by answers that have arrived, which are read first now.

--- a/vanillawell/coordination/start_slots.py
+++ b/vanillawell/coordination/start_slots.py
@@ -54,6 +54,12 @@
     async def _acquire(self, organisation: str, job_id: str) -> None:
         if self._free:
             self._free -= 1
+            # As with a semaphore, tasks that read answers go before the next start is judged.
+            try:
+                await anyio.lowlevel.checkpoint()
+            except BaseException:
+                self._release()
+                raise
             return
         position = QueuePosition(
             self._of_organisation[organisation] // TURN_LENGTH,
