--- a/review/11/play.py
+++ b/review/11/play.py
@@ -60,9 +60,10 @@
             await submit(f"{0xC000 + number:016x}", job(2000, 90.0), "key-1")
         await asyncio.sleep(2)
         count = int(USUAL * (TIMES if s.TROUBLE else 1))
+        began = record.now()
         for number in range(count):
             await submit(f"{0xC100 + number:016x}", job(1000, 0.5), "key-1")
-            await asyncio.sleep(4.0 / count)
+            await asyncio.sleep(max(0.0, began + 3.9 * (number + 1) / count - record.now()))
         await asyncio.sleep(4)
         await submit(OTHER, job(1000, 0.5), "key-2")
         await asyncio.sleep(FINISH_S)
--- a/review/standins_3.py
+++ b/review/standins_3.py
@@ -22,6 +22,7 @@
 import sys
 import tempfile
 import time
+import traceback
 from pathlib import Path
 from urllib.parse import parse_qs, urlsplit
 
@@ -725,6 +726,11 @@
         most = self.max_fds if hard == resource.RLIM_INFINITY else min(self.max_fds, hard)
         resource.setrlimit(resource.RLIMIT_NOFILE, (most, most))
 
+    @staticmethod
+    def hard_limit() -> float:
+        hard = resource.getrlimit(resource.RLIMIT_NOFILE)[1]
+        return float("inf") if hard == resource.RLIM_INFINITY else hard
+
     def descriptors(self, name: str) -> int:
         return len(os.listdir(f"/proc/{self.processes[name].pid}/fd"))
 
@@ -781,6 +787,13 @@
     return {**document, **changes}
 
 
+async def _play(play, record: Record, scratch: Path) -> None:
+    """Play within the time of a script; SIGTERM ends the play, and so all processes of it."""
+    task = asyncio.current_task()
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
+    await asyncio.wait_for(play(record, scratch), 116)
+
+
 def run_case(folder: str, play) -> None:
     """Play a case: `play(record, folder)` raises `CannotRun` or returns; exit as the review asks."""
     where = Path(folder).resolve()
@@ -789,13 +802,18 @@
     scratch = Path(tempfile.mkdtemp(prefix="review-3-"))
     code = 2
     try:
-        asyncio.run(asyncio.wait_for(play(record, scratch), 118))
+        asyncio.run(_play(play, record, scratch))
         code = 1 if record.broken else 0
     except CannotRun as error:
         record.write("cannot run:", error)
         print("cannot run:", error)
     except asyncio.TimeoutError:
         record.write("cannot run: out of time")
+    except (asyncio.CancelledError, KeyboardInterrupt):
+        record.write("cannot run: told to stop")
+    except Exception as error:  # an error of the script says nothing of the rule
+        record.write("cannot run:", repr(error))
+        traceback.print_exc()
     finally:
         keep = os.environ.get("KEEP_LOGS")
         if keep:
