A key that is unknown or withdrawn is refused on queues that need none, too

What callers saw: 8 s after the configuration that took a key away was acknowledged, its holder still handed in, read and cancelled jobs on a queue that admits callers without a key (CONFIG).

Cause: JobService.admit looked up the organisation of the key and, where there was none, took the call for one without a key. The queue that needs a key answered 401 to the same key at the same moment, so that the configuration was neither old nor missing.

Change: only a call that carries no key is admitted without one; each other needs a key that a fresh configuration holds.

--- a/vanillawell/coordination/job_service.py
+++ b/vanillawell/coordination/job_service.py
@@ -134,18 +134,21 @@
         return self._revoke_bound is None or age < self._revoke_bound - FRESHNESS_MARGIN
 
     def admit(self, host: str, path: str, key_digest: str | None, now: float) -> Access | Refusal:
-        """Determine the queue and the organisation of a call, or refuse it."""
+        """Determine the queue and the organisation of a call, or refuse it.
+
+        A key that is not known is refused on every queue: it may have been withdrawn.
+        """
         policy = self._policies.policy
         if policy is None:
             return _refuse(Reason.STARTING, retry_after=STORE_RETRY_AFTER)
         queue = policy.match(host, path)
         if queue is None:
             return _refuse(Reason.NO_SUCH_QUEUE)
-        owner = policy.key_owners.get(key_digest) if key_digest else None
-        if owner is None and queue.anonymous:
+        if key_digest is None and queue.anonymous:
             return Access(queue, "")
         if not self._is_fresh(now):
             return _refuse(Reason.CONFIGURATION_STALE, retry_after=STORE_RETRY_AFTER)
+        owner = policy.key_owners.get(key_digest) if key_digest else None
         if owner is None:
             return _refuse(Reason.UNAUTHENTICATED)
         return Access(queue, owner)
