A job belongs to the organisation that handed it in

What callers saw: whoever was admitted to any queue read and cancelled each job whose id it knew, by whichever organisation it had been handed in; a hand-in with a taken id heard 200 and never ran.

Cause: jobs were found by their id alone; show and cancel were not told who asks, and submit took any job under its id for a repeat of its own.

Change: each call to a job is compared with what the job was handed in with (state/job_access.py): its organisation; its queue where there was no key; and while the configuration has no such organisation, 64 bits of the digest of the key, so that a renamed organisation keeps its jobs. Others hear 410, and 409 job-id-taken for a hand-in. Records name queue and organisation, so that a query stays one read; for those that don't (earlier versions, records in parts) the job as handed in is read.

--- a/vanillawell/coordination/job_service.py
+++ b/vanillawell/coordination/job_service.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import logging
-from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 import anyio
@@ -22,7 +21,13 @@
 from vanillawell.protocol.refusals import Reason, Refusal
 from vanillawell.protocol.store import Compare, Put, Transaction
 from vanillawell.protocol.verdict import Verdict
-from vanillawell.protocol.work_documents import read_state, write_job
+from vanillawell.protocol.work_documents import (
+    RecordSummary,
+    read_origin,
+    read_summary,
+    write_job,
+)
+from vanillawell.state.job_access import KEY_ID_LENGTH, Access, JobOrigin, may_access
 from vanillawell.state.job_size import exceeded_bound
 from vanillawell.state.work import JobState
 
@@ -59,15 +64,6 @@
 """Seconds of a caller's time that are reserved for the response, but at most a quarter of it."""
 
 
-@dataclass(frozen=True, slots=True)
-class Access:
-    """A call that is authorised."""
-
-    queue: Queue
-    organisation: str
-    """Empty for a caller without a key on a queue that requires none."""
-
-
 class JobService:
     """Authorise callers and translate their calls to reads and writes of the store."""
 
@@ -151,9 +147,10 @@
         owner = policy.key_owners.get(key_digest) if key_digest else None
         if owner is None:
             return _refuse(Reason.UNAUTHENTICATED)
-        return Access(queue, owner)
+        assert key_digest is not None
+        return Access(queue, owner, key_digest[:KEY_ID_LENGTH])
 
-    async def submit(self, job: Job, queue: Queue, time_left: float) -> Refusal | None:
+    async def submit(self, job: Job, access: Access, time_left: float) -> Refusal | None:
         """Store a job with the rules of its queue; return None once it is certainly stored.
 
         The owner that reads the job may know only a configuration without the queue.
@@ -169,7 +166,7 @@
         if too_large:
             log.info("job refused", extra={"job": job.job_id, "why": too_large})
             return Refusal(Reason.JOB_TOO_LARGE, Verdict.NOT_RUN, too_large)
-        create = self._creation(job, queue, data)
+        create = self._creation(job, access.queue, data)
         if self._store_health.needs_probe() and not await self._store_answers(job.job_id):
             log.warning("job refused", extra={"job": job.job_id, "why": "the store is silent"})
             return _refuse(Reason.STORE_DOWN, retry_after=STORE_RETRY_AFTER)
@@ -196,7 +193,7 @@
                 else:
                     self._store_health.record_answer(clock.read())
                     self._readiness.record_store(True, clock.read())
-                    return self._conclude_submission(job, result)
+                    return self._conclude_submission(job, access, result)
                 await backoff.wait()
         log.warning("job unknown", extra={"job": job.job_id})
         return Refusal(Reason.ACCEPTANCE_UNKNOWN, Verdict.MAY_HAVE_RUN)
@@ -211,15 +208,39 @@
             compares=[Compare(order.key, 0), Compare(withdrawn, 0)], puts=[order, rules, notice]
         )
 
-    def _conclude_submission(self, job: Job, result: TransactionResult) -> Refusal | None:
+    def _conclude_submission(
+        self, job: Job, access: Access, result: TransactionResult
+    ) -> Refusal | None:
         """Return what the outcome of that write means for the caller; None if the job is stored."""
-        exists = result.succeeded or self._keys.submitted_job(job.job_id) in result.values
-        if not exists and self._keys.withdrawn_job(job.job_id) in result.values:
+        earlier = result.values.get(self._keys.submitted_job(job.job_id))
+        if result.succeeded or (earlier and self._may_access(job.job_id, access, earlier)):
+            self._log_submitted(job, result.succeeded)
+            return None
+        if earlier:
+            return _refuse(Reason.JOB_ID_TAKEN)
+        if self._keys.withdrawn_job(job.job_id) in result.values:
             log.info("job refused", extra={"job": job.job_id, "why": "withdrawn"})
             return _refuse(Reason.JOB_WITHDRAWN)
-        self._log_submitted(job, result.succeeded)
+        self._log_submitted(job, False)
         return None
 
+    def _may_access(self, job_id: str, access: Access, submitted: KeyValue) -> bool:
+        """Return whether a call may access the job in this document; log it if not."""
+        try:
+            origin = read_origin(submitted.value)
+        except ValueError as error:
+            log.error("job document unreadable", extra={"job": job_id, "reason": str(error)})
+            return False
+        if self._is_granted(access, origin):
+            return True
+        fields = {"queue": access.queue.name, "organisation": access.organisation}
+        log.info("job of another organisation", extra={"job": job_id, **fields})
+        return False
+
+    def _is_granted(self, access: Access, origin: JobOrigin) -> bool:
+        policy = self._policies.policy
+        return policy is not None and may_access(access, origin, policy)
+
     def _excess_bytes(self, data: bytes) -> str:
         """Return why a job's document has no place in the store; empty if it has."""
         if len(data) <= self._value_limit:
@@ -245,24 +266,24 @@
         message = "job accepted" if created else "job known already"
         log.info(message, extra={**fields, **self.configuration_fields(clock.read())})
 
-    async def show(self, job_id: str) -> JobState | Refusal:
-        """Return the state of a job."""
+    async def show(self, job_id: str, access: Access) -> JobState | Refusal:
+        """Return the state of a job that the call may access."""
         try:
             record = await self._store.get(self._keys.record(job_id))
-            if record is not None:
-                state = read_state(record.value)
-                log.info(
-                    "state told",
-                    extra={"job": job_id, "state": state, "revision": record.mod_revision},
-                )
-                return state
-            order = await self._store.get(self._keys.submitted_job(job_id))
+            summary = read_summary(record.value) if record else RecordSummary(JobState.QUEUED, None)
+            if summary.origin is None or not self._is_granted(access, summary.origin):
+                submitted = await self._store.get(self._keys.submitted_job(job_id))
+                if submitted is None or not self._may_access(job_id, access, submitted):
+                    return _refuse(Reason.NO_SUCH_JOB)
         except (StoreError, ValueError) as error:
             log.warning("job state not read", extra={"job": job_id, "why": str(error)})
             return _refuse(Reason.STORE_DOWN, retry_after=STORE_RETRY_AFTER)
-        return _refuse(Reason.NO_SUCH_JOB) if order is None else JobState.QUEUED
+        if record is not None:
+            fields = {"state": summary.state, "revision": record.mod_revision}
+            log.info("state told", extra={"job": job_id, **fields})
+        return summary.state
 
-    async def cancel(self, job_id: str, time_left: float) -> Refusal | None:
+    async def cancel(self, job_id: str, access: Access, time_left: float) -> Refusal | None:
         """Request the cancellation of a job; return None once the request is stored.
 
         That there is no such job is told only once none can be created any more by a write that is
@@ -274,6 +295,8 @@
                 try:
                     order = await self._store.get(self._keys.submitted_job(job_id))
                     if order is not None:
+                        if not self._may_access(job_id, access, order):
+                            return _refuse(Reason.NO_SUCH_JOB)
                         if await self._store_cancellation(job_id, order):
                             log.info("cancellation accepted", extra={"job": job_id})
                             return None
--- a/vanillawell/platform/callers.py
+++ b/vanillawell/platform/callers.py
@@ -9,7 +9,7 @@
 import orjson
 
 from vanillawell import clock
-from vanillawell.coordination.job_service import DEFAULT_CALL_TIMEOUT, Access, JobService
+from vanillawell.coordination.job_service import DEFAULT_CALL_TIMEOUT, JobService
 from vanillawell.platform.documents import (
     JOB_ID,
     UnreadableDocumentError,
@@ -29,6 +29,7 @@
 
 if TYPE_CHECKING:
     from vanillawell.scheduler_telemetry import SchedulerTelemetry
+    from vanillawell.state.job_access import Access
     from vanillawell.transport.asgi import Receive, Scope, Send
 
 log = logging.getLogger(__name__)
@@ -73,10 +74,10 @@
         if method == "POST":
             return await self._submit(receive, access, name, time_left)
         if method == "GET":
-            state = await self._job_service.show(name)
+            state = await self._job_service.show(name, access)
             return {"state": state.value} if isinstance(state, JobState) else state
         if method == "DELETE":
-            return await self._job_service.cancel(name, time_left) or {}
+            return await self._job_service.cancel(name, access, time_left) or {}
         return _refusal(Reason.MALFORMED)
 
     async def _count_pending(self, method: str, access: Access) -> Refusal | dict[str, object]:
@@ -90,12 +91,12 @@
     ) -> Refusal | dict[str, object]:
         try:
             body = await read_body(receive, self._job_service.body_bound())
-            job = read_job_body(body, job_id, access.queue.name, access.organisation, time.time())
+            job = read_job_body(body, job_id, access.origin, time.time())
         except BodyTooLargeError:
             return _refusal(Reason.TOO_LARGE)
         except UnreadableDocumentError as error:
             return Refusal(Reason.MALFORMED, Verdict.NOT_RUN, str(error))
-        return await self._job_service.submit(job, access.queue, time_left) or {}
+        return await self._job_service.submit(job, access, time_left) or {}
 
     async def _send(
         self,
--- a/vanillawell/protocol/refusals.py
+++ b/vanillawell/protocol/refusals.py
@@ -24,6 +24,7 @@
     BODY_LATE = ("body-late", 408, "The request body did not arrive in time")
     JOB_TOO_LARGE = ("job-too-large", 400, "The job is larger than what is kept of one job")
     JOB_WITHDRAWN = ("job-withdrawn", 409, "The job was cancelled before it was accepted")
+    JOB_ID_TAKEN = ("job-id-taken", 409, "The id is taken; hand the job in under another one")
     TOO_LARGE = ("too-large", 413, "The request body is larger than allowed")
     QUEUE_FULL = ("queue-full", 429, "The organisation's queue is full")
     CANNOT_FINISH = ("cannot-finish-in-time", 429, "The queue is too long for the deadline")
--- a/vanillawell/protocol/work_documents.py
+++ b/vanillawell/protocol/work_documents.py
@@ -10,12 +10,13 @@
 
 import itertools
 import logging
-from dataclasses import asdict
+from dataclasses import asdict, dataclass
 from typing import TYPE_CHECKING, Any
 
 import orjson
 
 from vanillawell.protocol.checked_values import flag, mapping, number, position, text, whole
+from vanillawell.state.job_access import JobOrigin
 from vanillawell.state.progress import JobRecord, Run, RunPhase, StepProgress, Task
 from vanillawell.state.work import Job, JobState, Resources, Step
 
@@ -60,6 +61,16 @@
     return job
 
 
+def read_origin(data: bytes) -> JobOrigin:
+    """Parse only the origin of a submitted job; raises ValueError if the data is malformed."""
+    try:
+        document = mapping(orjson.loads(data))
+        queue, organisation = text(document["queue"]), text(document["organisation"])
+        return JobOrigin(queue, organisation, text(document.get("key_id", "")))
+    except (TypeError, KeyError) as error:
+        raise ValueError(f"malformed job: {error!r}") from error
+
+
 def _read_step(item: Any) -> Step:
     checked = _checked(mapping(item), _STEP_FIELDS)
     checked["need"] = Resources(**_checked(mapping(item["need"]), _NEED_FIELDS))
@@ -101,6 +112,7 @@
     "times": whole,
     "first_due": number,
     "interval": number,
+    "key_id": text,
 }
 
 
@@ -113,6 +125,8 @@
     return orjson.dumps(
         {
             "state": record.state,
+            "queue": record.job.queue,
+            "organisation": record.job.organisation,
             "next": record.next_occurrence,
             "ended": record.ended,
             "occurrences": occurrences,
@@ -161,10 +175,24 @@
     return [task.number, task.failures, checkpoint, run_row]
 
 
-def read_state(data: bytes) -> JobState:
-    """Parse only the state of a record; raises ValueError if the data is malformed."""
+@dataclass(frozen=True, slots=True)
+class RecordSummary:
+    """What callers are told of a record, and who may be told."""
+
+    state: JobState
+    origin: JobOrigin | None
+    """None for a record that does not name it: one in parts, or of an earlier version."""
+
+
+def read_summary(data: bytes) -> RecordSummary:
+    """Parse only the summary of a record; raises ValueError if the data is malformed."""
     try:
-        return JobState(orjson.loads(data)["state"])
+        document = mapping(orjson.loads(data))
+        state = JobState(document["state"])
+        if "organisation" not in document:
+            return RecordSummary(state, None)
+        origin = JobOrigin(text(document["queue"]), text(document["organisation"]))
+        return RecordSummary(state, origin)
     except (TypeError, KeyError) as error:
         raise ValueError(f"malformed job record: {error!r}") from error
 
--- a/vanillawell/tests/odd_documents_tests.py
+++ b/vanillawell/tests/odd_documents_tests.py
@@ -29,7 +29,7 @@
 from vanillawell.protocol.work_documents import (
     read_job,
     read_record,
-    read_state,
+    read_summary,
     write_job,
     write_record,
 )
@@ -173,7 +173,7 @@
 
 
 def _use_record(data: bytes) -> None:
-    read_state(data)
+    read_summary(data)
     whole_record = join("key", count_parts(data), {"key": data})
     record, runs = read_record(RECORDED_JOB, whole_record, 100.0, 100.0)
     harness = ShardHarness(facts("e1"), facts("e2"))
