The id of a job's key is stored with its queue's rules, not in the job

Earlier versions reject a job with an unknown field, so that during a rolling update an owner of an earlier version would never begin it.

It is read only while the configuration has no organisation of the job's name. A store that fails just then leaves the outcome of a hand-in unknown (504).

--- a/vanillawell/coordination/job_service.py
+++ b/vanillawell/coordination/job_service.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 import anyio
@@ -17,7 +18,7 @@
     StoreRejectedError,
     StoreUnavailableError,
 )
-from vanillawell.protocol.queue_documents import read_pending, write_queue
+from vanillawell.protocol.queue_documents import read_key_id, read_pending, write_job_rules
 from vanillawell.protocol.refusals import Reason, Refusal
 from vanillawell.protocol.store import Compare, Put, Transaction
 from vanillawell.protocol.verdict import Verdict
@@ -27,7 +28,13 @@
     read_summary,
     write_job,
 )
-from vanillawell.state.job_access import KEY_ID_LENGTH, Access, JobOrigin, may_access
+from vanillawell.state.job_access import (
+    KEY_ID_LENGTH,
+    Access,
+    JobOrigin,
+    depends_on_key,
+    may_access,
+)
 from vanillawell.state.job_size import exceeded_bound
 from vanillawell.state.work import JobState
 
@@ -166,7 +173,7 @@
         if too_large:
             log.info("job refused", extra={"job": job.job_id, "why": too_large})
             return Refusal(Reason.JOB_TOO_LARGE, Verdict.NOT_RUN, too_large)
-        create = self._creation(job, access.queue, data)
+        create = self._creation(job, access, data)
         if self._store_health.needs_probe() and not await self._store_answers(job.job_id):
             log.warning("job refused", extra={"job": job.job_id, "why": "the store is silent"})
             return _refuse(Reason.STORE_DOWN, retry_after=STORE_RETRY_AFTER)
@@ -193,41 +200,52 @@
                 else:
                     self._store_health.record_answer(clock.read())
                     self._readiness.record_store(True, clock.read())
-                    return self._conclude_submission(job, access, result)
+                    return await self._conclude_submission(job, access, result)
                 await backoff.wait()
         log.warning("job unknown", extra={"job": job.job_id})
         return Refusal(Reason.ACCEPTANCE_UNKNOWN, Verdict.MAY_HAVE_RUN)
 
-    def _creation(self, job: Job, queue: Queue, data: bytes) -> Transaction:
+    def _creation(self, job: Job, access: Access, data: bytes) -> Transaction:
         """Return the write that accepts a job, unless it exists or was withdrawn."""
         order = Put(self._keys.submitted_job(job.job_id), data)
         notice = Put(self._keys.new_job(job.job_id), data)
-        rules = Put(self._keys.job_rules(job.job_id), write_queue(queue))
+        rules = Put(self._keys.job_rules(job.job_id), write_job_rules(access.queue, access.key_id))
         withdrawn = self._keys.withdrawn_job(job.job_id)
         return Transaction(
             compares=[Compare(order.key, 0), Compare(withdrawn, 0)], puts=[order, rules, notice]
         )
 
-    def _conclude_submission(
+    async def _conclude_submission(
         self, job: Job, access: Access, result: TransactionResult
     ) -> Refusal | None:
         """Return what the outcome of that write means for the caller; None if the job is stored."""
         earlier = result.values.get(self._keys.submitted_job(job.job_id))
-        if result.succeeded or (earlier and self._may_access(job.job_id, access, earlier)):
-            self._log_submitted(job, result.succeeded)
-            return None
-        if earlier:
-            return _refuse(Reason.JOB_ID_TAKEN)
-        if self._keys.withdrawn_job(job.job_id) in result.values:
+        if earlier is not None and not result.succeeded:
+            try:
+                is_repeat = await self._may_access(job.job_id, access, earlier)
+            except StoreError as error:
+                log.warning("job not confirmed", extra={"job": job.job_id, "why": str(error)})
+                return Refusal(Reason.ACCEPTANCE_UNKNOWN, Verdict.MAY_HAVE_RUN)
+            if not is_repeat:
+                return _refuse(Reason.JOB_ID_TAKEN)
+        elif not result.succeeded and self._keys.withdrawn_job(job.job_id) in result.values:
             log.info("job refused", extra={"job": job.job_id, "why": "withdrawn"})
             return _refuse(Reason.JOB_WITHDRAWN)
-        self._log_submitted(job, False)
+        self._log_submitted(job, result.succeeded)
         return None
 
-    def _may_access(self, job_id: str, access: Access, submitted: KeyValue) -> bool:
-        """Return whether a call may access the job in this document; log it if not."""
+    async def _may_access(self, job_id: str, access: Access, submitted: KeyValue) -> bool:
+        """Return whether a call may access the job in this document; log it if not.
+
+        Raises:
+            StoreError: It depends on the job's key, which could not be read.
+        """
+        policy = self._policies.policy
         try:
             origin = read_origin(submitted.value)
+            if policy is not None and depends_on_key(access, origin, policy):
+                rules = await self._store.get(self._keys.job_rules(job_id))
+                origin = replace(origin, key_id=read_key_id(rules.value) if rules else "")
         except ValueError as error:
             log.error("job document unreadable", extra={"job": job_id, "reason": str(error)})
             return False
@@ -273,7 +291,7 @@
             summary = read_summary(record.value) if record else RecordSummary(JobState.QUEUED, None)
             if summary.origin is None or not self._is_granted(access, summary.origin):
                 submitted = await self._store.get(self._keys.submitted_job(job_id))
-                if submitted is None or not self._may_access(job_id, access, submitted):
+                if submitted is None or not await self._may_access(job_id, access, submitted):
                     return _refuse(Reason.NO_SUCH_JOB)
         except (StoreError, ValueError) as error:
             log.warning("job state not read", extra={"job": job_id, "why": str(error)})
@@ -295,7 +313,7 @@
                 try:
                     order = await self._store.get(self._keys.submitted_job(job_id))
                     if order is not None:
-                        if not self._may_access(job_id, access, order):
+                        if not await self._may_access(job_id, access, order):
                             return _refuse(Reason.NO_SUCH_JOB)
                         if await self._store_cancellation(job_id, order):
                             log.info("cancellation accepted", extra={"job": job_id})
--- a/vanillawell/platform/callers.py
+++ b/vanillawell/platform/callers.py
@@ -91,7 +91,7 @@
     ) -> Refusal | dict[str, object]:
         try:
             body = await read_body(receive, self._job_service.body_bound())
-            job = read_job_body(body, job_id, access.origin, time.time())
+            job = read_job_body(body, job_id, access.queue.name, access.organisation, time.time())
         except BodyTooLargeError:
             return _refusal(Reason.TOO_LARGE)
         except UnreadableDocumentError as error:
--- a/vanillawell/platform/documents.py
+++ b/vanillawell/platform/documents.py
@@ -16,7 +16,6 @@
 from vanillawell.coordination.ports import PlatformKeys
 from vanillawell.platform.addresses import parse_address
 from vanillawell.state.executors import ExecutorFacts
-from vanillawell.state.job_access import JobOrigin
 from vanillawell.state.upkeep import Wave
 from vanillawell.state.work import Job, Resources, Step
 from vanillawell.state.work_policy import (
@@ -331,7 +330,9 @@
     return orjson.dumps({"wave": number, "state": "completed" if completed else "running"})
 
 
-def read_job_body(data: bytes, job_id: str, origin: JobOrigin, accepted_at: float) -> Job:
+def read_job_body(
+    data: bytes, job_id: str, queue: str, organisation: str, accepted_at: float
+) -> Job:
     """Decode a job that a caller submits."""
     body = _load(_JobBody, data)
     for position, step in enumerate(body.steps):
@@ -339,13 +340,12 @@
             raise UnreadableDocumentError(f"step {position} waits for itself or a later step")
     return Job(
         job_id=job_id,
-        queue=origin.queue,
-        organisation=origin.organisation,
+        queue=queue,
+        organisation=organisation,
         payload=body.spec,
         steps=tuple(step.decode() for step in body.steps),
         accepted_at=accepted_at,
         times=body.times,
         first_due=body.startTimeMs / 1000,
         interval=body.intervalMs / 1000,
-        key_id=origin.key_id,
     )
--- a/vanillawell/protocol/queue_documents.py
+++ b/vanillawell/protocol/queue_documents.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from dataclasses import asdict
 from typing import TYPE_CHECKING, Any
 
 import orjson
@@ -18,9 +19,22 @@
     from collections.abc import Mapping
 
 
-def write_queue(queue: Queue) -> bytes:
-    """Serialise the rules of one queue."""
-    return orjson.dumps(queue)
+def write_job_rules(queue: Queue, key_id: str) -> bytes:
+    """Serialise what a job was accepted with: the rules of its queue, and the id of its caller's
+    key."""
+    return orjson.dumps({**asdict(queue), "key_id": key_id})
+
+
+def read_key_id(data: bytes) -> str:
+    """Parse the id of the key that a job was submitted with, empty if it isn't known.
+
+    Raises:
+        ValueError: The data is malformed.
+    """
+    try:
+        return text(mapping(orjson.loads(data)).get("key_id", ""))
+    except TypeError as error:
+        raise ValueError(f"malformed rules of a job: {error!r}") from error
 
 
 def read_queue(data: bytes) -> Queue:
--- a/vanillawell/protocol/work_documents.py
+++ b/vanillawell/protocol/work_documents.py
@@ -65,8 +65,7 @@
     """Parse only the origin of a submitted job; raises ValueError if the data is malformed."""
     try:
         document = mapping(orjson.loads(data))
-        queue, organisation = text(document["queue"]), text(document["organisation"])
-        return JobOrigin(queue, organisation, text(document.get("key_id", "")))
+        return JobOrigin(text(document["queue"]), text(document["organisation"]))
     except (TypeError, KeyError) as error:
         raise ValueError(f"malformed job: {error!r}") from error
 
@@ -112,7 +111,6 @@
     "times": whole,
     "first_due": number,
     "interval": number,
-    "key_id": text,
 }
 
 
--- a/vanillawell/state/job_access.py
+++ b/vanillawell/state/job_access.py
@@ -21,7 +21,7 @@
     """Empty if it was submitted without a key."""
 
     key_id: str = ""
-    """First digits of the key's digest; empty if there was none or it is not known."""
+    """First digits of the key's digest; empty if there was none, or it was not looked up."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -35,10 +35,11 @@
     key_id: str = ""
     """First digits of the digest of the caller's key; empty without one."""
 
-    @property
-    def origin(self) -> JobOrigin:
-        """Return the origin of a job that is submitted by this call."""
-        return JobOrigin(self.queue.name, self.organisation, self.key_id)
+
+def depends_on_key(access: Access, origin: JobOrigin, policy: WorkPolicy) -> bool:
+    """Return whether `may_access` has to know the key that a job was submitted with."""
+    is_known = not origin.organisation or origin.organisation in policy.organisations
+    return bool(access.key_id) and not is_known
 
 
 def may_access(access: Access, origin: JobOrigin, policy: WorkPolicy) -> bool:
--- a/vanillawell/state/work.py
+++ b/vanillawell/state/work.py
@@ -9,8 +9,6 @@
 from enum import StrEnum
 from typing import NamedTuple
 
-from vanillawell.state.job_access import JobOrigin
-
 MILLICORES_PER_CORE = 1000
 """Thousandths of a core (the unit of `Resources.cpu`) in one core."""
 
@@ -128,18 +126,10 @@
     interval: float = 0.0
     """Seconds between two occurrences."""
 
-    key_id: str = ""
-    """First digits of the digest of the key that it was submitted with; empty without one."""
-
     def due(self, occurrence: int) -> float:
         """Return the time at which an occurrence is due, in seconds since the epoch."""
         return self.first_due + occurrence * self.interval if self.times else self.accepted_at
 
-    @property
-    def origin(self) -> JobOrigin:
-        """Return what the job was submitted with."""
-        return JobOrigin(self.queue, self.organisation, self.key_id)
-
     @property
     def occurrences(self) -> int:
         """Return the number of times that the steps run."""
--- a/vanillawell/tests/odd_documents_tests.py
+++ b/vanillawell/tests/odd_documents_tests.py
@@ -22,7 +22,7 @@
 from vanillawell.protocol.queue_documents import (
     read_pending,
     read_queue,
-    write_queue,
+    write_job_rules,
     write_queues,
 )
 from vanillawell.protocol.record_parts import count_parts, join
@@ -240,7 +240,7 @@
     "job": (write_job(STORED_JOB), _use_job),
     "record": (STORED_RECORD, _use_record),
     "lease bounds": (STORED_BOUNDS.to_bytes(), _use_bounds),
-    "rules of a queue": (write_queue(policy().queues[QUEUE]), _use_queue),
+    "rules of a queue": (write_job_rules(policy().queues[QUEUE], ""), _use_queue),
     "term": (TermDocument(3, "entry", 4).to_bytes(), _use_term),
     "contender": (Contender("entry", 0.5).to_bytes(), _use_contender),
     "wave": (b'{"wave":1,"machines":["a","b"],"durationS":10,"maximum":1}', _use_wave),
--- a/vanillawell/tests/queue_documents_tests.py
+++ b/vanillawell/tests/queue_documents_tests.py
@@ -8,7 +8,7 @@
 from vanillawell.protocol.queue_documents import (
     read_queue,
     read_queues,
-    write_queue,
+    write_job_rules,
     write_queues,
 )
 from vanillawell.protocol.work_documents import write_job
@@ -38,7 +38,7 @@
 @pytest.mark.parametrize("queue", [QUEUE_WITHOUT_ADVICE, QUEUE_WITH_ADVICE])
 def test_rules_of_a_job_are_unchanged_by_writing_and_reading(queue: Queue) -> None:
     """An owner that has never known the queue applies the rules that the job was accepted with."""
-    assert read_queue(write_queue(queue)) == queue
+    assert read_queue(write_job_rules(queue, "0123")) == queue
 
 
 @pytest.mark.parametrize("data", [b"", b"[]", b"1", b'{"name": "plain"}'])
--- a/vanillawell/tests/queue_rules_reader_tests.py
+++ b/vanillawell/tests/queue_rules_reader_tests.py
@@ -9,7 +9,7 @@
 
 from vanillawell.coordination.queue_rules_reader import QueueRulesReader
 from vanillawell.exceptions import StoreUnavailableError
-from vanillawell.protocol.queue_documents import write_queue
+from vanillawell.protocol.queue_documents import write_job_rules
 from vanillawell.protocol.store import KeyValue
 from vanillawell.protocol.work_keys import WorkKeys
 from vanillawell.state.work_policy import Queue
@@ -59,7 +59,7 @@
     harness = ShardHarness(queues={})
     jobs = [job(accepted_at=float(number)) for number in range(100)]
     harness.admit(*jobs)
-    store = FakeStore({KEYS.job_rules(item.job_id): write_queue(RULES) for item in jobs})
+    store = FakeStore({KEYS.job_rules(item.job_id): write_job_rules(RULES, "") for item in jobs})
     read_all(harness, store)
     assert store.read == [KEYS.job_rules(jobs[-1].job_id)]
     assert harness.shard.queues.attempts(QUEUE) == RULES.attempts
@@ -72,7 +72,7 @@
     first, damaged, last = (job(accepted_at=float(number)) for number in range(3))
     harness.admit(first, damaged, last)
     values = {
-        KEYS.job_rules(first.job_id): write_queue(RULES),
+        KEYS.job_rules(first.job_id): write_job_rules(RULES, ""),
         KEYS.job_rules(damaged.job_id): b"{}",
     }
     store = FakeStore(values, failures=1)
