Room is kept free only for long-running tasks that can use it

What callers saw: a job that fits on one empty executor only never starts, while a long-running job that fits nowhere waits in its queue (LOST).

Cause: a long-running step without a place reserved the least utilised eligible executor in every pass; whether a task of it could ever fit there was not asked. The same held for a task larger than what the long-running tasks of that executor leave, and room that frees in minutes was closed to tasks of a second.

Weighed and dropped: no reservation at all in a pool less than half in use. The earlier test failed with it: one executor of two cores, half used, whose short tasks follow one another.

--- a/vanillawell/state/placement.py
+++ b/vanillawell/state/placement.py
@@ -183,10 +183,10 @@
         if not self._spec.long_running:
             self._home_rack = executor.facts.rack
 
-    def least_utilised(self) -> Executor | None:
-        """Return the least utilised eligible executor, to be reserved for the step."""
-        allowed = [item for item in self._candidates if not self._is_at_step_limit(item)]
-        return min(allowed, key=lambda item: (cpu_utilisation(item), item.name), default=None)
+    def eligible(self) -> list[Executor]:
+        """Return the executors that may run another task of the step, whether they have room or
+        not."""
+        return [item for item in self._candidates if not self._is_at_step_limit(item)]
 
 
 def count_fitting_tasks(spec: Step, executor: Executor) -> int:
--- a/vanillawell/state/placement_pass.py
+++ b/vanillawell/state/placement_pass.py
@@ -8,9 +8,10 @@
 from vanillawell.state.contention.rack_wait import RackQueues, places_on_rack
 from vanillawell.state.executors import Executor, by_service
 from vanillawell.state.placement import FailedPlacements, StepPlacer
+from vanillawell.state.reservations import Reservations
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping
+    from collections.abc import Collection, Mapping
 
     from vanillawell.state.durations import DurationStatistics
     from vanillawell.state.ledger import Ledger
@@ -69,8 +70,7 @@
         self._policy = policy
         self._now = now
         self._failed_placements = FailedPlacements()
-        self._reserved: set[str] = set()
-        """Executors that are kept free for long-running tasks."""
+        self._reservations = Reservations(shard.durations, now)
         self._pools: dict[str, list[Executor]] = {}
         """Executors that accept tasks, by service."""
 
@@ -107,28 +107,34 @@
                 self._set_held_by(step, "advice")
                 return
         placer = StepPlacer(step, self._pool(queue.service), tickets, self._now)
+        kept = self._reservations.kept_from(queue.name, step.spec)
         if step.spec.gang:
-            self._place_gang(step, placer, tickets)
+            self._place_gang(step, placer, tickets, kept)
             return
         for task in step.waiting:
-            if self._waits_for_rack(step, task, placer, queue):
+            if self._waits_for_rack(step, task, placer, queue, kept):
                 self._set_held_by(step, HELD_BY_RACK)
                 return
-            run = self._place_task(task, placer, tickets, task.number + 1)
+            run = self._place_task(task, placer, tickets, task.number + 1, kept)
             if run is None:
-                self._record_unplaced(step, queue, placer)
+                self._record_unplaced(step, queue, placer, kept)
                 return
             self._shard.commit_plan(run)
         step.held_by = ""
 
     def _waits_for_rack(
-        self, step: StepProgress, task: Task, placer: StepPlacer, queue: Queue
+        self,
+        step: StepProgress,
+        task: Task,
+        placer: StepPlacer,
+        queue: Queue,
+        kept: Collection[str],
     ) -> bool:
         """Return whether a task waits, since only executors on other racks have capacity."""
         spec = step.spec
         if not spec.data_rack or spec.long_running or self._shard.remote_factor <= 1.0:
             return False
-        executor = placer.choose(task, self._reserved)
+        executor = placer.choose(task, kept)
         if executor is None or executor.facts.rack == spec.data_rack:
             return False
         places = places_on_rack(step, self._pool(queue.service))
@@ -157,13 +163,17 @@
         )
 
     def _place_task(
-        self, task: Task, placer: StepPlacer, tickets: Mapping[str, str] | None, number: int
+        self,
+        task: Task,
+        placer: StepPlacer,
+        tickets: Mapping[str, str] | None,
+        number: int,
+        kept: Collection[str],
     ) -> Run | None:
-        spec = task.step.spec
+        """Plan a run of a task on an executor outside `kept`; return None if none has room."""
         if not self._is_within_limit(task):
             return None
-        reserved = () if spec.long_running else self._reserved
-        executor = placer.choose(task, reserved)
+        executor = placer.choose(task, kept)
         if executor is None:
             return None
         placer.record_placement(executor)
@@ -177,7 +187,11 @@
         return self._shard.is_within_maximum(organisation, running, task.step.spec.need)
 
     def _place_gang(
-        self, step: StepProgress, placer: StepPlacer, tickets: Mapping[str, str] | None
+        self,
+        step: StepProgress,
+        placer: StepPlacer,
+        tickets: Mapping[str, str] | None,
+        kept: Collection[str],
     ) -> None:
         """Place all tasks of a gang or none: a partial gang would occupy capacity and wait."""
         if any(task.run is not None for task in step.tasks):
@@ -185,7 +199,7 @@
         number = max(task.number for task in step.tasks) + 1
         runs: list[Run] = []
         for task in step.tasks:
-            run = self._place_task(task, placer, tickets, number)
+            run = self._place_task(task, placer, tickets, number, kept)
             if run is None:
                 for planned in runs:
                     self._shard.discard_plan(planned)
@@ -194,10 +208,12 @@
         for run in runs:
             self._shard.commit_plan(run)
 
-    def _record_unplaced(self, step: StepProgress, queue: Queue, placer: StepPlacer) -> None:
+    def _record_unplaced(
+        self, step: StepProgress, queue: Queue, placer: StepPlacer, kept: Collection[str]
+    ) -> None:
         """Record why a step could not be placed.
 
-        An executor is reserved for a long-running step. The need of any other step is recorded as
+        Room is kept for a long-running step. The need of any other step is recorded as
         failed, so that later steps skip a search that cannot succeed, but only if no placement
         constraint or reservation limited it.
         """
@@ -207,10 +223,8 @@
             return
         self._set_held_by(step, self._lack_of_capacity(queue.service))
         if spec.long_running:
-            least_utilised = placer.least_utilised()
-            if least_utilised:
-                self._reserved.add(least_utilised.name)
+            self._reservations.reserve(step, placer.eligible(), self._pool(queue.service))
             return
         constraints = spec.required_label or spec.most_per_executor or queue.advice
-        if not constraints and not self._reserved:
+        if not constraints and not kept:
             self._failed_placements.add(queue.service, spec.reserved)
