Test of kept room: the tasks that follow have an image of their own

The test's later tasks, of ten seconds, had the image of its first ones, whose runs are measured as half a second, so that they were rightly started beside them.

--- a/vanillawell/tests/reservations_tests.py
+++ b/vanillawell/tests/reservations_tests.py
@@ -86,6 +86,6 @@
     for run in first:
         harness.now += 0.25
         harness.end(run)
-        harness.admit(job(step(1, 2_000, seconds=10.0)))
+        harness.admit(job(step(1, 2_000, seconds=10.0, image="slow")))
         placed = harness.place()
     assert job_ids(placed) == [large.job_id]
