Advice is requested first for steps that may start, and organisations take turns

Cause: the request went to the waiting step without tickets that had the earliest deadline, whether it could start or not. Tickets expire unused after 2.5 s, a request takes 0.14 s: from 18 steps on, the first is due again before the last was reached. The same with steps without room, with a step that gets no answer, and with steps that no executor can ever run.

Change: state/advice_order.py. Steps that may start come first, those at their organisation's maximum last; organisations take turns; each request moves the step's deadline later by as long again, answered or not; executors that lack the label or are too small are not asked about. Equal needs are looked at once for a request.

--- a/vanillawell/coordination/advice_requester.py
+++ b/vanillawell/coordination/advice_requester.py
@@ -4,6 +4,7 @@
 
 import logging
 from dataclasses import dataclass
+from operator import itemgetter
 from typing import TYPE_CHECKING
 
 import anyio
@@ -11,12 +12,17 @@
 from vanillawell import clock
 from vanillawell.protocol.call_errors import NoAnswerError, NotSentError
 from vanillawell.protocol.machine_calls import AdviceBusyError
-from vanillawell.state.executors import by_service
-from vanillawell.state.placement import cpu_utilisation
+from vanillawell.state.advice_order import (
+    AdviceOrder,
+    AdviceOutlook,
+    StepKey,
+    key_of,
+    steps_to_move,
+)
 from vanillawell.state.upkeep import incarnation_id
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable, Sequence
+    from collections.abc import Callable, Sequence
 
     from vanillawell.protocol.machine_calls import AdviceCalls
     from vanillawell.state.executors import Executor
@@ -40,10 +46,6 @@
 order."""
 
 
-StepKey = tuple[str, int, int]
-"""Job id, occurrence and position of a step."""
-
-
 @dataclass(frozen=True, slots=True)
 class AdviceQuery:
     """An advice request for one step."""
@@ -68,6 +70,8 @@
         self._barred: dict[StepKey, set[str]] = {}
         """Incarnations of executors that may not run each step, which does not change."""
 
+        self._order = AdviceOrder()
+
     async def run(self) -> None:
         """Request tickets until cancelled."""
         while True:
@@ -82,46 +86,40 @@
         for key in [key for key, until in self._valid_until.items() if now >= until]:
             del self._valid_until[key]
             self._shard.tickets.pop(key, None)
-
-    def _rule(self, step: StepProgress) -> AdviceRule | None:
-        queue = self._shard.queue_of(step.record.job)
-        return queue.advice if queue else None
+        self._order.forget_ended(self._shard.job_table.open_steps)
 
     def _next_query(self, now: float) -> AdviceQuery | None:
-        """Return the request for the step without tickets that has the earliest deadline.
+        """Return the request for the step without tickets whose turn it is.
 
         Steps for which no executor is left to ask about that could run a task now are skipped, so
         that they do not delay others.
         """
-        steps_without_tickets = [
-            step
+        waiting = [
+            (step, queue)
             for step in self._shard.job_table.open_steps
-            if self._rule(step) and _key(step) not in self._shard.tickets
+            if (queue := self._shard.queue_of(step.record.job)) is not None
+            and queue.advice is not None
+            and key_of(step) not in self._shard.tickets
         ]
-        if not steps_without_tickets:
+        if not waiting:
             return None
-        moved = _steps_to_move(self._shard.ledger.executors.values())
-        candidates = [step for step in steps_without_tickets if step.has_waiting or step in moved]
-        usable: dict[str, list[Executor]] = {}
-        for step in sorted(candidates, key=lambda step: step.record.deadline):
-            queue = self._shard.queue_of(step.record.job)
-            assert queue is not None and queue.advice is not None
-            if queue.service not in usable:
-                usable[queue.service] = self._usable_executors(queue.service, now)
-            barred = self._barred.get(_key(step), set())
-            asked = [item for item in usable[queue.service] if incarnation_id(item) not in barred]
-            if asked:
-                return AdviceQuery(step, queue.advice, asked[:MAX_EXECUTORS_PER_CALL])
-        return None
-
-    def _usable_executors(self, service: str, now: float) -> list[Executor]:
-        """Return the executors that could run a task now, the least loaded ones first."""
-        pool = by_service(self._shard.ledger.executors.values(), service)
-        return sorted((item for item in pool if item.accepts_tasks(now)), key=cpu_utilisation)
+        moved = steps_to_move(self._shard.ledger.executors.values())
+        outlook = AdviceOutlook(self._shard, self._barred, now)
+        queries = []
+        for step, queue in waiting:
+            moves = step in moved and not step.has_waiting
+            executors = outlook.executors(step, queue.service)
+            if executors and (moves or step.has_waiting):
+                turn = self._order.turn(step, outlook.prospect(step, queue.service, moves))
+                assert queue.advice is not None
+                query = AdviceQuery(step, queue.advice, executors[:MAX_EXECUTORS_PER_CALL])
+                queries.append((turn, query))
+        return min(queries, key=itemgetter(0))[1] if queries else None
 
     async def _request_tickets(self, query: AdviceQuery) -> None:
         step, now = query.step, clock.read()
         asked = {item.name: incarnation_id(item) for item in query.executors}
+        self._order.record(step, now)
         try:
             tickets = await self._advice.request_tickets(step.tasks[0].task_id, list(asked))
         except (NotSentError, NoAnswerError, AdviceBusyError) as error:
@@ -131,8 +129,8 @@
             return
         self._record_barred(step, {life for name, life in asked.items() if name not in tickets})
         if tickets:
-            self._shard.tickets[_key(step)] = tickets
-            self._valid_until[_key(step)] = now + max(0.0, query.rule.validity - USE_MARGIN)
+            self._shard.tickets[key_of(step)] = tickets
+            self._valid_until[key_of(step)] = now + max(0.0, query.rule.validity - USE_MARGIN)
         log.info(
             "advice taken",
             extra={
@@ -149,21 +147,6 @@
         """Record which executors may not run a step, and forget those of steps that have ended."""
         if not barred:
             return
-        open_steps = {_key(item) for item in self._shard.job_table.open_steps}
+        open_steps = {key_of(item) for item in self._shard.job_table.open_steps}
         known = {key: value for key, value in self._barred.items() if key in open_steps}
-        self._barred = {**known, _key(step): known.get(_key(step), set()) | barred}
-
-
-def _key(step: StepProgress) -> StepKey:
-    return (step.record.job.job_id, step.occurrence, step.position)
-
-
-def _steps_to_move(executors: Iterable[Executor]) -> set[StepProgress]:
-    """Return the steps with long-running tasks on executors that are being drained."""
-    return {
-        run.task.step
-        for item in executors
-        if item.must_drain
-        for run in item.runs.values()
-        if run.task.step.spec.long_running
-    }
+        self._barred = {**known, key_of(step): known.get(key_of(step), set()) | barred}
--- a/vanillawell/tests/advice_requester_tests.py
+++ b/vanillawell/tests/advice_requester_tests.py
@@ -8,8 +8,10 @@
 
 from vanillawell import clock
 from vanillawell.coordination.advice_requester import MAX_EXECUTORS_PER_CALL, AdviceRequester
+from vanillawell.protocol.call_errors import NoAnswerError
 from vanillawell.state.upkeep import SHORT_TASK_TIMEOUT
-from vanillawell.state.work_policy import AdviceRule, Queue, Service
+from vanillawell.state.work import Resources
+from vanillawell.state.work_policy import AdviceRule, OrganisationLimits, Queue, Service
 from vanillawell.tests.scheduler_cluster import ADVICE_PREFIX, Cluster, until, with_cluster
 from vanillawell.tests.scheduler_cluster import job as body_of_job
 from vanillawell.tests.scheduler_cluster import step as step_in_body
@@ -42,14 +44,25 @@
         return dict.fromkeys(executors, "ticket")
 
 
-def _make_harness(*names: str) -> ShardHarness:
+PLAIN_QUEUE = "plain"
+"""Queue that requires no advice."""
+
+NORTH_AT_MAXIMUM = {
+    "north": OrganisationLimits("north", 1, Resources(cpu=1_000)),
+    "south": OrganisationLimits("south", 1, Resources()),
+}
+"""Organisations of which one may run no more than one small task."""
+
+
+def _make_harness(*names: str, **changes: Any) -> ShardHarness:
     """Return a shard on the running clock whose queue requires advice."""
     queues = {
+        PLAIN_QUEUE: Queue(PLAIN_QUEUE, "h", "/p/", POOL, 0, 3, 1.6, 0.6, False),
         QUEUE: Queue(QUEUE, "h", "/q/", POOL, 0, 3, 1.6, 0.6, False, RULE),
         "other": Queue("other", "h", "/o/", "elsewhere", 0, 3, 1.6, 0.6, False, RULE),
     }
     services = {name: Service(name, False, False) for name in (POOL, "elsewhere")}
-    harness = ShardHarness(queues=queues, services=services)
+    harness = ShardHarness(queues=queues, services=services, **changes)
     harness.now = clock.read()
     for name in names:
         harness.register(facts(name))
@@ -73,14 +86,28 @@
     return advice.requests
 
 
-def _run_for_a_moment(requester: AdviceRequester) -> None:
+def _run_for_a_moment(requester: AdviceRequester, seconds: float = 0.1) -> None:
     async def work() -> None:
-        with anyio.move_on_after(0.1):
+        with anyio.move_on_after(seconds):
             await requester.run()
 
     anyio.run(work)
 
 
+class SilentAdvice(RecordingAdvice):
+    """Answer no request about one job, and record the requests."""
+
+    def __init__(self, job_id: str) -> None:
+        super().__init__()
+        self._job_id = job_id
+
+    async def request_tickets(self, task: TaskId, executors: Sequence[str]) -> dict[str, str]:
+        tickets = await super().request_tickets(task, executors)
+        if task.job_id == self._job_id:
+            raise NoAnswerError("silent")
+        return tickets
+
+
 class StrictAdvice(RecordingAdvice):
     """Allow one executor, and record the requests."""
 
@@ -105,6 +132,62 @@
     assert [run.executor for run in harness.place()] == [names[-1]]
 
 
+def _first_requests(harness: ShardHarness, *jobs: Job, count: int) -> list[str]:
+    """Return the jobs of the first requests for jobs that were handed in one after the other."""
+    for item in jobs:
+        harness.admit(item)
+        harness.now += 0.01
+    return [job_id for job_id, _ in _collect_requests(harness)[:count]]
+
+
+# Guards against a job that never starts: advice expires unused, and is requested anew, for more
+# jobs of another organisation than the service can answer for in that time.
+def test_step_that_may_start_comes_before_steps_at_their_organisation_s_maximum() -> None:
+    harness = _make_harness("i-0", organisations=NORTH_AT_MAXIMUM)
+    blocked = [job(step(cpu=2_000)) for _ in range(4)]
+    other = job(organisation="south")
+    first, *rest = _first_requests(harness, *blocked, other, count=5)
+    assert first == other.job_id
+    assert sorted(rest) == sorted(item.job_id for item in blocked)
+
+
+# Guards against the same behind jobs of its own organisation that find no room.
+def test_step_that_may_start_comes_before_steps_without_room() -> None:
+    harness = _make_harness("i-0")
+    harness.admit(job(step(cpu=5_000, seconds=60.0), queue=PLAIN_QUEUE))
+    harness.place()
+    large = [job(step(cpu=5_000)), job(step(4, cpu=1_000, gang=True))]
+    small = job()
+    assert _first_requests(harness, *large, small, count=1) == [small.job_id]
+
+
+# Guards against the same behind many jobs that may start, but for a reason that isn't known here.
+def test_organisations_take_turns() -> None:
+    harness = _make_harness("i-0")
+    many, other = [job() for _ in range(8)], job(organisation="south")
+    assert other.job_id in _first_requests(harness, *many, other, count=2)
+
+
+# Guards against one step, about which the service doesn't answer, that keeps all others waiting.
+def test_step_without_an_answer_lets_others_go_first() -> None:
+    harness = _make_harness("i-0")
+    silent, other = job(), job()
+    harness.admit(silent, other)
+    advice = SilentAdvice(silent.job_id)
+    _run_for_a_moment(AdviceRequester(harness.shard, advice, lambda: None), 0.3)
+    assert [job_id for job_id, _ in advice.requests[:2]] == [silent.job_id, other.job_id]
+
+
+# Guards against calls without end for steps that no executor can ever run.
+def test_no_advice_is_requested_about_executors_that_are_too_small_or_lack_the_label() -> None:
+    harness = _make_harness("i-0")
+    harness.register(facts("i-1", cpu=16_000, labels=frozenset({"special"})))
+    labelled, large = job(step(required_label="special")), job(step(cpu=9_000))
+    harness.admit(job(step(cpu=99_000)), job(step(required_label="none")), labelled, large)
+    requests = dict(_collect_requests(harness))
+    assert requests == {labelled.job_id: ["i-1"], large.job_id: ["i-1"]}
+
+
 # Guards against calls without end about executors that are barred, since that does not change.
 def test_barred_executor_is_asked_about_once_in_each_life() -> None:
     harness = _make_harness("i-0")
