All members of a gang resume from one checkpoint

What callers saw: a gang whose rack was lost starts again with a different checkpoint for each member (UNASKED).

Cause: the checkpoint in a report was kept for its member alone, only that of an end was shared. Reports come at different moments; once all executors are lost, no end follows. Starts read the value as they leave, and a record stores one for each member.

Change: a new value of any member is that of all; a gang takes one value as it is placed; a run keeps the checkpoint that it was planned with.

Six cases of four new tests failed before, with the values that members reported, an end between two starts, and stored rows that differ.

--- a/vanillawell/coordination/run_orders.py
+++ b/vanillawell/coordination/run_orders.py
@@ -168,7 +168,7 @@
             run.number,
             task.step.record.job.payload,
             extension.end,
-            task.checkpoint,
+            run.checkpoint,
             run.ticket,
         )
         run.enter_phase(RunPhase.ORDERED, now)
--- a/vanillawell/state/job_table.py
+++ b/vanillawell/state/job_table.py
@@ -99,7 +99,7 @@
         record = task.step.record
         self.changed[record.job.job_id] = record
         if checkpoint:
-            self._set_checkpoint(task, checkpoint)
+            task.save_checkpoint(checkpoint)
         if record.state.final or task.done:
             return
         if ending is Ending.DONE and not task.step.spec.long_running:
@@ -107,12 +107,6 @@
         elif ending is Ending.FAILED:
             self._record_failure(task, wall)
 
-    @staticmethod
-    def _set_checkpoint(task: Task, checkpoint: str) -> None:
-        members = task.step.tasks if task.step.spec.gang else [task]
-        for member in members:
-            member.checkpoint = checkpoint
-
     def _complete_task(self, task: Task, wall: float) -> None:
         step = task.step
         members = step.tasks if step.spec.gang else [task]
--- a/vanillawell/state/placement_pass.py
+++ b/vanillawell/state/placement_pass.py
@@ -196,6 +196,7 @@
         """Place all tasks of a gang or none: a partial gang would occupy capacity and wait."""
         if any(task.run is not None for task in step.tasks):
             return
+        _share_checkpoint(step)
         number = max(task.number for task in step.tasks) + 1
         runs: list[Run] = []
         for task in step.tasks:
@@ -228,3 +229,11 @@
         constraints = spec.required_label or spec.most_per_executor or queue.advice
         if not constraints and not kept:
             self._failed_placements.add(queue.service, spec.reserved)
+
+
+def _share_checkpoint(step: StepProgress) -> None:
+    """Let all members of a gang resume from one checkpoint; a record that an earlier version stored
+    may hold different ones."""
+    checkpoint = next((task.checkpoint for task in step.tasks if task.checkpoint), "")
+    for task in step.tasks:
+        task.checkpoint = checkpoint
--- a/vanillawell/state/progress.py
+++ b/vanillawell/state/progress.py
@@ -84,6 +84,10 @@
     started_cold: bool = False
     """Whether its executor was slow after its own start, so that its run time teaches nothing."""
 
+    checkpoint: str = ""
+    """Checkpoint that it resumes from, as decided when it was planned; empty for none. It stays
+    the same in each order: the members of a gang must all carry the same one."""
+
     ticket: str = ""
     """Ticket that allows the run's step to use this executor, where the queue requires one."""
 
@@ -120,6 +124,13 @@
     failed_on: str = ""
     """Executor of the most recent failed run."""
 
+    def save_checkpoint(self, checkpoint: str) -> None:
+        """Record a new checkpoint; that of any member of a gang is valid for all of them."""
+        if checkpoint == self.checkpoint:
+            return
+        for member in self.step.tasks if self.step.spec.gang else (self,):
+            member.checkpoint = checkpoint
+
     @property
     def open_runs(self) -> list[Run]:
         """Return the runs that are not confirmed to have ended."""
--- a/vanillawell/state/reported_runs.py
+++ b/vanillawell/state/reported_runs.py
@@ -24,7 +24,7 @@
     if run.progressed_at is None or row.percent > run.percent:
         run.percent, run.progressed_at = row.percent, now
     if row.checkpoint:
-        run.task.checkpoint = row.checkpoint
+        run.task.save_checkpoint(row.checkpoint)
     if run.task.step.spec.tail_target:
         run.tail = row.measure / 1000
 
--- a/vanillawell/state/shard.py
+++ b/vanillawell/state/shard.py
@@ -392,6 +392,7 @@
         task.number = number
         incarnation = executor.facts.incarnation
         run = Run(task, number, executor.name, incarnation, RunPhase.PLANNED, now, ticket=ticket)
+        run.checkpoint = task.checkpoint
         run.started_cold = executor.is_cold(now)
         self.ledger.charge(executor, run)
         return run
