Idle connections expire whether their address is called again or not

What callers saw: while executors are replaced, the owner answers nobody after some 35 s, keeps the shard and reaches no later executor (LOST).

Cause: HttpClient closed idle connections only as a later call to the same address found them too old. Executors that have left are never called again, so that their connections stayed open until no descriptor was left.

--- a/vanillawell/platform/http.py
+++ b/vanillawell/platform/http.py
@@ -8,7 +8,6 @@
 
 import logging
 import re
-from collections import defaultdict
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 
@@ -19,11 +18,12 @@
 
 from vanillawell import clock
 from vanillawell.platform.addresses import parse_address
+from vanillawell.platform.idle_connections import IdleConnections
 from vanillawell.protocol.call_errors import NoAnswerError, NotSentError
 from vanillawell.transport.sockets import apply_tcp_options
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping
+    from collections.abc import Iterable, Mapping
 
     from anyio.abc import SocketStream
 
@@ -32,9 +32,6 @@
 CONNECT_TIMEOUT = 1.0
 """Seconds to wait for a connection; TCP retransmits a lost SYN only after that."""
 
-IDLE_TIMEOUT = 12.0
-"""Seconds after which an idle connection is not reused; the other ends close theirs after 15."""
-
 STALL_TIMEOUT = 1.0
 """Seconds without new data after which a partly received answer is abandoned."""
 
@@ -122,10 +119,10 @@
 
 
 class HttpClient:
-    """HTTP client with a pool of idle connections for each address of the platform."""
+    """HTTP client that keeps idle connections to the addresses of the platform."""
 
     def __init__(self) -> None:
-        self._idle: defaultdict[str, list[_Connection]] = defaultdict(list)
+        self._idle: IdleConnections[_Connection] = IdleConnections()
         self.connections_opened = 0
         """Connections opened so far."""
 
@@ -168,12 +165,10 @@
         return answer
 
     async def _acquire(self, address: str, now: float, timeout: float, fresh: bool) -> _Connection:
-        idle = self._idle[address]
-        while idle and not fresh:
-            connection = idle.pop()
-            if now - connection.idle_since < IDLE_TIMEOUT:
-                return connection
-            await connection.close()
+        await _close_all(self._idle.remove_expired(now))
+        connection = None if fresh else self._idle.take(address)
+        if connection is not None:
+            return connection
         return _Connection(await self._connect(address, timeout), now)
 
     async def _connect(self, address: str, timeout: float) -> SocketStream:
@@ -201,8 +196,7 @@
         if not connection.reusable:
             await connection.close()
             return
-        connection.idle_since = clock.read()
-        self._idle[address].append(connection)
+        self._idle.add(address, connection, clock.read())
 
     async def _close_opened_before(self, address: str, moment: float) -> None:
         """Close idle connections that were opened before a call that timed out.
@@ -210,17 +204,18 @@
         When a middlebox on the path loses its connection table, all open connections get no
         answers while new ones work. Trying them one by one would cost a timeout each.
         """
-        idle = self._idle[address]
-        old = [connection for connection in idle if connection.opened_at < moment]
-        self._idle[address] = [connection for connection in idle if connection not in old]
-        for connection in old:
-            await connection.close()
+        await _close_all(self._idle.remove_opened_before(address, moment))
 
     async def close(self) -> None:
         """Close all idle connections."""
-        for connections in self._idle.values():
-            while connections:
-                await connections.pop().close()
+        await _close_all(self._idle.remove_all())
+
+
+async def _close_all(connections: Iterable[_Connection]) -> None:
+    """Close connections, all of them even if the call that does is cancelled meanwhile."""
+    with anyio.CancelScope(shield=True):
+        for connection in connections:
+            await connection.close()
 
 
 def _render_request(
