Each pool gets its minimum of machines before one gets its floor

What callers would see: one job of 4,096 long-running tasks, each on an executor of its own, raises the floor of its pool to 4,096 machines. While machines are scarce, floors are raised by the same part of each distance, so that all other pools got none and their queues stood still. Not seen on real processes.

Change: divide_machines raises all pools to MIN_POOL_SIZE first. The constant moves there, which also takes one half of the circle of the two modules away.

Evidence: the new test failed before (0 machines for three pools), passes now. Where the sum of all floors is within the supply, nothing changes.

--- a/vanillawell/state/contention/machine_division.py
+++ b/vanillawell/state/contention/machine_division.py
@@ -18,10 +18,14 @@
     from vanillawell.state.pool_sizing import PoolDemand
 
 
+MIN_POOL_SIZE = 2
+"""Minimum number of machines of a pool, so that the loss of one does not stop its queues."""
+
+
 def divide_machines(pools: Sequence[PoolDemand], supply: int) -> dict[str, int]:
     """Return the number of machines that each pool should have, by service.
 
-    Each pool gets its floor. What is left goes to required work, to each pool the same part of
+    Each pool gets the minimum of machines, then its floor. What is left goes to required work, to each pool the same part of
     what it lacks, and only then to optional work: surplus, and jobs that have lost their value.
 
     Args:
@@ -31,7 +35,9 @@
     floors = {pool.service: min(pool.floor, pool.wanted) for pool in pools}
     required = {pool.service: min(pool.required, pool.wanted) for pool in pools}
     wanted = {pool.service: pool.wanted for pool in pools}
-    shares = _raise(dict.fromkeys(wanted, 0), floors, supply)
+    least = {pool.service: min(MIN_POOL_SIZE, pool.wanted) for pool in pools}
+    shares = _raise(dict.fromkeys(wanted, 0), least, supply)
+    shares = _raise(shares, floors, supply)
     shares = _raise(shares, required, supply)
     return _raise(shares, wanted, supply)
 
--- a/vanillawell/state/pool_sizing.py
+++ b/vanillawell/state/pool_sizing.py
@@ -13,7 +13,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
-from vanillawell.state.contention.machine_division import divide_machines
+from vanillawell.state.contention.machine_division import MIN_POOL_SIZE, divide_machines
 from vanillawell.state.ranking import is_optional
 from vanillawell.state.work import MILLICORES_PER_CORE
 
@@ -38,9 +38,6 @@
 """Seconds within which waiting work is to be done in addition to new arrivals. Capacity for all of
 it at once would bring machines that are idle again when they arrive."""
 
-MIN_POOL_SIZE = 2
-"""Minimum number of machines of a pool, so that the loss of one does not stop its queues."""
-
 
 @dataclass(slots=True)
 class PoolDemand:
--- a/vanillawell/tests/machine_division_tests.py
+++ b/vanillawell/tests/machine_division_tests.py
@@ -6,9 +6,12 @@
 from hypothesis import strategies as st
 
 from vanillawell.coordination.machine_division import MachineDivision
-from vanillawell.state.contention.machine_division import choose_vacated, divide_machines
-from vanillawell.state.pool_sizing import (
+from vanillawell.state.contention.machine_division import (
     MIN_POOL_SIZE,
+    choose_vacated,
+    divide_machines,
+)
+from vanillawell.state.pool_sizing import (
     MovePlan,
     PoolDemand,
     PoolSizer,
@@ -126,3 +129,14 @@
     assert sum(item.vacating for item in executors.values()) == 1
     division.suspend(executors)
     assert not any(item.vacating for item in executors.values())
+
+
+# Guards against pools that lose all their machines to one job with thousands of long-running tasks,
+# each on a machine of its own.
+def test_pool_that_needs_all_machines_leaves_others_their_minimum() -> None:
+    large = pool("large", 4, 4_096)
+    large.floor = 4_096
+    others = [pool(f"small-{number}", 4, 5) for number in range(3)]
+    shares = divide_machines([large, *others], 30)
+    assert all(shares[item.service] >= MIN_POOL_SIZE for item in others)
+    assert sum(shares.values()) == 30
