Work at its organisation's maximum holds no machine and no place in a queue for a rack

What callers would see: machines are taken from other pools and stay idle, for tasks whose organisation may have no more running; and tasks of other organisations run far from their data, behind such tasks that seem to queue for the rack.

Cause: the demand of a pool counted each waiting task, whatever held it; the wait for a rack was decided before the maximum was looked at. A gang without a place recorded no reason at all.

Change: steps held by the maximum count for no demand; the maximum is asked first; a gang records what holds it, as any other step.

Evidence: three new cases failed before and pass now (demand of a pool with and without gangs, rack). Weighed, not done: tasks that no machine can hold still count. The list of machines gives their capacity, but it is not read, and a larger machine may be on standby.

--- a/vanillawell/coordination/pool_demand.py
+++ b/vanillawell/coordination/pool_demand.py
@@ -10,7 +10,7 @@
 
 from vanillawell.protocol.machine_calls import MachineState
 from vanillawell.state.lost_executors import is_list_credible
-from vanillawell.state.placement_pass import HELD_FOR_CAPACITY
+from vanillawell.state.placement_pass import HELD_BY_MAXIMUM, HELD_FOR_CAPACITY
 from vanillawell.state.pool_sizing import (
     PoolDemand,
     demanded_cores,
@@ -147,11 +147,14 @@
         return pools
 
     def _open_steps(self) -> defaultdict[str, list[StepProgress]]:
-        """Return the steps that may run now, by pool."""
+        """Return the steps that may run now, by pool.
+
+        Those whose organisation may have no more running are left out: no machine helps them.
+        """
         steps: defaultdict[str, list[StepProgress]] = defaultdict(list)
         for step in self._shard.job_table.open_steps:
             queue = self._shard.queue_of(step.record.job)
-            if queue is not None:
+            if queue is not None and step.held_by != HELD_BY_MAXIMUM:
                 steps[queue.service].append(step)
         return steps
 
--- a/vanillawell/state/placement_pass.py
+++ b/vanillawell/state/placement_pass.py
@@ -109,7 +109,7 @@
         placer = StepPlacer(step, self._pool(queue.service), tickets, self._now)
         kept = self._reservations.kept_from(queue.name, step.spec)
         if step.spec.gang:
-            self._place_gang(step, placer, tickets, kept)
+            self._place_gang(step, queue, placer, tickets, kept)
             return
         for task in step.waiting:
             if self._waits_for_rack(step, task, placer, queue, kept):
@@ -134,6 +134,8 @@
         spec = step.spec
         if not spec.data_rack or spec.long_running or self._shard.remote_factor <= 1.0:
             return False
+        if not self._is_within_limit(task):
+            return False
         executor = placer.choose(task, kept)
         if executor is None or executor.facts.rack == spec.data_rack:
             return False
@@ -189,6 +191,7 @@
     def _place_gang(
         self,
         step: StepProgress,
+        queue: Queue,
         placer: StepPlacer,
         tickets: Mapping[str, str] | None,
         kept: Collection[str],
@@ -202,12 +205,16 @@
         for task in step.tasks:
             run = self._place_task(task, placer, tickets, number, kept)
             if run is None:
+                is_allowed = self._is_within_limit(task)
+                lack = self._lack_of_capacity(queue.service)
+                self._set_held_by(step, lack if is_allowed else HELD_BY_MAXIMUM)
                 for planned in runs:
                     self._shard.discard_plan(planned)
                 return
             runs.append(run)
         for run in runs:
             self._shard.commit_plan(run)
+        step.held_by = ""
 
     def _record_unplaced(
         self, step: StepProgress, queue: Queue, placer: StepPlacer, kept: Collection[str]
--- a/vanillawell/tests/pool_demand_tests.py
+++ b/vanillawell/tests/pool_demand_tests.py
@@ -2,14 +2,20 @@
 
 from __future__ import annotations
 
+import pytest
+
 from vanillawell.coordination.pool_demand import DemandMeter, MachineSnapshot
 from vanillawell.protocol.machine_calls import Machine, MachineState
 from vanillawell.state.executors import Executor
-from vanillawell.state.work_policy import Service
-from vanillawell.tests.scheduling_builders import ShardHarness, facts, job, policy
+from vanillawell.state.work import Resources
+from vanillawell.state.work_policy import OrganisationLimits, Service
+from vanillawell.tests.scheduling_builders import ShardHarness, facts, job, policy, step
 
 POOL = facts("any").service
 
+AFTER_ARRIVALS = 2.0
+"""Seconds after which a job no longer counts as arriving work."""
+
 
 def listing(**executors: str) -> dict[str, Machine]:
     """Return a list of machines that are up, each with its executor, or "" for none."""
@@ -93,3 +99,17 @@
     (demand,) = meter.measure(newer, "standby", empty, 1, harness.now)
     assert (demand.service, demand.machines) == (POOL, 0)
     assert demand.wanted > 0
+
+
+# Guards against machines that are taken from other pools, and stay idle, for tasks of an
+# organisation that may have no more running.
+@pytest.mark.parametrize("gang", [False, True])
+def test_tasks_at_their_organisation_s_maximum_need_no_machines(gang: bool) -> None:
+    limits = {"north": OrganisationLimits("north", 1, Resources(cpu=2_000))}
+    harness = ShardHarness(facts("i-1"), organisations=limits)
+    harness.admit(job(step(2)), *(job(step(40, gang=gang, seconds=60.0)) for _ in range(5)))
+    harness.place()
+    meter = DemandMeter(harness.shard, harness.now)
+    seen = MachineSnapshot(harness.shard.ledger.by_machine(), {}, {}, set())
+    (demand,) = meter.measure(policy(), "standby", seen, 9, harness.now + AFTER_ARRIVALS)
+    assert demand.wanted_cores == 2.0
--- a/vanillawell/tests/rack_wait_tests.py
+++ b/vanillawell/tests/rack_wait_tests.py
@@ -7,6 +7,8 @@
 
 from vanillawell.state.contention.rack_wait import MAX_RACK_WAIT, RackQueues
 from vanillawell.state.progress import JobRecord
+from vanillawell.state.work import Resources
+from vanillawell.state.work_policy import OrganisationLimits
 from vanillawell.tests.scheduling_builders import ShardHarness, facts, job, step
 
 FACTOR = 3.0
@@ -75,3 +77,21 @@
         waiting = JobRecord(job(step(count, data_rack="r1")), 0.0).open(0)[0]
         queues.waits(waiting, places, seconds, 100.0)
         assert not RackQueues(FACTOR).waits(waiting, places, seconds, 100.0 + MAX_RACK_WAIT)
+
+
+# Guards against jobs that run far from their data, behind tasks of an organisation at its maximum
+# that seem to queue for the rack.
+def test_tasks_at_their_organisation_s_maximum_do_not_queue_for_a_rack() -> None:
+    limits = {
+        "north": OrganisationLimits("north", 9, Resources(cpu=1_000)),
+        "south": OrganisationLimits("south", 1, Resources()),
+    }
+    harness = ShardHarness(
+        facts("e1", cpu=4_000), facts("e2", cpu=4_000, rack="r2"), organisations=limits
+    )
+    harness.shard.remote_factor = FACTOR
+    near = step(4, seconds=0.5, data_rack="r1")
+    harness.admit(job(step(1, seconds=0.5)), job(near, organisation="south"))
+    harness.place()
+    harness.admit(*(job(near) for _ in range(4)), job(near, organisation="south"))
+    assert harness.place() == []
