--- a/vanillawell/state/contention/machine_division.py
+++ b/vanillawell/state/contention/machine_division.py
@@ -25,8 +25,9 @@
 def divide_machines(pools: Sequence[PoolDemand], supply: int) -> dict[str, int]:
     """Return the number of machines that each pool should have, by service.
 
-    Each pool gets the minimum of machines, then its floor. What is left goes to required work, to each pool the same part of
-    what it lacks, and only then to optional work: surplus, and jobs that have lost their value.
+    Each pool gets the minimum of machines, then its floor. What is left goes to required work, to
+    each pool the same part of what it lacks, and only then to optional work: surplus, and jobs that
+    have lost their value.
 
     Args:
         pools: Demand of the pools.
