A step's placer knows what room is kept from it, and its tickets

Cause: the executors that are kept free and the tickets were handed through four methods of PlacementPass beside the placer, which uses both. Change: StepPlacer takes and uses them; no decision changes.

--- a/vanillawell/state/placement.py
+++ b/vanillawell/state/placement.py
@@ -44,10 +44,21 @@
         candidates: Sequence[Executor],
         tickets: Mapping[str, str] | None,
         now: float,
+        kept_free: Collection[str] = (),
     ) -> None:
+        """Initialise the placer.
+
+        Args:
+            step: The step.
+            candidates: Executors of its pool that accept tasks.
+            tickets: Tickets by the executors that may run the step; None if it needs none.
+            now: Present time.
+            kept_free: Executors whose room is kept for others.
+        """
         spec = step.spec
         self._spec = spec
         self._tickets = tickets
+        self._kept_free = kept_free
         self._now = now
         self._waiting = len(step.waiting)
         self._candidates = [item for item in candidates if self._may_run(item)]
@@ -105,12 +116,21 @@
             return min(sufficient, key=lambda zone: (capacity[zone], zone))
         return max(capacity, key=lambda zone: (capacity[zone], zone))
 
-    def choose(self, task: Task, excluded: Collection[str] = ()) -> Executor | None:
-        """Return the executor for a task; None if no executor outside `excluded` has capacity."""
+    @property
+    def is_restricted(self) -> bool:
+        """Return whether room of the pool is kept from the step."""
+        return bool(self._kept_free)
+
+    def ticket(self, executor: Executor) -> str:
+        """Return the ticket for an executor; empty if the step needs none."""
+        return self._tickets[executor.name] if self._tickets else ""
+
+    def choose(self, task: Task) -> Executor | None:
+        """Return the executor for a task; None if none has capacity that is not kept free."""
         packed = self._packed
-        if packed is not None and not task.failed_on and self._has_capacity(packed, excluded):
+        if packed is not None and not task.failed_on and self._has_capacity(packed):
             return packed
-        best = self._search(task, excluded)
+        best = self._search(task)
         if self._is_packing and not task.failed_on:
             self._packed = best
         return best
@@ -120,15 +140,15 @@
         """Return whether each placed task lowers the cost of its executor for the next one."""
         return not self._spec.long_running and not self._spec.fills
 
-    def _has_capacity(self, executor: Executor, excluded: Collection[str]) -> bool:
+    def _has_capacity(self, executor: Executor) -> bool:
         return (
-            executor.name not in excluded
+            executor.name not in self._kept_free
             and self._spec.reserved.fits(executor.free)
             and not self._is_at_step_limit(executor)
         )
 
-    def _search(self, task: Task, excluded: Collection[str]) -> Executor | None:
-        fitting = [item for item in self._candidates if self._has_capacity(item, excluded)]
+    def _search(self, task: Task) -> Executor | None:
+        fitting = [item for item in self._candidates if self._has_capacity(item)]
         if not fitting:
             return None
         if self._home_zone is None:
--- a/vanillawell/state/placement_pass.py
+++ b/vanillawell/state/placement_pass.py
@@ -11,7 +11,7 @@
 from vanillawell.state.reservations import Reservations
 
 if TYPE_CHECKING:
-    from collections.abc import Collection, Mapping
+    from collections.abc import Mapping
 
     from vanillawell.state.durations import DurationStatistics
     from vanillawell.state.ledger import Ledger
@@ -106,29 +106,24 @@
             if tickets is None:
                 self._set_held_by(step, "advice")
                 return
-        placer = StepPlacer(step, self._pool(queue.service), tickets, self._now)
-        kept = self._reservations.kept_from(queue.name, step.spec)
+        kept_free = self._reservations.kept_from(queue.name, step.spec)
+        placer = StepPlacer(step, self._pool(queue.service), tickets, self._now, kept_free)
         if step.spec.gang:
-            self._place_gang(step, queue, placer, tickets, kept)
+            self._place_gang(step, queue, placer)
             return
         for task in step.waiting:
-            if self._waits_for_rack(step, task, placer, queue, kept):
+            if self._waits_for_rack(step, task, placer, queue):
                 self._set_held_by(step, HELD_BY_RACK)
                 return
-            run = self._place_task(task, placer, tickets, task.number + 1, kept)
+            run = self._place_task(task, placer, task.number + 1)
             if run is None:
-                self._record_unplaced(step, queue, placer, kept)
+                self._record_unplaced(step, queue, placer)
                 return
             self._shard.commit_plan(run)
         step.held_by = ""
 
     def _waits_for_rack(
-        self,
-        step: StepProgress,
-        task: Task,
-        placer: StepPlacer,
-        queue: Queue,
-        kept: Collection[str],
+        self, step: StepProgress, task: Task, placer: StepPlacer, queue: Queue
     ) -> bool:
         """Return whether a task waits, since only executors on other racks have capacity."""
         spec = step.spec
@@ -136,7 +131,7 @@
             return False
         if not self._is_within_limit(task):
             return False
-        executor = placer.choose(task, kept)
+        executor = placer.choose(task)
         if executor is None or executor.facts.rack == spec.data_rack:
             return False
         places = places_on_rack(step, self._pool(queue.service))
@@ -164,23 +159,16 @@
             },
         )
 
-    def _place_task(
-        self,
-        task: Task,
-        placer: StepPlacer,
-        tickets: Mapping[str, str] | None,
-        number: int,
-        kept: Collection[str],
-    ) -> Run | None:
-        """Plan a run of a task on an executor outside `kept`; return None if none has room."""
+    def _place_task(self, task: Task, placer: StepPlacer, number: int) -> Run | None:
+        """Plan a run of a task; return None if its organisation may have no more running, or if no
+        executor has room for it."""
         if not self._is_within_limit(task):
             return None
-        executor = placer.choose(task, kept)
+        executor = placer.choose(task)
         if executor is None:
             return None
         placer.record_placement(executor)
-        ticket = tickets[executor.name] if tickets else ""
-        return self._shard.plan(task, executor, number, ticket, self._now)
+        return self._shard.plan(task, executor, number, placer.ticket(executor), self._now)
 
     def _is_within_limit(self, task: Task) -> bool:
         """Return whether starting the task keeps its organisation within its maximum."""
@@ -188,14 +176,7 @@
         running = self._shard.ledger.usage(organisation)
         return self._shard.is_within_maximum(organisation, running, task.step.spec.need)
 
-    def _place_gang(
-        self,
-        step: StepProgress,
-        queue: Queue,
-        placer: StepPlacer,
-        tickets: Mapping[str, str] | None,
-        kept: Collection[str],
-    ) -> None:
+    def _place_gang(self, step: StepProgress, queue: Queue, placer: StepPlacer) -> None:
         """Place all tasks of a gang or none: a partial gang would occupy capacity and wait."""
         if any(task.run is not None for task in step.tasks):
             return
@@ -203,7 +184,7 @@
         number = max(task.number for task in step.tasks) + 1
         runs: list[Run] = []
         for task in step.tasks:
-            run = self._place_task(task, placer, tickets, number, kept)
+            run = self._place_task(task, placer, number)
             if run is None:
                 is_allowed = self._is_within_limit(task)
                 lack = self._lack_of_capacity(queue.service)
@@ -216,9 +197,7 @@
             self._shard.commit_plan(run)
         step.held_by = ""
 
-    def _record_unplaced(
-        self, step: StepProgress, queue: Queue, placer: StepPlacer, kept: Collection[str]
-    ) -> None:
+    def _record_unplaced(self, step: StepProgress, queue: Queue, placer: StepPlacer) -> None:
         """Record why a step could not be placed.
 
         Room is kept for a long-running step. The need of any other step is recorded as
@@ -234,7 +213,7 @@
             self._reservations.reserve(step, placer.eligible(), self._pool(queue.service))
             return
         constraints = spec.required_label or spec.most_per_executor or queue.advice
-        if not constraints and not kept:
+        if not constraints and not placer.is_restricted:
             self._failed_placements.add(queue.service, spec.reserved)
 
 
