--- a/vanillawell/tests/platform_process.py
+++ b/vanillawell/tests/platform_process.py
@@ -22,16 +22,21 @@
         return f"127.0.0.1:{probe.getsockname()[1]}"
 
 
-def write_settings(folder: Path, **bounds: float) -> Path:
-    """Write the settings of an entry that reaches no store; return the path of the file."""
+def write_settings(
+    folder: Path,
+    store: str = UNREACHABLE_ADDRESS,
+    machines: str = UNREACHABLE_ADDRESS,
+    **bounds: float,
+) -> Path:
+    """Write the settings of an entry; return the path of the file."""
     document = {
         "instance": "entry-0",
         "zone": "a",
         "caller": _free_address(),
         "ready": _free_address(),
         "metrics": _free_address(),
-        "store": UNREACHABLE_ADDRESS,
-        "machines": UNREACHABLE_ADDRESS,
+        "store": store,
+        "machines": machines,
         "shortest_lease_ms": 1000,
         "bounds": {
             "lease_most_ms": 6000,
