Tests: the cluster, the hosts of its executors and the platform's documents are three modules

Change: scheduler_documents.py builds configurations and bodies of jobs, executor_hosts.py has the hosts of stand-in executors and how they crash; the cluster keeps schedulers and callers. Nothing else changes: moved as it was.

--- a/vanillawell/tests/advice_requester_tests.py
+++ b/vanillawell/tests/advice_requester_tests.py
@@ -12,9 +12,10 @@
 from vanillawell.state.upkeep import SHORT_TASK_TIMEOUT
 from vanillawell.state.work import Resources
 from vanillawell.state.work_policy import AdviceRule, OrganisationLimits, Queue, Service
-from vanillawell.tests.scheduler_cluster import ADVICE_PREFIX, Cluster, until, with_cluster
-from vanillawell.tests.scheduler_cluster import job as body_of_job
-from vanillawell.tests.scheduler_cluster import step as step_in_body
+from vanillawell.tests.scheduler_cluster import Cluster, until, with_cluster
+from vanillawell.tests.scheduler_documents import ADVICE_PREFIX
+from vanillawell.tests.scheduler_documents import job as body_of_job
+from vanillawell.tests.scheduler_documents import step as step_in_body
 from vanillawell.tests.scheduling_builders import POOL, QUEUE, ShardHarness, facts, job, step
 
 if TYPE_CHECKING:
--- a/vanillawell/tests/busy_owner_tests.py
+++ b/vanillawell/tests/busy_owner_tests.py
@@ -14,7 +14,8 @@
 from vanillawell import clock
 from vanillawell.state.placement import Cost, StepPlacer
 from vanillawell.state.progress import JobRecord
-from vanillawell.tests.scheduler_cluster import PREFIX, job, step, until_state, with_cluster
+from vanillawell.tests.scheduler_cluster import until_state, with_cluster
+from vanillawell.tests.scheduler_documents import PREFIX, job, step
 from vanillawell.tests.scheduling_builders import ShardHarness, facts
 from vanillawell.tests.scheduling_builders import job as plain_job
 from vanillawell.tests.scheduling_builders import step as plain_step
--- a/vanillawell/tests/caller_keys_tests.py
+++ b/vanillawell/tests/caller_keys_tests.py
@@ -11,7 +11,8 @@
 from vanillawell.protocol.call_errors import NoAnswerError, NotSentError
 from vanillawell.tests.job_access_tests import OPEN_PREFIX, SOUTH_KEY, configure, tenants
 from vanillawell.tests.platform_process import PlatformProcess, write_settings
-from vanillawell.tests.scheduler_cluster import API_KEY, HOST, PREFIX, Cluster, cluster, job
+from vanillawell.tests.scheduler_cluster import Cluster, cluster
+from vanillawell.tests.scheduler_documents import API_KEY, HOST, PREFIX, job
 
 if TYPE_CHECKING:
     from pathlib import Path
--- a/vanillawell/tests/delayed_starts_tests.py
+++ b/vanillawell/tests/delayed_starts_tests.py
@@ -17,16 +17,8 @@
 from vanillawell.state.progress import Run
 from vanillawell.state.work import Resources
 from vanillawell.state.work_policy import OrganisationLimits
-from vanillawell.tests.scheduler_cluster import (
-    PREFIX,
-    Cluster,
-    Member,
-    job,
-    step,
-    until,
-    until_state,
-    with_cluster,
-)
+from vanillawell.tests.scheduler_cluster import Cluster, Member, until, until_state, with_cluster
+from vanillawell.tests.scheduler_documents import PREFIX, job, step
 from vanillawell.tests.scheduling_builders import ShardHarness, facts, policy
 from vanillawell.tests.scheduling_builders import job as plain_job
 from vanillawell.tests.scheduling_builders import step as plain_step
--- a/vanillawell/tests/departed_executors_tests.py
+++ b/vanillawell/tests/departed_executors_tests.py
@@ -7,13 +7,14 @@
 
 import anyio
 
-from vanillawell.tests.scheduler_cluster import PREFIX, Cluster, job, step, until, with_cluster
+from vanillawell.tests.scheduler_cluster import Cluster, until, with_cluster
+from vanillawell.tests.scheduler_documents import PREFIX, job, step
 from vanillawell.tests.table_sizes import table_sizes
 
 if TYPE_CHECKING:
     from collections import Counter
 
-    from vanillawell.tests.scheduler_cluster import Host
+    from vanillawell.tests.executor_hosts import Host
 
 FEW, MANY = 4, 24
 """Executors that are replaced, one after the other."""
--- a/vanillawell/tests/draining_tests.py
+++ b/vanillawell/tests/draining_tests.py
@@ -8,15 +8,8 @@
 
 import anyio
 
-from vanillawell.tests.scheduler_cluster import (
-    PREFIX,
-    Cluster,
-    job,
-    step,
-    until,
-    until_state,
-    with_cluster,
-)
+from vanillawell.tests.scheduler_cluster import Cluster, until, until_state, with_cluster
+from vanillawell.tests.scheduler_documents import PREFIX, job, step
 
 SHUTDOWN_NOTICE = 3.0
 """Seconds of a normal notice: the time for which executors continue, with a margin."""
--- a/vanillawell/tests/dropped_queue_tests.py
+++ b/vanillawell/tests/dropped_queue_tests.py
@@ -6,17 +6,8 @@
 from typing import Any
 
 from vanillawell import clock
-from vanillawell.tests.scheduler_cluster import (
-    ADVICE_PREFIX,
-    PREFIX,
-    Cluster,
-    Member,
-    config,
-    job,
-    step,
-    until,
-    with_cluster,
-)
+from vanillawell.tests.scheduler_cluster import Cluster, Member, until, with_cluster
+from vanillawell.tests.scheduler_documents import ADVICE_PREFIX, PREFIX, config, job, step
 
 TASKS_PER_EXECUTOR = 8
 """Number of tasks that fill the cluster's only executor."""
--- a/vanillawell/tests/entry_readiness_tests.py
+++ b/vanillawell/tests/entry_readiness_tests.py
@@ -12,7 +12,8 @@
     STORE_GRACE,
     EntryReadiness,
 )
-from vanillawell.tests.scheduler_cluster import PREFIX, Cluster, job, until, with_cluster
+from vanillawell.tests.scheduler_cluster import Cluster, until, with_cluster
+from vanillawell.tests.scheduler_documents import PREFIX, job
 
 NOW = 100.0
 
--- a/vanillawell/tests/evacuation_tests.py
+++ b/vanillawell/tests/evacuation_tests.py
@@ -13,15 +13,8 @@
 import pytest
 
 from vanillawell.state.progress import RunPhase
-from vanillawell.tests.scheduler_cluster import (
-    PREFIX,
-    Cluster,
-    job,
-    step,
-    until,
-    until_state,
-    with_cluster,
-)
+from vanillawell.tests.scheduler_cluster import Cluster, until, until_state, with_cluster
+from vanillawell.tests.scheduler_documents import PREFIX, job, step
 
 IN_FORCE_BOUND = 0.3
 """Seconds from the store's acknowledgement of an evacuation until no more task starts there."""
--- a/vanillawell/tests/executor_crash_tests.py
+++ b/vanillawell/tests/executor_crash_tests.py
@@ -4,16 +4,9 @@
 
 import anyio
 
-from vanillawell.tests.scheduler_cluster import (
-    PREFIX,
-    Cluster,
-    Connections,
-    Crash,
-    job,
-    step,
-    until_state,
-    with_cluster,
-)
+from vanillawell.tests.executor_hosts import Connections, Crash
+from vanillawell.tests.scheduler_cluster import Cluster, until_state, with_cluster
+from vanillawell.tests.scheduler_documents import PREFIX, job, step
 
 BUSY_TIME = 0.8
 """Seconds of work before the crash."""
--- a/vanillawell/tests/executor_lives_play.py
+++ b/vanillawell/tests/executor_lives_play.py
@@ -7,17 +7,9 @@
 
 import anyio
 
-from vanillawell.tests.scheduler_cluster import (
-    PREFIX,
-    Cluster,
-    Connections,
-    Crash,
-    cluster,
-    job,
-    step,
-    until,
-    until_state,
-)
+from vanillawell.tests.executor_hosts import Connections, Crash
+from vanillawell.tests.scheduler_cluster import Cluster, cluster, until, until_state
+from vanillawell.tests.scheduler_documents import PREFIX, job, step
 
 LOAD_SECONDS = 3.0
 """Seconds for which jobs are submitted."""
--- a/vanillawell/tests/executor_restart_tests.py
+++ b/vanillawell/tests/executor_restart_tests.py
@@ -9,14 +9,8 @@
 import anyio
 
 from vanillawell.coordination.leases import TASK_LEASE
-from vanillawell.tests.scheduler_cluster import (
-    PREFIX,
-    Cluster,
-    job,
-    until,
-    until_state,
-    with_cluster,
-)
+from vanillawell.tests.scheduler_cluster import Cluster, until, until_state, with_cluster
+from vanillawell.tests.scheduler_documents import PREFIX, job
 
 PREVIOUS_UPTIME = 3.0
 """Minimum seconds for which the previous incarnation's clock has run."""
--- a/vanillawell/tests/handover_outcome_tests.py
+++ b/vanillawell/tests/handover_outcome_tests.py
@@ -14,15 +14,8 @@
 from vanillawell.protocol.store import Put
 from vanillawell.protocol.work_keys import WorkKeys
 from vanillawell.tests.lease_manager_tests import Owner, bounds, unreached
-from vanillawell.tests.scheduler_cluster import (
-    PREFIX,
-    Cluster,
-    job,
-    step,
-    until,
-    until_state,
-    with_cluster,
-)
+from vanillawell.tests.scheduler_cluster import Cluster, until, until_state, with_cluster
+from vanillawell.tests.scheduler_documents import PREFIX, job, step
 from vanillawell.tests.scheduling_builders import ShardHarness, facts
 from vanillawell.tests.store_setup import StoreSetup, take, with_store
 
--- a/vanillawell/tests/idle_connections_tests.py
+++ b/vanillawell/tests/idle_connections_tests.py
@@ -10,7 +10,7 @@
 
 from vanillawell.platform.http import HttpClient
 from vanillawell.platform.idle_connections import IDLE_TIMEOUT, IdleConnections
-from vanillawell.tests.scheduler_cluster import listen
+from vanillawell.tests.executor_hosts import listen
 
 ADDRESSES = 20
 """Addresses that are called once each."""
--- a/vanillawell/tests/job_access_tests.py
+++ b/vanillawell/tests/job_access_tests.py
@@ -5,17 +5,8 @@
 from typing import Any
 
 from vanillawell.protocol.work_keys import WorkKeys
-from vanillawell.tests.scheduler_cluster import (
-    API_KEY,
-    PREFIX,
-    Cluster,
-    Member,
-    config,
-    job,
-    until,
-    until_state,
-    with_cluster,
-)
+from vanillawell.tests.scheduler_cluster import Cluster, Member, until, until_state, with_cluster
+from vanillawell.tests.scheduler_documents import API_KEY, PREFIX, config, job
 
 KEYS = WorkKeys()
 
--- a/vanillawell/tests/large_jobs_tests.py
+++ b/vanillawell/tests/large_jobs_tests.py
@@ -13,16 +13,10 @@
 from vanillawell.state.contention.write_order import PostponedChanges
 from vanillawell.state.job_size import MAX_OPEN_TASKS, exceeded_bound, max_open_occurrences
 from vanillawell.state.progress import JobRecord
-from vanillawell.tests.scheduler_cluster import (
-    PREFIX,
-    Cluster,
-    cluster,
-    config,
-    until_state,
-    with_cluster,
-)
-from vanillawell.tests.scheduler_cluster import job as body_of_job
-from vanillawell.tests.scheduler_cluster import step as step_of_body
+from vanillawell.tests.scheduler_cluster import Cluster, cluster, until_state, with_cluster
+from vanillawell.tests.scheduler_documents import PREFIX, config
+from vanillawell.tests.scheduler_documents import job as body_of_job
+from vanillawell.tests.scheduler_documents import step as step_of_body
 from vanillawell.tests.scheduling_builders import ShardHarness, facts, job, step
 
 KEYS = WorkKeys()
--- a/vanillawell/tests/machine_list_tests.py
+++ b/vanillawell/tests/machine_list_tests.py
@@ -11,7 +11,7 @@
 from vanillawell.platform.machines import PlatformMachines
 from vanillawell.protocol.call_errors import NoAnswerError
 from vanillawell.protocol.machine_calls import Machine, MachineState
-from vanillawell.tests.scheduler_cluster import listen
+from vanillawell.tests.executor_hosts import listen
 from vanillawell.transport.asgi import read_body, send_json
 
 VALID_MACHINE = {"machine": "m-1", "pool": "p", "state": "up", "id": "i-1", "zone": "a"}
--- a/vanillawell/tests/many_ends_tests.py
+++ b/vanillawell/tests/many_ends_tests.py
@@ -17,15 +17,10 @@
 from vanillawell.state.end_proofs import EndProof
 from vanillawell.state.progress import Run, RunPhase
 from vanillawell.state.work import Ending
-from vanillawell.tests.scheduler_cluster import (
-    PREFIX,
-    Cluster,
-    until,
-    until_state,
-    with_cluster,
-)
-from vanillawell.tests.scheduler_cluster import job as body_of_job
-from vanillawell.tests.scheduler_cluster import step as step_in_body
+from vanillawell.tests.scheduler_cluster import Cluster, until, until_state, with_cluster
+from vanillawell.tests.scheduler_documents import PREFIX
+from vanillawell.tests.scheduler_documents import job as body_of_job
+from vanillawell.tests.scheduler_documents import step as step_in_body
 from vanillawell.tests.scheduling_builders import ShardHarness, facts, job, step
 
 if TYPE_CHECKING:
--- a/vanillawell/tests/moves_in_flight_tests.py
+++ b/vanillawell/tests/moves_in_flight_tests.py
@@ -10,7 +10,8 @@
 from vanillawell.node import SHARD
 from vanillawell.protocol.work_keys import WorkKeys
 from vanillawell.standins.scheduler.machines import StandInMachine
-from vanillawell.tests.scheduler_cluster import PREFIX, Cluster, job, step, until, with_cluster
+from vanillawell.tests.scheduler_cluster import Cluster, until, with_cluster
+from vanillawell.tests.scheduler_documents import PREFIX, job, step
 from vanillawell.tests.scheduling_builders import ShardHarness, facts
 from vanillawell.tests.scheduling_builders import job as plain_job
 from vanillawell.tests.standby_pools import configure_standby
--- a/vanillawell/tests/narrow_link_tests.py
+++ b/vanillawell/tests/narrow_link_tests.py
@@ -12,15 +12,8 @@
 from vanillawell.platform.http import HttpClient
 from vanillawell.protocol.call_errors import NoAnswerError
 from vanillawell.protocol.work_keys import WorkKeys
-from vanillawell.tests.scheduler_cluster import (
-    PREFIX,
-    Cluster,
-    job,
-    step,
-    until,
-    until_state,
-    with_cluster,
-)
+from vanillawell.tests.scheduler_cluster import Cluster, until, until_state, with_cluster
+from vanillawell.tests.scheduler_documents import PREFIX, job, step
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
--- a/vanillawell/tests/odd_answers_tests.py
+++ b/vanillawell/tests/odd_answers_tests.py
@@ -17,7 +17,8 @@
 from vanillawell.protocol.machine_calls import MachineDuty, UpkeepRefusedError
 from vanillawell.state.work import TaskId
 from vanillawell.tests.changed_documents import changed
-from vanillawell.tests.scheduler_cluster import PREFIX, Cluster, job, with_cluster
+from vanillawell.tests.scheduler_cluster import Cluster, with_cluster
+from vanillawell.tests.scheduler_documents import PREFIX, job
 from vanillawell.tests.scheduling_builders import ShardHarness, facts
 from vanillawell.tests.scheduling_builders import job as job_of_shard
 from vanillawell.tests.scheduling_builders import step as step_of_shard
--- a/vanillawell/tests/odd_documents_tests.py
+++ b/vanillawell/tests/odd_documents_tests.py
@@ -37,8 +37,9 @@
 from vanillawell.state.ledger import InheritedLeaseBound
 from vanillawell.state.work import Ending
 from vanillawell.tests.changed_documents import changed
-from vanillawell.tests.scheduler_cluster import PREFIX, Cluster, Member, cluster, until_state
-from vanillawell.tests.scheduler_cluster import job as body_of_job
+from vanillawell.tests.scheduler_cluster import Cluster, Member, cluster, until_state
+from vanillawell.tests.scheduler_documents import PREFIX
+from vanillawell.tests.scheduler_documents import job as body_of_job
 from vanillawell.tests.scheduling_builders import (
     QUEUE,
     FixedClocks,
--- a/vanillawell/tests/odd_entries_tests.py
+++ b/vanillawell/tests/odd_entries_tests.py
@@ -19,7 +19,8 @@
 from vanillawell.protocol.executor_calls import Target
 from vanillawell.state.work import Resources
 from vanillawell.tests.registration_documents import registration
-from vanillawell.tests.scheduler_cluster import POOL, PREFIX, Cluster, cluster, job, until_state
+from vanillawell.tests.scheduler_cluster import Cluster, cluster, until_state
+from vanillawell.tests.scheduler_documents import POOL, PREFIX, job
 from vanillawell.tests.scheduling_builders import ShardHarness
 
 entry = functools.partial(registration, service=POOL, machine="machine-of-stray")
--- a/vanillawell/tests/open_orders_tests.py
+++ b/vanillawell/tests/open_orders_tests.py
@@ -8,15 +8,9 @@
 from vanillawell.state.end_proofs import EndProof
 from vanillawell.state.progress import Run, RunPhase
 from vanillawell.tests.delayed_starts_tests import fall_silent, return_under_its_id
-from vanillawell.tests.scheduler_cluster import (
-    PREFIX,
-    Cluster,
-    until_state,
-    with_cluster,
-)
-from vanillawell.tests.scheduler_cluster import (
-    job as job_body,
-)
+from vanillawell.tests.scheduler_cluster import Cluster, until_state, with_cluster
+from vanillawell.tests.scheduler_documents import PREFIX
+from vanillawell.tests.scheduler_documents import job as job_body
 from vanillawell.tests.scheduling_builders import ShardHarness, facts, job, step
 
 LEASE = 5.0
--- a/vanillawell/tests/owner_memory_tests.py
+++ b/vanillawell/tests/owner_memory_tests.py
@@ -13,9 +13,10 @@
 from vanillawell.state.ledger import InheritedLeaseBound
 from vanillawell.state.shard import Shard
 from vanillawell.state.work import Ending, JobState
-from vanillawell.tests.scheduler_cluster import PREFIX, Cluster, until, with_cluster
-from vanillawell.tests.scheduler_cluster import job as body_of_job
-from vanillawell.tests.scheduler_cluster import step as step_in_body
+from vanillawell.tests.scheduler_cluster import Cluster, until, with_cluster
+from vanillawell.tests.scheduler_documents import PREFIX
+from vanillawell.tests.scheduler_documents import job as body_of_job
+from vanillawell.tests.scheduler_documents import step as step_in_body
 from vanillawell.tests.scheduling_builders import ShardHarness, facts, job, step
 from vanillawell.tests.successive_owners_tests import (
     LONGEST_ABSENCE,
--- a/vanillawell/tests/pool_rebalancer_tests.py
+++ b/vanillawell/tests/pool_rebalancer_tests.py
@@ -7,16 +7,8 @@
 from vanillawell.node import SHARD
 from vanillawell.protocol.work_keys import WorkKeys
 from vanillawell.standins.scheduler.machines import StandInMachine
-from vanillawell.tests.scheduler_cluster import (
-    POOL,
-    PREFIX,
-    Cluster,
-    job,
-    step,
-    until,
-    until_state,
-    with_cluster,
-)
+from vanillawell.tests.scheduler_cluster import Cluster, until, until_state, with_cluster
+from vanillawell.tests.scheduler_documents import POOL, PREFIX, job, step
 from vanillawell.tests.standby_pools import STANDBY, configure_standby, simulate_moves
 from vanillawell.tests.successive_owners_tests import LONGEST_ABSENCE, stop_and_replace
 
--- a/vanillawell/tests/refused_holds_tests.py
+++ b/vanillawell/tests/refused_holds_tests.py
@@ -3,14 +3,8 @@
 from __future__ import annotations
 
 from vanillawell.coordination.leases import TASK_LEASE
-from vanillawell.tests.scheduler_cluster import (
-    PREFIX,
-    Cluster,
-    job,
-    step,
-    until,
-    with_cluster,
-)
+from vanillawell.tests.scheduler_cluster import Cluster, until, with_cluster
+from vanillawell.tests.scheduler_documents import PREFIX, job, step
 
 DETECTION_TIME = 1.5
 """Seconds after the end of a lease within which it is detected and the task has started
--- a/vanillawell/tests/registry_tests.py
+++ b/vanillawell/tests/registry_tests.py
@@ -15,8 +15,9 @@
 from vanillawell.state.progress import RunPhase
 from vanillawell.state.registrations import MAX_REMEMBERED, IgnoredBecause, Registrations
 from vanillawell.tests.registration_documents import registration
-from vanillawell.tests.scheduler_cluster import Cluster, config, until, with_cluster
-from vanillawell.tests.scheduler_cluster import job as body_of_job
+from vanillawell.tests.scheduler_cluster import Cluster, until, with_cluster
+from vanillawell.tests.scheduler_documents import config
+from vanillawell.tests.scheduler_documents import job as body_of_job
 from vanillawell.tests.scheduling_builders import POOL, QUEUE, ShardHarness, facts, job, step
 
 if TYPE_CHECKING:
--- a/vanillawell/tests/renewed_lease_tests.py
+++ b/vanillawell/tests/renewed_lease_tests.py
@@ -18,7 +18,8 @@
 from vanillawell.platform.http import HttpClient
 from vanillawell.platform.store import STORE_CALL_TIMEOUT, PlatformStore
 from vanillawell.standins.scheduler.store import StandInStore
-from vanillawell.tests.scheduler_cluster import listen, until
+from vanillawell.tests.executor_hosts import listen
+from vanillawell.tests.scheduler_cluster import until
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
--- a/vanillawell/tests/replaced_executors_tests.py
+++ b/vanillawell/tests/replaced_executors_tests.py
@@ -10,9 +10,10 @@
 from vanillawell.state.ledger import InheritedLeaseBound
 from vanillawell.state.progress import RunPhase
 from vanillawell.tests.registration_documents import registration
-from vanillawell.tests.scheduler_cluster import POOL, PREFIX, Cluster, until, with_cluster
-from vanillawell.tests.scheduler_cluster import job as body_of_job
-from vanillawell.tests.scheduler_cluster import step as step_in_body
+from vanillawell.tests.scheduler_cluster import Cluster, until, with_cluster
+from vanillawell.tests.scheduler_documents import POOL, PREFIX
+from vanillawell.tests.scheduler_documents import job as body_of_job
+from vanillawell.tests.scheduler_documents import step as step_in_body
 from vanillawell.tests.scheduling_builders import ShardHarness, facts, job, step
 
 LATER = 2
--- a/vanillawell/tests/scheduler_failure_tests.py
+++ b/vanillawell/tests/scheduler_failure_tests.py
@@ -10,15 +10,8 @@
 
 from vanillawell.coordination.holder_watch import WATCH_TIMEOUT
 from vanillawell.protocol.work_keys import WorkKeys
-from vanillawell.tests.scheduler_cluster import (
-    PREFIX,
-    Cluster,
-    job,
-    step,
-    until,
-    until_state,
-    with_cluster,
-)
+from vanillawell.tests.scheduler_cluster import Cluster, until, until_state, with_cluster
+from vanillawell.tests.scheduler_documents import PREFIX, job, step
 
 
 def running(built: Cluster) -> int:
--- a/vanillawell/tests/scheduler_path_tests.py
+++ b/vanillawell/tests/scheduler_path_tests.py
@@ -5,18 +5,8 @@
 import anyio
 import orjson
 
-from vanillawell.tests.scheduler_cluster import (
-    ADVICE_PREFIX,
-    API_KEY,
-    PREFIX,
-    Cluster,
-    config,
-    job,
-    step,
-    until,
-    until_state,
-    with_cluster,
-)
+from vanillawell.tests.scheduler_cluster import Cluster, until, until_state, with_cluster
+from vanillawell.tests.scheduler_documents import ADVICE_PREFIX, API_KEY, PREFIX, config, job, step
 
 
 @with_cluster(members=2)
--- a/vanillawell/tests/shard_drops_tests.py
+++ b/vanillawell/tests/shard_drops_tests.py
@@ -4,15 +4,8 @@
 
 from unittest.mock import patch
 
-from vanillawell.tests.scheduler_cluster import (
-    PREFIX,
-    Cluster,
-    Member,
-    job,
-    until,
-    until_state,
-    with_cluster,
-)
+from vanillawell.tests.scheduler_cluster import Cluster, Member, until, until_state, with_cluster
+from vanillawell.tests.scheduler_documents import PREFIX, job
 
 TAKE_OVER_TIME = 6.0
 """Seconds within which the shard has an owner again."""
--- a/vanillawell/tests/standby_pools.py
+++ b/vanillawell/tests/standby_pools.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from vanillawell.tests.scheduler_cluster import POOL, config
+from vanillawell.tests.scheduler_documents import POOL, config
 
 if TYPE_CHECKING:
     from vanillawell.standins.scheduler.machines import StandInMachine
--- a/vanillawell/tests/standin_store_tests.py
+++ b/vanillawell/tests/standin_store_tests.py
@@ -9,7 +9,8 @@
 from vanillawell.platform.http import HttpClient
 from vanillawell.platform.store import PlatformStore
 from vanillawell.standins.scheduler.store import StandInStore
-from vanillawell.tests.scheduler_cluster import listen, until
+from vanillawell.tests.executor_hosts import listen
+from vanillawell.tests.scheduler_cluster import until
 
 PREFIX = "watched/"
 WATCHED_KEY = f"{PREFIX}one"
--- a/vanillawell/tests/stopping_owner_tests.py
+++ b/vanillawell/tests/stopping_owner_tests.py
@@ -14,17 +14,9 @@
 from vanillawell.protocol.lease_bounds import LeaseBounds
 from vanillawell.protocol.store import Put
 from vanillawell.standins.scheduler.store import StandInStore
-from vanillawell.tests.scheduler_cluster import (
-    PREFIX,
-    Cluster,
-    Member,
-    job,
-    listen,
-    step,
-    until,
-    until_state,
-    with_cluster,
-)
+from vanillawell.tests.executor_hosts import listen
+from vanillawell.tests.scheduler_cluster import Cluster, Member, until, until_state, with_cluster
+from vanillawell.tests.scheduler_documents import PREFIX, job, step
 from vanillawell.tests.store_setup import StoreSetup, take, with_store
 
 if TYPE_CHECKING:
--- a/vanillawell/tests/store_health_tests.py
+++ b/vanillawell/tests/store_health_tests.py
@@ -11,8 +11,9 @@
 
 from vanillawell import clock
 from vanillawell.coordination.store_health import StoreHealth
-from vanillawell.tests.scheduler_cluster import PREFIX as JOBS
-from vanillawell.tests.scheduler_cluster import Cluster, job, until, with_cluster
+from vanillawell.tests.scheduler_cluster import Cluster, until, with_cluster
+from vanillawell.tests.scheduler_documents import PREFIX as JOBS
+from vanillawell.tests.scheduler_documents import job
 
 REFUSAL_TIME = 0.7
 """Seconds within which a caller is told that the store does not answer."""
--- a/vanillawell/tests/store_setup.py
+++ b/vanillawell/tests/store_setup.py
@@ -14,7 +14,7 @@
 from vanillawell.platform.store import PlatformStore
 from vanillawell.protocol.work_keys import WorkKeys
 from vanillawell.standins.scheduler.store import StandInStore
-from vanillawell.tests.scheduler_cluster import listen
+from vanillawell.tests.executor_hosts import listen
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
--- a/vanillawell/tests/successive_owners_tests.py
+++ b/vanillawell/tests/successive_owners_tests.py
@@ -12,15 +12,8 @@
 
 import anyio
 
-from vanillawell.tests.scheduler_cluster import (
-    PREFIX,
-    Cluster,
-    Member,
-    job,
-    step,
-    until,
-    with_cluster,
-)
+from vanillawell.tests.scheduler_cluster import Cluster, Member, until, with_cluster
+from vanillawell.tests.scheduler_documents import PREFIX, job, step
 
 LONGEST_ABSENCE = 9.0
 """Seconds after the end of its last run within which a long-running task has to run again, as
--- a/vanillawell/tests/upkeep_runner_tests.py
+++ b/vanillawell/tests/upkeep_runner_tests.py
@@ -7,7 +7,8 @@
 import anyio
 
 from vanillawell.standins.scheduler.machines import StandInMachine
-from vanillawell.tests.scheduler_cluster import PREFIX, Cluster, job, step, until, with_cluster
+from vanillawell.tests.scheduler_cluster import Cluster, until, with_cluster
+from vanillawell.tests.scheduler_documents import PREFIX, job, step
 from vanillawell.tests.standby_pools import STANDBY, configure_standby, simulate_moves
 
 if TYPE_CHECKING:
--- a/vanillawell/tests/weak_owner_tests.py
+++ b/vanillawell/tests/weak_owner_tests.py
@@ -22,15 +22,9 @@
 from vanillawell.protocol.ownership_documents import Contender
 from vanillawell.protocol.work_keys import WorkKeys
 from vanillawell.standins.scheduler.store import StandInStore
-from vanillawell.tests.scheduler_cluster import (
-    PREFIX,
-    job,
-    listen,
-    step,
-    until,
-    until_state,
-    with_cluster,
-)
+from vanillawell.tests.executor_hosts import listen
+from vanillawell.tests.scheduler_cluster import until, until_state, with_cluster
+from vanillawell.tests.scheduler_documents import PREFIX, job, step
 from vanillawell.tests.stopping_owner_tests import (
     FinalDocumentsUnconfirmed,
     start_long_running_task,
--- a/vanillawell/tests/withdrawn_jobs_tests.py
+++ b/vanillawell/tests/withdrawn_jobs_tests.py
@@ -8,14 +8,8 @@
 
 from vanillawell.protocol.work_keys import WorkKeys
 from vanillawell.standins.scheduler.store import LATE_WRITE_DELAY
-from vanillawell.tests.scheduler_cluster import (
-    PREFIX,
-    Cluster,
-    job,
-    until,
-    until_state,
-    with_cluster,
-)
+from vanillawell.tests.scheduler_cluster import Cluster, until, until_state, with_cluster
+from vanillawell.tests.scheduler_documents import PREFIX, job
 
 KEYS = WorkKeys()
 
