Long-running tasks are placed without a comparison of all executors for each

Cause: StepPlacer compared all executors for each task of a long-running step; short ones fill one executor first. Change: state/cheapest_executors.py keeps the executors of each rack by cost, and the racks by their cheapest. A placed task raises costs only, its executor's and its rack's, so that the order is mended where it is looked at. No decision changes: a property test compares the places with those of a comparison of all, over racks, upkeep, limits per executor, fills, targets, data racks and tasks that avoid an executor.

--- a/vanillawell/state/placement.py
+++ b/vanillawell/state/placement.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from vanillawell.state.availability import has_long_running
+from vanillawell.state.cheapest_executors import CheapestExecutors
 from vanillawell.state.work import NO_RESOURCES, Resources
 
 if TYPE_CHECKING:
@@ -16,9 +17,12 @@
     from vanillawell.state.work import Step
 
 
-Cost = tuple[bool, bool, bool, bool, bool, bool, int, bool, int, float, str]
+Cost = tuple[bool | int | float | str, ...]
 """Cost of placing a task on an executor, most important criterion first; the lowest cost wins."""
 
+RACK_POSITION = 8
+"""Position in a cost of the number of the step's tasks on the executor's rack."""
+
 
 MIN_EXECUTORS_TO_SPREAD = 4
 """Executors with room in a zone from which a step that goes there leaves enough room for others."""
@@ -76,6 +80,9 @@
         self._home_rack = ""
         """Rack of the task that was placed last."""
 
+        self._cheapest: CheapestExecutors | None = None
+        """The executors by cost, for long-running tasks without an executor to avoid."""
+
         self._packed: Executor | None = None
         """Executor of the last task, reused for the next one while it has free capacity."""
 
@@ -130,6 +137,8 @@
         packed = self._packed
         if packed is not None and not task.failed_on and self._has_capacity(packed):
             return packed
+        if self._spec.long_running and not task.failed_on:
+            return self._choose_cheapest(task)
         best = self._search(task)
         if self._is_packing and not task.failed_on:
             self._packed = best
@@ -147,6 +156,16 @@
             and not self._is_at_step_limit(executor)
         )
 
+    def _choose_cheapest(self, task: Task) -> Executor | None:
+        """Return what `_search` would, without comparing all executors for each task."""
+        if self._cheapest is None:
+            self._cheapest = CheapestExecutors(
+                self._candidates,
+                lambda item: self._cost(item, task) if self._has_capacity(item) else None,
+                RACK_POSITION,
+            )
+        return self._cheapest.best()
+
     def _search(self, task: Task) -> Executor | None:
         fitting = [item for item in self._candidates if self._has_capacity(item)]
         if not fitting:
