Tasks are placed in slices of 20 ms, and the owner's computations are measured

Cause: one placement looked at all waiting tasks at once, whatever their number; meanwhile the lease was not renewed.

Change: Shard.place stops when its time is over, and the next call goes on with the steps that are left, so that steps without a place don't keep later ones from their turn. Newcomers join by their rank. Each part sees executors and room anew. ShardOwner gives it 20 ms and then serves everything else.

--- a/vanillawell/coordination/shard_owner.py
+++ b/vanillawell/coordination/shard_owner.py
@@ -54,6 +54,9 @@
 """Seconds from which a scheduling cycle is logged as slow; callers wait that long for its
 decisions."""
 
+PLACEMENT_SLICE = 0.02
+"""Seconds for which tasks are placed before everything else has its turn."""
+
 
 class ShardOwner:
     """Run a shard from its take-over until it is lost or released."""
@@ -250,8 +253,10 @@
             self._shard.close_replaced(now, time.time())
             self._shard.expire(now, time.time())
             ready = self._inbox.is_read and self._inherited_orders.are_loaded
-            if ready and self._placing:
-                self._shard.place(now, time.time())
+            if ready and self._placing and not self._place(now):
+                self.wake()
+                # With nothing to store, the cycle waits for nothing else.
+                await anyio.lowlevel.checkpoint()
             self._update_drivers(tasks)
             self._rules_reader.wake_if_needed()
             self._stops.send(clock.read())
@@ -265,6 +270,15 @@
                     await self._wake_event.wait()
             self._wake_event = anyio.Event()
 
+    def _place(self, now: float) -> bool:
+        """Place tasks for at most `PLACEMENT_SLICE`; return whether all had their turn.
+
+        Otherwise thousands of tasks that are handed in at once would keep the owner from renewing
+        its lease.
+        """
+        until = clock.read() + PLACEMENT_SLICE
+        return self._shard.place(now, time.time(), lambda: clock.read() < until)
+
     def _log_if_slow(self, began: float, decided: float) -> None:
         """Log how long a slow scheduling cycle took to decide and to store."""
         ended = clock.read()
--- a/vanillawell/standins/measure/__main__.py
+++ b/vanillawell/standins/measure/__main__.py
@@ -16,7 +16,7 @@
 
 from vanillawell.config.loader import load_model
 from vanillawell.standins.deployment import Deployment
-from vanillawell.standins.measure import operations, requests, slopes
+from vanillawell.standins.measure import operations, owner, requests, slopes
 
 
 class Measurement(StrEnum):
@@ -33,6 +33,7 @@
     LENDING = "lending"
     KEYED = "keyed"
     SLOPES = "slopes"
+    OWNER = "owner"
 
 
 def main(
@@ -58,6 +59,8 @@
             key: {**asdict(item), "points": {str(n): v for n, v in item.points.items()}}
             for key, item in fits.items()
         }
+    if name is Measurement.OWNER:
+        return owner.measure_owner()
     deployment = load_model(file, Deployment)
     if name is Measurement.PEAK:
         return requests.measure_peak(deployment, seed, fault)
--- a/vanillawell/state/placement_pass.py
+++ b/vanillawell/state/placement_pass.py
@@ -11,7 +11,7 @@
 from vanillawell.state.reservations import Reservations
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping
+    from collections.abc import Callable, Iterable, Mapping
 
     from vanillawell.state.durations import DurationStatistics
     from vanillawell.state.ledger import Ledger
@@ -63,12 +63,17 @@
 
 
 class PlacementPass:
-    """One pass over all steps that may start."""
+    """One pass over all steps that may start, made at once or in several parts."""
 
-    def __init__(self, shard: PlacementTarget, policy: WorkPolicy, now: float) -> None:
+    def __init__(
+        self, shard: PlacementTarget, policy: WorkPolicy, now: float, has_time: Callable[[], bool]
+    ) -> None:
+        """Initialise the pass; it goes on until `has_time` returns False."""
         self._shard = shard
         self._policy = policy
         self._now = now
+        self._has_time = has_time
+        self._looked_at: set[StepProgress] = set()
         self._failed_placements = FailedPlacements()
         self._reservations = Reservations(shard.durations, now)
         self._pools: dict[str, list[Executor]] = {}
@@ -78,6 +83,31 @@
         self._evacuated_pools: set[str] = set()
         """Services with executors in evacuated zones."""
 
+    def resume(self, policy: WorkPolicy, now: float, has_time: Callable[[], bool]) -> None:
+        """Go on with a pass; executors, and the room on them, may have changed meanwhile."""
+        self._policy = policy
+        self._now = now
+        self._has_time = has_time
+        self._pools = {}
+        self._evacuated_pools = set()
+        self._failed_placements = FailedPlacements()
+        self._reservations.resume(now)
+
+    def is_left(self, step: StepProgress) -> bool:
+        """Return whether the pass has yet to look at a step, or at the rest of its tasks."""
+        return step not in self._looked_at
+
+    def place(self, steps: Iterable[StepProgress]) -> bool:
+        """Place the waiting tasks of steps, in their order; return False if time ran out before
+        the last of them."""
+        for step in steps:
+            if not self._place_step(step):
+                return False
+            self._looked_at.add(step)
+            if not self._has_time():
+                return False
+        return True
+
     def _pool(self, service: str) -> list[Executor]:
         if service not in self._pools:
             pool = by_service(self._shard.ledger.executors.values(), service)
@@ -90,37 +120,41 @@
         """Return the value of `held_by` for a step that finds no capacity in a pool."""
         return HELD_BY_EVACUATION if service in self._evacuated_pools else HELD_BY_CAPACITY
 
-    def place(self, step: StepProgress) -> None:
-        """Place the waiting tasks of a step as far as there is free capacity."""
+    def _place_step(self, step: StepProgress) -> bool:
+        """Place the waiting tasks of a step as far as there is free capacity; return False if time
+        ran out before."""
         job = step.record.job
         queue = self._shard.queue_of(job)
         if queue is None:
             self._set_held_by(step, "no queue")
-            return
+            return True
         if self._failed_placements.rules_out(queue.service, step.spec.reserved):
             self._set_held_by(step, self._lack_of_capacity(queue.service))
-            return
+            return True
         tickets = None
         if queue.advice:
             tickets = self._shard.tickets.get((job.job_id, step.occurrence, step.position))
             if tickets is None:
                 self._set_held_by(step, "advice")
-                return
+                return True
         kept_free = self._reservations.kept_from(queue.name, step.spec)
         placer = StepPlacer(step, self._pool(queue.service), tickets, self._now, kept_free)
         if step.spec.gang:
             self._place_gang(step, queue, placer)
-            return
-        for task in step.waiting:
+            return True
+        for position, task in enumerate(step.waiting):
+            if position and not self._has_time():
+                return False
             if self._waits_for_rack(step, task, placer, queue):
                 self._set_held_by(step, HELD_BY_RACK)
-                return
+                return True
             run = self._place_task(task, placer, task.number + 1)
             if run is None:
                 self._record_unplaced(step, queue, placer)
-                return
+                return True
             self._shard.commit_plan(run)
         step.held_by = ""
+        return True
 
     def _waits_for_rack(
         self, step: StepProgress, task: Task, placer: StepPlacer, queue: Queue
--- a/vanillawell/state/reservations.py
+++ b/vanillawell/state/reservations.py
@@ -40,6 +40,10 @@
         self._room_at: dict[str, float] = {}
         """Time at which the room on each executor is expected to suffice, by name."""
 
+    def resume(self, now: float) -> None:
+        """Go on with a pass at a later time."""
+        self._now = now
+
     def reserve(
         self, step: StepProgress, candidates: Iterable[Executor], pool: Sequence[Executor]
     ) -> None:
--- a/vanillawell/state/shard.py
+++ b/vanillawell/state/shard.py
@@ -35,7 +35,7 @@
 from vanillawell.state.work import Ending, Job
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable, Mapping
+    from collections.abc import Callable, Iterable, Iterator, Mapping
 
     from vanillawell.protocol.executor_calls import HoldReport, ReportedEnd
     from vanillawell.state.executors import ExecutorFacts
@@ -75,6 +75,8 @@
         self.tickets: dict[tuple[str, int, int], Mapping[str, str]] = {}
         """Tickets by executor, for steps of queues that require advice."""
         self._policy: WorkPolicy | None = None
+        self._pass: PlacementPass | None = None
+        """The pass that ran out of time and is to be continued."""
 
     @property
     def policy(self) -> WorkPolicy | None:
@@ -343,20 +345,36 @@
         for member in (task.run for task in step.tasks if task.run is not None):
             self.request_stop(member)
 
-    def place(self, now: float, wall: float) -> None:
-        """Decide which waiting tasks start now, and on which executors."""
+    def place(self, now: float, wall: float, has_time: Callable[[], bool] = lambda: True) -> bool:
+        """Decide which waiting tasks start now, and on which executors.
+
+        Returns:
+            Whether all of them were looked at. If `has_time` returned False before, the next call
+            goes on with those that are left.
+        """
         if self._policy is None:
-            return
+            return True
         self.job_table.begin_due(wall)
         self._copy_from_unresponsive(now)
-        pass_ = PlacementPass(self, self._policy, now)
-        waiting = [step for step in self.job_table.open_steps if step.has_waiting]
+        if self._pass is None:
+            self._pass = PlacementPass(self, self._policy, now, has_time)
+        else:
+            self._pass.resume(self._policy, now, has_time)
+        if not self._pass.place(self._steps_to_place(self._pass, now)):
+            return False
+        self._pass = None
+        return True
+
+    def _steps_to_place(self, pass_: PlacementPass, now: float) -> Iterator[StepProgress]:
+        """Yield the waiting steps that a pass has yet to look at, in the order of their ranks."""
+        waiting = [
+            step for step in self.job_table.open_steps if pass_.is_left(step) and step.has_waiting
+        ]
         waiting.sort(key=lambda step: step.record.deadline)
         ranked = sorted(((self._rank(step, now), step) for step in waiting), key=itemgetter(0))
         for rank, group in itertools.groupby(ranked, key=itemgetter(0)):
             steps = [step for _, step in group]
-            for step in order_by_share(steps, self._weighted_usage) if rank.shared else steps:
-                pass_.place(step)
+            yield from order_by_share(steps, self._weighted_usage) if rank.shared else steps
 
     def _rank(self, step: StepProgress, now: float) -> Rank:
         queue = self.queue_of(step.record.job)
