--- a/vanillawell/state/shard.py
+++ b/vanillawell/state/shard.py
@@ -10,7 +10,6 @@
 import itertools
 import logging
 from collections import Counter
-from operator import itemgetter
 from typing import TYPE_CHECKING
 
 from vanillawell.state.arrivals import ArrivalMeter
@@ -24,22 +23,20 @@
 from vanillawell.state.ledger import EndedRun, InheritedLeaseBound, Ledger
 from vanillawell.state.outbox import EndConfirmation, OrphanedRun, Outbox
 from vanillawell.state.placement import StepPlacer
-from vanillawell.state.placement_pass import HELD_BY_MAXIMUM, PlacementPass
-from vanillawell.state.progress import JobRecord, Run, RunPhase, StepProgress, Task
+from vanillawell.state.placement_pass import HELD_BY_MAXIMUM
+from vanillawell.state.placement_rounds import PlacementRounds
+from vanillawell.state.progress import JobRecord, Run, RunPhase, Task
 from vanillawell.state.queue_rules import QueueRules
-from vanillawell.state.ranking import rank_of
 from vanillawell.state.registrations import Registrations
 from vanillawell.state.shard_log import log_end, log_job_ended, log_task_copied
-from vanillawell.state.shares import order_by_share
 from vanillawell.state.stalls import stalled_runs
 from vanillawell.state.work import Ending, Job
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable, Iterator, Mapping
+    from collections.abc import Callable, Iterable, Mapping
 
     from vanillawell.protocol.executor_calls import HoldReport, ReportedEnd
     from vanillawell.state.executors import ExecutorFacts
-    from vanillawell.state.ranking import Rank
     from vanillawell.state.work import Resources
     from vanillawell.state.work_policy import Queue, WorkPolicy
 
@@ -75,8 +72,7 @@
         self.tickets: dict[tuple[str, int, int], Mapping[str, str]] = {}
         """Tickets by executor, for steps of queues that require advice."""
         self._policy: WorkPolicy | None = None
-        self._pass: PlacementPass | None = None
-        """The pass that ran out of time and is to be continued."""
+        self._rounds = PlacementRounds(self)
 
     @property
     def policy(self) -> WorkPolicy | None:
@@ -349,42 +345,14 @@
         """Decide which waiting tasks start now, and on which executors.
 
         Returns:
-            Whether all of them were looked at. If `has_time` returned False before, the next call
+            Whether all of them had their turn. If `has_time` returned False before, the next call
             goes on with those that are left.
         """
         if self._policy is None:
             return True
         self.job_table.begin_due(wall)
         self._copy_from_unresponsive(now)
-        if self._pass is None:
-            self._pass = PlacementPass(self, self._policy, now, has_time)
-        else:
-            self._pass.resume(self._policy, now, has_time)
-        if not self._pass.place(self._steps_to_place(self._pass, now)):
-            return False
-        self._pass = None
-        return True
-
-    def _steps_to_place(self, pass_: PlacementPass, now: float) -> Iterator[StepProgress]:
-        """Yield the waiting steps that a pass has yet to look at, in the order of their ranks."""
-        waiting = [
-            step for step in self.job_table.open_steps if pass_.is_left(step) and step.has_waiting
-        ]
-        waiting.sort(key=lambda step: step.record.deadline)
-        ranked = sorted(((self._rank(step, now), step) for step in waiting), key=itemgetter(0))
-        for rank, group in itertools.groupby(ranked, key=itemgetter(0)):
-            steps = [step for _, step in group]
-            yield from order_by_share(steps, self._weighted_usage) if rank.shared else steps
-
-    def _rank(self, step: StepProgress, now: float) -> Rank:
-        queue = self.queue_of(step.record.job)
-        return rank_of(step, queue.priority if queue else 0, now)
-
-    def _weighted_usage(self, organisation: str) -> float:
-        """Return an organisation's charged millicores, divided by the weight of its share."""
-        limits = self._policy.organisations.get(organisation) if self._policy else None
-        weight = limits.share if limits and limits.share > 0 else 1.0
-        return self.ledger.usage(organisation).cpu / weight
+        return self._rounds.place(self._policy, now, has_time)
 
     def can_place_elsewhere(self, run: Run, now: float) -> bool:
         """Return whether another executor of the pool has free capacity for the task of a run.
