--- a/vanillawell/platform/idle_connections.py
+++ b/vanillawell/platform/idle_connections.py
@@ -11,8 +11,8 @@
 IDLE_TIMEOUT = 12.0
 """Seconds after which an idle connection is not reused; the other ends close theirs after 15."""
 
-MAX_IDLE_CONNECTIONS = 1_000
-"""Idle connections to all addresses together: a quarter of a small machine's descriptors."""
+MAX_IDLE_CONNECTIONS = 2_000
+"""Idle connections to all addresses together: half of a small machine's descriptors."""
 
 
 class _Connection(Protocol):
