--- a/vanillawell/coordination/advice_requester.py
+++ b/vanillawell/coordination/advice_requester.py
@@ -89,7 +89,7 @@
         self._order.forget_ended(self._shard.job_table.open_steps)
 
     def _next_query(self, now: float) -> AdviceQuery | None:
-        """Return the request for the step without tickets whose turn it is.
+        """Return the request for the step without tickets that comes first in the order.
 
         Steps for which no executor is left to ask about that could run a task now are skipped, so
         that they do not delay others.
@@ -110,10 +110,10 @@
             moves = step in moved and not step.has_waiting
             executors = outlook.executors(step, queue.service)
             if executors and (moves or step.has_waiting):
-                turn = self._order.turn(step, outlook.prospect(step, queue.service, moves))
+                position = self._order.position(step, outlook.prospect(step, queue.service, moves))
                 assert queue.advice is not None
                 query = AdviceQuery(step, queue.advice, executors[:MAX_EXECUTORS_PER_CALL])
-                queries.append((turn, query))
+                queries.append((position, query))
         return min(queries, key=itemgetter(0))[1] if queries else None
 
     async def _request_tickets(self, query: AdviceQuery) -> None:
--- a/vanillawell/coordination/shard_owner.py
+++ b/vanillawell/coordination/shard_owner.py
@@ -55,7 +55,7 @@
 decisions."""
 
 PLACEMENT_SLICE = 0.02
-"""Seconds for which tasks are placed before everything else has its turn."""
+"""Seconds for which tasks are placed before other work of the process continues."""
 
 
 class ShardOwner:
@@ -271,7 +271,7 @@
             self._wake_event = anyio.Event()
 
     def _place(self, now: float) -> bool:
-        """Place tasks for at most `PLACEMENT_SLICE`; return whether all had their turn.
+        """Place tasks for at most `PLACEMENT_SLICE`; return whether no step is left.
 
         Otherwise thousands of tasks that are handed in at once would keep the owner from renewing
         its lease.
--- a/vanillawell/state/advice_order.py
+++ b/vanillawell/state/advice_order.py
@@ -30,17 +30,17 @@
     """What a step could do with advice now; lower values are served first."""
 
     STARTS = 0
-    LACKS_ROOM = 1
+    LACKS_CAPACITY = 1
     AT_MAXIMUM = 2
     """Its organisation may have no more running."""
 
 
-class Turn(NamedTuple):
+class QueuePosition(NamedTuple):
     """Position of a step in the order; the lowest is served first."""
 
     prospect: Prospect
     organisation_served_at: float
-    """When advice was last requested for its organisation, so that organisations take turns."""
+    """When advice was last requested for its organisation: organisations are served round robin."""
 
     due: float
     """Deadline of its job, later by as long again with each request: a step whose advice expires
@@ -75,12 +75,14 @@
             if name in organisations
         }
 
-    def turn(self, step: StepProgress, prospect: Prospect) -> Turn:
+    def position(self, step: StepProgress, prospect: Prospect) -> QueuePosition:
         """Return the position of a step in the order."""
         record = step.record
         served_at = self._step_served_at.get(step, record.seen_at)
         organisation_served_at = self._organisation_served_at.get(record.job.organisation, 0.0)
-        return Turn(prospect, organisation_served_at, served_at + record.deadline - record.seen_at)
+        return QueuePosition(
+            prospect, organisation_served_at, served_at + record.deadline - record.seen_at
+        )
 
 
 class AdviceOutlook:
@@ -99,7 +101,7 @@
         self._now = now
         self._usable: dict[str, list[Executor]] = {}
         self._suitable: dict[tuple[str, str, Resources], list[Executor]] = {}
-        self._roomy: dict[tuple[str, str, Resources], list[Executor]] = {}
+        self._with_capacity: dict[tuple[str, str, Resources], list[Executor]] = {}
 
     def executors(self, step: StepProgress, service: str) -> list[Executor]:
         """Return the executors that may be able to run a task of a step, the least loaded first.
@@ -112,22 +114,24 @@
         """Return what a step could do with advice; `moves` if its tasks run and have to move."""
         if not moves and not self._is_within_maximum(step):
             return Prospect.AT_MAXIMUM
-        return Prospect.STARTS if self._has_room(step, service) else Prospect.LACKS_ROOM
+        return Prospect.STARTS if self._has_capacity(step, service) else Prospect.LACKS_CAPACITY
 
     def _is_within_maximum(self, step: StepProgress) -> bool:
         organisation = step.record.job.organisation
         running = self._shard.ledger.usage(organisation)
         return self._shard.is_within_maximum(organisation, running, _need_at_once(step))
 
-    def _has_room(self, step: StepProgress, service: str) -> bool:
+    def _has_capacity(self, step: StepProgress, service: str) -> bool:
         key = (service, step.spec.required_label, step.spec.reserved)
-        if key not in self._roomy:
+        if key not in self._with_capacity:
             suitable = self._suitable_executors(step, service)
-            self._roomy[key] = [item for item in suitable if step.spec.reserved.fits(item.free)]
-        roomy = self._without_barred(step, self._roomy[key])
+            self._with_capacity[key] = [
+                item for item in suitable if step.spec.reserved.fits(item.free)
+            ]
+        fitting = self._without_barred(step, self._with_capacity[key])
         if not step.spec.gang:
-            return bool(roomy)
-        return sum(count_fitting_tasks(step.spec, item) for item in roomy) >= step.spec.count
+            return bool(fitting)
+        return sum(count_fitting_tasks(step.spec, item) for item in fitting) >= step.spec.count
 
     def _without_barred(self, step: StepProgress, executors: list[Executor]) -> list[Executor]:
         barred = self._barred.get(key_of(step))
--- a/vanillawell/state/cheapest_executors.py
+++ b/vanillawell/state/cheapest_executors.py
@@ -37,7 +37,7 @@
 
         Args:
             executors: The executors.
-            cost: Returns the cost of an executor; None once it has no room, which never returns.
+            cost: Returns the cost of an executor; None once it has no capacity left.
             rack_position: Position in a cost of the part that is the same for a whole rack.
         """
         self._executor_cost = cost
@@ -49,7 +49,7 @@
         self._racks = CheapestFirst(racks, self._rack_cost)
 
     def best(self) -> Executor | None:
-        """Return the cheapest executor with room; None if there is none."""
+        """Return the cheapest executor with free capacity; None if there is none."""
         found = self._racks.best()
         if found is None:
             return None
--- a/vanillawell/state/placement.py
+++ b/vanillawell/state/placement.py
@@ -57,7 +57,7 @@
             candidates: Executors of its pool that accept tasks.
             tickets: Tickets by the executors that may run the step; None if it needs none.
             now: Present time.
-            kept_free: Executors whose room is kept for others.
+            kept_free: Executors that are reserved for others.
         """
         spec = step.spec
         self._spec = spec
@@ -125,7 +125,7 @@
 
     @property
     def is_restricted(self) -> bool:
-        """Return whether room of the pool is kept from the step."""
+        """Return whether executors of the pool are reserved for others."""
         return bool(self._kept_free)
 
     def ticket(self, executor: Executor) -> str:
@@ -223,8 +223,7 @@
             self._home_rack = executor.facts.rack
 
     def eligible(self) -> list[Executor]:
-        """Return the executors that may run another task of the step, whether they have room or
-        not."""
+        """Return the executors that may run another task of the step, whatever is free there."""
         return [item for item in self._candidates if not self._is_at_step_limit(item)]
 
 
--- a/vanillawell/state/placement_pass.py
+++ b/vanillawell/state/placement_pass.py
@@ -63,7 +63,7 @@
 
 
 class PlacementPass:
-    """One pass over all steps that may start, made at once or in several parts."""
+    """One pass over all steps that may start, in one or several time slices."""
 
     def __init__(
         self, shard: PlacementTarget, policy: WorkPolicy, now: float, has_time: Callable[[], bool]
@@ -84,7 +84,7 @@
         """Services with executors in evacuated zones."""
 
     def resume(self, policy: WorkPolicy, now: float, has_time: Callable[[], bool]) -> None:
-        """Go on with a pass; executors, and the room on them, may have changed meanwhile."""
+        """Continue a pass; executors and their free capacity may have changed meanwhile."""
         self._policy = policy
         self._now = now
         self._has_time = has_time
@@ -195,7 +195,7 @@
 
     def _place_task(self, task: Task, placer: StepPlacer, number: int) -> Run | None:
         """Plan a run of a task; return None if its organisation may have no more running, or if no
-        executor has room for it."""
+        executor has capacity for it."""
         if not self._is_within_limit(task):
             return None
         executor = placer.choose(task)
@@ -234,7 +234,7 @@
     def _record_unplaced(self, step: StepProgress, queue: Queue, placer: StepPlacer) -> None:
         """Record why a step could not be placed.
 
-        Room is kept for a long-running step. The need of any other step is recorded as
+        An executor is reserved for a long-running step. The need of any other step is recorded as
         failed, so that later steps skip a search that cannot succeed, but only if no placement
         constraint or reservation limited it.
         """
--- a/vanillawell/state/placement_rounds.py
+++ b/vanillawell/state/placement_rounds.py
@@ -1,4 +1,4 @@
-"""Give all steps with waiting tasks their turn, in as many parts as it takes."""
+"""Look at all steps with waiting tasks, in as many time slices as it takes."""
 
 from __future__ import annotations
 
@@ -26,11 +26,11 @@
 
 
 class PlacementRounds:
-    """Rounds in which each step with waiting tasks has one turn.
+    """Rounds in which each step with waiting tasks is looked at once.
 
-    A round that runs out of time goes on in the next call, with the steps that have not had their
-    turn; steps that have come meanwhile join it by their rank. So tasks without a place don't keep
-    later ones from their turn.
+    A round that runs out of time goes on in the next call, with the steps that are left; steps that
+    have come meanwhile join it by their rank. So tasks that find no executor do not starve later
+    ones.
     """
 
     def __init__(self, shard: RoundTarget) -> None:
@@ -39,7 +39,7 @@
         """The round that is to be continued."""
 
     def place(self, policy: WorkPolicy, now: float, has_time: Callable[[], bool]) -> bool:
-        """Place tasks until all have had their turn; return False if time ran out before."""
+        """Place tasks; return False if time ran out before the end of the round."""
         if self._open is None:
             self._open = PlacementPass(self._shard, policy, now, has_time)
         else:
@@ -52,7 +52,7 @@
     def _steps(
         self, pass_: PlacementPass, policy: WorkPolicy, now: float
     ) -> Iterator[StepProgress]:
-        """Yield the waiting steps that have not had their turn, in the order of their ranks."""
+        """Yield the waiting steps that are left in a round, in the order of their ranks."""
         waiting = [
             step
             for step in self._shard.job_table.open_steps
--- a/vanillawell/state/progress.py
+++ b/vanillawell/state/progress.py
@@ -162,7 +162,7 @@
     """Reason why its waiting tasks cannot start, as last logged; empty if they can."""
 
     reserved_executor: str = ""
-    """Executor on which room is kept for its long-running tasks, as last logged."""
+    """Executor that is reserved for its long-running tasks, as last logged."""
 
     def __post_init__(self) -> None:
         job_id = self.record.job.job_id
--- a/vanillawell/state/shard.py
+++ b/vanillawell/state/shard.py
@@ -345,8 +345,8 @@
         """Decide which waiting tasks start now, and on which executors.
 
         Returns:
-            Whether all of them had their turn. If `has_time` returned False before, the next call
-            goes on with those that are left.
+            Whether all of them were looked at. If `has_time` returned False before, the next call
+            continues with those that are left.
         """
         if self._policy is None:
             return True
