Odd documents: what a job was handed in with, and the id of its key

Cause: two new readers of stored documents had no part in the property test of odd ones. Result: both pass, with their documents changed at random; nothing had to be mended.

--- a/vanillawell/tests/odd_documents_tests.py
+++ b/vanillawell/tests/odd_documents_tests.py
@@ -20,6 +20,7 @@
 from vanillawell.protocol.lease_bounds import ExecutorBound, LeaseBounds
 from vanillawell.protocol.ownership_documents import Contender, TermDocument
 from vanillawell.protocol.queue_documents import (
+    read_key_id,
     read_pending,
     read_queue,
     write_job_rules,
@@ -28,12 +29,14 @@
 from vanillawell.protocol.record_parts import count_parts, join
 from vanillawell.protocol.work_documents import (
     read_job,
+    read_origin,
     read_record,
     read_summary,
     write_job,
     write_record,
 )
 from vanillawell.protocol.work_keys import WorkKeys
+from vanillawell.state.job_access import Access, may_access
 from vanillawell.state.ledger import InheritedLeaseBound
 from vanillawell.state.work import Ending
 from vanillawell.tests.changed_documents import changed
@@ -237,11 +240,22 @@
     assert sum(read_pending(data).values()) >= 0
 
 
+def _use_origin(data: bytes) -> None:
+    access = Access(policy().queues[QUEUE], "north", "0123")
+    may_access(access, read_origin(data), policy())
+
+
+def _use_key_id(data: bytes) -> None:
+    assert isinstance(read_key_id(data), str)
+
+
 DOCUMENTS: dict[str, tuple[bytes, Callable[[bytes], None]]] = {
     "job": (write_job(STORED_JOB), _use_job),
     "record": (STORED_RECORD, _use_record),
     "lease bounds": (STORED_BOUNDS.to_bytes(), _use_bounds),
     "rules of a queue": (write_job_rules(policy().queues[QUEUE], ""), _use_queue),
+    "origin of a job": (write_job(STORED_JOB), _use_origin),
+    "key of a job": (write_job_rules(policy().queues[QUEUE], "0123"), _use_key_id),
     "term": (TermDocument(3, "entry", 4).to_bytes(), _use_term),
     "contender": (Contender("entry", 0.5).to_bytes(), _use_contender),
     "wave": (b'{"wave":1,"machines":["a","b"],"durationS":10,"maximum":1}', _use_wave),
