Looking jobs up is a module of its own

Change: coordination/job_lookup.py reads jobs and decides who may access them; moved, the answers are the same.

--- a/vanillawell/coordination/job_service.py
+++ b/vanillawell/coordination/job_service.py
@@ -3,12 +3,12 @@
 from __future__ import annotations
 
 import logging
-from dataclasses import replace
 from typing import TYPE_CHECKING
 
 import anyio
 
 from vanillawell import clock
+from vanillawell.coordination.job_lookup import JobLookup
 from vanillawell.coordination.prefix_watch import Backoff
 from vanillawell.coordination.store_health import PROBE_TIMEOUT, StoreHealth
 from vanillawell.coordination.withdrawals import Withdrawals
@@ -18,23 +18,12 @@
     StoreRejectedError,
     StoreUnavailableError,
 )
-from vanillawell.protocol.queue_documents import read_key_id, read_pending, write_job_rules
+from vanillawell.protocol.queue_documents import read_pending, write_job_rules
 from vanillawell.protocol.refusals import Reason, Refusal
 from vanillawell.protocol.store import Compare, Put, Transaction
 from vanillawell.protocol.verdict import Verdict
-from vanillawell.protocol.work_documents import (
-    RecordSummary,
-    read_origin,
-    read_summary,
-    write_job,
-)
-from vanillawell.state.job_access import (
-    KEY_ID_LENGTH,
-    Access,
-    JobOrigin,
-    depends_on_key,
-    may_access,
-)
+from vanillawell.protocol.work_documents import write_job
+from vanillawell.state.job_access import KEY_ID_LENGTH, Access
 from vanillawell.state.job_size import exceeded_bound
 from vanillawell.state.work import JobState
 
@@ -96,6 +85,7 @@
         self._value_limit = value_limit
         """Bytes of the largest value that the store holds."""
 
+        self._lookup = JobLookup(store, keys, policies)
         self._store_health = StoreHealth()
         self._withdrawals = Withdrawals(store, keys)
         policies.on_outcome(self._record_outcome)
@@ -222,7 +212,7 @@
         earlier = result.values.get(self._keys.submitted_job(job.job_id))
         if earlier is not None and not result.succeeded:
             try:
-                is_repeat = await self._may_access(job.job_id, access, earlier)
+                is_repeat = await self._lookup.may_access(job.job_id, access, earlier)
             except StoreError as error:
                 log.warning("job not confirmed", extra={"job": job.job_id, "why": str(error)})
                 return Refusal(Reason.ACCEPTANCE_UNKNOWN, Verdict.MAY_HAVE_RUN)
@@ -234,31 +224,6 @@
         self._log_submitted(job, result.succeeded)
         return None
 
-    async def _may_access(self, job_id: str, access: Access, submitted: KeyValue) -> bool:
-        """Return whether a call may access the job in this document; log it if not.
-
-        Raises:
-            StoreError: It depends on the job's key, which could not be read.
-        """
-        policy = self._policies.policy
-        try:
-            origin = read_origin(submitted.value)
-            if policy is not None and depends_on_key(access, origin, policy):
-                rules = await self._store.get(self._keys.job_rules(job_id))
-                origin = replace(origin, key_id=read_key_id(rules.value) if rules else "")
-        except ValueError as error:
-            log.error("job document unreadable", extra={"job": job_id, "reason": str(error)})
-            return False
-        if self._is_granted(access, origin):
-            return True
-        fields = {"queue": access.queue.name, "organisation": access.organisation}
-        log.info("job of another organisation", extra={"job": job_id, **fields})
-        return False
-
-    def _is_granted(self, access: Access, origin: JobOrigin) -> bool:
-        policy = self._policies.policy
-        return policy is not None and may_access(access, origin, policy)
-
     def _excess_bytes(self, data: bytes) -> str:
         """Return why a job's document has no place in the store; empty if it has."""
         if len(data) <= self._value_limit:
@@ -287,19 +252,11 @@
     async def show(self, job_id: str, access: Access) -> JobState | Refusal:
         """Return the state of a job that the call may access."""
         try:
-            record = await self._store.get(self._keys.record(job_id))
-            summary = read_summary(record.value) if record else RecordSummary(JobState.QUEUED, None)
-            if summary.origin is None or not self._is_granted(access, summary.origin):
-                submitted = await self._store.get(self._keys.submitted_job(job_id))
-                if submitted is None or not await self._may_access(job_id, access, submitted):
-                    return _refuse(Reason.NO_SUCH_JOB)
+            state = await self._lookup.state(job_id, access)
         except (StoreError, ValueError) as error:
             log.warning("job state not read", extra={"job": job_id, "why": str(error)})
             return _refuse(Reason.STORE_DOWN, retry_after=STORE_RETRY_AFTER)
-        if record is not None:
-            fields = {"state": summary.state, "revision": record.mod_revision}
-            log.info("state told", extra={"job": job_id, **fields})
-        return summary.state
+        return _refuse(Reason.NO_SUCH_JOB) if state is None else state
 
     async def cancel(self, job_id: str, access: Access, time_left: float) -> Refusal | None:
         """Request the cancellation of a job; return None once the request is stored.
@@ -313,7 +270,7 @@
                 try:
                     order = await self._store.get(self._keys.submitted_job(job_id))
                     if order is not None:
-                        if not await self._may_access(job_id, access, order):
+                        if not await self._lookup.may_access(job_id, access, order):
                             return _refuse(Reason.NO_SUCH_JOB)
                         if await self._store_cancellation(job_id, order):
                             log.info("cancellation accepted", extra={"job": job_id})
